--- /dev/null
+++ b/crates/sanddrum-simhost/src/decode.rs
@@ -0,0 +1,325 @@
+//! From the wire's events to the rounds that the module takes, and from its words to ours.
+
+use crate::{Host, Instance, Names};
+use base64::{engine::general_purpose::STANDARD, Engine};
+use sanddrum::*;
+use serde_json::Value as Json;
+use std::hash::{DefaultHasher, Hasher};
+
+type Read<T> = Result<T, String>;
+
+/// The settings' words that differ from ours.
+const WORDS: [(&str, &str); 41] = [
+    ("aim-us", "start-target-us"),
+    ("answer-slack-us", "answer-slack-us"),
+    ("az", "zone"),
+    ("azs", "zones"),
+    ("balancers", "routers"),
+    ("blend", "goal"),
+    ("by_key", "fingerprinted"),
+    ("classes", "workloads"),
+    ("client-habits", "clients"),
+    ("deadline-us", "time-limit-us"),
+    ("family-info", "copies"),
+    ("idle-life-us", "keep-alive-us"),
+    ("idle-memory-cost", "memory-price"),
+    ("if-cold", "on-miss"),
+    ("key-scope", "group"),
+    ("load-span-us", "load-window-us"),
+    ("load-wait-us", "order-time-out-us"),
+    ("loads-anyway", "load-free"),
+    ("loads-per-request", "load-share"),
+    ("lookup_miss", "miss"),
+    ("may-duplicate", "second-copies"),
+    ("obligations", "rules"),
+    ("once", "run-once"),
+    ("over-share-worth", "over-share-importance"),
+    ("placement-calls", "orders"),
+    ("ram-mb-by-kind", "kind-memory-mb"),
+    ("repeat-window-us", "repeat-window-us"),
+    ("repeatable", "restartable"),
+    ("rng-seed", "seed"),
+    ("stats", "reports"),
+    ("stop-sending-within-us", "drain-grace-us"),
+    ("team", "customer"),
+    ("tenants", "customers"),
+    ("tip-after-us", "fall-us"),
+    ("try-limit", "max-executions"),
+    ("value-by", "importance-by"),
+    ("warm-notes", "tells-warm"),
+    ("weight-kind", "sizes"),
+    ("worst-class", "worst-workload"),
+    ("worst-tenant", "worst-customer"),
+    ("worth", "importance"),
+];
+
+fn ours(word: &str) -> &str {
+    WORDS.iter().find(|(wire, _)| *wire == word).map_or(word, |(_, own)| own)
+}
+
+/// Flattens the settings into dotted names in our words.
+fn settings(at: &str, value: &Json, into: &mut Settings) {
+    let join = |name: &str| if at.is_empty() { name.to_string() } else { format!("{at}.{name}") };
+    let plain = match value {
+        Json::Object(map) => {
+            map.iter().for_each(|(name, v)| settings(&join(ours(name)), v, into));
+            return;
+        }
+        Json::Array(list) => {
+            list.iter().enumerate().for_each(|(n, v)| settings(&join(&n.to_string()), v, into));
+            into.0.insert(join("count"), Value::Number(list.len() as f64));
+            return;
+        }
+        Json::Bool(b) => Value::Flag(*b),
+        Json::String(s) => Value::Text(ours(s).to_string()),
+        Json::Number(n) => Value::Number(n.as_f64().unwrap_or_default()),
+        Json::Null => return,
+    };
+    into.0.insert(at.to_string(), plain);
+}
+
+/// A message's values, asked for by place and name.
+struct Fields<'a>(&'a [Json]);
+
+impl<'a> Fields<'a> {
+    fn get(&self, place: usize) -> &'a Json {
+        self.0.get(place).unwrap_or(&Json::Null)
+    }
+    fn text(&self, place: usize, name: &str) -> Read<&'a str> {
+        self.get(place).as_str().ok_or_else(|| format!("{name}: a text is wanted"))
+    }
+    fn maybe(&self, place: usize, name: &str) -> Read<Option<f64>> {
+        match self.get(place) {
+            Json::Null => Ok(None),
+            v => v.as_f64().map(Some).ok_or_else(|| format!("{name}: a number is wanted")),
+        }
+    }
+    fn number(&self, place: usize, name: &str) -> Read<f64> {
+        self.maybe(place, name)?.ok_or_else(|| format!("{name}: a number is wanted"))
+    }
+    fn or_nought(&self, place: usize, name: &str) -> Read<f64> {
+        Ok(self.maybe(place, name)?.unwrap_or(0.0))
+    }
+    fn list(&self, place: usize, name: &str) -> Read<&'a [Json]> {
+        self.get(place).as_array().map(Vec::as_slice).ok_or_else(|| format!("{name}: a list is wanted"))
+    }
+}
+
+/// A stable id of a text: the same at every instance, so that routers can agree by hashing.
+fn id_of(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    hasher.write(text.as_bytes());
+    hasher.finish()
+}
+
+fn end_of(code: &str) -> Read<End> {
+    Ok(match code {
+        "completed" => End::Finished,
+        "errored" => End::Error,
+        "saturated" => End::Full,
+        "overdue" => End::TimedOut,
+        "refused_conn" => End::NoConnection,
+        "severed" => End::Reset,
+        "recalled" => End::Cancelled,
+        "superseded" => End::Moot,
+        "lookup_miss" => End::Miss,
+        other => return Err(format!("state-code: unknown {other:?}")),
+    })
+}
+
+fn report_of(names: &[String], gauge: &Json) -> Option<Report> {
+    let values = gauge.as_array()?;
+    let mut report = Report::default();
+    for (name, value) in names.iter().zip(values) {
+        let place = match name.as_str() {
+            "rif" => &mut report.held,
+            "q" => &mut report.queued,
+            "busy" => &mut report.busy,
+            "lat_ms" => &mut report.latency_ms,
+            "rate" => &mut report.finished_per_s,
+            "fail_rate" => &mut report.errors_per_s,
+            "x0" => &mut report.memory_pinned,
+            "x1" => &mut report.loads,
+            _ => continue,
+        };
+        *place = value.as_f64();
+    }
+    Some(report)
+}
+
+fn warmth_of(note: u32) -> Warmth {
+    match note % 8 {
+        1 => Warmth::Stood,
+        2 => Warmth::BeganLoad,
+        3 => Warmth::WaitedForLoad,
+        4 => Warmth::LoadFailed,
+        _ => Warmth::Unknown,
+    }
+}
+
+fn row_of(json: &Json) -> Read<(WorkerRow, String)> {
+    let f = Fields(json.as_array().ok_or("lines: a list is wanted")?);
+    let state = match f.text(2, "phase")? {
+        "IN" => WorkerState::Ready,
+        "LAME" => WorkerState::Draining,
+        "OUT" => WorkerState::Gone,
+        other => return Err(format!("phase: unknown {other:?}")),
+    };
+    let server = f.text(5, "server")?;
+    let row = WorkerRow {
+        worker: WorkerId(id_of(server)),
+        zone: ZoneId(f.or_nought(6, "locality")? as usize),
+        cell: CellId(f.or_nought(3, "cohort")? as usize),
+        kind: KindId(f.or_nought(0, "hw")? as usize),
+        size: f.maybe(1, "nominal")?.unwrap_or(1.0),
+        state,
+        started: f.or_nought(4, "started-at-us")? as Micros,
+    };
+    Ok((row, server.to_string()))
+}
+
+fn power_on(f: &Fields) -> Read<Instance> {
+    let info = f.get(3);
+    if !info.is_object() {
+        return Err("boot-info: an object is wanted".into());
+    }
+    let seed = f.get(2);
+    let seed = seed.as_u64().or_else(|| seed.as_i64().map(|n| n as u64));
+    let seed = seed.ok_or("rng-seed: a whole number is wanted")?;
+    let mut map = Settings::default();
+    settings("", info, &mut map);
+    let fields = info["stats"]["fields"].as_array();
+    Ok(Instance {
+        router: Router::new(seed, &map),
+        round: Round::default(),
+        fields: fields.into_iter().flatten().filter_map(|v| v.as_str().map(String::from)).collect(),
+        tells_crowd: info["family-info"]["tells-crowd"].as_bool() == Some(true),
+        names: Names::default(),
+    })
+}
+
+/// Takes one line in; true at the end of a batch.
+pub fn line(host: &mut Host, text: &str) -> Read<bool> {
+    let json: Json = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let f = Fields(json.as_array().ok_or("a list is wanted")?);
+    let word = f.text(0, "message name")?;
+    match word {
+        "clock" => {
+            host.now = f.number(1, "clock")? as i64;
+            return Ok(false);
+        }
+        "end" => return Ok(true),
+        "snapshot-rows" => {
+            let rows = f.list(2, "lines")?.iter().map(row_of).collect::<Read<Vec<_>>>()?;
+            host.lists.insert(f.number(1, "ref")? as u64, rows);
+            return Ok(false);
+        }
+        "power-on"
+        | "killed"
+        | "peers-known"
+        | "incoming"
+        | "accepted"
+        | "outcome"
+        | "cancelled-by-client"
+        | "due"
+        | "sampled"
+        | "whisper"
+        | "loaded" => {}
+        _ => return Ok(false),
+    }
+    let name = f.text(1, "i")?;
+    if word == "killed" {
+        host.instances.remove(name);
+        return Ok(false);
+    }
+    if !host.called.iter().any(|c| c == name) {
+        host.called.push(name.to_string());
+    }
+    if word == "power-on" {
+        host.instances.insert(name.to_string(), power_on(&f)?);
+        return Ok(false);
+    }
+    let instance = host.instances.get_mut(name).ok_or_else(|| format!("i: no instance {name:?}"))?;
+    let (round, names) = (&mut instance.round, &mut instance.names);
+    match word {
+        "peers-known" => {
+            let kind = match f.text(2, "mode")? {
+                "delta" => ListKind::Changes,
+                "full" => ListKind::Full,
+                "cached" => ListKind::Cached,
+                "failed" => return Ok(false),
+                other => return Err(format!("mode: unknown {other:?}")),
+            };
+            let list = f.number(4, "ref")? as u64;
+            let rows = host.lists.get(&list).ok_or_else(|| format!("ref: no list {list}"))?;
+            names.workers.extend(rows.iter().map(|(row, text)| (row.worker.0, text.clone())));
+            round.lists.push(WorkerList { kind, rows: rows.iter().map(|(row, _)| *row).collect() });
+        }
+        "incoming" => {
+            let (rid, function) = (f.text(2, "rid")?, f.text(5, "function")?);
+            let opts = f.or_nought(9, "opts")? as u64;
+            names.functions.entry(id_of(function)).or_insert_with(|| function.to_string());
+            round.jobs.push(Job {
+                id: names.take(rid),
+                function: FunctionId(id_of(function)),
+                workload: WorkloadId(f.or_nought(6, "qos")? as usize),
+                customer: CustomerId(f.or_nought(7, "team")? as usize),
+                due: f.number(3, "due-us")? as Micros,
+                memory_mb: f.or_nought(8, "ram-mb")?,
+                lanes: f.or_nought(10, "at-once")?,
+                load: f.maybe(4, "load-time-ms")?.map(|ms| (ms * 1000.0) as Micros),
+                work: f.maybe(11, "work-us")?.filter(|_| opts & 1 != 0).map(|us| us as Micros),
+                repeat: opts & 2 != 0,
+            });
+        }
+        "outcome" => {
+            let Some(&id) = names.jobs.get(f.text(2, "rid")?) else { return Ok(false) };
+            let settled = f.get(7).as_bool().ok_or("settled: a bool is wanted")?;
+            if let Some(job) = names.job_texts.get_mut(&id) {
+                job.out = job.out.saturating_sub(1);
+                job.ended |= settled;
+            }
+            names.forget_if_done(id);
+            let note = f.or_nought(8, "note")? as u32;
+            round.ends.push(ExecutionEnd {
+                job: JobId(id),
+                execution: f.number(3, "attempt")? as usize,
+                worker: WorkerId(id_of(f.text(4, "server")?)),
+                end: end_of(f.text(5, "state-code")?)?,
+                latency: f.or_nought(6, "latency-us")? as Micros,
+                settled,
+                warmth: warmth_of(note),
+                crowd: instance.tells_crowd.then_some(note / 8),
+                report: report_of(&instance.fields, f.get(9)),
+            });
+        }
+        "cancelled-by-client" => {
+            let Some(&id) = names.jobs.get(f.text(2, "rid")?) else { return Ok(false) };
+            if let Some(job) = names.job_texts.get_mut(&id) {
+                job.ended = true;
+            }
+            names.forget_if_done(id);
+            round.left.push(JobId(id));
+        }
+        "loaded" => round.orders.push(OrderEnd {
+            worker: WorkerId(id_of(f.text(2, "server")?)),
+            function: FunctionId(id_of(f.text(3, "function")?)),
+            end: end_of(f.text(4, "state-code")?)?,
+            latency: f.or_nought(5, "latency-us")? as Micros,
+            copies: f.or_nought(6, "count")? as u32,
+        }),
+        "sampled" => round.probes.push(ProbeEnd {
+            worker: WorkerId(id_of(f.text(2, "server")?)),
+            end: end_of(f.text(3, "state-code")?)?,
+            latency: f.or_nought(4, "latency-us")? as Micros,
+            report: report_of(&instance.fields, f.get(5)),
+        }),
+        "whisper" => {
+            let content = STANDARD.decode(f.text(3, "content")?).map_err(|e| format!("content: {e}"))?;
+            round.notes.push(PeerNote { from: PeerId(f.number(2, "origin-peer")? as usize), content });
+        }
+        "due" => round.timer = true,
+        _ => {}
+    }
+    Ok(false)
+}
--- /dev/null
+++ b/tests/host/mod.rs
@@ -0,0 +1,155 @@
+//! A tiny fake host: it keeps what the module decided and lets a story say what came of it.
+#![allow(dead_code)]
+
+use sanddrum::*;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Did {
+    Execute(u64, u64),
+    Cancel(u64, usize),
+    PushBack(u64),
+    Kill(u64),
+    Hold(u64, u64, u32),
+    Unload(u64, u64),
+    Probe(u64),
+}
+
+#[derive(Default)]
+pub struct Log {
+    pub did: Vec<Did>,
+    pub wake: Micros,
+}
+
+impl Decisions for Log {
+    fn execute(&mut self, job: JobId, worker: WorkerId, _: Micros) {
+        self.did.push(Did::Execute(job.0, worker.0));
+    }
+    fn cancel(&mut self, job: JobId, execution: usize) {
+        self.did.push(Did::Cancel(job.0, execution));
+    }
+    fn push_back(&mut self, job: JobId, _: Micros) {
+        self.did.push(Did::PushBack(job.0));
+    }
+    fn kill(&mut self, job: JobId) {
+        self.did.push(Did::Kill(job.0));
+    }
+    fn hold(&mut self, worker: WorkerId, function: FunctionId, copies: u32) {
+        self.did.push(Did::Hold(worker.0, function.0, copies));
+    }
+    fn unload(&mut self, worker: WorkerId, function: FunctionId) {
+        self.did.push(Did::Unload(worker.0, function.0));
+    }
+    fn probe(&mut self, worker: WorkerId) {
+        self.did.push(Did::Probe(worker.0));
+    }
+    fn tell(&mut self, _: Option<PeerId>, _: &[u8]) {}
+    fn wake_at(&mut self, at: Micros) {
+        self.wake = at;
+    }
+    fn note(&mut self, _: &str) {}
+}
+
+pub struct Host {
+    pub router: Router,
+    pub now: Micros,
+    pub log: Log,
+    /// Executions a job has had.
+    pub tries: BTreeMap<u64, usize>,
+}
+
+impl Host {
+    /// Workers 0 to `workers` - 1, one restartable workload, and what the story sets beside that.
+    pub fn new(workers: u64, set: &[(&str, Value)]) -> Host {
+        let number = |name: &str, n: f64| (name.to_string(), Value::Number(n));
+        let mut map = BTreeMap::from([
+            number("workloads.count", 1.0),
+            number("workloads.0.start-target-us", 1e6),
+            number("limits.max-executions", 5.0),
+            number("copies.keep-alive-us", 8e6),
+            number("rules.fall-us", 2e6),
+            number("rules.cold-us", 1e7),
+            number("rules.cold-from", 0.2),
+            ("workloads.0.effect".into(), Value::Text("restartable".into())),
+            ("limits.cancel".into(), Value::Flag(true)),
+        ]);
+        map.extend(set.iter().map(|(name, value)| (name.to_string(), value.clone())));
+        let router = Router::new(1, &Settings(map));
+        let mut host = Host { router, now: 1_000_000, log: Log::default(), tries: BTreeMap::new() };
+        let rows = (0..workers).map(|w| row(w, WorkerState::Ready, 0)).collect();
+        host.round(Round { lists: vec![WorkerList { kind: ListKind::Cached, rows }], ..Round::default() });
+        host
+    }
+
+    pub fn round(&mut self, round: Round) {
+        let from = self.log.did.len();
+        self.router.round(self.now, &round, &mut self.log);
+        for did in &self.log.did[from..] {
+            if let Did::Execute(job, _) = did {
+                *self.tries.entry(*job).or_default() += 1;
+            }
+        }
+    }
+
+    pub fn job(&mut self, id: u64, function: u64) {
+        let job = Job {
+            id: JobId(id),
+            function: FunctionId(function),
+            workload: WorkloadId(0),
+            customer: CustomerId(0),
+            due: self.now + 3_000_000,
+            memory_mb: 100.0,
+            lanes: 1.0,
+            load: None,
+            work: None,
+            repeat: false,
+        };
+        self.round(Round { jobs: vec![job], ..Round::default() });
+    }
+
+    /// Where the newest execution of a job went.
+    pub fn sent(&self, job: u64) -> Option<u64> {
+        self.log.did.iter().rev().find_map(|did| match did {
+            Did::Execute(j, w) if *j == job => Some(*w),
+            _ => None,
+        })
+    }
+
+    pub fn end(&mut self, job: u64, end: End, warmth: Warmth, latency: Micros) {
+        self.now += latency;
+        let worker = WorkerId(self.sent(job).unwrap_or(0));
+        let execution = self.tries.get(&job).map_or(0, |n| n - 1);
+        let settled = end == End::Finished;
+        let news = ExecutionEnd {
+            job: JobId(job),
+            execution,
+            worker,
+            end,
+            latency,
+            settled,
+            warmth,
+            crowd: None,
+            report: None,
+        };
+        self.round(Round { ends: vec![news], ..Round::default() });
+    }
+
+    pub fn finish(&mut self, job: u64, warmth: Warmth, latency: Micros) {
+        self.end(job, End::Finished, warmth, latency);
+    }
+
+    /// Lets time pass, waking the module whenever it asked to be.
+    pub fn pass(&mut self, span: Micros) {
+        let until = self.now + span;
+        while self.log.wake <= until {
+            self.now = self.now.max(self.log.wake);
+            self.round(Round { timer: true, ..Round::default() });
+        }
+        self.now = until;
+    }
+}
+
+pub fn row(worker: u64, state: WorkerState, started: Micros) -> WorkerRow {
+    let worker = WorkerId(worker);
+    WorkerRow { worker, zone: ZoneId(0), cell: CellId(0), kind: KindId(0), size: 1.0, state, started }
+}
