--- a/src/logic.rs
+++ b/src/logic.rs
@@ -122,8 +122,8 @@
     /// Work taken a microsecond, and when that was last brought up to date.
     inflow: f64,
     inflow_at: Micros,
-    /// How much longer than the hint a job takes.
-    hint_scale: f64,
+    /// Running means of what hinted jobs took and of their hints.
+    hinted: (f64, f64),
     load: f64,
     taken: VecDeque<Micros>,
     ordered: VecDeque<Micros>,
@@ -146,7 +146,7 @@
             todo: BTreeSet::new(),
             inflow: 0.0,
             inflow_at: 0,
-            hint_scale: 1.0,
+            hinted: (0.0, 0.0),
             load: 0.0,
             taken: VecDeque::new(),
             ordered: VecDeque::new(),
@@ -356,7 +356,10 @@
                     _ => {
                         function.work += NEWEST * (took - function.work);
                         if let Some(hint) = job.work.filter(|hint| *hint > 0) {
-                            self.hint_scale += NEWEST / 4.0 * (took / hint as f64 - self.hint_scale);
+                            // A ratio of means, as the mean of ratios is ruled by jobs hinted far too low.
+                            let (took_mean, hint_mean) = self.hinted;
+                            let keep = 1.0 - NEWEST / 4.0;
+                            self.hinted = (keep * took_mean + took, keep * hint_mean + hint as f64);
                         }
                         if let Some(worker) = self.workers.get_mut(&end.worker) {
                             let seen = (took / expected.max(1.0)).min(10.0);
@@ -435,7 +438,9 @@
 
     fn work_of(&self, job: &Job) -> f64 {
         let learned = self.functions.get(&job.function).map_or(0.0, |f| f.work);
-        job.work.filter(|hint| *hint > 0).map_or(learned, |hint| hint as f64 * self.hint_scale)
+        let (took, hinted) = self.hinted;
+        let scale = if hinted > 0.0 { took / hinted } else { 1.0 };
+        job.work.filter(|hint| *hint > 0).map_or(learned, |hint| hint as f64 * scale)
     }
 
     fn inflow_span(&self) -> f64 {
