When pressed, take only jobs that fit their start target

It should also guard against retry storms; it harms where a few slow workers pass for a pressed fleet, which is next.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,6 +30,12 @@
 const ASKS_A_KEEP: Micros = 4;
 /// What an answer to an ask says may already be half way to lapsing.
 const ASKED_COPY_LASTS: Micros = 2;
+/// Workers count as pressed once jobs take this many times what they take when calm.
+const PRESSED: f64 = 1.5;
+/// When pressed, a job is in time if this many times its expected time fits: times scatter about as their mean.
+const IN_TIME: f64 = 2.0;
+/// What jobs take when calm is the least mean seen; it is let rise this slowly, should the work itself change.
+const CALM_RISES_US: f64 = 3e7;
 /// Copies are renewed at this part of their life.
 const RENEW_AT: f64 = 0.8;
 
@@ -90,6 +96,15 @@
     warm_last: Option<WorkerId>,
 }
 
+/// What jobs of a workload take on warm copies: a running mean, and the same when calm.
+#[derive(Clone, Copy)]
+struct Pulse {
+    mean: f64,
+    calm: f64,
+    at: Micros,
+    seen: u32,
+}
+
 struct Execution {
     worker: WorkerId,
     sent: Micros,
@@ -115,6 +130,7 @@
     jobs: BTreeMap<JobId, Held>,
     /// All due times but the sweep's.
     due: BTreeSet<(Micros, Due)>,
+    pulses: BTreeMap<WorkloadId, Pulse>,
     sweep: Micros,
     wake: Micros,
     /// Jobs to be placed this round.
@@ -141,6 +157,7 @@
             functions: BTreeMap::new(),
             jobs: BTreeMap::new(),
             due: BTreeSet::new(),
+            pulses: BTreeMap::new(),
             sweep: 0,
             wake: 0,
             todo: BTreeSet::new(),
@@ -335,6 +352,10 @@
     fn learn(&mut self, job: &Job, end: &ExecutionEnd) {
         let (keep, bar) = (self.keep_alive(), self.work_of(job) as Micros);
         let expected = self.work_of(job);
+        if end.end == End::Finished && matches!(end.warmth, Warmth::Stood | Warmth::Unknown) {
+            self.feel_pulse(job.workload, end.latency as f64);
+        }
+        let slowdown = self.slowdown(job.workload);
         let Some(function) = self.functions.get_mut(&job.function) else { return };
         let place = function.places.entry(end.worker).or_default();
         place.own = place.own.saturating_sub(1);
@@ -354,7 +375,7 @@
                     }
                     Warmth::WaitedForLoad => {}
                     _ => {
-                        function.work += NEWEST * (took - function.work);
+                        function.work += NEWEST * (took / slowdown - function.work);
                         if let Some(hint) = job.work.filter(|hint| *hint > 0) {
                             // A ratio of means, as the mean of ratios is ruled by jobs hinted far too low.
                             let (took_mean, hint_mean) = self.hinted;
@@ -362,7 +383,7 @@
                             self.hinted = (keep * took_mean + took, keep * hint_mean + hint as f64);
                         }
                         if let Some(worker) = self.workers.get_mut(&end.worker) {
-                            let seen = (took / expected.max(1.0)).min(10.0);
+                            let seen = (took / (expected * slowdown).max(1.0)).min(10.0);
                             worker.pace = faded(worker.pace, self.now - worker.pace_at);
                             worker.pace += NEWEST * (seen - worker.pace);
                             worker.pace_at = self.now;
@@ -434,6 +455,23 @@
         }
     }
 
+    fn feel_pulse(&mut self, workload: WorkloadId, took: f64) {
+        let now = self.now;
+        let pulse = self.pulses.entry(workload).or_insert(Pulse { mean: took, calm: took, at: now, seen: 0 });
+        let passed = (now - pulse.at) as f64;
+        pulse.mean = pulse.calm + (pulse.mean - pulse.calm) * (-passed / PACE_FADES_US).exp();
+        pulse.seen += 1;
+        pulse.mean += (took - pulse.mean) * (1.0 / f64::from(pulse.seen)).max(NEWEST / 4.0);
+        let risen = pulse.calm * (1.0 + passed / CALM_RISES_US);
+        pulse.calm = if f64::from(pulse.seen) < 4.0 / NEWEST { pulse.mean } else { risen.min(pulse.mean) };
+        pulse.at = now;
+    }
+
+    /// How many times longer than when calm the jobs of a workload take of late.
+    fn slowdown(&self, workload: WorkloadId) -> f64 {
+        self.pulses.get(&workload).map_or(1.0, |p| faded(p.mean / p.calm.max(1.0), self.now - p.at))
+    }
+
     // ---- What is expected
 
     fn work_of(&self, job: &Job) -> f64 {
@@ -528,6 +566,13 @@
         if left <= work as Micros || tries >= most {
             return self.give_up(id, out);
         }
+        // A job is taken only if predicted in time; when pressed, in time means by its start target, as a
+        // late answer earns little and makes the next one late. This guards against any overload.
+        let (slowdown, target) = (self.slowdown(job.workload), came + self.target(job.workload) - self.now);
+        let pressed = slowdown > PRESSED;
+        if pressed && pending == 0 && (tries > 1 || work * slowdown * IN_TIME > target as f64) {
+            return self.give_up(id, out);
+        }
         let Some(function) = self.functions.get(&job.function) else { return };
         let (lanes, load_time) = (function.lanes, function.load);
         let places: Vec<(WorkerId, Place)> = function.places.iter().map(|(w, p)| (*w, *p)).collect();
@@ -556,11 +601,10 @@
         }
 
         // Exception: where all lanes are taken, a short wait at a warm worker that is in time beats a load.
-        let target = came + self.target(job.workload) - self.now;
         let mut best = None;
         for (w, p) in warm.iter().filter(|(_, p)| p.barred <= self.now) {
             let turns = (p.own + 1) as f64 / (lanes * p.copies) as f64;
-            let expected = (work * self.pace(*w) * turns) as Micros;
+            let expected = (work * slowdown * self.pace(*w) * turns) as Micros;
             best = Some(best.map_or((expected, *w), |b: (Micros, WorkerId)| b.min((expected, *w))));
         }
         if let Some((expected, w)) = best.filter(|(expected, _)| *expected < target) {
