--- a/src/logic.rs
+++ b/src/logic.rs
@@ -352,7 +352,9 @@
     fn learn(&mut self, job: &Job, end: &ExecutionEnd) {
         let (keep, bar) = (self.keep_alive(), self.work_of(job) as Micros);
         let expected = self.work_of(job);
-        if end.end == End::Finished && matches!(end.warmth, Warmth::Stood | Warmth::Unknown) {
+        // A few slow workers are not a pressed fleet.
+        let typical = self.pace(end.worker) <= SLOW;
+        if typical && end.end == End::Finished && matches!(end.warmth, Warmth::Stood | Warmth::Unknown) {
             self.feel_pulse(job.workload, end.latency as f64);
         }
         let slowdown = self.slowdown(job.workload);
