A learned limit of own jobs in flight at each worker

Each worker's limit grows while answers fit the start target and is cut when they do not; what has no room waits in the router.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,10 +30,12 @@
 const ASKS_A_KEEP: Micros = 4;
 /// What an answer to an ask says may already be half way to lapsing.
 const ASKED_COPY_LASTS: Micros = 2;
-/// Workers count as pressed once jobs take this many times what they take when calm.
-const PRESSED: f64 = 1.5;
-/// When pressed, a job is in time if this many times its expected time fits: times scatter about as their mean.
+/// A job is in time if this many times its expected time fits: times scatter about as widely as their mean.
 const IN_TIME: f64 = 2.0;
+/// Own jobs in flight that a worker is trusted with before anything is seen of it.
+const FIRST_LIMIT: f64 = 8.0;
+/// What is left of a worker's limit once answers from it are too slow for their start targets.
+const CUT: f64 = 0.8;
 /// What jobs take when calm is the least mean seen; it is let rise this slowly, should the work itself change.
 const CALM_RISES_US: f64 = 3e7;
 /// Copies are renewed at this part of their life.
@@ -61,6 +63,10 @@
     out: BTreeSet<(Micros, JobId, usize)>,
     pace: f64,
     pace_at: Micros,
+    /// Own jobs in flight that it bears in time; cut at most once in the time of a job.
+    limit: f64,
+    cut: Micros,
+    barred: Micros,
     report: Report,
     /// A check for life is out since then.
     checked: Option<Micros>,
@@ -72,6 +78,17 @@
     budget_at: Micros,
 }
 
+impl Worker {
+    fn cut_limit(&mut self, now: Micros, work: f64) {
+        if now >= self.cut + (work * self.pace) as Micros {
+            (self.cut, self.limit) = (now, (self.limit * CUT).max(1.0));
+        }
+    }
+    fn has_room(&self, now: Micros) -> bool {
+        f64::from(self.own) < self.limit && self.barred <= now
+    }
+}
+
 #[derive(Clone, Copy, Default)]
 struct Place {
     copies: u32,
@@ -111,6 +128,8 @@
     out: bool,
     may_have_run: bool,
     cancelled: bool,
+    /// It was sent to wait for a lane, so its time tells nothing of the worker.
+    queued: bool,
 }
 
 struct Held {
@@ -254,6 +273,9 @@
                 out: BTreeSet::new(),
                 pace: 1.0,
                 pace_at: now,
+                limit: FIRST_LIMIT,
+                cut: now,
+                barred: now,
                 report: Report::default(),
                 checked: None,
                 suspect: false,
@@ -312,8 +334,9 @@
         let Some(execution) = held.executions.get_mut(end.execution).filter(|e| e.out) else { return };
         (execution.out, execution.worker) = (false, end.worker);
         execution.may_have_run = !matches!(end.end, End::Full | End::NoConnection | End::Moot | End::Miss);
+        let queued = execution.queued;
         self.release(end);
-        self.learn(&job, end);
+        self.learn(&job, end, queued);
         if end.settled {
             self.end_job(end.job);
         } else {
@@ -349,15 +372,15 @@
     }
 
     /// What an end teaches of the function, its copy there and the worker's pace.
-    fn learn(&mut self, job: &Job, end: &ExecutionEnd) {
+    fn learn(&mut self, job: &Job, end: &ExecutionEnd, queued: bool) {
         let (keep, bar) = (self.keep_alive(), self.work_of(job) as Micros);
         let expected = self.work_of(job);
         // A few slow workers are not a pressed fleet.
-        let typical = self.pace(end.worker) <= SLOW;
-        if typical && end.end == End::Finished && matches!(end.warmth, Warmth::Stood | Warmth::Unknown) {
+        let usual = !self.slow(end.worker) && !queued;
+        if usual && end.end == End::Finished && matches!(end.warmth, Warmth::Stood | Warmth::Unknown) {
             self.feel_pulse(job.workload, end.latency as f64);
         }
-        let slowdown = self.slowdown(job.workload);
+        let (slowdown, target) = (self.slowdown(job.workload), self.target(job.workload) as f64);
         let Some(function) = self.functions.get_mut(&job.function) else { return };
         let place = function.places.entry(end.worker).or_default();
         place.own = place.own.saturating_sub(1);
@@ -376,8 +399,9 @@
                         self.load += if self.load > 0.0 { NEWEST * (load - self.load) } else { load };
                     }
                     Warmth::WaitedForLoad => {}
+                    _ if queued => {}
                     _ => {
-                        function.work += NEWEST * (took / slowdown - function.work);
+                        function.work += NEWEST / 2.0 * (took / slowdown - function.work);
                         if let Some(hint) = job.work.filter(|hint| *hint > 0) {
                             // A ratio of means, as the mean of ratios is ruled by jobs hinted far too low.
                             let (took_mean, hint_mean) = self.hinted;
@@ -385,15 +409,30 @@
                             self.hinted = (keep * took_mean + took, keep * hint_mean + hint as f64);
                         }
                         if let Some(worker) = self.workers.get_mut(&end.worker) {
-                            let seen = (took / (expected * slowdown).max(1.0)).min(10.0);
+                            let seen = (took / expected.max(1.0)).min(10.0);
                             worker.pace = faded(worker.pace, self.now - worker.pace_at);
                             worker.pace += NEWEST * (seen - worker.pace);
                             worker.pace_at = self.now;
+                            // Guards against overload of any cause: what a worker gets in flight grows while
+                            // answers fit the start target and shrinks when they do not; the rest waits here.
+                            if expected * worker.pace * IN_TIME <= target {
+                                if f64::from(worker.own + 1) > worker.limit / 2.0 {
+                                    worker.limit += 1.0 / worker.limit;
+                                }
+                            } else {
+                                worker.cut_limit(self.now, expected);
+                            }
                         }
                     }
                 }
             }
-            End::Full => place.barred = self.now + bar,
+            End::Full => {
+                place.barred = self.now + bar;
+                if let Some(worker) = self.workers.get_mut(&end.worker) {
+                    worker.barred = self.now + bar / 4;
+                    worker.cut_limit(self.now, expected);
+                }
+            }
             End::Miss | End::Error if end.end == End::Miss || end.warmth == Warmth::LoadFailed => {
                 *place = Place { own: place.own, order: place.order, ..Place::default() };
                 place.barred = self.now + bar;
@@ -550,6 +589,17 @@
         self.workers.get(&id).map_or(1.0, |w| faded(w.pace, self.now - w.pace_at))
     }
 
+    /// The middle one of the ready workers' paces.
+    fn typical_pace(&self) -> f64 {
+        let ready = self.workers.values().filter(|w| w.row.state == WorkerState::Ready && !w.suspect);
+        let mut paces: Vec<f64> = ready.map(|w| faded(w.pace, self.now - w.pace_at)).collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get(paces.len() / 2).copied().unwrap_or(1.0)
+    }
+    fn slow(&self, id: WorkerId) -> bool {
+        self.pace(id) > SLOW * self.typical_pace().max(1.0)
+    }
+
     // ---- Decisions
 
     fn place(&mut self, id: JobId, out: &mut impl Decisions) {
@@ -568,13 +618,7 @@
         if left <= work as Micros || tries >= most {
             return self.give_up(id, out);
         }
-        // A job is taken only if predicted in time; when pressed, in time means by its start target, as a
-        // late answer earns little and makes the next one late. This guards against any overload.
-        let (slowdown, target) = (self.slowdown(job.workload), came + self.target(job.workload) - self.now);
-        let pressed = slowdown > PRESSED;
-        if pressed && pending == 0 && (tries > 1 || work * slowdown * IN_TIME > target as f64) {
-            return self.give_up(id, out);
-        }
+        let target = came + self.target(job.workload) - self.now;
         let Some(function) = self.functions.get(&job.function) else { return };
         let (lanes, load_time) = (function.lanes, function.load);
         let places: Vec<(WorkerId, Place)> = function.places.iter().map(|(w, p)| (*w, *p)).collect();
@@ -583,13 +627,14 @@
         let warm: Vec<(WorkerId, Place)> = places
             .iter()
             .filter(|(w, p)| p.copies > 0 && (p.until > self.now || p.own > 0) && ready.contains(w))
+            .filter(|(w, _)| self.workers[w].has_room(self.now))
             .copied()
             .collect();
 
         // Warm-first: own zone standing for the edge, fewest own jobs in flight, ties random.
         let (mut best, draw) = (None, self.chance());
         for (w, _) in warm.iter().filter(|(_, p)| p.own < lanes * p.copies && p.barred <= self.now) {
-            let slow = self.pace(*w) > SLOW;
+            let slow = self.slow(*w);
             let key = (slow, self.far(*w), self.workers[w].own, tie(FunctionId(draw), *w), *w);
             best = Some(best.map_or(key, |b: (bool, bool, u32, u64, WorkerId)| b.min(key)));
         }
@@ -606,7 +651,7 @@
         let mut best = None;
         for (w, p) in warm.iter().filter(|(_, p)| p.barred <= self.now) {
             let turns = (p.own + 1) as f64 / (lanes * p.copies) as f64;
-            let expected = (work * slowdown * self.pace(*w) * turns) as Micros;
+            let expected = (work * self.pace(*w) * turns) as Micros;
             best = Some(best.map_or((expected, *w), |b: (Micros, WorkerId)| b.min((expected, *w))));
         }
         if let Some((expected, w)) = best.filter(|(expected, _)| *expected < target) {
@@ -630,15 +675,16 @@
         let mut best = None;
         for w in &ready {
             let place = places.iter().find(|(at, _)| at == w).map_or(Place::default(), |(_, p)| *p);
-            if place.barred > self.now || place.order.is_some() {
+            let room = self.workers[w].has_room(self.now);
+            if place.barred > self.now || place.order.is_some() || !room {
                 continue;
             }
-            let slow = self.pace(*w) > SLOW;
+            let slow = self.slow(*w);
             let key = (slow, self.far(*w), self.workers[w].own, tie(job.function, *w), *w);
             best = Some(best.map_or(key, |b: (bool, bool, u32, u64, WorkerId)| b.min(key)));
         }
         let Some((.., w)) = best else { return self.wait_or_give_up(id, out) };
-        if left < (load_time + work) as Micros {
+        if left < (load_time + work * self.pace(w)) as Micros {
             return self.give_up(id, out);
         }
         if self.settings.text("copies.on-miss") == Some("miss") {
@@ -666,7 +712,8 @@
 
     fn wait_or_give_up(&mut self, id: JobId, out: &mut impl Decisions) {
         let Some(held) = self.jobs.get(&id) else { return };
-        if self.now < held.came + self.target(held.job.workload) {
+        let expected = (self.work_of(&held.job) * self.typical_pace()) as Micros;
+        if self.now + expected < held.came + self.target(held.job.workload) {
             return self.wait(id);
         }
         self.give_up(id, out);
@@ -682,10 +729,15 @@
             out: true,
             may_have_run: true,
             cancelled: false,
+            queued: false,
         });
         if let Some(function) = self.functions.get_mut(&function) {
             function.waiting.remove(&id);
-            function.places.entry(w).or_default().own += 1;
+            let place = function.places.entry(w).or_default();
+            place.own += 1;
+            if let Some(execution) = held.executions.last_mut() {
+                execution.queued = place.own > function.lanes * place.copies.max(1);
+            }
         }
         let pace = self.pace(w);
         if let Some(worker) = self.workers.get_mut(&w) {
