--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,6 +30,8 @@
 const ASKS_A_KEEP: Micros = 4;
 /// What an answer to an ask says may already be half way to lapsing.
 const ASKED_COPY_LASTS: Micros = 2;
+/// Workers count as pressed once jobs take this many times what they take when calm.
+const PRESSED: f64 = 1.5;
 /// A job is in time if this many times its expected time fits: times scatter about as widely as their mean.
 const IN_TIME: f64 = 2.0;
 /// Own jobs in flight that a worker is trusted with before anything is seen of it.
@@ -619,6 +621,12 @@
             return self.give_up(id, out);
         }
         let target = came + self.target(job.workload) - self.now;
+        // A job is taken only if predicted in time; when pressed, in time means by its start target, as a
+        // late answer earns little and makes the next one late. This guards against any overload.
+        let typical = self.typical_pace();
+        if typical > PRESSED && pending == 0 && work * typical * IN_TIME > target as f64 {
+            return self.give_up(id, out);
+        }
         let Some(function) = self.functions.get(&job.function) else { return };
         let (lanes, load_time) = (function.lanes, function.load);
         let places: Vec<(WorkerId, Place)> = function.places.iter().map(|(w, p)| (*w, *p)).collect();
@@ -712,7 +720,7 @@
 
     fn wait_or_give_up(&mut self, id: JobId, out: &mut impl Decisions) {
         let Some(held) = self.jobs.get(&id) else { return };
-        let expected = (self.work_of(&held.job) * self.typical_pace()) as Micros;
+        let expected = (self.work_of(&held.job) * self.typical_pace() * IN_TIME) as Micros;
         if self.now + expected < held.came + self.target(held.job.workload) {
             return self.wait(id);
         }
