--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,6 +32,10 @@
 const ASKED_COPY_LASTS: Micros = 2;
 /// Workers count as pressed once jobs take this many times what they take when calm.
 const PRESSED: f64 = 1.5;
+/// One answer counts for no more than this pace: a job that was itself long tells little of its worker.
+const MOST_PACE: f64 = 10.0;
+/// A worker this far from calm holds more than it has cores for, and copies for each of them.
+const CROWDED: f64 = 2.0;
 /// A job is in time if this many times its expected time fits: times scatter about as widely as their mean.
 const IN_TIME: f64 = 2.0;
 /// Own jobs in flight that a worker is trusted with before anything is seen of it.
@@ -63,8 +67,12 @@
     heard: Micros,
     /// Executions out here, oldest first, with when an answer was expected.
     out: BTreeSet<(Micros, JobId, usize)>,
+    /// What jobs take here over what they are expected to: of late, in the long run, and when calm.
     pace: f64,
     pace_at: Micros,
+    long: f64,
+    calm: f64,
+    seen: f64,
     /// Own jobs in flight that it bears in time; cut at most once in the time of a job.
     limit: f64,
     cut: Micros,
@@ -81,6 +89,22 @@
 }
 
 impl Worker {
+    fn learn_pace(&mut self, now: Micros, seen: f64) {
+        let passed = now - self.pace_at;
+        self.pace = faded(self.pace, self.calm, passed);
+        self.pace += NEWEST / 2.0 * (seen - self.pace);
+        (self.pace_at, self.seen) = (now, self.seen + 1.0);
+        self.long += (seen - self.long) * (1.0 / self.seen).max(NEWEST / 10.0);
+        let risen = self.calm * (1.0 + passed as f64 / CALM_RISES_US);
+        self.calm = if self.seen * NEWEST < 4.0 { self.long } else { risen.min(self.long) };
+    }
+    fn pace_now(&self, now: Micros) -> f64 {
+        faded(self.pace, self.calm, now - self.pace_at)
+    }
+    /// How many times longer than when calm jobs take here of late.
+    fn crowding(&self, now: Micros) -> f64 {
+        self.pace_now(now) / self.calm
+    }
     fn cut_limit(&mut self, now: Micros, work: f64) {
         if now >= self.cut + (work * self.pace) as Micros {
             (self.cut, self.limit) = (now, (self.limit * CUT).max(1.0));
@@ -115,15 +139,6 @@
     warm_last: Option<WorkerId>,
 }
 
-/// What jobs of a workload take on warm copies: a running mean, and the same when calm.
-#[derive(Clone, Copy)]
-struct Pulse {
-    mean: f64,
-    calm: f64,
-    at: Micros,
-    seen: u32,
-}
-
 struct Execution {
     worker: WorkerId,
     sent: Micros,
@@ -151,7 +166,6 @@
     jobs: BTreeMap<JobId, Held>,
     /// All due times but the sweep's.
     due: BTreeSet<(Micros, Due)>,
-    pulses: BTreeMap<WorkloadId, Pulse>,
     sweep: Micros,
     wake: Micros,
     /// Jobs to be placed this round.
@@ -178,7 +192,6 @@
             functions: BTreeMap::new(),
             jobs: BTreeMap::new(),
             due: BTreeSet::new(),
-            pulses: BTreeMap::new(),
             sweep: 0,
             wake: 0,
             todo: BTreeSet::new(),
@@ -275,6 +288,9 @@
                 out: BTreeSet::new(),
                 pace: 1.0,
                 pace_at: now,
+                long: 1.0,
+                calm: 1.0,
+                seen: 0.0,
                 limit: FIRST_LIMIT,
                 cut: now,
                 barred: now,
@@ -287,7 +303,8 @@
             });
             if known.is_some_and(|started| started < row.started) {
                 (worker.suspect, worker.checked, worker.checks) = (false, None, 0);
-                (worker.pace, worker.budget, worker.budget_at) = (1.0, 0.0, now);
+                (worker.pace, worker.seen) = (worker.calm, 0.0);
+                (worker.budget, worker.budget_at) = (0.0, now);
             }
             worker.row = *row;
         }
@@ -377,12 +394,7 @@
     fn learn(&mut self, job: &Job, end: &ExecutionEnd, queued: bool) {
         let (keep, bar) = (self.keep_alive(), self.work_of(job) as Micros);
         let expected = self.work_of(job);
-        // A few slow workers are not a pressed fleet.
-        let usual = !self.slow(end.worker) && !queued;
-        if usual && end.end == End::Finished && matches!(end.warmth, Warmth::Stood | Warmth::Unknown) {
-            self.feel_pulse(job.workload, end.latency as f64);
-        }
-        let (slowdown, target) = (self.slowdown(job.workload), self.target(job.workload) as f64);
+        let target = self.target(job.workload) as f64;
         let Some(function) = self.functions.get_mut(&job.function) else { return };
         let place = function.places.entry(end.worker).or_default();
         place.own = place.own.saturating_sub(1);
@@ -403,27 +415,24 @@
                     Warmth::WaitedForLoad => {}
                     _ if queued => {}
                     _ => {
-                        function.work += NEWEST / 2.0 * (took / slowdown - function.work);
+                        let Some(worker) = self.workers.get_mut(&end.worker) else { return };
+                        worker.learn_pace(self.now, (took / expected.max(1.0)).min(MOST_PACE));
+                        let calm_took = took / worker.pace;
+                        function.work += NEWEST / 2.0 * (calm_took - function.work);
                         if let Some(hint) = job.work.filter(|hint| *hint > 0) {
                             // A ratio of means, as the mean of ratios is ruled by jobs hinted far too low.
-                            let (took_mean, hint_mean) = self.hinted;
                             let keep = 1.0 - NEWEST / 4.0;
-                            self.hinted = (keep * took_mean + took, keep * hint_mean + hint as f64);
+                            self.hinted =
+                                (keep * self.hinted.0 + calm_took, keep * self.hinted.1 + hint as f64);
                         }
-                        if let Some(worker) = self.workers.get_mut(&end.worker) {
-                            let seen = (took / expected.max(1.0)).min(10.0);
-                            worker.pace = faded(worker.pace, self.now - worker.pace_at);
-                            worker.pace += NEWEST * (seen - worker.pace);
-                            worker.pace_at = self.now;
-                            // Guards against overload of any cause: what a worker gets in flight grows while
-                            // answers fit the start target and shrinks when they do not; the rest waits here.
-                            if expected * worker.pace * IN_TIME <= target {
-                                if f64::from(worker.own + 1) > worker.limit / 2.0 {
-                                    worker.limit += 1.0 / worker.limit;
-                                }
-                            } else {
-                                worker.cut_limit(self.now, expected);
-                            }
+                        // Guards against overload of any cause: what a worker gets in flight grows while
+                        // answers fit the start target and shrinks when they do not; the rest waits here.
+                        let (crowding, late) =
+                            (worker.crowding(self.now), expected * worker.pace * IN_TIME > target);
+                        if crowding > CROWDED || late {
+                            worker.cut_limit(self.now, expected);
+                        } else if crowding <= PRESSED && f64::from(worker.own + 1) > worker.limit / 2.0 {
+                            worker.limit += 1.0 / worker.limit;
                         }
                     }
                 }
@@ -498,23 +507,6 @@
         }
     }
 
-    fn feel_pulse(&mut self, workload: WorkloadId, took: f64) {
-        let now = self.now;
-        let pulse = self.pulses.entry(workload).or_insert(Pulse { mean: took, calm: took, at: now, seen: 0 });
-        let passed = (now - pulse.at) as f64;
-        pulse.mean = pulse.calm + (pulse.mean - pulse.calm) * (-passed / PACE_FADES_US).exp();
-        pulse.seen += 1;
-        pulse.mean += (took - pulse.mean) * (1.0 / f64::from(pulse.seen)).max(NEWEST / 4.0);
-        let risen = pulse.calm * (1.0 + passed / CALM_RISES_US);
-        pulse.calm = if f64::from(pulse.seen) < 4.0 / NEWEST { pulse.mean } else { risen.min(pulse.mean) };
-        pulse.at = now;
-    }
-
-    /// How many times longer than when calm the jobs of a workload take of late.
-    fn slowdown(&self, workload: WorkloadId) -> f64 {
-        self.pulses.get(&workload).map_or(1.0, |p| faded(p.mean / p.calm.max(1.0), self.now - p.at))
-    }
-
     // ---- What is expected
 
     fn work_of(&self, job: &Job) -> f64 {
@@ -588,18 +580,24 @@
 
     /// How long a job would take at a warm worker, from the pace seen there of late.
     fn pace(&self, id: WorkerId) -> f64 {
-        self.workers.get(&id).map_or(1.0, |w| faded(w.pace, self.now - w.pace_at))
+        self.workers.get(&id).map_or(1.0, |w| w.pace_now(self.now))
     }
 
-    /// The middle one of the ready workers' paces.
-    fn typical_pace(&self) -> f64 {
+    /// The middle figure of the ready workers.
+    fn typical(&self, figure: impl Fn(&Worker) -> f64) -> f64 {
         let ready = self.workers.values().filter(|w| w.row.state == WorkerState::Ready && !w.suspect);
-        let mut paces: Vec<f64> = ready.map(|w| faded(w.pace, self.now - w.pace_at)).collect();
-        paces.sort_by(f64::total_cmp);
-        paces.get(paces.len() / 2).copied().unwrap_or(1.0)
+        let mut figures: Vec<f64> = ready.map(figure).collect();
+        figures.sort_by(f64::total_cmp);
+        figures.get(figures.len() / 2).copied().unwrap_or(1.0)
+    }
+    fn typical_pace(&self) -> f64 {
+        self.typical(|w| w.pace_now(self.now))
+    }
+    fn pressed(&self) -> bool {
+        self.typical(|w| w.crowding(self.now)) > PRESSED
     }
     fn slow(&self, id: WorkerId) -> bool {
-        self.pace(id) > SLOW * self.typical_pace().max(1.0)
+        self.pace(id) > SLOW * self.typical_pace()
     }
 
     // ---- Decisions
@@ -623,8 +621,7 @@
         let target = came + self.target(job.workload) - self.now;
         // A job is taken only if predicted in time; when pressed, in time means by its start target, as a
         // late answer earns little and makes the next one late. This guards against any overload.
-        let typical = self.typical_pace();
-        if typical > PRESSED && pending == 0 && work * typical * IN_TIME > target as f64 {
+        if pending == 0 && self.pressed() && work * self.typical_pace() * IN_TIME > target as f64 {
             return self.give_up(id, out);
         }
         let Some(function) = self.functions.get(&job.function) else { return };
@@ -772,7 +769,8 @@
             Effect::RunOnce => !may_have_run,
         };
         if harmless {
-            out.push_back(id, self.work_of(&held.job) as Micros);
+            let wait = if self.pressed() { self.span("limits.max-retry-after-us", 0) } else { 0 };
+            out.push_back(id, wait);
         } else {
             out.kill(id);
         }
@@ -928,8 +926,8 @@
     }
 }
 
-fn faded(pace: f64, passed: Micros) -> f64 {
-    1.0 + (pace - 1.0) * (-(passed.max(0) as f64) / PACE_FADES_US).exp()
+fn faded(pace: f64, calm: f64, passed: Micros) -> f64 {
+    calm + (pace - calm) * (-(passed.max(0) as f64) / PACE_FADES_US).exp()
 }
 
 fn tie(function: FunctionId, worker: WorkerId) -> u64 {
