--- a/src/logic.rs
+++ b/src/logic.rs
@@ -176,6 +176,9 @@
     /// Running means of what hinted jobs took and of their hints.
     hinted: (f64, f64),
     load: f64,
+    /// Loads of late, as a multiple of what they usually take.
+    load_pace: f64,
+    load_pace_at: Micros,
     taken: VecDeque<Micros>,
     ordered: VecDeque<Micros>,
 }
@@ -199,6 +202,8 @@
             inflow_at: 0,
             hinted: (0.0, 0.0),
             load: 0.0,
+            load_pace: 1.0,
+            load_pace_at: 0,
             taken: VecDeque::new(),
             ordered: VecDeque::new(),
         }
@@ -409,8 +414,7 @@
                     Warmth::BeganLoad => {
                         place.copies = 1;
                         let load = (took - expected).max(took * GUESS_OF_TARGET);
-                        function.load += NEWEST * (load - function.load);
-                        self.load += if self.load > 0.0 { NEWEST * (load - self.load) } else { load };
+                        self.learn_load(job.function, load);
                     }
                     Warmth::WaitedForLoad => {}
                     _ if queued => {}
@@ -457,7 +461,7 @@
         if !matches!(end.end, End::TimedOut | End::NoConnection | End::Reset) {
             self.hear(end.worker);
         }
-        let (now, keep) = (self.now, self.keep_alive());
+        let (now, keep, mut loaded) = (self.now, self.keep_alive(), false);
         let Some(function) = self.functions.get_mut(&end.function) else { return };
         let place = function.places.entry(end.worker).or_default();
         let wanted = place.order.take().map_or(0, |(_, copies)| copies);
@@ -467,12 +471,17 @@
             place.until = place.until.max(now + lasts);
         }
         if wanted > 0 && end.end == End::Finished {
-            function.load += NEWEST * (end.latency as f64 - function.load);
             function.warm_last = Some(end.worker);
+            if end.latency as f64 > function.load * GUESS_OF_TARGET {
+                loaded = true;
+            }
         } else if wanted > 0 {
             place.barred = now + function.work as Micros;
         }
         self.todo.extend(&function.waiting);
+        if loaded {
+            self.learn_load(end.function, end.latency as f64);
+        }
     }
 
     fn record_probe(&mut self, end: &ProbeEnd) {
@@ -596,6 +605,18 @@
     fn pressed(&self) -> bool {
         self.typical(|w| w.crowding(self.now)) > PRESSED
     }
+    /// Guards against a crowded or stopped store and against load queues: loads take longer than told or usual.
+    fn loads_pressed(&self) -> bool {
+        faded(self.load_pace, 1.0, self.now - self.load_pace_at) > PRESSED
+    }
+    fn learn_load(&mut self, function: FunctionId, took: f64) {
+        let Some(f) = self.functions.get_mut(&function) else { return };
+        let pace = faded(self.load_pace, 1.0, self.now - self.load_pace_at);
+        self.load_pace = pace + NEWEST * ((took / f.load.max(1.0)).min(MOST_PACE) - pace);
+        self.load_pace_at = self.now;
+        f.load += NEWEST / 4.0 * (took - f.load);
+        self.load += if self.load > 0.0 { NEWEST / 4.0 * (took - self.load) } else { took };
+    }
     fn slow(&self, id: WorkerId) -> bool {
         self.pace(id) > SLOW * self.typical_pace()
     }
@@ -632,9 +653,10 @@
         let warm: Vec<(WorkerId, Place)> = places
             .iter()
             .filter(|(w, p)| p.copies > 0 && (p.until > self.now || p.own > 0) && ready.contains(w))
-            .filter(|(w, _)| self.workers[w].has_room(self.now))
             .copied()
             .collect();
+        let stands = !warm.is_empty();
+        let warm: Vec<_> = warm.into_iter().filter(|(w, _)| self.workers[w].has_room(self.now)).collect();
 
         // Warm-first: own zone standing for the edge, fewest own jobs in flight, ties random.
         let (mut best, draw) = (None, self.chance());
@@ -665,6 +687,12 @@
             }
         }
 
+        // Exception: when workers or their loads are pressed, one more copy of what stands only pushes other
+        // copies out and makes their loads wait; the job waits for a lane instead.
+        if stands && (self.pressed() || self.loads_pressed()) {
+            return self.wait_or_give_up(id, out);
+        }
+
         // Exception: a load under way is waited for, one job a lane, before another is begun.
         let underway = places
             .iter()
