--- a/src/logic.rs
+++ b/src/logic.rs
@@ -642,6 +642,8 @@
         let target = came + self.target(job.workload) - self.now;
         // A job is taken only if predicted in time; when pressed, in time means by its start target, as a
         // late answer earns little and makes the next one late. This guards against any overload.
+        let pressed = self.pressed() || self.loads_pressed();
+        let limit = if pressed { target } else { left };
         if pending == 0 && self.pressed() && work * self.typical_pace() * IN_TIME > target as f64 {
             return self.give_up(id, out);
         }
@@ -689,7 +691,7 @@
 
         // Exception: when workers or their loads are pressed, one more copy of what stands only pushes other
         // copies out and makes their loads wait; the job waits for a lane instead.
-        if stands && (self.pressed() || self.loads_pressed()) {
+        if stands && pressed {
             return self.wait_or_give_up(id, out);
         }
 
@@ -700,6 +702,9 @@
         let underway = underway.count() as u32 * lanes;
         let waiting = function_waiting(&self.functions, job.function, id);
         if waiting < underway {
+            if pending == 0 && limit < (work * self.typical_pace()) as Micros {
+                return self.give_up(id, out);
+            }
             return self.wait(id);
         }
 
@@ -717,7 +722,7 @@
             best = Some(best.map_or(key, |b: (bool, bool, u32, u64, WorkerId)| b.min(key)));
         }
         let Some((.., w)) = best else { return self.wait_or_give_up(id, out) };
-        if left < (load_time + work * self.pace(w)) as Micros {
+        if limit < (load_time + work * self.pace(w)) as Micros {
             return self.give_up(id, out);
         }
         if self.settings.text("copies.on-miss") == Some("miss") {
