--- a/src/logic.rs
+++ b/src/logic.rs
@@ -607,11 +607,14 @@
     }
     /// Guards against a crowded or stopped store and against load queues: loads take longer than told or usual.
     fn loads_pressed(&self) -> bool {
-        faded(self.load_pace, 1.0, self.now - self.load_pace_at) > PRESSED
+        self.load_pace_now() > PRESSED
+    }
+    fn load_pace_now(&self) -> f64 {
+        faded(self.load_pace, 1.0, self.now - self.load_pace_at)
     }
     fn learn_load(&mut self, function: FunctionId, took: f64) {
+        let pace = self.load_pace_now();
         let Some(f) = self.functions.get_mut(&function) else { return };
-        let pace = faded(self.load_pace, 1.0, self.now - self.load_pace_at);
         self.load_pace = pace + NEWEST * ((took / f.load.max(1.0)).min(MOST_PACE) - pace);
         self.load_pace_at = self.now;
         f.load += NEWEST / 4.0 * (took - f.load);
@@ -648,7 +651,7 @@
             return self.give_up(id, out);
         }
         let Some(function) = self.functions.get(&job.function) else { return };
-        let (lanes, load_time) = (function.lanes, function.load);
+        let (lanes, load_time) = (function.lanes, function.load * self.load_pace_now());
         let places: Vec<(WorkerId, Place)> = function.places.iter().map(|(w, p)| (*w, *p)).collect();
         let ready: Vec<WorkerId> = self.workers.keys().copied().collect();
         let ready: Vec<WorkerId> = ready.into_iter().filter(|w| self.may_go(id, *w, work)).collect();
