--- a/src/logic.rs
+++ b/src/logic.rs
@@ -339,6 +339,7 @@
             self.due.insert((self.now, Due::Keep(job.function)));
         }
         (function.lanes, function.last_job) = (lanes, self.now);
+        function.load = job.load.map_or(function.load, |told| told as f64);
         self.jobs.insert(job.id, Held { job: *job, came: self.now, executions: Vec::new() });
         self.due.insert((job.due, Due::JobEnds(job.id)));
         self.todo.insert(job.id);
@@ -617,8 +618,8 @@
         let Some(f) = self.functions.get_mut(&function) else { return };
         self.load_pace = pace + NEWEST * ((took / f.load.max(1.0)).min(MOST_PACE) - pace);
         self.load_pace_at = self.now;
-        f.load += NEWEST / 4.0 * (took - f.load);
-        self.load += if self.load > 0.0 { NEWEST / 4.0 * (took - self.load) } else { took };
+        f.load += NEWEST / 4.0 * (took / self.load_pace - f.load);
+        self.load += if self.load > 0.0 { NEWEST / 4.0 * (took / self.load_pace - self.load) } else { took };
     }
     fn slow(&self, id: WorkerId) -> bool {
         self.pace(id) > SLOW * self.typical_pace()
