--- a/src/logic.rs
+++ b/src/logic.rs
@@ -28,6 +28,9 @@
 const COLD_CAUTION: f64 = 0.7;
 /// A function is asked for again after this part of the keep-alive, as copies come and go no faster.
 const ASKS_A_KEEP: Micros = 4;
+/// One in so many ready workers is asked, those first that had it before or come first by a hash of function and
+/// worker, by which every router breaks ties between workers for a load.
+const ASKED_PART: usize = 3;
 /// What an answer to an ask says may already be half way to lapsing.
 const ASKED_COPY_LASTS: Micros = 2;
 /// Workers count as pressed once jobs take this many times what they take when calm.
@@ -821,7 +824,10 @@
         let Some(function) = self.functions.get_mut(&id) else { return false };
         if now >= function.asked + keep / ASKS_A_KEEP {
             (function.asked, function.asking) = (now, now + wait);
-            for w in ready {
+            let mut first: Vec<WorkerId> = ready.to_vec();
+            first.sort_by_key(|w| (!function.places.contains_key(w), tie(id, *w)));
+            first.truncate(ready.len().div_ceil(ASKED_PART));
+            for w in &first {
                 let place = function.places.entry(*w).or_default();
                 if place.copies == 0 && place.order.is_none() && !place.loading {
                     place.order = Some((now, 0));
