--- a/src/logic.rs
+++ b/src/logic.rs
@@ -28,9 +28,9 @@
 const COLD_CAUTION: f64 = 0.7;
 /// A function is asked for again after this part of the keep-alive, as copies come and go no faster.
 const ASKS_A_KEEP: Micros = 4;
-/// One in so many ready workers is asked, those first that had it before or come first by a hash of function and
-/// worker, by which every router breaks ties between workers for a load.
-const ASKED_PART: usize = 3;
+/// One in so many ready workers is a function's home, by a hash of function and worker: it is asked for and loaded
+/// there first, so that routers that know nothing of each other share copies.
+const HOME_PART: usize = 3;
 /// What an answer to an ask says may already be half way to lapsing.
 const ASKED_COPY_LASTS: Micros = 2;
 /// Workers count as pressed once jobs take this many times what they take when calm.
@@ -717,6 +717,7 @@
 
         // Load on the ready worker with the fewest own jobs in flight, own zone first. Ties go by a hash of
         // function and worker, so that routers that know nothing of each other share copies.
+        let homes = homes(job.function, &ready);
         let mut best = None;
         for w in &ready {
             let place = places.iter().find(|(at, _)| at == w).map_or(Place::default(), |(_, p)| *p);
@@ -725,8 +726,9 @@
                 continue;
             }
             let slow = self.slow(*w);
-            let key = (slow, self.far(*w), self.workers[w].own, tie(job.function, *w), *w);
-            best = Some(best.map_or(key, |b: (bool, bool, u32, u64, WorkerId)| b.min(key)));
+            let key =
+                (slow, !homes.contains(w), self.far(*w), self.workers[w].own, tie(job.function, *w), *w);
+            best = Some(best.map_or(key, |b: (bool, bool, bool, u32, u64, WorkerId)| b.min(key)));
         }
         let Some((.., w)) = best else { return self.wait_or_give_up(id, out) };
         if limit < (load_time + work * self.pace(w)) as Micros {
@@ -824,10 +826,7 @@
         let Some(function) = self.functions.get_mut(&id) else { return false };
         if now >= function.asked + keep / ASKS_A_KEEP {
             (function.asked, function.asking) = (now, now + wait);
-            let mut first: Vec<WorkerId> = ready.to_vec();
-            first.sort_by_key(|w| (!function.places.contains_key(w), tie(id, *w)));
-            first.truncate(ready.len().div_ceil(ASKED_PART));
-            for w in &first {
+            for w in &homes(id, ready) {
                 let place = function.places.entry(*w).or_default();
                 if place.copies == 0 && place.order.is_none() && !place.loading {
                     place.order = Some((now, 0));
@@ -973,6 +972,14 @@
     calm + (pace - calm) * (-(passed.max(0) as f64) / PACE_FADES_US).exp()
 }
 
+/// The workers where a function is looked for and loaded first.
+fn homes(id: FunctionId, ready: &[WorkerId]) -> Vec<WorkerId> {
+    let mut homes = ready.to_vec();
+    homes.sort_by_key(|w| tie(id, *w));
+    homes.truncate(ready.len().div_ceil(HOME_PART));
+    homes
+}
+
 fn tie(function: FunctionId, worker: WorkerId) -> u64 {
     let mut hasher = DefaultHasher::new();
     (function, worker).hash(&mut hasher);
