--- a/src/logic.rs
+++ b/src/logic.rs
@@ -646,7 +646,9 @@
         if left <= work as Micros || tries >= most {
             return self.give_up(id, out);
         }
-        let target = came + self.target(job.workload) - self.now;
+        // A client's repeat has used up part of its start target before; how much is not told.
+        let whole = self.target(job.workload);
+        let target = came + if job.repeat { whole / 2 } else { whole } - self.now;
         // A job is taken only if predicted in time; when pressed, in time means by its start target, as a
         // late answer earns little and makes the next one late. This guards against any overload.
         let pressed = self.pressed() || self.loads_pressed();
