--- a/src/logic.rs
+++ b/src/logic.rs
@@ -643,12 +643,12 @@
         let most = self.settings.number("limits.max-executions").unwrap_or(1.0) as usize;
         let work = self.work_of(&job);
         let left = job.due - self.now;
-        if left <= work as Micros || tries >= most {
+        if left <= (work * self.typical_pace()) as Micros || tries >= most {
             return self.give_up(id, out);
         }
         // A client's repeat has used up part of its start target before; how much is not told.
         let whole = self.target(job.workload);
-        let target = came + if job.repeat { whole / 2 } else { whole } - self.now;
+        let target = (came + if job.repeat { whole / 2 } else { whole } - self.now).min(left);
         // A job is taken only if predicted in time; when pressed, in time means by its start target, as a
         // late answer earns little and makes the next one late. This guards against any overload.
         let pressed = self.pressed() || self.loads_pressed();
@@ -813,7 +813,11 @@
             Effect::RunOnce => !may_have_run,
         };
         if harmless {
-            let wait = if self.pressed() { self.span("limits.max-retry-after-us", 0) } else { 0 };
+            let wait = if self.pressed() {
+                self.span("limits.max-retry-after-us", 0)
+            } else {
+                self.functions.get(&held.job.function).map_or(0, |f| f.load as Micros)
+            };
             out.push_back(id, wait);
         } else {
             out.kill(id);
