Believe copies only as long as they are found to last at each worker

Guards also against keep-alives shorter than told. Harm: after a burst of pushed-out copies it asks more than needed until copies are found to last again.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -86,6 +86,8 @@
     /// Silent, reset or unreachable; nothing new goes there until it is heard again.
     suspect: bool,
     checks: u32,
+    /// How long idle copies stand here, as found; less than the keep-alive where loads need the room.
+    lasts: f64,
     /// Work that may still be sent while cold.
     budget: f64,
     budget_at: Micros,
@@ -148,6 +150,8 @@
     out: bool,
     may_have_run: bool,
     cancelled: bool,
+    /// How long the copy that it was sent to had been idle, where one was believed.
+    idle: Option<Micros>,
     /// It was sent to wait for a lane, so its time tells nothing of the worker.
     queued: bool,
 }
@@ -288,7 +292,7 @@
             if known.is_some_and(|started| started < row.started) || row.state == WorkerState::Gone {
                 self.forget_copies(row.worker);
             }
-            let now = self.now;
+            let (now, keep) = (self.now, self.keep_alive() as f64);
             let worker = self.workers.entry(row.worker).or_insert_with(|| Worker {
                 row: *row,
                 own: 0,
@@ -306,6 +310,7 @@
                 checked: None,
                 suspect: false,
                 checks: 0,
+                lasts: keep,
                 budget: 0.0,
                 budget_at: now,
             });
@@ -362,8 +367,11 @@
         let Some(execution) = held.executions.get_mut(end.execution).filter(|e| e.out) else { return };
         (execution.out, execution.worker) = (false, end.worker);
         execution.may_have_run = !matches!(end.end, End::Full | End::NoConnection | End::Moot | End::Miss);
-        let queued = execution.queued;
+        let (queued, idle) = (execution.queued, execution.idle);
         self.release(end);
+        if let (Some(idle), End::Finished) = (idle, end.end) {
+            self.learn_lasting(end.worker, idle as f64, end.warmth);
+        }
         self.learn(&job, end, queued);
         if end.settled {
             self.end_job(end.job);
@@ -399,6 +407,18 @@
         }
     }
 
+    /// Guards against beliefs that outlive their copies, as when loads push idle ones out: a load begun where a
+    /// copy was believed shortens how long copies are believed there, a copy found after long lengthens it.
+    fn learn_lasting(&mut self, id: WorkerId, idle: f64, warmth: Warmth) {
+        let keep = self.keep_alive() as f64;
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if warmth == Warmth::BeganLoad && idle < worker.lasts {
+            worker.lasts += NEWEST * (idle - worker.lasts);
+        } else if warmth == Warmth::Stood && idle > worker.lasts * RENEW_AT {
+            worker.lasts += NEWEST * (keep - worker.lasts);
+        }
+    }
+
     /// What an end teaches of the function, its copy there and the worker's pace.
     fn learn(&mut self, job: &Job, end: &ExecutionEnd, queued: bool) {
         let (keep, bar) = (self.keep_alive(), self.work_of(job) as Micros);
@@ -663,7 +683,7 @@
         let ready: Vec<WorkerId> = ready.into_iter().filter(|w| self.may_go(id, *w, work)).collect();
         let warm: Vec<(WorkerId, Place)> = places
             .iter()
-            .filter(|(w, p)| p.copies > 0 && (p.until > self.now || p.own > 0) && ready.contains(w))
+            .filter(|(w, p)| ready.contains(w) && p.copies > 0 && (p.own > 0 || self.stands(*w, p)))
             .copied()
             .collect();
         let stands = !warm.is_empty();
@@ -748,6 +768,10 @@
         self.execute(id, w, work + load_time, out);
     }
 
+    fn stands(&self, w: WorkerId, place: &Place) -> bool {
+        let lasts = self.workers.get(&w).map_or(0.0, |w| w.lasts) as Micros;
+        self.now < place.until - self.keep_alive() + lasts
+    }
     fn far(&self, w: WorkerId) -> bool {
         self.workers.get(&w).is_some_and(|w| w.row.zone != self.zone)
     }
@@ -769,6 +793,7 @@
     }
 
     fn execute(&mut self, id: JobId, w: WorkerId, expected: f64, out: &mut impl Decisions) {
+        let keep = self.keep_alive();
         let Some(held) = self.jobs.get_mut(&id) else { return };
         let (function, due) = (held.job.function, held.job.due);
         let number = held.executions.len();
@@ -778,13 +803,16 @@
             out: true,
             may_have_run: true,
             cancelled: false,
+            idle: None,
             queued: false,
         });
         if let Some(function) = self.functions.get_mut(&function) {
             function.waiting.remove(&id);
             let place = function.places.entry(w).or_default();
+            let stood = place.copies > 0 && place.own == 0;
             place.own += 1;
             if let Some(execution) = held.executions.last_mut() {
+                execution.idle = stood.then_some(self.now + keep - place.until);
                 execution.queued = place.own > function.lanes * place.copies.max(1);
             }
         }
