--- a/src/logic.rs
+++ b/src/logic.rs
@@ -715,7 +715,8 @@
         if harmless {
             // A pressed fleet wants its clients away for long; else a load's time may bring the copy.
             let load = self.functions.get(&job.function).map_or(0, |f| f.load as Micros);
-            let wait = if self.pressed() { self.span("limits.max-retry-after-us", load) } else { load };
+            let pressed = self.pressed() || self.loads_pressed();
+            let wait = if pressed { self.span("limits.max-retry-after-us", load) } else { load };
             out.push_back(id, wait);
         } else {
             out.kill(id);
