Count reported loads under way as pressure

Guards against any crowding of loads that shows in reports before loads end. Harm: where workers run many loads at a time it is too shy of further copies.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,6 +36,8 @@
 const ASKED_COPY_LASTS: Micros = 2;
 /// Workers, or loads, count as pressed once they take this many times what they take when calm.
 const PRESSED: f64 = 1.5;
+/// Loads under way at the middle worker from which on they wait for each other: few run at a time.
+const LOADS_WAIT: f64 = 3.0;
 /// A worker this far from calm holds more than it has cores for, and copies for each of them.
 const CROWDED: f64 = 2.0;
 /// One answer counts for no more than this pace: a job that was itself long tells little of its worker.
@@ -443,7 +445,7 @@
     }
     /// Guards against a crowded or stopped store and against load queues: loads take longer than told or usual.
     fn loads_pressed(&self) -> bool {
-        self.load_pace_now() > PRESSED
+        self.load_pace_now() > PRESSED || self.typical(|w| w.report.loads.unwrap_or(0.0)) > LOADS_WAIT
     }
     fn pace(&self, id: WorkerId) -> f64 {
         self.workers.get(&id).map_or(1.0, |w| w.pace_now(self.now))
