--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,7 +37,7 @@
 /// Workers, or loads, count as pressed once they take this many times what they take when calm.
 const PRESSED: f64 = 1.5;
 /// Loads under way at the middle worker from which on they wait for each other: few run at a time.
-const LOADS_WAIT: f64 = 3.0;
+const LOADS_WAIT: f64 = 2.0;
 /// A worker this far from calm holds more than it has cores for, and copies for each of them.
 const CROWDED: f64 = 2.0;
 /// One answer counts for no more than this pace: a job that was itself long tells little of its worker.
