--- a/src/logic.rs
+++ b/src/logic.rs
@@ -573,7 +573,8 @@
         let place_at = |w: &WorkerId| function.places.get(w).copied().unwrap_or_default();
         let warm: Vec<(WorkerId, Place)> =
             ready.iter().map(|w| (*w, place_at(w))).filter(|(w, p)| self.stands(*w, p)).collect();
-        let open = |(w, p): &&(WorkerId, Place)| p.barred <= self.now && self.has_room(*w);
+        let in_time = |w: WorkerId| (work * self.pace(w)) as Micros <= limit;
+        let open = |(w, p): &&(WorkerId, Place)| p.barred <= self.now && self.has_room(*w) && in_time(*w);
 
         // Warm-first: own zone standing for the edge, fewest own jobs in flight, ties random.
         let free = warm.iter().filter(open).filter(|(_, p)| p.own < lanes * p.copies).map(|(w, _)| *w);
