--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,6 +46,8 @@
 const IN_TIME: f64 = 2.0;
 /// Own jobs in flight that a worker is trusted with before anything is seen of it.
 const FIRST_LIMIT: f64 = 8.0;
+/// What a full set of jobs in time adds to a limit; less than one, as the other routers add to theirs as well.
+const GROWS: f64 = 0.25;
 /// What is left of a worker's limit once answers from it are too slow for their start targets.
 const CUT: f64 = 0.8;
 /// What jobs take when calm is the least mean seen; it is let rise this slowly, should the work itself change.
@@ -342,7 +344,7 @@
                         } else if worker.crowding(now) <= PRESSED
                             && f64::from(worker.own + 1) > worker.limit / 2.0
                         {
-                            worker.limit += 1.0 / worker.limit;
+                            worker.limit += GROWS / worker.limit;
                         }
                     }
                     _ => {}
