--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,8 +44,8 @@
 const MOST_PACE: f64 = 10.0;
 /// A job is in time if this many times its expected time fits: times scatter about as widely as their mean.
 const IN_TIME: f64 = 2.0;
-/// Own jobs in flight that a worker is trusted with before anything is seen of it.
-const FIRST_LIMIT: f64 = 8.0;
+/// Jobs in flight that a worker is trusted with before anything is seen of it, from all routers together.
+const FIRST_LIMIT: f64 = 24.0;
 /// What a full set of jobs in time adds to a limit; less than one, as the other routers add to theirs as well.
 const GROWS: f64 = 0.25;
 /// What is left of a worker's limit once answers from it are too slow for their start targets.
@@ -221,9 +221,9 @@
             }
         }
         let (now, lasts) = (self.now, self.keep_alive() as f64);
+        let limit = FIRST_LIMIT / self.span("routers", 1).max(1) as f64;
         for row in &list.rows {
-            let new =
-                || Worker { row: *row, pace: 1.0, calm: 1.0, limit: FIRST_LIMIT, lasts, ..Worker::default() };
+            let new = || Worker { row: *row, pace: 1.0, calm: 1.0, limit, lasts, ..Worker::default() };
             let worker = self.workers.entry(row.worker).or_insert_with(new);
             let restarted = worker.row.started < row.started;
             if restarted {
