Predict from hint and function together; keep learned work free of drift

Prediction is now the geometric mean of the function's usual work and the hint, learned work is freed of crowding only, and lateness is judged by the function.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -300,7 +300,8 @@
     /// What an end teaches of the function, its copy there and the worker.
     fn learn(&mut self, job: &Job, end: &ExecutionEnd, execution: &Execution) {
         let (now, keep) = (self.now, self.keep_alive());
-        let (expected, target) = (self.work_of(job), self.target(job.workload) as f64);
+        let (expected, unscaled) = (self.work_of(job), self.unscaled_work(job));
+        let target = self.target(job.workload) as f64;
         let Some(worker) = self.workers.get_mut(&end.worker) else { return };
         let Some(function) = self.functions.get_mut(&job.function) else { return };
         let place = function.places.entry(end.worker).or_default();
@@ -329,21 +330,20 @@
                     Warmth::Stood | Warmth::Unknown if !execution.queued => {
                         worker.learn_pace(now, (took / expected.max(1.0)).min(MOST_PACE));
                         // What answers take beyond calm is the worker's, so the function learns the rest.
-                        let calm = took / worker.pace;
+                        let calm = took / worker.crowding(now).max(1.0);
                         function.work += NEWEST / 2.0 * (calm - function.work);
-                        if let Some(hint) = job.work.filter(|hint| *hint > 0) {
+                        if job.work.is_some_and(|hint| hint > 0) {
                             // A ratio of sums, as the mean of ratios is ruled by jobs hinted far too low.
                             let stays = 1.0 - NEWEST / 4.0;
-                            self.hinted = (stays * self.hinted.0 + calm, stays * self.hinted.1 + hint as f64);
+                            self.hinted = (stays * self.hinted.0 + calm, stays * self.hinted.1 + unscaled);
                         }
                         // What a worker gets in flight grows while answers fit the start target and shrinks
                         // when they do not; the rest waits here.
-                        let late = expected * worker.pace * IN_TIME > target;
-                        if late || worker.crowding(now) > CROWDED {
+                        let (late, crowding) =
+                            (function.work * worker.pace * IN_TIME > target, worker.crowding(now));
+                        if crowding > CROWDED || late {
                             worker.cut_limit(now, expected);
-                        } else if worker.crowding(now) <= PRESSED
-                            && f64::from(worker.own + 1) > worker.limit / 2.0
-                        {
+                        } else if crowding <= PRESSED && f64::from(worker.own + 1) > worker.limit / 2.0 {
                             worker.limit += GROWS / worker.limit;
                         }
                     }
@@ -417,11 +417,15 @@
 
     // ---- What is expected
 
-    /// What a job takes when calm: as hinted, scaled by what hinted jobs took, else as its function did.
+    /// What a job takes when calm: the geometric mean of what its function takes and what it is hinted to, both
+    /// being rough, scaled by what hinted jobs took.
     fn work_of(&self, job: &Job) -> f64 {
-        let learned = self.functions.get(&job.function).map_or(0.0, |f| f.work);
         let scale = if self.hinted.1 > 0.0 { self.hinted.0 / self.hinted.1 } else { 1.0 };
-        job.work.filter(|hint| *hint > 0).map_or(learned, |hint| hint as f64 * scale)
+        self.unscaled_work(job) * if job.work.is_some_and(|hint| hint > 0) { scale } else { 1.0 }
+    }
+    fn unscaled_work(&self, job: &Job) -> f64 {
+        let learned = self.functions.get(&job.function).map_or(0.0, |f| f.work);
+        job.work.filter(|hint| *hint > 0).map_or(learned, |hint| (learned * hint as f64).sqrt())
     }
     fn fall_span(&self) -> f64 {
         self.span("rules.fall-us", 2_000_000).max(1) as f64
