--- a/src/logic.rs
+++ b/src/logic.rs
@@ -572,6 +572,9 @@
         let Some(held) = self.jobs.get(&id) else { return };
         let ready: Vec<WorkerId> =
             self.workers.values().filter(|w| self.may_go(held, w)).map(|w| w.row.worker).collect();
+        if ready.is_empty() && tries > 0 {
+            return self.give_up(id, out);
+        }
         let ready: Vec<WorkerId> = ready.into_iter().filter(|w| self.cold_room(*w, work)).collect();
         let draw = FunctionId(self.chance());
         let Some(function) = self.functions.get(&job.function) else { return };
@@ -613,8 +616,11 @@
         let underway = function.places.iter().filter(loads).count() * lanes as usize;
         let ahead = function.waiting.iter().filter(|other| **other < id).count();
 
+        let unsure: Vec<WorkerId> =
+            homes.iter().filter(|w| !warm.iter().any(|(at, _)| at == *w)).copied().collect();
+
         // Exception: before a load, ask where else the function stands; other routers' loads are not told.
-        if self.allows("copies.orders") && self.ask(job.function, &homes, out) {
+        if self.allows("copies.orders") && self.ask(job.function, &unsure, out) {
             return self.wait(id);
         }
         if let Some((_, w)) = shortest {
@@ -648,16 +654,16 @@
         self.execute(id, w, work + load, out);
     }
 
-    /// Asks a function's homes whether it stands there; true while answers are due.
-    fn ask(&mut self, id: FunctionId, homes: &[WorkerId], out: &mut impl Decisions) -> bool {
+    /// Asks those of a function's homes where none is believed whether it stands there; true while answers are due.
+    fn ask(&mut self, id: FunctionId, unsure: &[WorkerId], out: &mut impl Decisions) -> bool {
         let (now, keep) = (self.now, self.keep_alive());
         let wait = self.tightest_target() / ASKS_A_TARGET;
         let Some(function) = self.functions.get_mut(&id) else { return false };
         if function.asked.is_none_or(|at| now >= at + keep / ASKS_A_KEEP) {
             (function.asked, function.asking) = (Some(now), now + wait);
-            for w in homes {
+            for w in unsure {
                 let place = function.places.entry(*w).or_default();
-                if place.copies == 0 && place.order.is_none() && !place.loading {
+                if place.order.is_none() && !place.loading {
                     place.order = Some((now, 0));
                     out.hold(*w, id, 0);
                 }
@@ -747,7 +753,7 @@
         let (now, wait) = (self.now, self.tightest_target() / ASKS_A_TARGET);
         let probes = self.allows("limits.probes");
         let Some(worker) = self.workers.get_mut(&id) else { return };
-        let owes = worker.out.first().is_some_and(|(sent, ..)| worker.heard < *sent);
+        let owes = worker.out.first().is_some_and(|(sent, ..)| worker.heard <= *sent);
         let unanswered = worker.checked.map(|at| at + wait);
         if worker.row.state != WorkerState::Ready || !(owes || worker.suspect) || unanswered > Some(now) {
             return;
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -91,8 +91,8 @@
         }
     }
 
-    pub fn job(&mut self, id: u64, function: u64) {
-        let job = Job {
+    pub fn draft(&self, id: u64, function: u64) -> Job {
+        Job {
             id: JobId(id),
             function: FunctionId(function),
             workload: WorkloadId(0),
@@ -103,8 +103,61 @@
             load: None,
             work: None,
             repeat: false,
-        };
-        self.round(Round { jobs: vec![job], ..Round::default() });
+        }
+    }
+
+    pub fn job(&mut self, id: u64, function: u64) {
+        self.round(Round { jobs: vec![self.draft(id, function)], ..Round::default() });
+    }
+
+    pub fn list(&mut self, kind: ListKind, rows: Vec<WorkerRow>) {
+        self.round(Round { lists: vec![WorkerList { kind, rows }], ..Round::default() });
+    }
+
+    pub fn count(&self, what: impl Fn(&Did) -> bool) -> usize {
+        self.log.did.iter().filter(|did| what(did)).count()
+    }
+
+    /// Final answers given for a job.
+    pub fn finals(&self, job: u64) -> usize {
+        self.count(|did| *did == Did::Kill(job) || *did == Did::PushBack(job))
+    }
+
+    pub fn asked(&self, function: u64) -> Vec<u64> {
+        let asks = self.log.did.iter().filter_map(|did| match did {
+            Did::Hold(w, f, 0) if *f == function => Some(*w),
+            _ => None,
+        });
+        asks.collect()
+    }
+
+    pub fn order_end(&mut self, worker: u64, function: u64, end: End, copies: u32) {
+        let (worker, function) = (WorkerId(worker), FunctionId(function));
+        let news = OrderEnd { worker, function, end, latency: 1_000, copies };
+        self.round(Round { orders: vec![news], ..Round::default() });
+    }
+
+    /// Answers all asks out so far with so many copies.
+    pub fn answer_asks(&mut self, copies: u32) {
+        let asks: Vec<Did> =
+            self.log.did.iter().filter(|d| matches!(d, Did::Hold(_, _, 0))).copied().collect();
+        for ask in asks {
+            if let Did::Hold(worker, function, _) = ask {
+                self.order_end(worker, function, End::Finished, copies);
+            }
+        }
+    }
+
+    /// The first order to load a function succeeds after so long; tells where.
+    pub fn loaded_by_order(&mut self, function: u64, latency: Micros) -> u64 {
+        self.now += latency;
+        let order = self.log.did.iter().find_map(|did| match did {
+            Did::Hold(w, f, n) if *f == function && *n > 0 => Some((*w, *n)),
+            _ => None,
+        });
+        let (worker, copies) = order.unwrap_or((99, 0));
+        self.order_end(worker, function, End::Finished, copies);
+        worker
     }
 
     /// Where the newest execution of a job went.
@@ -117,6 +170,11 @@
 
     pub fn end(&mut self, job: u64, end: End, warmth: Warmth, latency: Micros) {
         self.now += latency;
+        self.answer(job, end, warmth, latency);
+    }
+
+    /// An execution's end, told now.
+    pub fn answer(&mut self, job: u64, end: End, warmth: Warmth, latency: Micros) {
         let worker = WorkerId(self.sent(job).unwrap_or(0));
         let execution = self.tries.get(&job).map_or(0, |n| n - 1);
         let settled = end == End::Finished;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -2,14 +2,235 @@
 
 mod host;
 use host::*;
+use rstest::rstest;
 use sanddrum::*;
 
-#[rstest::rstest]
+#[rstest]
 fn a_second_job_goes_where_the_first_left_a_copy() {
     let mut host = Host::new(3, &[]);
     host.job(1, 7);
-    let first = host.sent(1).expect("the first job loads somewhere");
+    let first = host.sent(1);
     host.finish(1, Warmth::BeganLoad, 900_000);
     host.job(2, 7);
-    assert_eq!(host.sent(2), Some(first));
+    assert!(first.is_some());
+    assert_eq!(host.sent(2), first);
+}
+
+#[rstest]
+#[case::while_kept(7_000_000, true)]
+#[case::after_the_keep_alive(8_100_000, false)]
+fn a_copy_is_believed_for_its_keep_alive(#[case] idle: Micros, #[case] warm: bool) {
+    // Asks show belief: a router that believes a copy warm sends there without asking.
+    let mut host = Host::new(3, &[("copies.orders", Value::Flag(true))]);
+    host.job(1, 7);
+    host.answer_asks(0);
+    host.finish(1, Warmth::BeganLoad, 900_000);
+    host.pass(idle);
+    let asked = host.count(|did| matches!(did, Did::Hold(_, 7, 0)));
+    host.job(2, 7);
+    assert_eq!(host.count(|did| matches!(did, Did::Hold(_, 7, 0))) == asked, warm);
+}
+
+#[rstest]
+fn a_restarted_worker_is_believed_empty() {
+    let mut host = Host::new(3, &[("copies.on-miss", Value::Text("miss".into()))]);
+    host.job(1, 7);
+    let w = host.loaded_by_order(7, 900_000);
+    assert_eq!(host.sent(1), Some(w));
+    host.finish(1, Warmth::Stood, 100_000);
+    host.list(ListKind::Changes, vec![row(w, WorkerState::Ready, host.now)]);
+    host.job(2, 7);
+    assert_eq!(host.sent(2), None);
+}
+
+#[rstest]
+fn a_burst_orders_one_load_and_waits_for_it() {
+    let mut host = Host::new(3, &[("copies.on-miss", Value::Text("miss".into()))]);
+    host.job(1, 7);
+    host.job(2, 7);
+    assert_eq!(host.count(|did| matches!(did, Did::Hold(_, 7, 1))), 2, "one a lane");
+    host.job(3, 7);
+    host.job(3, 7);
+    host.loaded_by_order(7, 900_000);
+    assert!(host.sent(1).is_some());
+    assert_eq!(host.count(|did| matches!(did, Did::Hold(..))), 3, "a further order a further job, no more");
+}
+
+#[rstest]
+fn another_routers_copy_is_found_by_asking() {
+    let mut host = Host::new(6, &[("copies.orders", Value::Flag(true))]);
+    host.job(1, 7);
+    assert_eq!(host.sent(1), None);
+    let asked = host.asked(7);
+    assert_eq!(asked.len(), 2, "the homes, a third of the workers");
+    host.order_end(asked[0], 7, End::Finished, 0);
+    host.order_end(asked[1], 7, End::Finished, 1);
+    assert_eq!(host.sent(1), Some(asked[1]));
+}
+
+#[rstest]
+#[case::restartable("restartable", true)]
+#[case::run_once("run-once", false)]
+fn an_error_is_tried_again_only_where_that_is_harmless(#[case] effect: &str, #[case] again: bool) {
+    let mut host = Host::new(3, &[("workloads.0.effect", Value::Text(effect.into()))]);
+    host.job(1, 7);
+    host.end(1, End::Error, Warmth::Unknown, 10_000);
+    assert_eq!(host.tries[&1], if again { 2 } else { 1 });
+    assert_eq!(host.count(|did| *did == Did::Kill(1)), usize::from(!again), "and at once");
+    assert_eq!(host.count(|did| *did == Did::PushBack(1)), 0);
+}
+
+#[rstest]
+#[case::in_its_zone(0, 100_000, true)]
+#[case::in_another_zone(1, 100_000, false)]
+#[case::past_the_window(0, 600_000, false)]
+fn a_fingerprinted_job_stays_in_its_group_and_window(
+    #[case] zone: usize,
+    #[case] after: Micros,
+    #[case] again: bool,
+) {
+    let text = |t: &str| Value::Text(t.into());
+    let set = [
+        ("workloads.0.effect", text("fingerprinted")),
+        ("workloads.0.group", text("zone")),
+        ("workloads.0.repeat-window-us", Value::Number(500_000.0)),
+    ];
+    let mut host = Host::new(1, &set);
+    host.job(1, 7);
+    let other = WorkerRow { zone: ZoneId(zone), ..row(9, WorkerState::Ready, 0) };
+    host.list(ListKind::Changes, vec![row(0, WorkerState::Draining, 0), other]);
+    host.end(1, End::Error, Warmth::Unknown, after);
+    assert_eq!(host.tries[&1], if again { 2 } else { 1 });
+    assert_eq!(host.count(|did| *did == Did::PushBack(1)), 0, "it may have run");
+}
+
+#[rstest]
+#[case(WorkerState::Draining)]
+#[case(WorkerState::Gone)]
+fn nothing_new_goes_to_a_worker_told_to_drain_in_the_same_round(#[case] state: WorkerState) {
+    let mut host = Host::new(1, &[]);
+    let list = WorkerList { kind: ListKind::Changes, rows: vec![row(0, state, 0)] };
+    let job = host.draft(1, 7);
+    host.round(Round { lists: vec![list], jobs: vec![job], ..Round::default() });
+    host.pass(4_000_000);
+    assert_eq!(host.count(|did| matches!(did, Did::Execute(..) | Did::Hold(_, _, 1))), 0);
+    assert_eq!(host.finals(1), 1);
+}
+
+#[rstest]
+fn a_cold_worker_gets_no_job_that_was_not_saved_up_for() {
+    let mut host = Host::new(2, &[]);
+    host.list(ListKind::Changes, vec![row(1, WorkerState::Ready, host.now)]);
+    for job in 0..8 {
+        host.job(job, job);
+    }
+    assert_eq!(host.count(|did| matches!(did, Did::Execute(_, 1))), 0);
+}
+
+#[rstest]
+fn a_silent_worker_is_checked_then_shunned_and_its_jobs_moved() {
+    let set = [("limits.probes", Value::Flag(true)), ("limits.second-copies", Value::Flag(true))];
+    let mut host = Host::new(2, &set);
+    host.job(0, 7);
+    host.finish(0, Warmth::BeganLoad, 900_000);
+    host.job(1, 7);
+    let silent = host.sent(1).unwrap_or(9);
+    host.pass(1_000_000);
+    assert!(host.count(|did| *did == Did::Probe(silent)) > 1);
+    assert_eq!(host.tries[&1], 2, "a second execution beside the first");
+    assert_ne!(host.sent(1), Some(silent));
+    host.job(2, 8);
+    assert_ne!(host.sent(2), Some(silent));
+}
+
+#[rstest]
+fn a_run_once_job_at_a_silent_worker_is_left_alone_and_killed_at_its_time() {
+    let set = [("limits.probes", Value::Flag(true)), ("workloads.0.effect", Value::Text("run-once".into()))];
+    let mut host = Host::new(2, &set);
+    host.job(1, 7);
+    host.pass(2_990_000);
+    assert_eq!((host.tries[&1], host.finals(1)), (1, 0));
+    host.pass(20_000);
+    assert_eq!(host.count(|did| *did == Did::Kill(1)), 1);
+    host.end(1, End::TimedOut, Warmth::Unknown, 1_000);
+    assert_eq!(host.finals(1), 1, "a late end changes nothing");
+}
+
+#[rstest]
+fn a_try_with_no_time_for_a_load_is_pushed_back_at_once() {
+    let mut host = Host::new(3, &[]);
+    let job = Job { due: host.now + 390_000, ..host.draft(1, 7) };
+    host.round(Round { jobs: vec![job], ..Round::default() });
+    assert_eq!(host.count(|did| *did == Did::PushBack(1)), 1);
+}
+
+#[rstest]
+fn a_crowded_fleet_takes_only_what_fits_its_start_target() {
+    let mut host = Host::new(1, &[]);
+    for burst in 0..40 {
+        let latency = if burst < 15 { 150_000 } else { 950_000 };
+        let jobs = burst * 6..burst * 6 + 6;
+        jobs.clone().for_each(|id| host.job(id, id % 6));
+        host.now += latency;
+        jobs.for_each(|id| host.answer(id, End::Finished, Warmth::Stood, latency));
+        assert!(burst >= 15 || host.count(|did| matches!(did, Did::PushBack(_))) == 0, "calm");
+    }
+    assert!(host.count(|did| matches!(did, Did::PushBack(_))) > 0);
+}
+
+#[rstest]
+fn hinted_far_too_low_is_not_a_reason_to_push_others_back() {
+    let mut host = Host::new(1, &[]);
+    for id in 0..60 {
+        let hint = if id % 2 == 0 { 1_000 } else { 200_000 };
+        let job = Job { work: Some(hint), ..host.draft(id, 7) };
+        host.round(Round { jobs: vec![job], ..Round::default() });
+        host.finish(id, Warmth::Stood, 100_000);
+    }
+    assert_eq!(host.count(|did| matches!(did, Did::PushBack(_))), 0);
+}
+
+#[rstest]
+fn loads_ordered_stay_within_the_ration() {
+    let set = [
+        ("copies.on-miss", Value::Text("miss".into())),
+        ("copies.load-window-us", Value::Number(5e6)),
+        ("copies.load-free", Value::Number(2.0)),
+        ("copies.load-share", Value::Number(0.1)),
+    ];
+    let mut host = Host::new(8, &set);
+    (0..10).for_each(|id| host.job(id, id));
+    assert_eq!(host.count(|did| matches!(did, Did::Hold(_, _, 1))), 3, "two and a tenth of ten");
+}
+
+#[rstest]
+fn a_set_count_is_held_ahead_and_a_longer_keep_alive_renewed() {
+    let set = [
+        ("copies.orders", Value::Flag(true)),
+        ("routers", Value::Number(2.0)),
+        ("design.pre-warmed", Value::Number(3.0)),
+    ];
+    let mut host = Host::new(3, &set);
+    host.job(1, 7);
+    assert_eq!(host.count(|did| matches!(did, Did::Hold(_, 7, 2))), 1, "its share of three");
+    host.loaded_by_order(7, 500_000);
+    host.pass(6_500_000);
+    assert_eq!(host.count(|did| matches!(did, Did::Hold(_, 7, 2))), 2);
+}
+
+#[rstest]
+fn odd_input_is_answered_without_a_panic() {
+    let mut host = Host::new(0, &[]);
+    host.job(1, 7);
+    host.list(ListKind::Full, vec![]);
+    let late = Job { due: host.now - 1, lanes: 0.0, memory_mb: 0.0, ..host.draft(2, 8) };
+    host.round(Round { jobs: vec![late], left: vec![JobId(99)], ..Round::default() });
+    host.order_end(5, 55, End::Finished, 1);
+    host.end(77, End::Finished, Warmth::Stood, 10);
+    host.end(2, End::Finished, Warmth::Stood, 10);
+    host.end(2, End::Finished, Warmth::Stood, 10);
+    let probe = ProbeEnd { worker: WorkerId(5), end: End::Finished, latency: 1, report: None };
+    host.round(Round { probes: vec![probe], timer: true, ..Round::default() });
+    host.pass(4_000_000);
+    assert_eq!((host.finals(1), host.finals(2)), (1, 1));
 }
