Jobs that earn little for their work leave the last places to others

Guards the dear workload in any shortage of room; could harm the cheap one where limits are cut for another cause.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,6 +48,8 @@
 const FIRST_LIMIT: f64 = 24.0;
 /// What a full set of jobs in time adds to a limit; less than one, as the other routers add to theirs as well.
 const GROWS: f64 = 0.25;
+/// Jobs that earn less than the mean for their work fill this part of a worker's limit.
+const CHEAP_SHARE: f64 = 0.7;
 /// What is left of a worker's limit once answers from it are too slow for their start targets.
 const CUT: f64 = 0.8;
 /// What jobs take when calm is the least mean seen; it is let rise this slowly, should the work itself change.
@@ -77,8 +79,8 @@
         self.calm = if self.seen * NEWEST < 4.0 { self.long } else { risen.min(self.long) };
     }
     /// Own jobs in flight below what it bears; guards against overload of any cause.
-    fn has_room(&self, now: Micros) -> bool {
-        f64::from(self.own) < self.limit && self.barred <= now
+    fn has_room(&self, now: Micros, share: f64) -> bool {
+        f64::from(self.own) < self.limit * share && self.barred <= now
     }
     /// Cuts the limit, at most once in the time of a job, as what was sent before still shows.
     fn cut_limit(&mut self, now: Micros, work: f64) {
@@ -108,6 +110,8 @@
     /// Work taken in a microsecond, and when that was last brought up to date.
     inflow: f64,
     inflow_at: Micros,
+    /// What jobs earn for their work, in the mean.
+    earned: f64,
     /// Running sums of what hinted jobs took and of their hints.
     hinted: (f64, f64),
     /// What a load takes, and loads of late as a multiple of it.
@@ -135,6 +139,7 @@
             todo: BTreeSet::new(),
             inflow: 0.0,
             inflow_at: 0,
+            earned: 0.0,
             hinted: (0.0, 0.0),
             load: 0.0,
             load_pace: 1.0,
@@ -254,6 +259,8 @@
         self.taken.push_back(self.now);
         self.fade_inflow();
         self.inflow += self.work_of(job) / self.fall_span();
+        let earning = self.earning(job);
+        self.earned += NEWEST / 10.0 * (earning - self.earned);
     }
 
     fn record_end(&mut self, end: &ExecutionEnd) {
@@ -465,8 +472,15 @@
     fn own(&self, id: WorkerId) -> u32 {
         self.workers.get(&id).map_or(0, |w| w.own)
     }
-    fn has_room(&self, id: WorkerId) -> bool {
-        self.workers.get(&id).is_some_and(|w| w.has_room(self.now))
+    fn has_room(&self, id: WorkerId, share: f64) -> bool {
+        self.workers.get(&id).is_some_and(|w| w.has_room(self.now, share))
+    }
+    /// What a job earns for the work it takes.
+    fn earning(&self, job: &Job) -> f64 {
+        let importance =
+            self.settings.number(&format!("workloads.{}.importance", job.workload.0)).unwrap_or(1.0);
+        let by_work = self.settings.text("importance-by") == Some("work");
+        importance / if by_work { 1.0 } else { self.work_of(job).max(1.0) }
     }
     /// A copy is believed while jobs run on it and, after the last, as long as copies last at that worker.
     fn stands(&self, id: WorkerId, place: &Place) -> bool {
@@ -577,13 +591,16 @@
         }
         let ready: Vec<WorkerId> = ready.into_iter().filter(|w| self.cold_room(*w, work)).collect();
         let draw = FunctionId(self.chance());
+        // Under overload what earns least for its work goes first: it may not fill a worker's last places.
+        let share = if self.earning(&job) < self.earned { CHEAP_SHARE } else { 1.0 };
         let Some(function) = self.functions.get(&job.function) else { return };
         let (lanes, load) = (function.lanes, function.load * self.load_pace_now());
         let place_at = |w: &WorkerId| function.places.get(w).copied().unwrap_or_default();
         let warm: Vec<(WorkerId, Place)> =
             ready.iter().map(|w| (*w, place_at(w))).filter(|(w, p)| self.stands(*w, p)).collect();
         let in_time = |w: WorkerId| (work * self.pace(w)) as Micros <= limit;
-        let open = |(w, p): &&(WorkerId, Place)| p.barred <= self.now && self.has_room(*w) && in_time(*w);
+        let open =
+            |(w, p): &&(WorkerId, Place)| p.barred <= self.now && self.has_room(*w, share) && in_time(*w);
 
         // Warm-first: own zone standing for the edge, fewest own jobs in flight, ties random.
         let free = warm.iter().filter(open).filter(|(_, p)| p.own < lanes * p.copies).map(|(w, _)| *w);
@@ -602,7 +619,7 @@
         let homes = homes(job.function, &ready);
         let loadable = ready.iter().filter(|w| {
             let place = place_at(w);
-            place.barred <= self.now && place.order.is_none() && self.has_room(**w)
+            place.barred <= self.now && place.order.is_none() && self.has_room(**w, share)
         });
         let emptiest = loadable.min_by_key(|w| {
             let home = homes.contains(w);
