--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,7 +49,7 @@
 /// What a full set of jobs in time adds to a limit; less than one, as the other routers add to theirs as well.
 const GROWS: f64 = 0.25;
 /// Jobs that earn less than the mean for their work fill this part of a worker's limit.
-const CHEAP_SHARE: f64 = 0.7;
+const CHEAP_SHARE: f64 = 0.6;
 /// What is left of a worker's limit once answers from it are too slow for their start targets.
 const CUT: f64 = 0.8;
 /// What jobs take when calm is the least mean seen; it is let rise this slowly, should the work itself change.
