Do not believe that most workers are ill; drop orders as an option

Where more than half of the listed workers are suspect, this router's own view is the likelier cause.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -105,6 +105,7 @@
     due: BTreeSet<(Micros, Due)>,
     sweep: Micros,
     wake: Micros,
+    most_suspect: bool,
     /// Jobs to be placed this round.
     todo: BTreeSet<JobId>,
     /// Work taken in a microsecond, and when that was last brought up to date.
@@ -136,6 +137,7 @@
             due: BTreeSet::new(),
             sweep: 0,
             wake: 0,
+            most_suspect: false,
             todo: BTreeSet::new(),
             inflow: 0.0,
             inflow_at: 0,
@@ -173,6 +175,10 @@
             self.functions.retain(|_, f| f.last_job > forget || !f.waiting.is_empty());
             self.todo.extend(self.functions.values().flat_map(|f| f.waiting.iter()));
         }
+        // Where most workers look ill, this router's own view is the likelier cause, and the rest would drown.
+        let listed = self.workers.values().filter(|w| w.row.state == WorkerState::Ready);
+        let (ill, all) = listed.fold((0, 0), |(ill, all), w| (ill + usize::from(w.suspect), all + 1));
+        self.most_suspect = ill * 2 > all;
         while let Some(job) = self.todo.pop_first() {
             self.place(job, out);
         }
@@ -514,7 +520,8 @@
     /// Rules 2 and 3, and health: whether a further execution of this job may go there.
     fn may_go(&self, held: &Held, to: &Worker) -> bool {
         let here = |e: &Execution| e.out && e.worker == to.row.worker;
-        if !to.ready() || held.executions.iter().any(here) {
+        let healthy = !to.suspect || self.most_suspect;
+        if to.row.state != WorkerState::Ready || !healthy || held.executions.iter().any(here) {
             return false;
         }
         let Some(first) = held.executions.iter().find(|e| e.may_have_run) else { return true };
@@ -821,7 +828,7 @@
 
     /// Renews copies whose set keep-alive is longer than the worker's, and holds this router's share of the
     /// pre-warmed count where the function was last found warm, else at a worker hashed from it and our number.
-    /// Both are off unless set.
+    /// Idle copies of a function not called for the set time are dropped, once each. All are off unless set.
     fn keep_copies(&mut self, id: FunctionId, out: &mut impl Decisions) {
         let keep = self.keep_alive();
         let longer = self.span("design.keep-alive-us", keep);
@@ -829,7 +836,8 @@
         let wanted = self.span("design.pre-warmed", 0);
         let share = wanted / routers + Micros::from(me < wanted % routers);
         let Some(function) = self.functions.get(&id) else { return };
-        if !self.allows("copies.orders") || (longer <= keep && wanted <= 0) {
+        let drop_after = self.span("design.drop-after-us", 0);
+        if !self.allows("copies.orders") || (longer <= keep && wanted <= 0 && drop_after <= 0) {
             return;
         }
         let ready: Vec<WorkerId> =
@@ -846,6 +854,13 @@
         for w in warm.into_iter().filter(|w| renews && ready.contains(w)) {
             self.order(w, id, 1, out);
         }
+        let Some(function) = self.functions.get_mut(&id) else { return };
+        if drop_after > 0 && share == 0 && self.now >= function.last_job + drop_after {
+            for (w, place) in function.places.iter_mut().filter(|(_, p)| p.copies > 0 && p.own == 0) {
+                place.copies = 0;
+                out.unload(*w, id);
+            }
+        }
     }
 }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -218,6 +218,40 @@
     assert_eq!(host.count(|did| matches!(did, Did::Hold(_, 7, 2))), 2);
 }
 
+#[rstest]
+fn idle_copies_are_dropped_once_where_that_is_set() {
+    let set = [("copies.orders", Value::Flag(true)), ("design.drop-after-us", Value::Number(2e6))];
+    let mut host = Host::new(3, &set);
+    host.job(1, 7);
+    host.answer_asks(0);
+    host.finish(1, Warmth::BeganLoad, 900_000);
+    let w = host.sent(1).unwrap_or(9);
+    host.pass(7_500_000);
+    assert_eq!(host.count(|did| *did == Did::Unload(w, 7)), 1);
+    host.pass(7_500_000);
+    assert_eq!(host.count(|did| matches!(did, Did::Unload(..))), 1);
+}
+
+#[rstest]
+#[case::one_of_three(1, 0)]
+#[case::two_of_three(2, 1)]
+fn most_workers_looking_ill_is_not_believed(#[case] ill: u64, #[case] used: usize) {
+    let mut host = Host::new(3, &[("limits.probes", Value::Flag(true))]);
+    for job in 0..ill {
+        host.job(job, job);
+        host.end(job, End::NoConnection, Warmth::Unknown, 1_000);
+        // Each is tried elsewhere; that one works.
+        host.finish(job, Warmth::BeganLoad, 900_000);
+    }
+    let suspects: Vec<u64> = (0..3).filter(|w| host.count(|did| *did == Did::Probe(*w)) > 0).collect();
+    let before = host.log.did.len();
+    (10..30).for_each(|job| host.job(job, job));
+    let sent = &host.log.did[before..];
+    let there = |did: &&Did| matches!(did, Did::Execute(_, w) if suspects.contains(w));
+    assert_eq!(suspects.len() as u64, ill);
+    assert_eq!(usize::from(sent.iter().any(|did| there(&did))), used);
+}
+
 #[rstest]
 fn odd_input_is_answered_without_a_panic() {
     let mut host = Host::new(0, &[]);
