--- a/src/logic.rs
+++ b/src/logic.rs
@@ -583,11 +583,9 @@
         let left = job.due - self.now;
         let whole = self.target(job.workload);
         let target = (came + if job.repeat { whole / 2 } else { whole } - self.now).min(left);
-        let crowded = self.pressed();
-        let pressed = crowded || self.loads_pressed();
-        let limit = if pressed { target } else { left };
+        let limit = if self.pressed() || self.loads_pressed() { target } else { left };
         let hopeless = left <= usual as Micros || tries >= self.span("limits.max-executions", 1) as usize;
-        if hopeless || (crowded && pending == 0 && usual * IN_TIME > target as f64) {
+        if hopeless {
             return self.give_up(id, out);
         }
         let Some(held) = self.jobs.get(&id) else { return };
@@ -650,11 +648,6 @@
         if let Some((_, w)) = shortest {
             return self.execute(id, w, work, out);
         }
-        // Exception: when workers or their loads are pressed, one more copy of what stands only pushes other
-        // copies out and makes their loads wait; the job waits for a lane instead.
-        if pressed && !warm.is_empty() {
-            return self.wait_or_give_up(id, out);
-        }
         // Exception: a load under way is waited for, one job a lane, before another is begun.
         if ahead < underway {
             if pending == 0 && limit < usual as Micros {
