--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,9 +29,6 @@
 const COLD_CAUTION: f64 = 0.7;
 /// A function is asked for again after this part of the keep-alive, as copies come and go no faster.
 const ASKS_A_KEEP: Micros = 4;
-/// One in so many ready workers is a function's home, by a hash of function and worker: it is asked for and
-/// loaded there first, so that routers that know nothing of each other share copies.
-const HOME_PART: usize = 3;
 /// What an answer to an ask says may already be half way to lapsing.
 const ASKED_COPY_LASTS: Micros = 2;
 /// Workers, or loads, count as pressed once they take this many times what they take when calm.
@@ -862,11 +859,13 @@
     calm + (pace - calm) * (-(passed.max(0) as f64) / PACE_FADES_US).exp()
 }
 
-/// The workers where a function is looked for and loaded first.
+/// A function's homes: the workers, first by a hash of function and worker, where it is asked for and loaded first,
+/// so that routers that know nothing of each other share copies. As many as the root of the ready ones, as a larger
+/// fleet has more functions rather than more copies of each, and every home costs an ask.
 fn homes(id: FunctionId, ready: &[WorkerId]) -> Vec<WorkerId> {
     let mut homes = ready.to_vec();
     homes.sort_by_key(|w| tie(id, *w));
-    homes.truncate(ready.len().div_ceil(HOME_PART));
+    homes.truncate((ready.len() as f64).sqrt().ceil() as usize);
     homes
 }
 
