--- a/src/logic.rs
+++ b/src/logic.rs
@@ -816,17 +816,23 @@
 
     // ---- The design's options
 
+    /// An option as set for this function, else for all.
+    fn option(&self, id: FunctionId, name: &str, otherwise: Micros) -> Micros {
+        let all = self.span(&format!("design.{name}"), otherwise);
+        self.span(&format!("design.{}.{name}", id.0), all)
+    }
+
     /// Renews copies whose set keep-alive is longer than the worker's, and holds this router's share of the
     /// pre-warmed count where the function was last found warm, else at a worker hashed from it and our number.
     /// Idle copies of a function not called for the set time are dropped, once each. All are off unless set.
     fn keep_copies(&mut self, id: FunctionId, out: &mut impl Decisions) {
         let keep = self.keep_alive();
-        let longer = self.span("design.keep-alive-us", keep);
+        let longer = self.option(id, "keep-alive-us", keep);
         let (me, routers) = (self.span("me", 0), self.span("routers", 1).max(1));
-        let wanted = self.span("design.pre-warmed", 0);
+        let wanted = self.option(id, "pre-warmed", 0);
         let share = wanted / routers + Micros::from(me < wanted % routers);
         let Some(function) = self.functions.get(&id) else { return };
-        let drop_after = self.span("design.drop-after-us", 0);
+        let drop_after = self.option(id, "drop-after-us", 0);
         if !self.allows("copies.orders") || (longer <= keep && wanted <= 0 && drop_after <= 0) {
             return;
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -204,7 +204,7 @@
 }
 
 #[rstest]
-fn a_set_count_is_held_ahead_and_a_longer_keep_alive_renewed() {
+fn a_set_count_is_held_ahead_and_renewed() {
     let set = [
         ("copies.orders", Value::Flag(true)),
         ("routers", Value::Number(2.0)),
@@ -219,6 +219,18 @@
     assert_eq!(host.count(|did| matches!(did, Did::Hold(_, 7, 2))), 2);
 }
 
+#[rstest]
+#[case::set_for_it("design.7.keep-alive-us", 1)]
+#[case::set_for_another("design.8.keep-alive-us", 0)]
+fn a_longer_keep_alive_is_renewed_by_orders_of_one(#[case] name: &str, #[case] orders: usize) {
+    let mut host = Host::new(3, &[("copies.orders", Value::Flag(true)), (name, Value::Number(2e7))]);
+    host.job(1, 7);
+    host.answer_asks(0);
+    host.finish(1, Warmth::BeganLoad, 900_000);
+    host.pass(7_000_000);
+    assert_eq!(host.count(|did| matches!(did, Did::Hold(_, 7, 1))), orders);
+}
+
 #[rstest]
 fn idle_copies_are_dropped_once_where_that_is_set() {
     let set = [("copies.orders", Value::Flag(true)), ("design.drop-after-us", Value::Number(2e6))];
