--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,10 +1,11 @@
-//! Every decision of sanddrum is in this file. The host makes one `Router` an instance and calls `round` once a
-//! round with all that came in (`Round`) and a writer (`Decisions`); both are described in `lib.rs`, and what is
-//! remembered in `state.rs`. All news is recorded first, the worker list before the rest; only then is decided.
+//! Every decision of sanddrum is in this file. The host makes one `Router` an instance and calls `round` once
+//! a round with all that came in (`Round`) and a writer (`Decisions`); both are described in `lib.rs`, and
+//! what is remembered in `state.rs`. All news is recorded first, the worker list before the rest; only then
+//! is decided.
 //!
 //! The ordinary path is the design page's: a job goes to the believed-warm worker with the fewest own jobs in
-//! flight whose lanes have room, own zone first; failing that it loads on the ready worker with the fewest. Each
-//! departure is marked "Exception" below and told in docs/design.md with when it acts.
+//! flight whose lanes have room, own zone first; failing that it loads on the ready worker with the fewest.
+//! Each departure is marked "Exception" below and told in docs/design.md with when it acts.
 
 use crate::state::{Due, Effect, Execution, Function, Held, Place, Worker};
 use crate::*;
@@ -43,13 +44,15 @@
 const IN_TIME: f64 = 2.0;
 /// Jobs in flight that a worker is trusted with before anything is seen of it, from all routers together.
 const FIRST_LIMIT: f64 = 24.0;
-/// What a full set of jobs in time adds to a limit; less than one, as the other routers add to theirs as well.
+/// What a full set of jobs in time adds to a limit; less than one, as the other routers add to theirs as
+/// well.
 const GROWS: f64 = 0.25;
 /// Jobs that earn less than the mean for their work fill this part of a worker's limit.
 const CHEAP_SHARE: f64 = 0.6;
 /// What is left of a worker's limit once answers from it are too slow for their start targets.
 const CUT: f64 = 0.8;
-/// What jobs take when calm is the least mean seen; it is let rise this slowly, should the work itself change.
+/// What jobs take when calm is the least mean seen; it is let rise this slowly, should the work itself
+/// change.
 const CALM_RISES_US: f64 = 3e7;
 /// Copies are renewed at this part of their life; one found after this part has lasted long.
 const RENEW_AT: f64 = 0.8;
@@ -172,7 +175,8 @@
             self.functions.retain(|_, f| f.last_job > forget || !f.waiting.is_empty());
             self.todo.extend(self.functions.values().flat_map(|f| f.waiting.iter()));
         }
-        // Where most workers look ill, this router's own view is the likelier cause, and the rest would drown.
+        // Where most workers look ill, this router's own view is the likelier cause, and the rest would
+        // drown.
         let listed = self.workers.values().filter(|w| w.row.state == WorkerState::Ready);
         let (ill, all) = listed.fold((0, 0), |(ill, all), w| (ill + usize::from(w.suspect), all + 1));
         self.most_suspect = ill * 2 > all;
@@ -427,8 +431,8 @@
 
     // ---- What is expected
 
-    /// What a job takes when calm: the geometric mean of what its function takes and what it is hinted to, both
-    /// being rough, scaled by what hinted jobs took.
+    /// What a job takes when calm: the geometric mean of what its function takes and what it is hinted to,
+    /// both being rough, scaled by what hinted jobs took.
     fn work_of(&self, job: &Job) -> f64 {
         let scale = if self.hinted.1 > 0.0 { self.hinted.0 / self.hinted.1 } else { 1.0 };
         self.unscaled_work(job) * if job.work.is_some_and(|hint| hint > 0) { scale } else { 1.0 }
@@ -459,7 +463,8 @@
     fn load_pace_now(&self) -> f64 {
         faded(self.load_pace, 1.0, self.now - self.load_pace_at)
     }
-    /// Guards against a crowded or stopped store and against load queues: loads take longer than told or usual.
+    /// Guards against a crowded or stopped store and against load queues: loads take longer than told or
+    /// usual.
     fn loads_pressed(&self) -> bool {
         self.load_pace_now() > PRESSED || self.typical(|w| w.report.loads.unwrap_or(0.0)) > LOADS_WAIT
     }
@@ -668,7 +673,8 @@
         self.execute(id, w, work + load, out);
     }
 
-    /// Asks those of a function's homes where none is believed whether it stands there; true while answers are due.
+    /// Asks those of a function's homes where none is believed whether it stands there; true while answers
+    /// are due.
     fn ask(&mut self, id: FunctionId, unsure: &[WorkerId], out: &mut impl Decisions) -> bool {
         let (now, keep) = (self.now, self.keep_alive());
         let wait = self.tightest_target() / ASKS_A_TARGET;
@@ -788,8 +794,8 @@
         stuck.iter().for_each(|(_, job, n)| self.move_away(*job, *n, out));
     }
 
-    /// A further execution for a job that is stuck at a silent worker, if the rules allow one and the time left
-    /// exceeds what it is expected to take: beside the first where allowed, else in its place.
+    /// A further execution for a job that is stuck at a silent worker, if the rules allow one and the time
+    /// left exceeds what it is expected to take: beside the first where allowed, else in its place.
     fn move_away(&mut self, id: JobId, number: usize, out: &mut impl Decisions) {
         let Some(held) = self.jobs.get(&id) else { return };
         let job = held.job;
@@ -823,8 +829,9 @@
     }
 
     /// Renews copies whose set keep-alive is longer than the worker's, and holds this router's share of the
-    /// pre-warmed count where the function was last found warm, else at a worker hashed from it and our number.
-    /// Idle copies of a function not called for the set time are dropped, once each. All are off unless set.
+    /// pre-warmed count where the function was last found warm, else at a worker hashed from it and our
+    /// number. Idle copies of a function not called for the set time are dropped, once each. All are off
+    /// unless set.
     fn keep_copies(&mut self, id: FunctionId, out: &mut impl Decisions) {
         let keep = self.keep_alive();
         let longer = self.option(id, "keep-alive-us", keep);
@@ -865,9 +872,9 @@
     calm + (pace - calm) * (-(passed.max(0) as f64) / PACE_FADES_US).exp()
 }
 
-/// A function's homes: the workers, first by a hash of function and worker, where it is asked for and loaded first,
-/// so that routers that know nothing of each other share copies. As many as the root of the ready ones, as a larger
-/// fleet has more functions rather than more copies of each, and every home costs an ask.
+/// A function's homes: the workers, first by a hash of function and worker, where it is asked for and loaded
+/// first, so that routers that know nothing of each other share copies. As many as the root of the ready
+/// ones, as a larger fleet has more functions rather than more copies of each, and every home costs an ask.
 fn homes(id: FunctionId, ready: &[WorkerId]) -> Vec<WorkerId> {
     let mut homes = ready.to_vec();
     homes.sort_by_key(|w| tie(id, *w));
