--- a/src/logic.rs
+++ b/src/logic.rs
@@ -106,8 +106,15 @@
     sweep: Micros,
     wake: Micros,
     most_suspect: bool,
-    /// Jobs to be placed this round.
+    /// Jobs to be placed this round, and those that wait for a copy or for room.
     todo: BTreeSet<JobId>,
+    waiting: BTreeSet<JobId>,
+    /// The middle worker's pace, crowding and loads under way, and the size of all ready ones, as of the
+    /// last sweep: worked out for each job they would cost the square of the fleet.
+    middle_pace: f64,
+    middle_crowding: f64,
+    middle_loads: f64,
+    sizes: f64,
     /// Work taken in a microsecond, and when that was last brought up to date.
     inflow: f64,
     inflow_at: Micros,
@@ -139,6 +146,11 @@
             wake: 0,
             most_suspect: false,
             todo: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+            middle_pace: 1.0,
+            middle_crowding: 1.0,
+            middle_loads: 0.0,
+            sizes: 0.0,
             inflow: 0.0,
             inflow_at: 0,
             earned: 0.0,
@@ -173,20 +185,19 @@
             self.sweep = now + self.tightest_target() / SWEEPS_A_TARGET;
             let forget = now - FORGET_KEEPS * self.keep_alive();
             self.functions.retain(|_, f| f.last_job > forget || !f.waiting.is_empty());
-            self.todo.extend(self.functions.values().flat_map(|f| f.waiting.iter()));
+            self.todo.extend(&self.waiting);
+            self.look_over_fleet();
         }
-        // Where most workers look ill, this router's own view is the likelier cause, and the rest would
-        // drown.
-        let listed = self.workers.values().filter(|w| w.row.state == WorkerState::Ready);
-        let (ill, all) = listed.fold((0, 0), |(ill, all), w| (ill + usize::from(w.suspect), all + 1));
-        self.most_suspect = ill * 2 > all;
         while let Some(job) = self.todo.pop_first() {
             self.place(job, out);
         }
-        let next = self.due.first().map_or(self.sweep, |(at, _)| self.sweep.min(*at)).max(now + 1);
-        if self.wake <= now || next < self.wake {
-            self.wake = next;
-            out.wake_at(next);
+        let sweep = (!self.waiting.is_empty()).then_some(self.sweep);
+        let due = self.due.first().map(|(at, _)| *at);
+        if let Some(next) = due.into_iter().chain(sweep).min().map(|at| at.max(now + 1)) {
+            if self.wake <= now || next < self.wake {
+                self.wake = next;
+                out.wake_at(next);
+            }
         }
     }
 
@@ -264,8 +275,8 @@
         self.due.insert((job.due, Due::JobEnds(job.id)));
         self.todo.insert(job.id);
         self.taken.push_back(self.now);
-        self.fade_inflow();
-        self.inflow += self.work_of(job) / self.fall_span();
+        self.inflow = self.inflow_now() + self.work_of(job) / self.fall_span();
+        self.inflow_at = self.now;
         let earning = self.earning(job);
         self.earned += NEWEST / 10.0 * (earning - self.earned);
     }
@@ -422,6 +433,7 @@
         let Some(held) = self.jobs.remove(&id) else { return };
         self.due.remove(&(held.job.due, Due::JobEnds(id)));
         self.todo.remove(&id);
+        self.waiting.remove(&id);
         let Some(function) = self.functions.get_mut(&held.job.function) else { return };
         function.waiting.remove(&id);
         for execution in held.executions.iter().filter(|e| e.out) {
@@ -444,21 +456,29 @@
     fn fall_span(&self) -> f64 {
         self.span("rules.fall-us", 2_000_000).max(1) as f64
     }
-    fn fade_inflow(&mut self) {
-        self.inflow *= (-(self.now - self.inflow_at) as f64 / self.fall_span()).exp();
-        self.inflow_at = self.now;
+    fn inflow_now(&self) -> f64 {
+        self.inflow * (-(self.now - self.inflow_at) as f64 / self.fall_span()).exp()
+    }
+    /// Works out what is the same for every job of a sweep.
+    fn look_over_fleet(&mut self) {
+        let now = self.now;
+        self.middle_pace = self.typical(|w| w.pace_now(now));
+        self.middle_crowding = self.typical(|w| w.crowding(now));
+        self.middle_loads = self.typical(|w| w.report.loads.unwrap_or(0.0));
+        let listed = || self.workers.values().filter(|w| w.row.state == WorkerState::Ready);
+        self.sizes = listed().map(|w| w.row.size).sum();
+        // Where most workers look ill, this router's own view is the likelier cause, and the rest would
+        // drown.
+        self.most_suspect = listed().filter(|w| w.suspect).count() * 2 > listed().count();
     }
     /// The middle figure of the ready workers.
     fn typical(&self, figure: impl Fn(&Worker) -> f64) -> f64 {
         let mut figures: Vec<f64> = self.workers.values().filter(|w| w.ready()).map(figure).collect();
-        figures.sort_by(f64::total_cmp);
+        figures.sort_unstable_by(f64::total_cmp);
         figures.get(figures.len() / 2).copied().unwrap_or(1.0)
     }
-    fn typical_pace(&self) -> f64 {
-        self.typical(|w| w.pace_now(self.now))
-    }
     fn pressed(&self) -> bool {
-        self.typical(|w| w.crowding(self.now)) > PRESSED
+        self.middle_crowding > PRESSED
     }
     fn load_pace_now(&self) -> f64 {
         faded(self.load_pace, 1.0, self.now - self.load_pace_at)
@@ -466,16 +486,13 @@
     /// Guards against a crowded or stopped store and against load queues: loads take longer than told or
     /// usual.
     fn loads_pressed(&self) -> bool {
-        self.load_pace_now() > PRESSED || self.typical(|w| w.report.loads.unwrap_or(0.0)) > LOADS_WAIT
+        self.load_pace_now() > PRESSED || self.middle_loads > LOADS_WAIT
     }
     fn pace(&self, id: WorkerId) -> f64 {
         self.workers.get(&id).map_or(1.0, |w| w.pace_now(self.now))
     }
     fn slow(&self, id: WorkerId) -> bool {
-        self.pace(id) > SLOW * self.typical_pace()
-    }
-    fn far(&self, id: WorkerId) -> bool {
-        self.workers.get(&id).is_some_and(|w| w.row.zone.0 != self.span("zone", 0) as usize)
+        self.pace(id) > SLOW * self.middle_pace
     }
     fn own(&self, id: WorkerId) -> u32 {
         self.workers.get(&id).map_or(0, |w| w.own)
@@ -501,22 +518,23 @@
     /// Rule 4: work that may go to a cold worker now. It gets no more than its cold part of an even share of
     /// what this router takes, saved up over no more than the rule's window; when every router does the same,
     /// all together stay near what it can do. A first job must be saved up for, too.
-    fn cold_room(&mut self, id: WorkerId, work: f64) -> bool {
-        self.fade_inflow();
+    fn cold_room(&self, id: WorkerId, work: f64) -> bool {
+        self.cold_budget(id, work).is_none_or(|budget| budget >= work)
+    }
+    /// What has been saved up for a worker by now, if it is cold.
+    fn cold_budget(&self, id: WorkerId, work: f64) -> Option<f64> {
+        let worker = self.workers.get(&id).filter(|w| w.row.started > 0)?;
         let (now, span, fall) = (self.now, self.span("rules.cold-us", 0), self.fall_span());
-        let from = self.settings.number("rules.cold-from").unwrap_or(1.0);
-        let listed = self.workers.values().filter(|w| w.row.state == WorkerState::Ready);
-        let sizes: f64 = listed.map(|w| w.row.size).sum();
-        let Some(worker) = self.workers.get_mut(&id) else { return false };
         let age = (now - worker.row.started).max(0);
-        if worker.row.started <= 0 || age >= span {
-            return true;
+        if age >= span {
+            return None;
         }
+        let from = self.settings.number("rules.cold-from").unwrap_or(1.0);
         let part = from + (1.0 - from) * age as f64 / span as f64;
-        let rate = self.inflow * worker.row.size / sizes.max(worker.row.size) * part * COLD_CAUTION;
+        let share = worker.row.size / self.sizes.max(worker.row.size);
+        let rate = self.inflow_now() * share * part * COLD_CAUTION;
         let saved = worker.budget + rate * (now - worker.budget_at).max(0) as f64;
-        (worker.budget, worker.budget_at) = (saved.min((rate * fall).max(work)), now);
-        worker.budget >= work
+        Some(saved.min((rate * fall).max(work)))
     }
 
     /// Rules 2 and 3, and health: whether a further execution of this job may go there.
@@ -581,7 +599,7 @@
         // late answer earns little and makes the next one late. This guards against any overload. A client's
         // repeat has used up part of its target before; how much is not told.
         let work = self.work_of(&job);
-        let usual = work * self.typical_pace();
+        let usual = work * self.middle_pace;
         let left = job.due - self.now;
         let whole = self.target(job.workload);
         let target = (came + if job.repeat { whole / 2 } else { whole } - self.now).min(left);
@@ -590,28 +608,26 @@
         if hopeless {
             return self.give_up(id, out);
         }
-        let Some(held) = self.jobs.get(&id) else { return };
-        let ready: Vec<WorkerId> =
-            self.workers.values().filter(|w| self.may_go(held, w)).map(|w| w.row.worker).collect();
-        if ready.is_empty() && tries > 0 {
-            return self.give_up(id, out);
-        }
-        let ready: Vec<WorkerId> = ready.into_iter().filter(|w| self.cold_room(*w, work)).collect();
         let draw = FunctionId(self.chance());
         // Under overload what earns least for its work goes first: it may not fill a worker's last places.
         let share = if self.earning(&job) < self.earned { CHEAP_SHARE } else { 1.0 };
+        let near = ZoneId(self.span("zone", 0) as usize);
+        let Some(held) = self.jobs.get(&id) else { return };
         let Some(function) = self.functions.get(&job.function) else { return };
         let (lanes, load) = (function.lanes, function.load * self.load_pace_now());
-        let place_at = |w: &WorkerId| function.places.get(w).copied().unwrap_or_default();
-        let warm: Vec<(WorkerId, Place)> =
-            ready.iter().map(|w| (*w, place_at(w))).filter(|(w, p)| self.stands(*w, p)).collect();
+        let stands = function.places.iter().filter(|(w, p)| self.stands(**w, p));
+        let may = |w: WorkerId| {
+            self.workers.get(&w).is_some_and(|to| self.may_go(held, to)) && self.cold_room(w, work)
+        };
+        let warm: Vec<(WorkerId, Place)> = stands.map(|(w, p)| (*w, *p)).filter(|(w, _)| may(*w)).collect();
         let in_time = |w: WorkerId| (work * self.pace(w)) as Micros <= limit;
         let open =
             |(w, p): &&(WorkerId, Place)| p.barred <= self.now && self.has_room(*w, share) && in_time(*w);
+        let far = |w: WorkerId| self.workers.get(&w).is_some_and(|w| w.row.zone != near);
 
         // Warm-first: own zone standing for the edge, fewest own jobs in flight, ties random.
         let free = warm.iter().filter(open).filter(|(_, p)| p.own < lanes * p.copies).map(|(w, _)| *w);
-        let warmest = free.min_by_key(|w| (self.slow(*w), self.far(*w), self.own(*w), tie(draw, *w)));
+        let warmest = free.min_by_key(|w| (self.slow(*w), far(*w), self.own(*w), tie(draw, *w)));
         if let Some(w) = warmest {
             return self.execute(id, w, work, out);
         }
@@ -623,6 +639,13 @@
 
         // Load on the ready worker with the fewest own jobs in flight, the function's homes and the own zone
         // first. Ties go by the hash that makes homes, so that routers share copies.
+        let ready: Vec<WorkerId> =
+            self.workers.values().filter(|w| self.may_go(held, w)).map(|w| w.row.worker).collect();
+        if ready.is_empty() && tries > 0 {
+            return self.give_up(id, out);
+        }
+        let ready: Vec<WorkerId> = ready.into_iter().filter(|w| self.cold_room(*w, work)).collect();
+        let place_at = |w: &WorkerId| function.places.get(w).copied().unwrap_or_default();
         let homes = homes(job.function, &ready);
         let loadable = ready.iter().filter(|w| {
             let place = place_at(w);
@@ -630,7 +653,7 @@
         });
         let emptiest = loadable.min_by_key(|w| {
             let home = homes.contains(w);
-            (self.slow(**w), !home, self.far(**w), self.own(**w), tie(job.function, **w))
+            (self.slow(**w), !home, far(**w), self.own(**w), tie(job.function, **w))
         });
         let emptiest = emptiest.copied();
         let loads = |(w, p): &(&WorkerId, &Place)| {
@@ -696,13 +719,14 @@
         let Some(job) = self.jobs.get(&id).map(|h| h.job) else { return };
         if let Some(function) = self.functions.get_mut(&job.function) {
             function.waiting.insert(id);
+            self.waiting.insert(id);
         }
     }
 
     /// Waits for room while the job can still be in time, and gives it up at once when it cannot.
     fn wait_or_give_up(&mut self, id: JobId, out: &mut impl Decisions) {
         let Some(held) = self.jobs.get(&id) else { return };
-        let expected = (self.work_of(&held.job) * self.typical_pace() * IN_TIME) as Micros;
+        let expected = (self.work_of(&held.job) * self.middle_pace * IN_TIME) as Micros;
         if self.now + expected < held.came + self.target(held.job.workload) {
             return self.wait(id);
         }
@@ -711,16 +735,18 @@
 
     fn execute(&mut self, id: JobId, w: WorkerId, expected: f64, out: &mut impl Decisions) {
         let (now, keep, pace) = (self.now, self.keep_alive(), self.pace(w));
+        let saved = self.cold_budget(w, expected);
         let Some(held) = self.jobs.get_mut(&id) else { return };
         let Some(function) = self.functions.get_mut(&held.job.function) else { return };
         let Some(worker) = self.workers.get_mut(&w) else { return };
         function.waiting.remove(&id);
+        self.waiting.remove(&id);
         let place = function.places.entry(w).or_default();
         let idle = (place.copies > 0 && place.own == 0).then_some(now + keep - place.until);
         place.own += 1;
         let queued = place.own > function.lanes * place.copies.max(1);
         worker.own += 1;
-        worker.budget -= expected;
+        (worker.budget, worker.budget_at) = (saved.unwrap_or(0.0) - expected, now);
         worker.out.insert((now, id, held.executions.len()));
         self.due.insert((now + (SILENCE * expected * pace) as Micros, Due::Silence(w)));
         held.executions.push(Execution {
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -15,7 +15,6 @@
     Probe(u64),
 }
 
-#[derive(Default)]
 pub struct Log {
     pub did: Vec<Did>,
     pub wake: Micros,
@@ -75,7 +74,12 @@
         ]);
         map.extend(set.iter().map(|(name, value)| (name.to_string(), value.clone())));
         let router = Router::new(1, &Settings(map));
-        let mut host = Host { router, now: 1_000_000, log: Log::default(), tries: BTreeMap::new() };
+        let mut host = Host {
+            router,
+            now: 1_000_000,
+            log: Log { did: Vec::new(), wake: Micros::MAX },
+            tries: BTreeMap::new(),
+        };
         let rows = (0..workers).map(|w| row(w, WorkerState::Ready, 0)).collect();
         host.round(Round { lists: vec![WorkerList { kind: ListKind::Cached, rows }], ..Round::default() });
         host
@@ -201,6 +205,7 @@
         let until = self.now + span;
         while self.log.wake <= until {
             self.now = self.now.max(self.log.wake);
+            self.log.wake = Micros::MAX;
             self.round(Round { timer: true, ..Round::default() });
         }
         self.now = until;
