Homes by a function's share, presumed warm; workers that report too much have no room

A full answer barred a worker for a fraction of a job's time only. Changes: as many homes as the function's share of own jobs asks for, drawn by size; they are presumed warm where other routers must have sent; asks stay where the function is called here more often than there are homes; a home found without its copy gets one ordered; a worker that reports 1.5 times the middle one's jobs for its size, answers full or owes an answer for long counts as without room while others have. Cold workers are drawn for by what is saved up, so that 200 routers do not each save a whole job. The shorter belief, worth little, is out.

Guards also against any single worker that falls behind its peers. Could harm where reports lie: a worker that reports too few draws more, bounded by late and full answers.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,6 +26,8 @@
 const SLOW: f64 = 2.5;
 /// The pace seen at a worker, or of loads, is forgotten at this rate, so that a slow one is tried again.
 const PACE_FADES_US: f64 = 2e6;
+/// A worker's report is forgotten at this rate; other routers' jobs come and go.
+const REPORT_FADES_US: f64 = 4e6;
 /// A cold worker gets this part of what it would bear in proportion; the rest is for bursts and chance.
 const COLD_CAUTION: f64 = 0.7;
 /// A function is asked for again after this part of the keep-alive, as copies come and go no faster.
@@ -38,6 +40,10 @@
 const LOADS_WAIT: f64 = 2.0;
 /// A worker this far from calm holds more than it has cores for, and copies for each of them.
 const CROWDED: f64 = 2.0;
+/// A worker that holds this many times what the middle one holds has more than its part.
+const UNEVEN: f64 = 1.5;
+/// Draws are compared in steps this fine.
+const DRAW_STEPS: f64 = 1e9;
 /// One answer counts for no more than this pace: a job that was itself long tells little of its worker.
 const MOST_PACE: f64 = 10.0;
 /// A job is in time if this many times its expected time fits: times scatter about as widely as their mean.
@@ -54,8 +60,10 @@
 /// What jobs take when calm is the least mean seen; it is let rise this slowly, should the work itself
 /// change.
 const CALM_RISES_US: f64 = 3e7;
-/// Copies are renewed at this part of their life; one found after this part has lasted long.
+/// Copies are renewed at this part of their life.
 const RENEW_AT: f64 = 0.8;
+/// A function gets so many homes that each bears this part of a mean worker's load from it.
+const HOME_PART: f64 = 0.5;
 /// A function not called for this many keep-alives is forgotten.
 const FORGET_KEEPS: Micros = 4;
 
@@ -64,7 +72,7 @@
         self.row.state == WorkerState::Ready && !self.suspect
     }
     fn pace_now(&self, now: Micros) -> f64 {
-        faded(self.pace, self.calm, now - self.pace_at)
+        faded(self.pace, self.calm, now - self.pace_at, PACE_FADES_US)
     }
     /// How many times longer than when calm jobs take here of late.
     fn crowding(&self, now: Micros) -> f64 {
@@ -78,6 +86,12 @@
         self.long += (seen - self.long) * (1.0 / self.seen).max(NEWEST / 10.0);
         self.calm = if self.seen * NEWEST < 4.0 { self.long } else { risen.min(self.long) };
     }
+    /// Jobs of all routers held here for its size, as last reported; what is not heard of for long tells as
+    /// little as the middle worker's.
+    fn held_now(&self, now: Micros, middle: f64) -> f64 {
+        let held = self.report.held.unwrap_or(middle * self.row.size) / self.row.size.max(f64::MIN_POSITIVE);
+        faded(held, middle, now - self.report_at, REPORT_FADES_US)
+    }
     /// Own jobs in flight below what it bears; guards against overload of any cause.
     fn has_room(&self, now: Micros, share: f64) -> bool {
         f64::from(self.own) < self.limit * share && self.barred <= now
@@ -93,6 +107,7 @@
     }
 }
 
+#[derive(Default)]
 pub struct Router {
     settings: Settings,
     seed: u64,
@@ -114,10 +129,14 @@
     middle_pace: f64,
     middle_crowding: f64,
     middle_loads: f64,
+    middle_held: f64,
     sizes: f64,
     /// Work taken in a microsecond, and when that was last brought up to date.
     inflow: f64,
     inflow_at: Micros,
+    /// Jobs taken of late, over about a keep-alive.
+    calls: f64,
+    calls_at: Micros,
     /// What jobs earn for their work, in the mean.
     earned: f64,
     /// Running sums of what hinted jobs took and of their hints.
@@ -133,34 +152,8 @@
 
 impl Router {
     pub fn new(seed: u64, settings: &Settings) -> Self {
-        Router {
-            settings: settings.clone(),
-            seed,
-            draws: 0,
-            now: 0,
-            workers: BTreeMap::new(),
-            functions: BTreeMap::new(),
-            jobs: BTreeMap::new(),
-            due: BTreeSet::new(),
-            sweep: 0,
-            wake: 0,
-            most_suspect: false,
-            todo: BTreeSet::new(),
-            waiting: BTreeSet::new(),
-            middle_pace: 1.0,
-            middle_crowding: 1.0,
-            middle_loads: 0.0,
-            sizes: 0.0,
-            inflow: 0.0,
-            inflow_at: 0,
-            earned: 0.0,
-            hinted: (0.0, 0.0),
-            load: 0.0,
-            load_pace: 1.0,
-            load_pace_at: 0,
-            taken: VecDeque::new(),
-            ordered: VecDeque::new(),
-        }
+        let calm = Router { middle_pace: 1.0, middle_crowding: 1.0, load_pace: 1.0, ..Router::default() };
+        Router { settings: settings.clone(), seed, ..calm }
     }
 
     pub fn round(&mut self, now: Micros, round: &Round, out: &mut impl Decisions) {
@@ -243,10 +236,10 @@
                 worker.row.state = WorkerState::Gone;
             }
         }
-        let (now, lasts) = (self.now, self.keep_alive() as f64);
+        let now = self.now;
         let limit = FIRST_LIMIT / self.span("routers", 1).max(1) as f64;
         for row in &list.rows {
-            let new = || Worker { row: *row, pace: 1.0, calm: 1.0, limit, lasts, ..Worker::default() };
+            let new = || Worker { row: *row, pace: 1.0, calm: 1.0, limit, ..Worker::default() };
             let worker = self.workers.entry(row.worker).or_insert_with(new);
             let restarted = worker.row.started < row.started;
             if restarted {
@@ -270,6 +263,10 @@
         });
         function.lanes = (job.lanes as u32).max(1);
         function.load = job.load.map_or(function.load, |told| told as f64);
+        let keep = self.settings.number("copies.keep-alive-us").unwrap_or(8e6);
+        function.calls = 1.0 + faded(function.calls, 0.0, self.now - function.last_job, keep);
+        self.calls = 1.0 + faded(self.calls, 0.0, self.now - self.calls_at, keep);
+        self.calls_at = self.now;
         function.last_job = self.now;
         self.jobs.insert(job.id, Held { job: *job, came: self.now, executions: Vec::new() });
         self.due.insert((job.due, Due::JobEnds(job.id)));
@@ -304,11 +301,17 @@
     fn release(&mut self, end: &ExecutionEnd) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&end.worker) else { return };
-        let found = worker.out.iter().find(|(_, job, n)| (*job, *n) == (end.job, end.execution)).copied();
-        if found.is_some_and(|entry| worker.out.remove(&entry)) {
+        let found = worker.out.iter().find(|(.., job, n)| (*job, *n) == (end.job, end.execution)).copied();
+        if let Some(entry) = found {
+            worker.out.remove(&entry);
             worker.own = worker.own.saturating_sub(1);
+            if entry.1 <= now || end.end == End::Full {
+                worker.jammed = now + REPORT_FADES_US as Micros;
+            }
+        }
+        if let Some(report) = end.report {
+            (worker.report, worker.report_at) = (report, now);
         }
-        worker.report = end.report.unwrap_or(worker.report);
         match end.end {
             End::Finished | End::Error | End::Full | End::Miss => worker.hear(now),
             End::Reset | End::NoConnection => {
@@ -336,17 +339,6 @@
                 (place.copies, place.until, place.loading) = (place.copies.max(1), now + keep, false);
                 function.warm_last = Some(end.worker);
                 let took = end.latency as f64;
-                // Guards against beliefs that outlive their copies, as when loads push idle ones out: a load
-                // begun where a copy was believed shortens how long one is believed there.
-                match (execution.idle.map(|idle| idle as f64), end.warmth) {
-                    (Some(idle), Warmth::BeganLoad) if idle < worker.lasts => {
-                        worker.lasts += NEWEST * (idle - worker.lasts);
-                    }
-                    (Some(idle), Warmth::Stood) if idle > worker.lasts * RENEW_AT => {
-                        worker.lasts += NEWEST * (keep as f64 - worker.lasts);
-                    }
-                    _ => {}
-                }
                 match end.warmth {
                     Warmth::BeganLoad => {
                         place.copies = 1;
@@ -380,8 +372,10 @@
                 worker.barred = now + expected as Micros / 4;
                 worker.cut_limit(now, expected);
             }
-            End::Miss => (place.copies, place.loading, place.barred) = (0, false, now + expected as Micros),
-            End::Error if end.warmth == Warmth::LoadFailed => {
+            End::Miss if end.warmth != Warmth::LoadFailed => {
+                (place.copies, place.loading, place.absent) = (0, false, now + function.load as Micros);
+            }
+            End::Miss | End::Error if end.warmth == Warmth::LoadFailed => {
                 (place.copies, place.loading, place.barred) = (0, false, now + expected as Micros);
             }
             _ => place.loading = false,
@@ -465,6 +459,9 @@
         self.middle_pace = self.typical(|w| w.pace_now(now));
         self.middle_crowding = self.typical(|w| w.crowding(now));
         self.middle_loads = self.typical(|w| w.report.loads.unwrap_or(0.0));
+        let size = |w: &Worker| w.row.size.max(f64::MIN_POSITIVE);
+        let held = self.workers.values().filter(|w| w.ready() && w.report_at > 0);
+        self.middle_held = middle(held.filter_map(|w| w.report.held.map(|held| held / size(w))).collect());
         let listed = || self.workers.values().filter(|w| w.row.state == WorkerState::Ready);
         self.sizes = listed().map(|w| w.row.size).sum();
         // Where most workers look ill, this router's own view is the likelier cause, and the rest would
@@ -473,15 +470,13 @@
     }
     /// The middle figure of the ready workers.
     fn typical(&self, figure: impl Fn(&Worker) -> f64) -> f64 {
-        let mut figures: Vec<f64> = self.workers.values().filter(|w| w.ready()).map(figure).collect();
-        figures.sort_unstable_by(f64::total_cmp);
-        figures.get(figures.len() / 2).copied().unwrap_or(1.0)
+        middle(self.workers.values().filter(|w| w.ready()).map(figure).collect())
     }
     fn pressed(&self) -> bool {
         self.middle_crowding > PRESSED
     }
     fn load_pace_now(&self) -> f64 {
-        faded(self.load_pace, 1.0, self.now - self.load_pace_at)
+        faded(self.load_pace, 1.0, self.now - self.load_pace_at, PACE_FADES_US)
     }
     /// Guards against a crowded or stopped store and against load queues: loads take longer than told or
     /// usual.
@@ -494,6 +489,16 @@
     fn slow(&self, id: WorkerId) -> bool {
         self.pace(id) > SLOW * self.middle_pace
     }
+    /// Guards against what this router cannot see: the other routers' jobs. A worker that reports far more than
+    /// the middle one, for its size, that turned one away full or owes an answer for long counts as having no
+    /// room while others have.
+    fn crowded(&self, id: WorkerId) -> bool {
+        self.workers.get(&id).is_some_and(|w| {
+            let late = w.out.iter().any(|(_, late, ..)| *late <= self.now);
+            let uneven = w.held_now(self.now, self.middle_held) > UNEVEN * self.middle_held;
+            late || uneven || w.jammed > self.now || w.crowding(self.now) > CROWDED
+        })
+    }
     fn own(&self, id: WorkerId) -> u32 {
         self.workers.get(&id).map_or(0, |w| w.own)
     }
@@ -507,22 +512,42 @@
         let by_work = self.settings.text("importance-by") == Some("work");
         importance / if by_work { 1.0 } else { self.work_of(job).max(1.0) }
     }
-    /// A copy is believed while jobs run on it and, after the last, as long as copies last at that worker.
-    fn stands(&self, id: WorkerId, place: &Place) -> bool {
-        let lasts = self.workers.get(&id).map_or(0, |w| w.lasts as Micros);
-        place.copies > 0 && (place.own > 0 || self.now < place.until - self.keep_alive() + lasts)
+    /// How many homes a function needs by its share of this router's jobs, which is that of the others' too; one
+    /// call alone asks for no more homes.
+    fn width(&self, function: &Function, fleet: usize) -> usize {
+        let sure = (function.calls - 1.0).max(0.0);
+        let wanted = sure / self.calls.max(1.0) * fleet as f64 / HOME_PART;
+        (wanted.ceil() as usize).clamp(1, fleet.max(1))
+    }
+    /// A draw by which the lowest of several workers is each in proportion to its size.
+    fn drawn(&self, by: FunctionId, w: WorkerId) -> f64 {
+        let size = self.workers.get(&w).map_or(1.0, |w| w.row.size.max(f64::MIN_POSITIVE));
+        -(tie(by, w) as f64 / u64::MAX as f64).ln() / size
+    }
+    /// The workers as a function's homes, first by a hash of function and worker that favours large ones. All
+    /// routers find the same ones as workers come and go, so that they share copies with no word between them.
+    fn homes(&self, id: FunctionId, ready: &[WorkerId]) -> Vec<WorkerId> {
+        let mut homes: Vec<(f64, WorkerId)> = ready.iter().map(|w| (self.drawn(id, *w), *w)).collect();
+        homes.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        homes.into_iter().map(|(_, w)| w).collect()
+    }
+    /// A copy is believed while jobs run on it and, after the last, for the keep-alive.
+    fn stands(&self, place: &Place) -> bool {
+        place.copies > 0 && (place.own > 0 || self.now < place.until)
     }
 
     // ---- What the rules allow
 
     /// Rule 4: work that may go to a cold worker now. It gets no more than its cold part of an even share of
     /// what this router takes, saved up over no more than the rule's window; when every router does the same,
-    /// all together stay near what it can do. A first job must be saved up for, too.
-    fn cold_room(&self, id: WorkerId, work: f64) -> bool {
-        self.cold_budget(id, work).is_none_or(|budget| budget >= work)
+    /// all together stay near what it can do. What has been saved up for a part only goes by chance, so that
+    /// many routers with little traffic do not each save up a whole job and send them together.
+    fn cold_room(&self, id: WorkerId, job: JobId, work: f64) -> bool {
+        let drawn = hash_of((self.seed, id, job)) as f64 / u64::MAX as f64;
+        self.cold_budget(id).is_none_or(|budget| budget > drawn * work)
     }
     /// What has been saved up for a worker by now, if it is cold.
-    fn cold_budget(&self, id: WorkerId, work: f64) -> Option<f64> {
+    fn cold_budget(&self, id: WorkerId) -> Option<f64> {
         let worker = self.workers.get(&id).filter(|w| w.row.started > 0)?;
         let (now, span, fall) = (self.now, self.span("rules.cold-us", 0), self.fall_span());
         let age = (now - worker.row.started).max(0);
@@ -534,7 +559,7 @@
         let share = worker.row.size / self.sizes.max(worker.row.size);
         let rate = self.inflow_now() * share * part * COLD_CAUTION;
         let saved = worker.budget + rate * (now - worker.budget_at).max(0) as f64;
-        Some(saved.min((rate * fall).max(work)))
+        Some(saved.min(rate * fall))
     }
 
     /// Rules 2 and 3, and health: whether a further execution of this job may go there.
@@ -615,9 +640,9 @@
         let Some(held) = self.jobs.get(&id) else { return };
         let Some(function) = self.functions.get(&job.function) else { return };
         let (lanes, load) = (function.lanes, function.load * self.load_pace_now());
-        let stands = function.places.iter().filter(|(w, p)| self.stands(**w, p));
+        let stands = function.places.iter().filter(|(_, p)| self.stands(p));
         let may = |w: WorkerId| {
-            self.workers.get(&w).is_some_and(|to| self.may_go(held, to)) && self.cold_room(w, work)
+            self.workers.get(&w).is_some_and(|to| self.may_go(held, to)) && self.cold_room(w, id, work)
         };
         let warm: Vec<(WorkerId, Place)> = stands.map(|(w, p)| (*w, *p)).filter(|(w, _)| may(*w)).collect();
         let in_time = |w: WorkerId| (work * self.pace(w)) as Micros <= limit;
@@ -625,10 +650,51 @@
             |(w, p): &&(WorkerId, Place)| p.barred <= self.now && self.has_room(*w, share) && in_time(*w);
         let far = |w: WorkerId| self.workers.get(&w).is_some_and(|w| w.row.zone != near);
 
-        // Warm-first: own zone standing for the edge, fewest own jobs in flight, ties random.
-        let free = warm.iter().filter(open).filter(|(_, p)| p.own < lanes * p.copies).map(|(w, _)| *w);
-        let warmest = free.min_by_key(|w| (self.slow(*w), far(*w), self.own(*w), tie(draw, *w)));
-        if let Some(w) = warmest {
+        let ready: Vec<WorkerId> =
+            self.workers.values().filter(|w| self.may_go(held, w)).map(|w| w.row.worker).collect();
+        if ready.is_empty() && tries > 0 {
+            return self.give_up(id, out);
+        }
+        let ready: Vec<WorkerId> = ready.into_iter().filter(|w| self.cold_room(*w, id, work)).collect();
+        let homes = self.homes(job.function, &ready);
+        let width = self.width(function, ready.len()).min(ready.len());
+        let place_at = |w: &WorkerId| function.places.get(w).copied().unwrap_or_default();
+        // A load is asked for, and begun, first at the root of the workers at least.
+        let wide = width.max((ready.len() as f64).sqrt().ceil() as usize).min(ready.len());
+
+        // Exception: a function's homes are presumed warm, as the other routers send as this one does. Guards
+        // against each router's knowing little where there are many. Where the function is called here more
+        // often than there are homes, they are asked first; one with a single home is not presumed there while
+        // it is believed elsewhere.
+        let others = (self.span("routers", 1) - 1) as f64 * function.calls;
+        let asks = self.allows("copies.orders") && (others < 1.0 || function.calls >= wide as f64);
+        let presumes = !asks && others >= 1.0 && (width > 1 || warm.is_empty());
+        let believed = |w: &WorkerId| warm.iter().any(|(at, _)| at == w);
+        let unsure: Vec<WorkerId> = homes[..wide].iter().filter(|w| !believed(w)).copied().collect();
+        let maybe =
+            homes[..width].iter().filter(|w| presumes && !believed(w) && self.cold_budget(**w).is_none());
+        let presumed: Vec<(WorkerId, Place)> = maybe
+            .map(|w| (*w, Place { copies: 1, ..place_at(w) }))
+            .filter(|(_, p)| p.absent <= self.now && !p.loading)
+            .collect();
+
+        // Warm-first: own zone standing for the edge, fewest own jobs in flight, ties random, the larger worker
+        // the likelier.
+        let free = warm.iter().chain(&presumed).filter(open).filter(|(_, p)| p.own < lanes * p.copies);
+        let warmest = free.map(|(w, _)| *w).min_by_key(|w| {
+            let rough = (self.slow(*w), self.crowded(*w), far(*w), self.own(*w));
+            (rough, (self.drawn(draw, *w) * DRAW_STEPS) as u64)
+        });
+        let absent = |w: &&WorkerId| {
+            let place = place_at(w);
+            place.absent > self.now && place.order.is_none() && !self.crowded(**w) && !self.slow(**w)
+        };
+        let missing = homes[..width].iter().find(absent).copied().filter(|_| presumes && width > 1);
+        if let Some(w) = warmest.filter(|w| !self.crowded(*w)) {
+            // Exception: a home that was found without its copy gets one, for the jobs that follow.
+            if let Some(to) = missing.filter(|_| !self.loads_pressed()) {
+                self.order(to, job.function, 1, out);
+            }
             return self.execute(id, w, work, out);
         }
 
@@ -638,24 +704,19 @@
         let shortest = waits.min().filter(|(wait, _)| *wait < target && (*wait as f64) < load + work);
 
         // Load on the ready worker with the fewest own jobs in flight, the function's homes and the own zone
-        // first. Ties go by the hash that makes homes, so that routers share copies.
-        let ready: Vec<WorkerId> =
-            self.workers.values().filter(|w| self.may_go(held, w)).map(|w| w.row.worker).collect();
-        if ready.is_empty() && tries > 0 {
-            return self.give_up(id, out);
-        }
-        let ready: Vec<WorkerId> = ready.into_iter().filter(|w| self.cold_room(*w, work)).collect();
-        let place_at = |w: &WorkerId| function.places.get(w).copied().unwrap_or_default();
-        let homes = homes(job.function, &ready);
-        let loadable = ready.iter().filter(|w| {
+        // first. Ties go by the order of homes, so that routers share copies.
+        let loadable = homes.iter().enumerate().filter(|(_, w)| {
             let place = place_at(w);
             place.barred <= self.now && place.order.is_none() && self.has_room(**w, share)
         });
-        let emptiest = loadable.min_by_key(|w| {
-            let home = homes.contains(w);
-            (self.slow(**w), !home, far(**w), self.own(**w), tie(job.function, **w))
+        let emptiest =
+            loadable.min_by_key(|(n, w)| (self.slow(**w), *n >= wide, far(**w), self.own(**w), *n));
+        let emptiest = emptiest.map(|(_, w)| *w);
+        let spare = homes.iter().find(|w| {
+            let place = place_at(w);
+            !self.crowded(**w) && !self.slow(**w) && place.barred <= self.now && !self.stands(&place)
         });
-        let emptiest = emptiest.copied();
+        let spare = spare.copied().filter(|_| function.calls > 2.0 && self.allows("copies.orders"));
         let loads = |(w, p): &(&WorkerId, &Place)| {
             let at_work = p.loading && self.workers.get(w).is_some_and(|w| !w.suspect);
             at_work || p.order.is_some_and(|(_, copies)| copies > 0)
@@ -663,11 +724,16 @@
         let underway = function.places.iter().filter(loads).count() * lanes as usize;
         let ahead = function.waiting.iter().filter(|other| **other < id).count();
 
-        let unsure: Vec<WorkerId> =
-            homes.iter().filter(|w| !warm.iter().any(|(at, _)| at == *w)).copied().collect();
-
+        // Exception: where the only warm workers with room are crowded, one goes there and a copy is ordered at
+        // the next home that is not, for those that follow.
+        if let Some(w) = warmest {
+            if let Some(to) = spare.filter(|_| underway == 0 && !self.loads_pressed()) {
+                self.order(to, job.function, 1, out);
+            }
+            return self.execute(id, w, work, out);
+        }
         // Exception: before a load, ask where else the function stands; other routers' loads are not told.
-        if self.allows("copies.orders") && self.ask(job.function, &unsure, out) {
+        if asks && self.ask(job.function, &unsure, out) {
             return self.wait(id);
         }
         if let Some((_, w)) = shortest {
@@ -734,28 +800,27 @@
     }
 
     fn execute(&mut self, id: JobId, w: WorkerId, expected: f64, out: &mut impl Decisions) {
-        let (now, keep, pace) = (self.now, self.keep_alive(), self.pace(w));
-        let saved = self.cold_budget(w, expected);
+        let (now, pace) = (self.now, self.pace(w));
+        let saved = self.cold_budget(w);
         let Some(held) = self.jobs.get_mut(&id) else { return };
         let Some(function) = self.functions.get_mut(&held.job.function) else { return };
         let Some(worker) = self.workers.get_mut(&w) else { return };
         function.waiting.remove(&id);
         self.waiting.remove(&id);
         let place = function.places.entry(w).or_default();
-        let idle = (place.copies > 0 && place.own == 0).then_some(now + keep - place.until);
         place.own += 1;
         let queued = place.own > function.lanes * place.copies.max(1);
         worker.own += 1;
         (worker.budget, worker.budget_at) = (saved.unwrap_or(0.0) - expected, now);
-        worker.out.insert((now, id, held.executions.len()));
-        self.due.insert((now + (SILENCE * expected * pace) as Micros, Due::Silence(w)));
+        let late = now + (SILENCE * expected * pace) as Micros;
+        worker.out.insert((now, late, id, held.executions.len()));
+        self.due.insert((late, Due::Silence(w)));
         held.executions.push(Execution {
             worker: w,
             sent: now,
             out: true,
             may_have_run: true,
             cancelled: false,
-            idle,
             queued,
         });
         out.execute(id, w, held.job.due - now);
@@ -817,7 +882,7 @@
                 out.hold(id, *function, 0);
             }
         }
-        stuck.iter().for_each(|(_, job, n)| self.move_away(*job, *n, out));
+        stuck.iter().for_each(|(.., job, n)| self.move_away(*job, *n, out));
     }
 
     /// A further execution for a job that is stuck at a silent worker, if the rules allow one and the time
@@ -893,19 +958,14 @@
     }
 }
 
-/// A pace that goes back to calm with time.
-fn faded(pace: f64, calm: f64, passed: Micros) -> f64 {
-    calm + (pace - calm) * (-(passed.max(0) as f64) / PACE_FADES_US).exp()
+fn middle(mut figures: Vec<f64>) -> f64 {
+    figures.sort_unstable_by(f64::total_cmp);
+    figures.get(figures.len() / 2).copied().unwrap_or(1.0)
 }
 
-/// A function's homes: the workers, first by a hash of function and worker, where it is asked for and loaded
-/// first, so that routers that know nothing of each other share copies. As many as the root of the ready
-/// ones, as a larger fleet has more functions rather than more copies of each, and every home costs an ask.
-fn homes(id: FunctionId, ready: &[WorkerId]) -> Vec<WorkerId> {
-    let mut homes = ready.to_vec();
-    homes.sort_by_key(|w| tie(id, *w));
-    homes.truncate((ready.len() as f64).sqrt().ceil() as usize);
-    homes
+/// A figure that goes back to calm with time.
+fn faded(figure: f64, calm: f64, passed: Micros, span: f64) -> f64 {
+    calm + (figure - calm) * (-(passed.max(0) as f64) / span).exp()
 }
 
 fn tie(function: FunctionId, worker: WorkerId) -> u64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,8 +22,8 @@
     pub row: WorkerRow,
     /// Own jobs in flight.
     pub own: u32,
-    /// Executions out here, oldest first.
-    pub out: BTreeSet<(Micros, JobId, usize)>,
+    /// Executions out here, oldest first: when sent, and from when on their answers are late.
+    pub out: BTreeSet<(Micros, Micros, JobId, usize)>,
     /// What jobs take here over what they are expected to: of late, in the long run, and when calm.
     pub pace: f64,
     pub pace_at: Micros,
@@ -35,14 +35,15 @@
     pub cut: Micros,
     pub barred: Micros,
     pub report: Report,
+    pub report_at: Micros,
     /// When it last answered, since when a check for life is out, and how many went unanswered.
     pub heard: Micros,
     pub checked: Option<Micros>,
     pub checks: u32,
     /// Silent, reset or unreachable; nothing new goes there until it is heard again.
     pub suspect: bool,
-    /// How long idle copies stand here, as found.
-    pub lasts: f64,
+    /// Until when it counts as crowded for a late or a full answer.
+    pub jammed: Micros,
     /// Work that may still be sent while cold.
     pub budget: f64,
     pub budget_at: Micros,
@@ -56,6 +57,8 @@
     pub until: Micros,
     pub own: u32,
     pub barred: Micros,
+    /// It was found not to stand there, and may by then.
+    pub absent: Micros,
     /// An order is out since then, for so many copies.
     pub order: Option<(Micros, u32)>,
     /// A load by an own job is under way.
@@ -73,6 +76,8 @@
     pub asking: Micros,
     pub places: BTreeMap<WorkerId, Place>,
     pub waiting: BTreeSet<JobId>,
+    /// Jobs taken of late, over about a keep-alive, and when the last one was.
+    pub calls: f64,
     pub last_job: Micros,
     pub warm_last: Option<WorkerId>,
 }
@@ -84,8 +89,6 @@
     pub out: bool,
     pub may_have_run: bool,
     pub cancelled: bool,
-    /// How long the copy that it was sent to had been idle, where one was believed.
-    pub idle: Option<Micros>,
     /// It was sent to wait for a lane, so its time tells nothing of the worker.
     pub queued: bool,
 }
