--- a/src/logic.rs
+++ b/src/logic.rs
@@ -64,6 +64,8 @@
 const RENEW_AT: f64 = 0.8;
 /// A function gets so many homes that each bears this part of a mean worker's load from it.
 const HOME_PART: f64 = 0.5;
+/// Homes of any function: with one, chance alone makes some workers home to far more work than others.
+const FEW_HOMES: usize = 2;
 /// A function not called for this many keep-alives is forgotten.
 const FORGET_KEEPS: Micros = 4;
 
@@ -305,7 +307,7 @@
         if let Some(entry) = found {
             worker.out.remove(&entry);
             worker.own = worker.own.saturating_sub(1);
-            if entry.1 <= now || end.end == End::Full {
+            if end.end == End::Full {
                 worker.jammed = now + REPORT_FADES_US as Micros;
             }
         }
@@ -490,11 +492,11 @@
         self.pace(id) > SLOW * self.middle_pace
     }
     /// Guards against what this router cannot see: the other routers' jobs. A worker that reports far more than
-    /// the middle one, for its size, that turned one away full or owes an answer for long counts as having no
-    /// room while others have.
+    /// the middle one, for its size, that turned one away full, or owes an answer for long and was not heard
+    /// since, counts as having no room while others have.
     fn crowded(&self, id: WorkerId) -> bool {
         self.workers.get(&id).is_some_and(|w| {
-            let late = w.out.iter().any(|(_, late, ..)| *late <= self.now);
+            let late = w.out.iter().any(|(_, late, ..)| *late <= self.now && w.report_at < *late);
             let uneven = w.held_now(self.now, self.middle_held) > UNEVEN * self.middle_held;
             late || uneven || w.jammed > self.now || w.crowding(self.now) > CROWDED
         })
@@ -517,7 +519,7 @@
     fn width(&self, function: &Function, fleet: usize) -> usize {
         let sure = (function.calls - 1.0).max(0.0);
         let wanted = sure / self.calls.max(1.0) * fleet as f64 / HOME_PART;
-        (wanted.ceil() as usize).clamp(1, fleet.max(1))
+        (wanted.ceil() as usize).max(FEW_HOMES).min(fleet)
     }
     /// A draw by which the lowest of several workers is each in proportion to its size.
     fn drawn(&self, by: FunctionId, w: WorkerId) -> f64 {
@@ -668,7 +670,8 @@
         // it is believed elsewhere.
         let others = (self.span("routers", 1) - 1) as f64 * function.calls;
         let asks = self.allows("copies.orders") && (others < 1.0 || function.calls >= wide as f64);
-        let presumes = !asks && others >= 1.0 && (width > 1 || warm.is_empty());
+        let presumes =
+            !asks && others >= 1.0 && (width > FEW_HOMES || warm.iter().all(|(w, _)| self.crowded(*w)));
         let believed = |w: &WorkerId| warm.iter().any(|(at, _)| at == w);
         let unsure: Vec<WorkerId> = homes[..wide].iter().filter(|w| !believed(w)).copied().collect();
         let maybe =
@@ -689,7 +692,7 @@
             let place = place_at(w);
             place.absent > self.now && place.order.is_none() && !self.crowded(**w) && !self.slow(**w)
         };
-        let missing = homes[..width].iter().find(absent).copied().filter(|_| presumes && width > 1);
+        let missing = homes[..width].iter().find(absent).copied().filter(|_| presumes && width > FEW_HOMES);
         if let Some(w) = warmest.filter(|w| !self.crowded(*w)) {
             // Exception: a home that was found without its copy gets one, for the jobs that follow.
             if let Some(to) = missing.filter(|_| !self.loads_pressed()) {
