--- a/src/logic.rs
+++ b/src/logic.rs
@@ -670,8 +670,9 @@
         // it is believed elsewhere.
         let others = (self.span("routers", 1) - 1) as f64 * function.calls;
         let asks = self.allows("copies.orders") && (others < 1.0 || function.calls >= wide as f64);
-        let presumes =
-            !asks && others >= 1.0 && (width > FEW_HOMES || warm.iter().all(|(w, _)| self.crowded(*w)));
+        let presumes = !asks
+            && others >= 1.0
+            && (width > FEW_HOMES || warm.iter().all(|(w, _)| self.crowded(*w)));
         let believed = |w: &WorkerId| warm.iter().any(|(at, _)| at == w);
         let unsure: Vec<WorkerId> = homes[..wide].iter().filter(|w| !believed(w)).copied().collect();
         let maybe =
@@ -730,7 +731,7 @@
         // Exception: where the only warm workers with room are crowded, one goes there and a copy is ordered at
         // the next home that is not, for those that follow.
         if let Some(w) = warmest {
-            if let Some(to) = spare.filter(|_| underway == 0 && !self.loads_pressed()) {
+            if let Some(to) = spare.filter(|_| !asks && underway == 0 && !self.loads_pressed()) {
                 self.order(to, job.function, 1, out);
             }
             return self.execute(id, w, work, out);
