While pressed, the part of jobs taken follows late answers; pressed is read from reports, too

Now reported queues (or busy cores) are averaged over all answers, and while that shows jobs waiting, the part of new jobs taken is cut by late answers and raised by those in time; dearer jobs go first. The short wait is out (level within noise), the two orders ahead are folded into one.

Guards against any overload that no single worker shows; could harm where answers are late for another cause while queues stand, as jobs are pushed back then.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,25 +40,27 @@
 const LOADS_WAIT: f64 = 2.0;
 /// A worker this far from calm holds more than it has cores for, and copies for each of them.
 const CROWDED: f64 = 2.0;
+/// Workers count as pressed, too, once this part of what they report waits or finds all cores busy.
+const WAITING: f64 = 0.4;
+/// Cores busy for more than this part leave jobs waiting.
+const BUSY: f64 = 0.95;
+/// A late answer lowers what part of jobs is taken while pressed by so much, one in time raises it by a tenth.
+const LATE_CUT: f64 = 0.1;
 /// A worker that holds this many times what the middle one holds has more than its part.
 const UNEVEN: f64 = 1.5;
-/// Draws are compared in steps this fine.
-const DRAW_STEPS: f64 = 1e9;
 /// One answer counts for no more than this pace: a job that was itself long tells little of its worker.
 const MOST_PACE: f64 = 10.0;
 /// A job is in time if this many times its expected time fits: times scatter about as widely as their mean.
 const IN_TIME: f64 = 2.0;
 /// Jobs in flight that a worker is trusted with before anything is seen of it, from all routers together.
 const FIRST_LIMIT: f64 = 24.0;
-/// What a full set of jobs in time adds to a limit; less than one, as the other routers add to theirs as
-/// well.
+/// What a full set of jobs in time adds to a limit; less than one, as the other routers add to theirs, too.
 const GROWS: f64 = 0.25;
 /// Jobs that earn less than the mean for their work fill this part of a worker's limit.
 const CHEAP_SHARE: f64 = 0.6;
 /// What is left of a worker's limit once answers from it are too slow for their start targets.
 const CUT: f64 = 0.8;
-/// What jobs take when calm is the least mean seen; it is let rise this slowly, should the work itself
-/// change.
+/// What jobs take when calm is the least mean seen; it is let rise this slowly, should the work change.
 const CALM_RISES_US: f64 = 3e7;
 /// Copies are renewed at this part of their life.
 const RENEW_AT: f64 = 0.8;
@@ -136,6 +138,9 @@
     /// Work taken in a microsecond, and when that was last brought up to date.
     inflow: f64,
     inflow_at: Micros,
+    /// What part of reported jobs waits, and what part of new jobs is taken while pressed.
+    waits: f64,
+    taking: f64,
     /// Jobs taken of late, over about a keep-alive.
     calls: f64,
     calls_at: Micros,
@@ -154,7 +159,13 @@
 
 impl Router {
     pub fn new(seed: u64, settings: &Settings) -> Self {
-        let calm = Router { middle_pace: 1.0, middle_crowding: 1.0, load_pace: 1.0, ..Router::default() };
+        let calm = Router {
+            middle_pace: 1.0,
+            middle_crowding: 1.0,
+            load_pace: 1.0,
+            taking: 1.0,
+            ..Router::default()
+        };
         Router { settings: settings.clone(), seed, ..calm }
     }
 
@@ -283,12 +294,17 @@
     fn record_end(&mut self, end: &ExecutionEnd) {
         self.release(end);
         let Some(held) = self.jobs.get_mut(&end.job) else { return };
-        let job = held.job;
+        let (job, came) = (held.job, held.came);
         let Some(execution) = held.executions.get_mut(end.execution).filter(|e| e.out) else { return };
         execution.out = false;
         execution.may_have_run = !matches!(end.end, End::Full | End::NoConnection | End::Moot | End::Miss);
         let execution = *execution;
         self.learn(&job, end, &execution);
+        let late = self.now > came + self.target(job.workload);
+        if late || end.end == End::Finished {
+            let part = if late { self.taking * (1.0 - LATE_CUT) } else { self.taking + LATE_CUT / 10.0 };
+            self.taking = part.min(1.0);
+        }
         if end.settled {
             self.end_job(end.job);
         } else {
@@ -301,7 +317,7 @@
 
     /// An execution is no longer out at its worker, whether its job has ended or not.
     fn release(&mut self, end: &ExecutionEnd) {
-        let now = self.now;
+        let (now, own_loads) = (self.now, self.settings.text("copies.on-miss") != Some("miss"));
         let Some(worker) = self.workers.get_mut(&end.worker) else { return };
         let found = worker.out.iter().find(|(.., job, n)| (*job, *n) == (end.job, end.execution)).copied();
         if let Some(entry) = found {
@@ -312,6 +328,12 @@
             }
         }
         if let Some(report) = end.report {
+            let busy = report.busy.map(|busy| f64::from(u8::from(busy > BUSY)));
+            // Where workers load by themselves, a load under way is a job that waits for it and not for a core.
+            let loads = report.loads.filter(|_| own_loads).unwrap_or(0.0);
+            let queued =
+                report.queued.zip(report.held).map(|(queued, held)| (queued - loads) / held.max(1.0));
+            self.waits += NEWEST / 2.0 * (queued.or(busy).unwrap_or(0.0) - self.waits);
             (worker.report, worker.report_at) = (report, now);
         }
         match end.end {
@@ -466,8 +488,7 @@
         self.middle_held = middle(held.filter_map(|w| w.report.held.map(|held| held / size(w))).collect());
         let listed = || self.workers.values().filter(|w| w.row.state == WorkerState::Ready);
         self.sizes = listed().map(|w| w.row.size).sum();
-        // Where most workers look ill, this router's own view is the likelier cause, and the rest would
-        // drown.
+        // Where most workers look ill, this router's own view is the likelier cause; the rest would drown.
         self.most_suspect = listed().filter(|w| w.suspect).count() * 2 > listed().count();
     }
     /// The middle figure of the ready workers.
@@ -475,7 +496,7 @@
         middle(self.workers.values().filter(|w| w.ready()).map(figure).collect())
     }
     fn pressed(&self) -> bool {
-        self.middle_crowding > PRESSED
+        self.middle_crowding > PRESSED || self.waits > WAITING
     }
     fn load_pace_now(&self) -> f64 {
         faded(self.load_pace, 1.0, self.now - self.load_pace_at, PACE_FADES_US)
@@ -529,9 +550,9 @@
     /// The workers as a function's homes, first by a hash of function and worker that favours large ones. All
     /// routers find the same ones as workers come and go, so that they share copies with no word between them.
     fn homes(&self, id: FunctionId, ready: &[WorkerId]) -> Vec<WorkerId> {
-        let mut homes: Vec<(f64, WorkerId)> = ready.iter().map(|w| (self.drawn(id, *w), *w)).collect();
-        homes.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        homes.into_iter().map(|(_, w)| w).collect()
+        let mut homes = ready.to_vec();
+        homes.sort_by_cached_key(|w| (self.drawn(id, *w).to_bits(), *w));
+        homes
     }
     /// A copy is believed while jobs run on it and, after the last, for the keep-alive.
     fn stands(&self, place: &Place) -> bool {
@@ -632,32 +653,35 @@
         let target = (came + if job.repeat { whole / 2 } else { whole } - self.now).min(left);
         let limit = if self.pressed() || self.loads_pressed() { target } else { left };
         let hopeless = left <= usual as Micros || tries >= self.span("limits.max-executions", 1) as usize;
-        if hopeless {
+        // Guards against overload that no single worker shows: where all are pressed, what part of the jobs is
+        // taken follows from how many answers of late were late; those that earn more go first.
+        let luck = hash_of((self.seed, id)) as f64 / u64::MAX as f64;
+        let dear = self.earning(&job) >= self.earned;
+        let part = if dear { self.taking.sqrt() } else { self.taking };
+        let shed = came == self.now && tries == 0 && self.pressed() && luck > part;
+        if hopeless || shed {
             return self.give_up(id, out);
         }
         let draw = FunctionId(self.chance());
         // Under overload what earns least for its work goes first: it may not fill a worker's last places.
-        let share = if self.earning(&job) < self.earned { CHEAP_SHARE } else { 1.0 };
+        let share = if dear { 1.0 } else { CHEAP_SHARE };
         let near = ZoneId(self.span("zone", 0) as usize);
         let Some(held) = self.jobs.get(&id) else { return };
         let Some(function) = self.functions.get(&job.function) else { return };
         let (lanes, load) = (function.lanes, function.load * self.load_pace_now());
-        let stands = function.places.iter().filter(|(_, p)| self.stands(p));
-        let may = |w: WorkerId| {
-            self.workers.get(&w).is_some_and(|to| self.may_go(held, to)) && self.cold_room(w, id, work)
-        };
-        let warm: Vec<(WorkerId, Place)> = stands.map(|(w, p)| (*w, *p)).filter(|(w, _)| may(*w)).collect();
-        let in_time = |w: WorkerId| (work * self.pace(w)) as Micros <= limit;
-        let open =
-            |(w, p): &&(WorkerId, Place)| p.barred <= self.now && self.has_room(*w, share) && in_time(*w);
-        let far = |w: WorkerId| self.workers.get(&w).is_some_and(|w| w.row.zone != near);
-
         let ready: Vec<WorkerId> =
             self.workers.values().filter(|w| self.may_go(held, w)).map(|w| w.row.worker).collect();
         if ready.is_empty() && tries > 0 {
             return self.give_up(id, out);
         }
         let ready: Vec<WorkerId> = ready.into_iter().filter(|w| self.cold_room(*w, id, work)).collect();
+        let stands = function.places.iter().filter(|(w, p)| self.stands(p) && ready.binary_search(w).is_ok());
+        let warm: Vec<(WorkerId, Place)> = stands.map(|(w, p)| (*w, *p)).collect();
+        let in_time = |w: WorkerId| (work * self.pace(w)) as Micros <= limit;
+        let open =
+            |(w, p): &&(WorkerId, Place)| p.barred <= self.now && self.has_room(*w, share) && in_time(*w);
+        let far = |w: WorkerId| self.workers.get(&w).is_some_and(|w| w.row.zone != near);
+
         let homes = self.homes(job.function, &ready);
         let width = self.width(function, ready.len()).min(ready.len());
         let place_at = |w: &WorkerId| function.places.get(w).copied().unwrap_or_default();
@@ -670,9 +694,8 @@
         // it is believed elsewhere.
         let others = (self.span("routers", 1) - 1) as f64 * function.calls;
         let asks = self.allows("copies.orders") && (others < 1.0 || function.calls >= wide as f64);
-        let presumes = !asks
-            && others >= 1.0
-            && (width > FEW_HOMES || warm.iter().all(|(w, _)| self.crowded(*w)));
+        let presumes =
+            !asks && others >= 1.0 && (width > FEW_HOMES || warm.iter().all(|(w, _)| self.crowded(*w)));
         let believed = |w: &WorkerId| warm.iter().any(|(at, _)| at == w);
         let unsure: Vec<WorkerId> = homes[..wide].iter().filter(|w| !believed(w)).copied().collect();
         let maybe =
@@ -687,26 +710,32 @@
         let free = warm.iter().chain(&presumed).filter(open).filter(|(_, p)| p.own < lanes * p.copies);
         let warmest = free.map(|(w, _)| *w).min_by_key(|w| {
             let rough = (self.slow(*w), self.crowded(*w), far(*w), self.own(*w));
-            (rough, (self.drawn(draw, *w) * DRAW_STEPS) as u64)
+            (rough, self.drawn(draw, *w).to_bits())
         });
-        let absent = |w: &&WorkerId| {
-            let place = place_at(w);
-            place.absent > self.now && place.order.is_none() && !self.crowded(**w) && !self.slow(**w)
+        let crowds = warmest.is_some_and(|w| self.crowded(w));
+        let loads = |(w, p): &(&WorkerId, &Place)| {
+            let at_work = p.loading && self.workers.get(w).is_some_and(|w| !w.suspect);
+            at_work || p.order.is_some_and(|(_, copies)| copies > 0)
         };
-        let missing = homes[..width].iter().find(absent).copied().filter(|_| presumes && width > FEW_HOMES);
-        if let Some(w) = warmest.filter(|w| !self.crowded(*w)) {
-            // Exception: a home that was found without its copy gets one, for the jobs that follow.
-            if let Some(to) = missing.filter(|_| !self.loads_pressed()) {
+        let underway = function.places.iter().filter(loads).count() * lanes as usize;
+
+        // Exception: a home that was found without its copy gets one ordered for the jobs that follow; so does
+        // the next one that is not crowded, where all warm workers with room are.
+        let spare = homes.iter().enumerate().find(|(n, w)| {
+            let place = place_at(w);
+            let found = *n < width && width > FEW_HOMES && place.absent > self.now;
+            let wanted = found || (crowds && function.calls > 2.0 && underway == 0);
+            let fit = place.order.is_none() && place.barred <= self.now && !self.stands(&place);
+            wanted && fit && !self.crowded(**w) && !self.slow(**w)
+        });
+        let spare = spare.map(|(_, w)| *w).filter(|_| !asks && self.allows("copies.orders"));
+        if let Some(w) = warmest {
+            if let Some(to) = spare.filter(|_| !self.loads_pressed()) {
                 self.order(to, job.function, 1, out);
             }
             return self.execute(id, w, work, out);
         }
 
-        // Exception: where all lanes are taken, a short wait at a warm worker that is in time beats a load.
-        let turns = |p: &Place| f64::from(p.own + 1) / f64::from(lanes * p.copies);
-        let waits = warm.iter().filter(open).map(|(w, p)| ((work * self.pace(*w) * turns(p)) as Micros, *w));
-        let shortest = waits.min().filter(|(wait, _)| *wait < target && (*wait as f64) < load + work);
-
         // Load on the ready worker with the fewest own jobs in flight, the function's homes and the own zone
         // first. Ties go by the order of homes, so that routers share copies.
         let loadable = homes.iter().enumerate().filter(|(_, w)| {
@@ -716,33 +745,12 @@
         let emptiest =
             loadable.min_by_key(|(n, w)| (self.slow(**w), *n >= wide, far(**w), self.own(**w), *n));
         let emptiest = emptiest.map(|(_, w)| *w);
-        let spare = homes.iter().find(|w| {
-            let place = place_at(w);
-            !self.crowded(**w) && !self.slow(**w) && place.barred <= self.now && !self.stands(&place)
-        });
-        let spare = spare.copied().filter(|_| function.calls > 2.0 && self.allows("copies.orders"));
-        let loads = |(w, p): &(&WorkerId, &Place)| {
-            let at_work = p.loading && self.workers.get(w).is_some_and(|w| !w.suspect);
-            at_work || p.order.is_some_and(|(_, copies)| copies > 0)
-        };
-        let underway = function.places.iter().filter(loads).count() * lanes as usize;
         let ahead = function.waiting.iter().filter(|other| **other < id).count();
 
-        // Exception: where the only warm workers with room are crowded, one goes there and a copy is ordered at
-        // the next home that is not, for those that follow.
-        if let Some(w) = warmest {
-            if let Some(to) = spare.filter(|_| !asks && underway == 0 && !self.loads_pressed()) {
-                self.order(to, job.function, 1, out);
-            }
-            return self.execute(id, w, work, out);
-        }
         // Exception: before a load, ask where else the function stands; other routers' loads are not told.
         if asks && self.ask(job.function, &unsure, out) {
             return self.wait(id);
         }
-        if let Some((_, w)) = shortest {
-            return self.execute(id, w, work, out);
-        }
         // Exception: a load under way is waited for, one job a lane, before another is begun.
         if ahead < underway {
             if pending == 0 && limit < usual as Micros {
@@ -819,14 +827,9 @@
         let late = now + (SILENCE * expected * pace) as Micros;
         worker.out.insert((now, late, id, held.executions.len()));
         self.due.insert((late, Due::Silence(w)));
-        held.executions.push(Execution {
-            worker: w,
-            sent: now,
-            out: true,
-            may_have_run: true,
-            cancelled: false,
-            queued,
-        });
+        let sent =
+            Execution { worker: w, sent: now, out: true, may_have_run: true, queued, ..Execution::default() };
+        held.executions.push(sent);
         out.execute(id, w, held.job.due - now);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,7 +82,7 @@
     pub warm_last: Option<WorkerId>,
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 pub(crate) struct Execution {
     pub worker: WorkerId,
     pub sent: Micros,
