--- a/src/logic.rs
+++ b/src/logic.rs
@@ -509,9 +509,6 @@
     fn pace(&self, id: WorkerId) -> f64 {
         self.workers.get(&id).map_or(1.0, |w| w.pace_now(self.now))
     }
-    fn slow(&self, id: WorkerId) -> bool {
-        self.pace(id) > SLOW * self.middle_pace
-    }
     /// Guards against what this router cannot see: the other routers' jobs. A worker that reports far more than
     /// the middle one, for its size, that turned one away full, or owes an answer for long and was not heard
     /// since, counts as having no room while others have.
@@ -519,7 +516,8 @@
         self.workers.get(&id).is_some_and(|w| {
             let late = w.out.iter().any(|(_, late, ..)| *late <= self.now && w.report_at < *late);
             let uneven = w.held_now(self.now, self.middle_held) > UNEVEN * self.middle_held;
-            late || uneven || w.jammed > self.now || w.crowding(self.now) > CROWDED
+            let pace = w.pace_now(self.now);
+            late || uneven || w.jammed > self.now || pace > (CROWDED * w.calm).min(SLOW * self.middle_pace)
         })
     }
     fn own(&self, id: WorkerId) -> u32 {
@@ -709,7 +707,7 @@
         // the likelier.
         let free = warm.iter().chain(&presumed).filter(open).filter(|(_, p)| p.own < lanes * p.copies);
         let warmest = free.map(|(w, _)| *w).min_by_key(|w| {
-            let rough = (self.slow(*w), self.crowded(*w), far(*w), self.own(*w));
+            let rough = (self.crowded(*w), far(*w), self.own(*w));
             (rough, self.drawn(draw, *w).to_bits())
         });
         let crowds = warmest.is_some_and(|w| self.crowded(w));
@@ -726,7 +724,7 @@
             let found = *n < width && width > FEW_HOMES && place.absent > self.now;
             let wanted = found || (crowds && function.calls > 2.0 && underway == 0);
             let fit = place.order.is_none() && place.barred <= self.now && !self.stands(&place);
-            wanted && fit && !self.crowded(**w) && !self.slow(**w)
+            wanted && fit && !self.crowded(**w)
         });
         let spare = spare.map(|(_, w)| *w).filter(|_| !asks && self.allows("copies.orders"));
         if let Some(w) = warmest {
@@ -743,7 +741,7 @@
             place.barred <= self.now && place.order.is_none() && self.has_room(**w, share)
         });
         let emptiest =
-            loadable.min_by_key(|(n, w)| (self.slow(**w), *n >= wide, far(**w), self.own(**w), *n));
+            loadable.min_by_key(|(n, w)| (self.crowded(**w), *n >= wide, far(**w), self.own(**w), *n));
         let emptiest = emptiest.map(|(_, w)| *w);
         let ahead = function.waiting.iter().filter(|other| **other < id).count();
 
