--- a/src/logic.rs
+++ b/src/logic.rs
@@ -64,7 +64,8 @@
 const CALM_RISES_US: f64 = 3e7;
 /// Copies are renewed at this part of their life.
 const RENEW_AT: f64 = 0.8;
-/// A function gets so many homes that each bears this part of a mean worker's load from it.
+/// A function gets so many homes that each bears this part of a mean worker's load from it; half of it where
+/// a home wrongly presumed warm costs a miss and not a load.
 const HOME_PART: f64 = 0.5;
 /// Homes of any function: with one, chance alone makes some workers home to far more work than others.
 const FEW_HOMES: usize = 2;
@@ -537,7 +538,9 @@
     /// call alone asks for no more homes.
     fn width(&self, function: &Function, fleet: usize) -> usize {
         let sure = (function.calls - 1.0).max(0.0);
-        let wanted = sure / self.calls.max(1.0) * fleet as f64 / HOME_PART;
+        let misses = self.settings.text("copies.on-miss") == Some("miss");
+        let part = if misses { HOME_PART / 2.0 } else { HOME_PART };
+        let wanted = sure / self.calls.max(1.0) * fleet as f64 / part;
         (wanted.ceil() as usize).max(FEW_HOMES).min(fleet)
     }
     /// A draw by which the lowest of several workers is each in proportion to its size.
