--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -55,11 +55,17 @@
     pub log: Log,
     /// Executions a job has had.
     pub tries: BTreeMap<u64, usize>,
+    /// What workers report with each answer.
+    pub report: Option<Report>,
 }
 
 impl Host {
     /// Workers 0 to `workers` - 1, one restartable workload, and what the story sets beside that.
     pub fn new(workers: u64, set: &[(&str, Value)]) -> Host {
+        Host::seeded(1, workers, set)
+    }
+
+    pub fn seeded(seed: u64, workers: u64, set: &[(&str, Value)]) -> Host {
         let number = |name: &str, n: f64| (name.to_string(), Value::Number(n));
         let mut map = BTreeMap::from([
             number("workloads.count", 1.0),
@@ -73,12 +79,13 @@
             ("limits.cancel".into(), Value::Flag(true)),
         ]);
         map.extend(set.iter().map(|(name, value)| (name.to_string(), value.clone())));
-        let router = Router::new(1, &Settings(map));
+        let router = Router::new(seed, &Settings(map));
         let mut host = Host {
             router,
             now: 1_000_000,
             log: Log { did: Vec::new(), wake: Micros::MAX },
             tries: BTreeMap::new(),
+            report: None,
         };
         let rows = (0..workers).map(|w| row(w, WorkerState::Ready, 0)).collect();
         host.round(Round { lists: vec![WorkerList { kind: ListKind::Cached, rows }], ..Round::default() });
@@ -191,7 +198,7 @@
             settled,
             warmth,
             crowd: None,
-            report: None,
+            report: self.report,
         };
         self.round(Round { ends: vec![news], ..Round::default() });
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -4,6 +4,7 @@
 use host::*;
 use rstest::rstest;
 use sanddrum::*;
+use std::collections::BTreeSet;
 
 #[rstest]
 fn a_second_job_goes_where_the_first_left_a_copy() {
@@ -265,6 +266,109 @@
     assert_eq!(usize::from(sent.iter().any(|did| there(&did))), used);
 }
 
+#[rstest]
+#[case::many_routers(200.0, 0)]
+#[case::alone(1.0, 2)]
+fn homes_are_presumed_warm_where_others_send_and_asked_where_none_does(
+    #[case] routers: f64,
+    #[case] asks: usize,
+) {
+    let set = [("copies.orders", Value::Flag(true)), ("routers", Value::Number(routers))];
+    let mut host = Host::new(4, &set);
+    host.job(1, 7);
+    assert_eq!(host.asked(7).len(), asks);
+    assert_eq!(host.sent(1).is_some(), asks == 0);
+}
+
+#[rstest]
+fn routers_that_share_nothing_find_the_same_homes() {
+    let mut homes = [BTreeSet::new(), BTreeSet::new()];
+    for (seed, homes) in (1..).zip(&mut homes) {
+        for job in 0..40 {
+            let mut host = Host::seeded(seed * 100 + job, 60, &[("routers", Value::Number(200.0))]);
+            host.job(1, 7);
+            homes.extend(host.sent(1));
+        }
+    }
+    assert_eq!(homes[0], homes[1]);
+    assert_eq!(homes[0].len(), 2, "few for a function that was called once");
+}
+
+#[rstest]
+fn a_home_found_without_its_copy_gets_one_for_the_jobs_that_follow() {
+    let text = |t: &str| Value::Text(t.into());
+    let set = [("copies.on-miss", text("miss")), ("copies.orders", Value::Flag(true))];
+    let mut host = Host::new(6, &[&set[..], &[("routers", Value::Number(200.0))]].concat());
+    for job in 0..8 {
+        host.job(job, 7);
+        let missed = host.sent(job);
+        host.end(job, End::Miss, Warmth::Unknown, 1_000);
+        while host.sent(job) != missed && host.tries[&job] < 4 {
+            host.finish(job, Warmth::Stood, 50_000);
+        }
+    }
+    let ordered = host.count(|did| matches!(did, Did::Hold(_, 7, 1)));
+    assert!(ordered > 0, "a copy where one was missing");
+}
+
+#[rstest]
+#[case::as_the_others(4.0, true)]
+#[case::far_more(40.0, false)]
+fn a_worker_that_reports_far_more_jobs_than_others_has_no_room(#[case] held: f64, #[case] there: bool) {
+    let mut host = Host::new(3, &[("routers", Value::Number(200.0)), ("copies.orders", Value::Flag(true))]);
+    let mut report = |id: u64, function: u64, held: f64| {
+        host.job(id, function);
+        let w = host.sent(id);
+        host.report = Some(Report { held: Some(held), queued: Some(0.0), ..Report::default() });
+        host.finish(id, Warmth::Stood, 50_000);
+        w
+    };
+    // Enough others to know what the middle worker holds, then the one in question.
+    for id in 0..30 {
+        report(id, id, 4.0);
+    }
+    let first = report(100, 99, held);
+    host.pass(200_000);
+    host.job(101, 99);
+    assert_eq!(host.sent(101) == first, there);
+}
+
+#[rstest]
+#[case::one_router(1.0)]
+#[case::two_hundred(200.0)]
+fn routers_together_send_a_cold_worker_no_more_than_its_part(#[case] routers: f64) {
+    // One worker of four starts anew; all routers take the same traffic as one, ten jobs a second together.
+    let mut sent = 0;
+    for router in 0..routers as u64 {
+        let mut host = Host::seeded(router, 4, &[("routers", Value::Number(routers))]);
+        host.list(ListKind::Changes, vec![row(1, WorkerState::Ready, host.now)]);
+        let jobs = 20 / routers as u64 + u64::from(router < 20 % routers as u64);
+        (0..jobs).for_each(|id| {
+            host.pass(100_000);
+            host.job(id, router * 100 + id);
+        });
+        sent += host.count(|did| matches!(did, Did::Execute(_, 1)));
+    }
+    assert!(sent <= 3, "of twenty jobs in two seconds: {sent}");
+}
+
+#[rstest]
+#[case::nothing_waits(0.0, 0)]
+#[case::most_wait(30.0, 20)]
+fn where_reports_show_queues_and_answers_are_late_less_is_taken(#[case] queued: f64, #[case] least: usize) {
+    let set = [("routers", Value::Number(200.0)), ("copies.on-miss", Value::Text("miss".into()))];
+    let mut host = Host::new(6, &set);
+    host.report = Some(Report { held: Some(40.0), queued: Some(queued), ..Report::default() });
+    for id in 0..120 {
+        host.job(id, 7);
+        if host.finals(id) == 0 {
+            host.finish(id, Warmth::Stood, 1_100_000);
+        }
+    }
+    let pushed = host.count(|did| matches!(did, Did::PushBack(_)));
+    assert!(if least == 0 { pushed == 0 } else { pushed >= least }, "{pushed} pushed back");
+}
+
 #[rstest]
 fn odd_input_is_answered_without_a_panic() {
     let mut host = Host::new(0, &[]);
