Presume a copy only where a load would end before the client leaves; time-outs there teach of loads

Workers there reported nine loads under way, the most they take; jobs sent to homes where no copy stood joined those queues, left with their clients, and their loads were dropped unbegun. Nothing told of it, as only loads that end were learned from. Guards also against a stopped store; could harm where clients leave early for reasons of their own.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -97,10 +97,6 @@
         let held = self.report.held.unwrap_or(middle * self.row.size) / self.row.size.max(f64::MIN_POSITIVE);
         faded(held, middle, now - self.report_at, REPORT_FADES_US)
     }
-    /// Own jobs in flight below what it bears; guards against overload of any cause.
-    fn has_room(&self, now: Micros, share: f64) -> bool {
-        f64::from(self.own) < self.limit * share && self.barred <= now
-    }
     /// Cuts the limit, at most once in the time of a job, as what was sent before still shows.
     fn cut_limit(&mut self, now: Micros, work: f64) {
         if now >= self.cut + (work * self.pace) as Micros {
@@ -233,6 +229,9 @@
     fn keep_alive(&self) -> Micros {
         self.span("copies.keep-alive-us", 8_000_000)
     }
+    fn answers_miss(&self) -> bool {
+        self.settings.text("copies.on-miss") == Some("miss")
+    }
     fn allows(&self, name: &str) -> bool {
         self.settings.flag(name) == Some(true)
     }
@@ -316,9 +315,8 @@
         }
     }
 
-    /// An execution is no longer out at its worker, whether its job has ended or not.
     fn release(&mut self, end: &ExecutionEnd) {
-        let (now, own_loads) = (self.now, self.settings.text("copies.on-miss") != Some("miss"));
+        let (now, own_loads) = (self.now, !self.answers_miss());
         let Some(worker) = self.workers.get_mut(&end.worker) else { return };
         let found = worker.out.iter().find(|(.., job, n)| (*job, *n) == (end.job, end.execution)).copied();
         if let Some(entry) = found {
@@ -350,7 +348,6 @@
         }
     }
 
-    /// What an end teaches of the function, its copy there and the worker.
     fn learn(&mut self, job: &Job, end: &ExecutionEnd, execution: &Execution) {
         let (now, keep) = (self.now, self.keep_alive());
         let (expected, unscaled) = (self.work_of(job), self.unscaled_work(job));
@@ -403,6 +400,12 @@
             End::Miss | End::Error if end.warmth == Warmth::LoadFailed => {
                 (place.copies, place.loading, place.barred) = (0, false, now + expected as Micros);
             }
+            // Unanswered where no copy was known to stand: it waited for a load that did not come. Guards against
+            // stores and load queues so crowded that nothing tells of them.
+            End::TimedOut if place.copies == 0 => {
+                (place.loading, place.absent) = (false, now + function.load as Micros);
+                self.learn_load(job.function, end.latency as f64);
+            }
             _ => place.loading = false,
         }
     }
@@ -423,7 +426,6 @@
         self.todo.extend(&function.waiting);
         if wanted > 0 && end.end == End::Finished {
             function.warm_last = Some(end.worker);
-            // One answered at once found the copies standing.
             if end.latency as f64 > function.load * GUESS_OF_TARGET {
                 self.learn_load(end.function, end.latency as f64);
             }
@@ -478,7 +480,6 @@
     fn inflow_now(&self) -> f64 {
         self.inflow * (-(self.now - self.inflow_at) as f64 / self.fall_span()).exp()
     }
-    /// Works out what is the same for every job of a sweep.
     fn look_over_fleet(&mut self) {
         let now = self.now;
         self.middle_pace = self.typical(|w| w.pace_now(now));
@@ -492,7 +493,6 @@
         // Where most workers look ill, this router's own view is the likelier cause; the rest would drown.
         self.most_suspect = listed().filter(|w| w.suspect).count() * 2 > listed().count();
     }
-    /// The middle figure of the ready workers.
     fn typical(&self, figure: impl Fn(&Worker) -> f64) -> f64 {
         middle(self.workers.values().filter(|w| w.ready()).map(figure).collect())
     }
@@ -510,9 +510,8 @@
     fn pace(&self, id: WorkerId) -> f64 {
         self.workers.get(&id).map_or(1.0, |w| w.pace_now(self.now))
     }
-    /// Guards against what this router cannot see: the other routers' jobs. A worker that reports far more than
-    /// the middle one, for its size, that turned one away full, or owes an answer for long and was not heard
-    /// since, counts as having no room while others have.
+    /// Guards against what this router cannot see, the others' jobs: a worker that reports far more than the
+    /// middle one for its size, was full of late, owes a late answer with no report since, or is slow.
     fn crowded(&self, id: WorkerId) -> bool {
         self.workers.get(&id).is_some_and(|w| {
             let late = w.out.iter().any(|(_, late, ..)| *late <= self.now && w.report_at < *late);
@@ -524,8 +523,10 @@
     fn own(&self, id: WorkerId) -> u32 {
         self.workers.get(&id).map_or(0, |w| w.own)
     }
+    /// Own jobs in flight below what it bears; guards against overload of any cause.
     fn has_room(&self, id: WorkerId, share: f64) -> bool {
-        self.workers.get(&id).is_some_and(|w| w.has_room(self.now, share))
+        let room = |w: &Worker| f64::from(w.own) < w.limit * share && w.barred <= self.now;
+        self.workers.get(&id).is_some_and(room)
     }
     /// What a job earns for the work it takes.
     fn earning(&self, job: &Job) -> f64 {
@@ -538,8 +539,7 @@
     /// call alone asks for no more homes.
     fn width(&self, function: &Function, fleet: usize) -> usize {
         let sure = (function.calls - 1.0).max(0.0);
-        let misses = self.settings.text("copies.on-miss") == Some("miss");
-        let part = if misses { HOME_PART / 2.0 } else { HOME_PART };
+        let part = if self.answers_miss() { HOME_PART / 2.0 } else { HOME_PART };
         let wanted = sure / self.calls.max(1.0) * fleet as f64 / part;
         (wanted.ceil() as usize).max(FEW_HOMES).min(fleet)
     }
@@ -686,13 +686,11 @@
         let homes = self.homes(job.function, &ready);
         let width = self.width(function, ready.len()).min(ready.len());
         let place_at = |w: &WorkerId| function.places.get(w).copied().unwrap_or_default();
-        // A load is asked for, and begun, first at the root of the workers at least.
         let wide = width.max((ready.len() as f64).sqrt().ceil() as usize).min(ready.len());
 
-        // Exception: a function's homes are presumed warm, as the other routers send as this one does. Guards
-        // against each router's knowing little where there are many. Where the function is called here more
-        // often than there are homes, they are asked first; one with a single home is not presumed there while
-        // it is believed elsewhere.
+        // Exception: a function's homes are presumed warm, as the other routers send as this one does, where a
+        // load would be in time as well, should none stand. Guards against each router's knowing little where
+        // there are many. Those of a function called here more often than it has homes are asked first.
         let others = (self.span("routers", 1) - 1) as f64 * function.calls;
         let asks = self.allows("copies.orders") && (others < 1.0 || function.calls >= wide as f64);
         let presumes =
@@ -703,7 +701,9 @@
             homes[..width].iter().filter(|w| presumes && !believed(w) && self.cold_budget(**w).is_none());
         let presumed: Vec<(WorkerId, Place)> = maybe
             .map(|w| (*w, Place { copies: 1, ..place_at(w) }))
-            .filter(|(_, p)| p.absent <= self.now && !p.loading)
+            .filter(|(_, p)| {
+                p.absent <= self.now && !p.loading && (self.answers_miss() || (load + work) as Micros <= left)
+            })
             .collect();
 
         // Warm-first: own zone standing for the edge, fewest own jobs in flight, ties random, the larger worker
@@ -763,7 +763,7 @@
         if limit < (load + work * self.pace(w)) as Micros {
             return self.give_up(id, out);
         }
-        if self.settings.text("copies.on-miss") == Some("miss") {
+        if self.answers_miss() {
             if self.order(w, job.function, 1, out) {
                 return self.wait(id);
             }
