Presume only where the others call each home many times; the short wait is back

Now the others, sending as this router does, must call a function as often as the square of its homes in a keep-alive; else it asks, as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,7 +44,7 @@
 const WAITING: f64 = 0.4;
 /// Cores busy for more than this part leave jobs waiting.
 const BUSY: f64 = 0.95;
-/// A late answer lowers what part of jobs is taken while pressed by so much, one in time raises it by a tenth.
+/// A late answer cuts the part of jobs taken while pressed by so much; one in time adds a tenth of that.
 const LATE_CUT: f64 = 0.1;
 /// A worker that holds this many times what the middle one holds has more than its part.
 const UNEVEN: f64 = 1.5;
@@ -328,7 +328,7 @@
         }
         if let Some(report) = end.report {
             let busy = report.busy.map(|busy| f64::from(u8::from(busy > BUSY)));
-            // Where workers load by themselves, a load under way is a job that waits for it and not for a core.
+            // Where workers load by themselves, a load under way is a job that waits, but not for a core.
             let loads = report.loads.filter(|_| own_loads).unwrap_or(0.0);
             let queued =
                 report.queued.zip(report.held).map(|(queued, held)| (queued - loads) / held.max(1.0));
@@ -376,8 +376,7 @@
                             let stays = 1.0 - NEWEST / 4.0;
                             self.hinted = (stays * self.hinted.0 + calm, stays * self.hinted.1 + unscaled);
                         }
-                        // What a worker gets in flight grows while answers fit the start target and shrinks
-                        // when they do not; the rest waits here.
+                        // What a worker gets in flight grows while answers fit their target, else shrinks.
                         let (late, crowding) =
                             (function.work * worker.pace * IN_TIME > target, worker.crowding(now));
                         if crowding > CROWDED || late {
@@ -400,8 +399,7 @@
             End::Miss | End::Error if end.warmth == Warmth::LoadFailed => {
                 (place.copies, place.loading, place.barred) = (0, false, now + expected as Micros);
             }
-            // Unanswered where no copy was known to stand: it waited for a load that did not come. Guards against
-            // stores and load queues so crowded that nothing tells of them.
+            // Waited for a load that did not come. Guards against load queues that nothing tells of.
             End::TimedOut if place.copies == 0 => {
                 (place.loading, place.absent) = (false, now + function.load as Micros);
                 self.learn_load(job.function, end.latency as f64);
@@ -502,8 +500,7 @@
     fn load_pace_now(&self) -> f64 {
         faded(self.load_pace, 1.0, self.now - self.load_pace_at, PACE_FADES_US)
     }
-    /// Guards against a crowded or stopped store and against load queues: loads take longer than told or
-    /// usual.
+    /// Guards against a crowded or stopped store and load queues: loads take longer than told or usual.
     fn loads_pressed(&self) -> bool {
         self.load_pace_now() > PRESSED || self.middle_loads > LOADS_WAIT
     }
@@ -528,15 +525,13 @@
         let room = |w: &Worker| f64::from(w.own) < w.limit * share && w.barred <= self.now;
         self.workers.get(&id).is_some_and(room)
     }
-    /// What a job earns for the work it takes.
     fn earning(&self, job: &Job) -> f64 {
         let importance =
             self.settings.number(&format!("workloads.{}.importance", job.workload.0)).unwrap_or(1.0);
         let by_work = self.settings.text("importance-by") == Some("work");
         importance / if by_work { 1.0 } else { self.work_of(job).max(1.0) }
     }
-    /// How many homes a function needs by its share of this router's jobs, which is that of the others' too; one
-    /// call alone asks for no more homes.
+    /// How many homes a function needs by its share of this router's jobs; one call asks for no more.
     fn width(&self, function: &Function, fleet: usize) -> usize {
         let sure = (function.calls - 1.0).max(0.0);
         let part = if self.answers_miss() { HOME_PART / 2.0 } else { HOME_PART };
@@ -548,8 +543,8 @@
         let size = self.workers.get(&w).map_or(1.0, |w| w.row.size.max(f64::MIN_POSITIVE));
         -(tie(by, w) as f64 / u64::MAX as f64).ln() / size
     }
-    /// The workers as a function's homes, first by a hash of function and worker that favours large ones. All
-    /// routers find the same ones as workers come and go, so that they share copies with no word between them.
+    /// The workers as a function's homes, first by a hash that favours large ones. All routers find the same
+    /// ones as workers come and go, so that they share copies with no word between them.
     fn homes(&self, id: FunctionId, ready: &[WorkerId]) -> Vec<WorkerId> {
         let mut homes = ready.to_vec();
         homes.sort_by_cached_key(|w| (self.drawn(id, *w).to_bits(), *w));
@@ -570,7 +565,6 @@
         let drawn = hash_of((self.seed, id, job)) as f64 / u64::MAX as f64;
         self.cold_budget(id).is_none_or(|budget| budget > drawn * work)
     }
-    /// What has been saved up for a worker by now, if it is cold.
     fn cold_budget(&self, id: WorkerId) -> Option<f64> {
         let worker = self.workers.get(&id).filter(|w| w.row.started > 0)?;
         let (now, span, fall) = (self.now, self.span("rules.cold-us", 0), self.fall_span());
@@ -654,8 +648,8 @@
         let target = (came + if job.repeat { whole / 2 } else { whole } - self.now).min(left);
         let limit = if self.pressed() || self.loads_pressed() { target } else { left };
         let hopeless = left <= usual as Micros || tries >= self.span("limits.max-executions", 1) as usize;
-        // Guards against overload that no single worker shows: where all are pressed, what part of the jobs is
-        // taken follows from how many answers of late were late; those that earn more go first.
+        // Guards against overload that no single worker shows: where all are pressed, what part of jobs is
+        // taken follows from how many answers were late; those that earn more go first.
         let luck = hash_of((self.seed, id)) as f64 / u64::MAX as f64;
         let dear = self.earning(&job) >= self.earned;
         let part = if dear { self.taking.sqrt() } else { self.taking };
@@ -688,13 +682,14 @@
         let place_at = |w: &WorkerId| function.places.get(w).copied().unwrap_or_default();
         let wide = width.max((ready.len() as f64).sqrt().ceil() as usize).min(ready.len());
 
-        // Exception: a function's homes are presumed warm, as the other routers send as this one does, where a
-        // load would be in time as well, should none stand. Guards against each router's knowing little where
-        // there are many. Those of a function called here more often than it has homes are asked first.
+        // Exception: a function's homes are presumed warm where the others, sending as this router does, call
+        // each many times and a load would end in time as well. Guards against each router's knowing little
+        // where there are many. Homes of a function called often here are asked instead.
         let others = (self.span("routers", 1) - 1) as f64 * function.calls;
-        let asks = self.allows("copies.orders") && (others < 1.0 || function.calls >= wide as f64);
-        let presumes =
-            !asks && others >= 1.0 && (width > FEW_HOMES || warm.iter().all(|(w, _)| self.crowded(*w)));
+        let often = others >= (wide * wide) as f64;
+        let asks = self.allows("copies.orders") && !(often && function.calls < wide as f64);
+        let spreads = width > FEW_HOMES || warm.iter().all(|(w, _)| self.crowded(*w));
+        let presumes = !asks && often && spreads;
         let believed = |w: &WorkerId| warm.iter().any(|(at, _)| at == w);
         let unsure: Vec<WorkerId> = homes[..wide].iter().filter(|w| !believed(w)).copied().collect();
         let maybe =
@@ -706,8 +701,7 @@
             })
             .collect();
 
-        // Warm-first: own zone standing for the edge, fewest own jobs in flight, ties random, the larger worker
-        // the likelier.
+        // Warm-first: own zone standing for the edge, fewest own jobs in flight, ties random by size.
         let free = warm.iter().chain(&presumed).filter(open).filter(|(_, p)| p.own < lanes * p.copies);
         let warmest = free.map(|(w, _)| *w).min_by_key(|w| {
             let rough = (self.crowded(*w), far(*w), self.own(*w));
@@ -720,8 +714,8 @@
         };
         let underway = function.places.iter().filter(loads).count() * lanes as usize;
 
-        // Exception: a home that was found without its copy gets one ordered for the jobs that follow; so does
-        // the next one that is not crowded, where all warm workers with room are.
+        // Exception: a home found without its copy gets one ordered for the jobs that follow; so does the
+        // next one that is not crowded, where all warm workers with room are.
         let spare = homes.iter().enumerate().find(|(n, w)| {
             let place = place_at(w);
             let found = *n < width && width > FEW_HOMES && place.absent > self.now;
@@ -737,6 +731,11 @@
             return self.execute(id, w, work, out);
         }
 
+        // Exception: where all lanes are taken, a short wait at a warm worker that is in time beats a load.
+        let turns = |p: &Place| f64::from(p.own + 1) / f64::from(lanes * p.copies);
+        let waits = warm.iter().filter(open).map(|(w, p)| ((work * self.pace(*w) * turns(p)) as Micros, *w));
+        let shortest = waits.min().filter(|(wait, _)| *wait < target && (*wait as f64) < load + work);
+
         // Load on the ready worker with the fewest own jobs in flight, the function's homes and the own zone
         // first. Ties go by the order of homes, so that routers share copies.
         let loadable = homes.iter().enumerate().filter(|(_, w)| {
@@ -752,6 +751,9 @@
         if asks && self.ask(job.function, &unsure, out) {
             return self.wait(id);
         }
+        if let Some((_, w)) = shortest {
+            return self.execute(id, w, work, out);
+        }
         // Exception: a load under way is waited for, one job a lane, before another is begun.
         if ahead < underway {
             if pending == 0 && limit < usual as Micros {
@@ -775,8 +777,7 @@
         self.execute(id, w, work + load, out);
     }
 
-    /// Asks those of a function's homes where none is believed whether it stands there; true while answers
-    /// are due.
+    /// Asks the homes where no copy is believed whether one stands there; true while answers are due.
     fn ask(&mut self, id: FunctionId, unsure: &[WorkerId], out: &mut impl Decisions) -> bool {
         let (now, keep) = (self.now, self.keep_alive());
         let wait = self.tightest_target() / ASKS_A_TARGET;
@@ -929,8 +930,7 @@
 
     /// Renews copies whose set keep-alive is longer than the worker's, and holds this router's share of the
     /// pre-warmed count where the function was last found warm, else at a worker hashed from it and our
-    /// number. Idle copies of a function not called for the set time are dropped, once each. All are off
-    /// unless set.
+    /// number. Idle copies of one not called for the set time are dropped, once each. All are off unless set.
     fn keep_copies(&mut self, id: FunctionId, out: &mut impl Decisions) {
         let keep = self.keep_alive();
         let longer = self.option(id, "keep-alive-us", keep);
