--- /dev/null
+++ b/crates/sanddrum-edge/src/carry.rs
@@ -0,0 +1,111 @@
+//! Carries out what the module decides, as it decides it.
+
+use crate::jobs::{Execution, Refusal};
+use crate::{Due, Inner};
+use sanddrum::{Decisions, End, FunctionId, JobId, Micros, PeerId, Warmth, WorkerId};
+use sanddrum_net::Io;
+use sanddrum_wire::{self as wire, frame::frame, ToWorker};
+
+pub(crate) struct Carry<'a> {
+    pub inner: &'a mut Inner,
+    pub io: &'a mut dyn Io,
+    pub now: Micros,
+}
+
+impl Decisions for Carry<'_> {
+    fn execute(&mut self, id: JobId, worker: WorkerId, limit: Micros) {
+        let (inner, now) = (&mut *self.inner, self.now);
+        let execution = inner.jobs.next_execution();
+        let Some(job) = inner.jobs.jobs.get_mut(&id) else { return };
+        let number = job.executions.len();
+        job.executions.push(execution);
+        job.out += 1;
+        let limit = limit.min(job.due - now).max(0);
+        let function = inner.functions.get(job.function);
+        let message = ToWorker::Execute(wire::Execute {
+            id: execution,
+            workload: inner.functions.workloads.get(job.workload.0).cloned().unwrap_or_default(),
+            function: function.map(|f| f.name.clone()).unwrap_or_default(),
+            limit_us: limit,
+            memory_mb: function.map_or(0.0, |f| f.memory_mb),
+            lanes: function.map_or(1, |f| f.lanes),
+            mark: job.mark.clone(),
+            trace: job.trace.clone(),
+            body: job.body.clone(),
+            customer: job.customer.clone(),
+        });
+        let closed = job.closed;
+        let sent = if closed { Err(End::Moot) } else { inner.send(now, worker, execution, &frame(&message), self.io) };
+        let due = now + limit;
+        let conn = sent.unwrap_or(sanddrum_net::Conn(u64::MAX));
+        inner.jobs.executions.insert(execution, Execution { job: id, number, worker, conn, sent: now, due });
+        tracing::debug!(job = id.0, execution = number, worker = inner.links.name(worker), limit, "executed");
+        match sent {
+            Ok(_) => drop(inner.due.insert((due, Due::Execution(execution)))),
+            Err(end) => inner.execution_ended(now, execution, end, Warmth::Unknown, None, None),
+        }
+    }
+
+    fn cancel(&mut self, id: JobId, number: usize) {
+        let inner = &mut *self.inner;
+        let Some(job) = inner.jobs.jobs.get(&id) else { return };
+        let Some(execution) = job.executions.get(number).copied() else { return };
+        let Some(conn) = inner.jobs.executions.get(&execution).map(|e| e.conn) else { return };
+        if inner.links.take_back(conn, execution) {
+            return inner.execution_ended(self.now, execution, End::Moot, Warmth::Unknown, None, None);
+        }
+        inner.tell(conn, &frame(&ToWorker::Cancel(wire::Cancel { id: execution })));
+        inner.execution_ended(self.now, execution, End::Cancelled, Warmth::Unknown, None, None);
+    }
+
+    fn push_back(&mut self, id: JobId, wait: Micros) {
+        let detail = "the job has not run, or running it again is harmless; come back after the stated time";
+        let refusal = Refusal {
+            status: 503,
+            end: "pushed-back",
+            reason: "not-in-time",
+            detail,
+            retry_after: Some(wait.max(0)),
+            job: Some(id),
+        };
+        self.inner.refuse(id, &refusal);
+    }
+
+    fn kill(&mut self, id: JobId) {
+        let late = self.inner.jobs.jobs.get(&id).is_some_and(|job| job.due <= self.now);
+        let (status, reason, detail) = if late {
+            (504, "time-limit", "no answer came within the time limit; the job may have run")
+        } else {
+            (502, "failed", "the job failed and may have run; nothing is promised")
+        };
+        let refusal = Refusal { status, end: "killed", reason, detail, retry_after: None, job: Some(id) };
+        self.inner.refuse(id, &refusal);
+    }
+
+    fn hold(&mut self, worker: WorkerId, function: FunctionId, copies: u32) {
+        self.inner.order(self.now, worker, function, copies, self.io);
+    }
+
+    fn unload(&mut self, worker: WorkerId, function: FunctionId) {
+        let Some(name) = self.inner.functions.get(function).map(|f| f.name.clone()) else { return };
+        let bytes = frame(&ToWorker::Unload(wire::Unload { function: name }));
+        // Nothing is owed for it: where it can't be sent the copies lapse by themselves.
+        let _ = self.inner.send(self.now, worker, 0, &bytes, self.io);
+    }
+
+    fn probe(&mut self, worker: WorkerId) {
+        self.inner.probe(self.now, worker, self.io);
+    }
+
+    fn tell(&mut self, _: Option<PeerId>, _: &[u8]) {
+        // Edges have no way to each other; the settings never allow it.
+    }
+
+    fn wake_at(&mut self, at: Micros) {
+        self.inner.module_wake = Some(self.inner.module_wake.map_or(at, |set| set.min(at)));
+    }
+
+    fn note(&mut self, text: &str) {
+        tracing::info!(note = text, "the module notes");
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-edge/src/clients.rs
@@ -0,0 +1,375 @@
+//! The client door: HTTP/1.1 with keep-alive and bounded pipelining. Answers go out in the order of the requests.
+
+use crate::functions::Unknown;
+use crate::jobs::{Job, Refusal};
+use crate::{Due, Inner, Owner};
+use sanddrum::{CustomerId, JobId, Micros};
+use sanddrum_net::{Conn, Event, Io, Outbox};
+use sanddrum_wire::http::{self, Parsed, Request};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+enum Place {
+    Open { job: JobId, keep: bool },
+    Ready { answer: Vec<u8>, keep: bool },
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    No,
+    /// Once all that is owed is written.
+    WhenWritten,
+    /// Read out until then, so that an early answer is not lost to unread bytes (RFC 9112, section 9.6).
+    Lingers(Micros),
+}
+
+struct Client {
+    bytes: Vec<u8>,
+    out: Outbox<()>,
+    places: VecDeque<Place>,
+    /// The number of the first place.
+    first: u64,
+    /// Since when a request is begun and not whole.
+    began: Option<Micros>,
+    active: Micros,
+    ending: Ending,
+    paused: bool,
+    told_to_go_on: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Clients {
+    clients: BTreeMap<Conn, Client>,
+    dirty: BTreeSet<Conn>,
+}
+
+impl Clients {
+    pub fn nothing_to_write(&self) -> bool {
+        self.clients.values().all(|c| c.places.is_empty() && c.out.waiting() == 0)
+    }
+}
+
+/// Why a request became no job.
+struct NoJob {
+    status: u16,
+    reason: &'static str,
+    detail: String,
+}
+
+fn no_job(status: u16, reason: &'static str, detail: impl Into<String>) -> NoJob {
+    NoJob { status, reason, detail: detail.into() }
+}
+
+/// A field with a number in it, if it is there.
+fn number(request: &Request, name: &'static str) -> Result<Option<i64>, NoJob> {
+    let Some(text) = request.field(name) else { return Ok(None) };
+    let read = text.trim().parse::<i64>().ok().filter(|n| (0..=1_000_000_000_000).contains(n));
+    read.map(Some).ok_or_else(|| no_job(400, "bad-field", format!("{name}: a whole number from 0 on is wanted")))
+}
+
+impl Inner {
+    pub(crate) fn client_came(&mut self, now: Micros, conn: Conn, io: &mut dyn Io) {
+        if self.clients.clients.len() >= self.limits.max_clients {
+            self.figures.limit_hit("max-clients");
+            tracing::warn!(reason = "max-clients", "a client is closed at once");
+            return io.reset(conn);
+        }
+        self.owners.insert(conn, Owner::Client);
+        let client = Client {
+            bytes: Vec::new(),
+            out: Outbox::new(self.limits.waiting_per_client),
+            places: VecDeque::new(),
+            first: 0,
+            began: None,
+            active: now,
+            ending: Ending::No,
+            paused: false,
+            told_to_go_on: false,
+        };
+        self.clients.clients.insert(conn, client);
+        self.figures.clients_open.increment(1.0);
+        self.due.insert((now + self.limits.head_time_out.min(self.limits.client_idle), Due::Client(conn)));
+    }
+
+    pub(crate) fn client_event(&mut self, now: Micros, conn: Conn, event: Event<'_>, io: &mut dyn Io) {
+        match event {
+            Event::Bytes { bytes, .. } => {
+                let Some(client) = self.clients.clients.get_mut(&conn) else { return };
+                client.active = now;
+                if client.ending != Ending::No {
+                    return;
+                }
+                if client.bytes.is_empty() {
+                    client.began = Some(now);
+                }
+                client.bytes.extend_from_slice(bytes);
+                self.read_requests(now, conn, io);
+            }
+            Event::Writable { .. } => {
+                if let Some(client) = self.clients.clients.get_mut(&conn) {
+                    client.out.unblock();
+                    client.active = now;
+                    self.clients.dirty.insert(conn);
+                }
+            }
+            Event::Closed { .. } => self.client_left(conn),
+            Event::Accepted { .. } | Event::Connected { .. } => {}
+        }
+    }
+
+    /// A client that closes has left; what it had asked for needs no answer any more.
+    fn client_left(&mut self, conn: Conn) {
+        let Some(client) = self.clients.clients.remove(&conn) else { return };
+        self.clients.dirty.remove(&conn);
+        self.figures.clients_open.decrement(1.0);
+        for place in client.places {
+            let Place::Open { job, .. } = place else { continue };
+            if self.jobs.close(job).is_some() {
+                tracing::debug!(job = job.0, reason = "client-left", "its client has left");
+                self.figures.left.increment(1);
+                self.round.left.push(job);
+                self.jobs.forget_if_done(job);
+            }
+        }
+    }
+
+    fn read_requests(&mut self, now: Micros, conn: Conn, io: &mut dyn Io) {
+        loop {
+            let Some(client) = self.clients.clients.get_mut(&conn) else { return };
+            if client.bytes.is_empty() || client.ending != Ending::No {
+                client.began = None;
+                return;
+            }
+            if client.places.len() >= self.limits.pipelined {
+                client.paused = true;
+                client.began = None;
+                return io.pause(conn, true);
+            }
+            match http::request(&client.bytes, self.limits.largest_head, self.limits.largest_body) {
+                Ok(Parsed::Partial { expects_continue }) => {
+                    client.began = client.began.or(Some(now));
+                    if expects_continue && !client.told_to_go_on && client.places.is_empty() {
+                        client.told_to_go_on = client.out.push((), http::CONTINUE).is_ok();
+                        self.clients.dirty.insert(conn);
+                    }
+                    return;
+                }
+                Ok(Parsed::Whole(request, took)) => {
+                    client.bytes.drain(..took);
+                    client.told_to_go_on = false;
+                    client.began = None;
+                    self.take_request(now, conn, request);
+                }
+                Err(bad) => {
+                    let detail = "the request can't be read; see the client door's page";
+                    self.turn_away(now, conn, bad.status(), bad.reason(), detail, None);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Answers a request that can't be read on, and ends its connection.
+    fn turn_away(
+        &mut self,
+        now: Micros,
+        conn: Conn,
+        status: u16,
+        reason: &'static str,
+        detail: &str,
+        retry_after: Option<Micros>,
+    ) {
+        self.figures.refused("refused", reason);
+        tracing::info!(status, reason, "a client is turned away");
+        let refusal = Refusal { status, end: "refused", reason, detail, retry_after, job: None };
+        let Some(client) = self.clients.clients.get_mut(&conn) else { return };
+        client.places.push_back(Place::Ready { answer: refusal.response(false), keep: false });
+        client.bytes = Vec::new();
+        client.began = None;
+        client.ending = Ending::Lingers(now + self.limits.linger);
+        self.due.insert((now + self.limits.linger, Due::Client(conn)));
+        self.clients.dirty.insert(conn);
+    }
+
+    fn take_request(&mut self, now: Micros, conn: Conn, request: Request) {
+        let keep = request.keep_alive && !self.stopping;
+        let path = request.path.split('?').next().unwrap_or_default().to_string();
+        let answer = match (request.method.as_str(), path.as_str()) {
+            ("GET", "/metrics") => {
+                let page = self.metrics_page.as_ref().map(|page| page()).unwrap_or_default();
+                Ok(http::response(200, &[("content-type", "text/plain; version=0.0.4")], page.as_bytes(), keep))
+            }
+            ("GET", "/health") => Ok(http::response(200, &[("content-type", "text/plain")], b"ok\n", keep)),
+            _ => Err(self.take_call(now, conn, request, &path)),
+        };
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(Ok(job)) => {
+                if let Some(client) = self.clients.clients.get_mut(&conn) {
+                    client.places.push_back(Place::Open { job, keep });
+                }
+                return;
+            }
+            Err(Err(no)) => {
+                let pushed_back = no.status == 503;
+                let end = if pushed_back { "pushed-back" } else { "refused" };
+                if pushed_back {
+                    self.figures.limit_hit(no.reason);
+                }
+                self.figures.refused(end, no.reason);
+                tracing::info!(status = no.status, reason = no.reason, "not taken");
+                let retry_after = pushed_back.then_some(self.limits.max_retry_after);
+                Refusal { status: no.status, end, reason: no.reason, detail: &no.detail, retry_after, job: None }
+                    .response(keep)
+            }
+        };
+        if let Some(client) = self.clients.clients.get_mut(&conn) {
+            client.places.push_back(Place::Ready { answer, keep });
+            self.clients.dirty.insert(conn);
+        }
+    }
+
+    fn take_call(&mut self, now: Micros, conn: Conn, request: Request, path: &str) -> Result<JobId, NoJob> {
+        let names = path.strip_prefix("/v1/calls/").and_then(|rest| rest.split_once('/'));
+        let Some((workload, function)) = names.filter(|(_, f)| !f.is_empty() && !f.contains('/')) else {
+            return Err(no_job(404, "no-such-path", "calls go to POST /v1/calls/{workload}/{function}"));
+        };
+        if request.method != "POST" {
+            return Err(no_job(405, "method", "calls are made with POST"));
+        }
+        if self.stopping {
+            return Err(no_job(503, "stopping", "this edge ends; nothing was done, ask another one"));
+        }
+        if self.jobs.open() >= self.limits.max_open {
+            return Err(no_job(503, "max-open", "this edge holds as many jobs as it may; nothing was done"));
+        }
+        let limit = number(&request, "sanddrum-time-limit-ms")?.map(|ms| ms * 1000);
+        let work = number(&request, "sanddrum-work-us")?;
+        let repeat = number(&request, "sanddrum-repeat")?.is_some_and(|n| n > 0);
+        let found = self.functions.find(workload, function, self.limits.max_functions);
+        let (id, known) = found.map_err(|unknown| match unknown {
+            Unknown::Workload => no_job(404, "no-such-workload", format!("no workload {workload:?} is set here")),
+            Unknown::Function => no_job(404, "no-such-function", format!("no function {function:?} is set for it")),
+            Unknown::TooMany => no_job(503, "max-functions", "this edge knows as many functions as it may"),
+        })?;
+        let (of, memory_mb, lanes, load) = (known.workload, known.memory_mb, known.lanes, known.load);
+        let whole = self.settings.span(&format!("workloads.{}.time-limit-us", of.0));
+        let limit = limit.map_or(whole, |told| told.min(whole)) - self.limits.answer_ahead;
+        let field = |name: &str| request.field(name).map(String::from);
+        let customer = field("sanddrum-customer");
+        let customers = self.settings.count("customers");
+        let number = (0..customers).find(|n| {
+            customer.as_deref() == self.settings.values.text(&format!("customers.{n}.name"))
+        });
+        let Some(client) = self.clients.clients.get(&conn) else {
+            return Err(no_job(400, "client-left", "its client has left"));
+        };
+        let job = Job {
+            client: conn,
+            place: client.first + client.places.len() as u64,
+            workload: of,
+            function: id,
+            due: now + limit.max(0),
+            mark: field("idempotency-key"),
+            trace: field("sanddrum-trace"),
+            customer,
+            body: request.body,
+            executions: Vec::new(),
+            out: 0,
+            closed: false,
+        };
+        let due = job.due;
+        let job = self.jobs.take(job);
+        self.figures.taken.increment(1);
+        tracing::debug!(job = job.0, workload, function, limit_us = limit, "taken");
+        self.round.jobs.push(sanddrum::Job {
+            id: job,
+            function: id,
+            workload: of,
+            customer: CustomerId(number.unwrap_or(customers)),
+            due,
+            memory_mb,
+            lanes: f64::from(lanes),
+            load,
+            work,
+            repeat,
+        });
+        Ok(job)
+    }
+
+    /// The final answer to one request of a client, written in its turn.
+    pub(crate) fn answer(&mut self, conn: Conn, place: u64, answer: impl FnOnce(bool) -> Vec<u8>) {
+        let Some(client) = self.clients.clients.get_mut(&conn) else { return };
+        let n = place.checked_sub(client.first).map(|n| n as usize);
+        let Some(place) = n.and_then(|n| client.places.get_mut(n)) else { return };
+        if let Place::Open { keep, .. } = *place {
+            *place = Place::Ready { answer: answer(keep), keep };
+            self.clients.dirty.insert(conn);
+        }
+    }
+
+    pub(crate) fn flush_clients(&mut self, now: Micros, io: &mut dyn Io) {
+        while let Some(conn) = self.clients.dirty.pop_first() {
+            let Some(client) = self.clients.clients.get_mut(&conn) else { continue };
+            let mut slow = false;
+            while let Some(Place::Ready { answer, keep }) = client.places.front() {
+                slow = client.out.push((), answer).is_err();
+                if slow {
+                    break;
+                }
+                if !keep && client.ending == Ending::No {
+                    client.ending = Ending::WhenWritten;
+                }
+                client.places.pop_front();
+                client.first += 1;
+            }
+            let before = client.out.waiting();
+            client.out.flush(conn, io);
+            if client.out.waiting() < before {
+                client.active = now;
+            }
+            if slow {
+                self.figures.limit_hit("waiting-per-client");
+                tracing::warn!(reason = "waiting-per-client", "a client that reads too slowly is closed");
+                self.drop_client(conn, io, false);
+            } else if client.ending == Ending::WhenWritten && client.out.waiting() == 0 {
+                self.drop_client(conn, io, true);
+            } else if client.paused && client.places.len() < self.limits.pipelined {
+                client.paused = false;
+                io.pause(conn, false);
+                self.read_requests(now, conn, io);
+            }
+        }
+    }
+
+    fn drop_client(&mut self, conn: Conn, io: &mut dyn Io, in_order: bool) {
+        self.owners.remove(&conn);
+        if in_order {
+            io.close(conn);
+        } else {
+            io.reset(conn);
+        }
+        self.client_left(conn);
+    }
+
+    /// Looks whether a client lingers, is slow with its request, asks nothing or does not read.
+    pub(crate) fn look_at_client(&mut self, now: Micros, conn: Conn, io: &mut dyn Io) {
+        let Some(client) = self.clients.clients.get(&conn) else { return };
+        let head = client.began.map(|at| at + self.limits.head_time_out);
+        let quiet = client.places.is_empty() || client.out.waiting() > 0;
+        let idle = client.active + self.limits.client_idle;
+        match client.ending {
+            Ending::Lingers(until) if until <= now => return self.drop_client(conn, io, true),
+            Ending::Lingers(_) => return,
+            _ => {}
+        }
+        if head.is_some_and(|at| at <= now) {
+            return self.turn_away(now, conn, 408, "head-time-out", "the request did not come whole in time", None);
+        }
+        if quiet && idle <= now {
+            return self.drop_client(conn, io, client.out.waiting() == 0);
+        }
+        let idle = if quiet { idle } else { now + self.limits.client_idle };
+        let next = head.into_iter().chain([idle, now + self.limits.head_time_out]).min().unwrap_or(idle);
+        self.due.insert((next.max(now + 1), Due::Client(conn)));
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-edge/src/figures.rs
@@ -0,0 +1,65 @@
+//! What an edge counts. Without a recorder the counting costs next to nothing.
+
+use metrics::{counter, gauge, Counter, Gauge};
+use sanddrum::End;
+
+pub struct Figures {
+    pub taken: Counter,
+    pub finished: Counter,
+    pub left: Counter,
+    pub orders: Counter,
+    pub probes: Counter,
+    pub stray_answers: Counter,
+    pub garbled_links: Counter,
+    pub list_losses: Counter,
+    pub links_open: Gauge,
+    pub clients_open: Gauge,
+    pub workers_listed: Gauge,
+    ends: Vec<Counter>,
+}
+
+const ENDS: [(End, &str); 9] = [
+    (End::Finished, "finished"),
+    (End::Error, "error"),
+    (End::Full, "full"),
+    (End::TimedOut, "timed-out"),
+    (End::NoConnection, "no-connection"),
+    (End::Reset, "reset"),
+    (End::Cancelled, "cancelled"),
+    (End::Moot, "moot"),
+    (End::Miss, "miss"),
+];
+
+impl Default for Figures {
+    fn default() -> Self {
+        Figures {
+            taken: counter!("sanddrum_jobs_taken_total"),
+            finished: counter!("sanddrum_answers_total", "end" => "finished", "reason" => ""),
+            left: counter!("sanddrum_clients_left_total"),
+            orders: counter!("sanddrum_load_orders_total"),
+            probes: counter!("sanddrum_probes_total"),
+            stray_answers: counter!("sanddrum_stray_answers_total"),
+            garbled_links: counter!("sanddrum_garbled_links_total"),
+            list_losses: counter!("sanddrum_list_losses_total"),
+            links_open: gauge!("sanddrum_worker_connections"),
+            clients_open: gauge!("sanddrum_client_connections"),
+            workers_listed: gauge!("sanddrum_workers_listed"),
+            ends: ENDS.iter().map(|(_, end)| counter!("sanddrum_executions_total", "end" => *end)).collect(),
+        }
+    }
+}
+
+impl Figures {
+    pub fn refused(&self, end: &'static str, reason: &str) {
+        counter!("sanddrum_answers_total", "end" => end, "reason" => reason.to_string()).increment(1);
+    }
+    /// A named limit was reached.
+    pub fn limit_hit(&self, limit: &'static str) {
+        counter!("sanddrum_limit_hits_total", "limit" => limit).increment(1);
+    }
+    pub fn execution_ended(&self, end: End) {
+        if let Some(n) = ENDS.iter().position(|(e, _)| *e == end) {
+            self.ends[n].increment(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-edge/src/jobs.rs
@@ -0,0 +1,247 @@
+//! The jobs that this edge holds, their executions, and which final answer each got. One answer, exactly.
+
+use crate::{Due, Inner};
+use sanddrum::{End, ExecutionEnd, FunctionId, JobId, Report, Warmth, WorkerId, WorkloadId};
+use sanddrum_net::{Conn, Micros};
+use sanddrum_wire::{http, Copy, Done, Ended, LoadReport};
+use serde_json::json;
+use std::collections::BTreeMap;
+
+pub(crate) struct Job {
+    pub client: Conn,
+    /// Its place among the client's requests.
+    pub place: u64,
+    pub workload: WorkloadId,
+    pub function: FunctionId,
+    pub due: Micros,
+    pub body: Vec<u8>,
+    pub mark: Option<String>,
+    pub trace: Option<String>,
+    pub customer: Option<String>,
+    /// Executions by number; those that are out still have their entry.
+    pub executions: Vec<u64>,
+    pub out: usize,
+    /// It has its final answer, or its client has left.
+    pub closed: bool,
+}
+
+pub(crate) struct Execution {
+    pub job: JobId,
+    pub number: usize,
+    pub worker: WorkerId,
+    pub conn: Conn,
+    pub sent: Micros,
+    pub due: Micros,
+}
+
+#[derive(Default)]
+pub(crate) struct Jobs {
+    pub jobs: BTreeMap<JobId, Job>,
+    pub executions: BTreeMap<u64, Execution>,
+    next_job: u64,
+    next_execution: u64,
+    open: usize,
+}
+
+impl Jobs {
+    pub fn open(&self) -> usize {
+        self.open
+    }
+    pub fn take(&mut self, job: Job) -> JobId {
+        let id = JobId(self.next_job);
+        self.next_job += 1;
+        self.open += 1;
+        self.jobs.insert(id, job);
+        id
+    }
+    pub fn next_execution(&mut self) -> u64 {
+        self.next_execution += 1;
+        self.next_execution
+    }
+    /// Closes a job; none is closed twice.
+    pub fn close(&mut self, id: JobId) -> Option<&mut Job> {
+        let job = self.jobs.get_mut(&id).filter(|job| !job.closed)?;
+        job.closed = true;
+        self.open -= 1;
+        Some(job)
+    }
+    pub fn forget_if_done(&mut self, id: JobId) {
+        if self.jobs.get(&id).is_some_and(|job| job.closed && job.out == 0) {
+            self.jobs.remove(&id);
+        }
+    }
+}
+
+/// A final answer that is not *finished*, as the client sees it.
+pub(crate) struct Refusal<'a> {
+    pub status: u16,
+    pub end: &'static str,
+    pub reason: &'a str,
+    pub detail: &'a str,
+    pub retry_after: Option<Micros>,
+    pub job: Option<JobId>,
+}
+
+impl Refusal<'_> {
+    /// Problem details (RFC 9457) with the time to come back (RFC 9110, section 10.2.3), in whole seconds for
+    /// clients that know only these and in milliseconds for those that read ours.
+    pub fn response(&self, keep_alive: bool) -> Vec<u8> {
+        let mut body = json!({
+            "type": format!("urn:sanddrum:{}", self.reason),
+            "title": self.end,
+            "status": self.status,
+            "detail": self.detail,
+        });
+        let mut fields = vec![("content-type", "application/problem+json"), ("sanddrum-end", self.end)];
+        let (seconds, ms);
+        if let Some(wait) = self.retry_after {
+            body["retry_after_ms"] = json!(wait / 1000);
+            seconds = ((wait + 999_999) / 1_000_000).max(1).to_string();
+            ms = (wait / 1000).to_string();
+            fields.extend([("retry-after", seconds.as_str()), ("sanddrum-retry-after-ms", ms.as_str())]);
+        }
+        if let Some(job) = self.job {
+            body["job"] = json!(job.0);
+        }
+        http::response(self.status, &fields, body.to_string().as_bytes(), keep_alive)
+    }
+}
+
+pub(crate) fn report_of(report: &LoadReport) -> Report {
+    Report {
+        held: report.held,
+        queued: report.queued,
+        busy: report.busy,
+        memory_pinned: report.memory_pinned,
+        loads: report.loads,
+        ..Report::default()
+    }
+}
+
+impl Inner {
+    /// A worker's answer to an execution.
+    pub(crate) fn execution_answered(&mut self, now: Micros, conn: Conn, done: Done) {
+        let ours = self.jobs.executions.get(&done.id).is_some_and(|e| e.conn == conn);
+        if !ours {
+            // Answered after a time-out or a cancel, twice, or never asked for: it changes nothing any more.
+            self.figures.stray_answers.increment(1);
+            tracing::debug!(execution = done.id, reason = "stray-answer", "an answer that nothing waits for");
+            return;
+        }
+        let end = match done.ended {
+            Ended::Finished => End::Finished,
+            Ended::Error => End::Error,
+            Ended::Full => End::Full,
+            Ended::Miss => End::Miss,
+            // It was dropped before it began.
+            Ended::Dropped => End::Moot,
+        };
+        let warmth = match done.copy {
+            Some(Copy::Stood) => Warmth::Stood,
+            Some(Copy::BeganLoad) => Warmth::BeganLoad,
+            Some(Copy::WaitedForLoad) => Warmth::WaitedForLoad,
+            Some(Copy::LoadFailed) => Warmth::LoadFailed,
+            None => Warmth::Unknown,
+        };
+        let report = done.report.as_ref().map(report_of);
+        if end == End::Finished {
+            if let Some(job) = self.jobs.executions.get(&done.id).map(|e| e.job) {
+                self.finish(now, job, done.id, &done.body, warmth);
+            }
+        }
+        self.execution_ended(now, done.id, end, warmth, done.crowd, report);
+    }
+
+    fn finish(&mut self, now: Micros, id: JobId, execution: u64, body: &[u8], warmth: Warmth) {
+        let worker = self.jobs.executions.get(&execution).map(|e| e.worker);
+        let worker = worker.and_then(|w| self.links.name(w)).unwrap_or_default().to_string();
+        let Some(job) = self.jobs.close(id) else { return };
+        let (client, place, due) = (job.client, job.place, job.due);
+        let copy = match warmth {
+            Warmth::BeganLoad => "loaded",
+            Warmth::WaitedForLoad => "waited",
+            _ => "stood",
+        };
+        let number = id.0.to_string();
+        let fields = [
+            ("content-type", "application/octet-stream"),
+            ("sanddrum-end", "finished"),
+            ("sanddrum-job", number.as_str()),
+            ("sanddrum-worker", worker.as_str()),
+            ("sanddrum-copy", copy),
+        ];
+        tracing::debug!(job = id.0, worker, left_us = due - now, "finished");
+        self.figures.finished.increment(1);
+        self.answer(client, place, |keep| http::response(200, &fields, body, keep));
+    }
+
+    /// The end of an execution, whatever it was, told to the module once.
+    pub(crate) fn execution_ended(
+        &mut self,
+        now: Micros,
+        id: u64,
+        end: End,
+        warmth: Warmth,
+        crowd: Option<u32>,
+        report: Option<Report>,
+    ) {
+        let Some(e) = self.jobs.executions.remove(&id) else { return };
+        self.due.remove(&(e.due, Due::Execution(id)));
+        self.links.release(e.conn, id, now);
+        self.figures.execution_ended(end);
+        let settled = match self.jobs.jobs.get_mut(&e.job) {
+            Some(job) => {
+                job.out = job.out.saturating_sub(1);
+                job.closed
+            }
+            None => true,
+        };
+        self.jobs.forget_if_done(e.job);
+        tracing::debug!(job = e.job.0, execution = e.number, worker = self.links.name(e.worker), ?end, "ended");
+        self.round.ends.push(ExecutionEnd {
+            job: e.job,
+            execution: e.number,
+            worker: e.worker,
+            end,
+            latency: now - e.sent,
+            settled,
+            warmth,
+            crowd,
+            report,
+        });
+    }
+
+    /// No answer within its limit. What was never written has never run and is taken back.
+    pub(crate) fn execution_is_late(&mut self, now: Micros, id: u64) {
+        let Some(conn) = self.jobs.executions.get(&id).map(|e| e.conn) else { return };
+        let end = if self.links.take_back(conn, id) { End::NoConnection } else { End::TimedOut };
+        self.execution_ended(now, id, end, Warmth::Unknown, None, None);
+    }
+
+    /// The final answer of a job that did not finish.
+    pub(crate) fn refuse(&mut self, id: JobId, refusal: &Refusal<'_>) {
+        let Some(job) = self.jobs.close(id) else { return };
+        let (client, place) = (job.client, job.place);
+        tracing::debug!(job = id.0, status = refusal.status, reason = refusal.reason, "{}", refusal.end);
+        self.figures.refused(refusal.end, refusal.reason);
+        self.answer(client, place, |keep| refusal.response(keep));
+        self.jobs.forget_if_done(id);
+    }
+
+    /// The bound on ending is reached: whatever is still held gets its final answer now.
+    pub(crate) fn end_all(&mut self, _now: Micros) {
+        let open: Vec<JobId> = self.jobs.jobs.iter().filter(|(_, j)| !j.closed).map(|(id, _)| *id).collect();
+        for id in open {
+            let refusal = Refusal {
+                status: 502,
+                end: "killed",
+                reason: "stopping",
+                detail: "the edge ends and could not wait for the answer; the job may have run",
+                retry_after: None,
+                job: Some(id),
+            };
+            self.refuse(id, &refusal);
+            self.round.left.push(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -0,0 +1,228 @@
+//! The edge as a core without I/O: a client door (HTTP/1.1), one decision module, connections to workers and to the
+//! list service. What came in at one instant becomes one round of the module; what the module decides is carried
+//! out as it is decided. The edge itself chooses no worker, repeats nothing and gives no job up but at its own end.
+
+mod carry;
+mod clients;
+mod figures;
+mod functions;
+mod jobs;
+mod limits;
+mod links;
+mod list;
+pub mod state;
+
+pub use figures::Figures;
+
+use clients::Clients;
+use functions::Functions;
+use jobs::Jobs;
+use limits::Limits;
+use links::Links;
+use list::List;
+use sanddrum::{Decisions, Round, Router};
+use sanddrum_net::{Chance, Conn, Core, Event, Io, Micros};
+use sanddrum_settings::Loaded;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What decides: the decision module, or another in its place to compare it with.
+pub trait Module {
+    fn round(&mut self, now: Micros, round: &Round, out: &mut impl Decisions);
+}
+
+impl Module for Router {
+    fn round(&mut self, now: Micros, round: &Round, out: &mut impl Decisions) {
+        Router::round(self, now, round, out);
+    }
+}
+
+/// What may fall due, besides the module's own wake.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Execution(u64),
+    Order(u64),
+    Probe(u64),
+    Link(Conn),
+    Client(Conn),
+    List,
+    Save,
+    Stop,
+}
+
+/// Whose connection it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Owner {
+    Client,
+    Link,
+    List,
+}
+
+/// What an edge starts with.
+pub struct Start {
+    pub settings: Loaded,
+    pub seed: u64,
+    /// What it last had kept, if anything; see [`state`].
+    pub kept: Option<Vec<u8>>,
+    /// Larger at each start.
+    pub incarnation: u64,
+    /// Gives the text of the metrics page.
+    pub metrics_page: Option<Box<dyn Fn() -> String>>,
+}
+
+pub struct Edge<M> {
+    module: M,
+    inner: Inner,
+}
+
+/// All but the module, so that the module can be called with a writer on it.
+struct Inner {
+    settings: Loaded,
+    limits: Limits,
+    chance: Chance,
+    incarnation: u64,
+    metrics_page: Option<Box<dyn Fn() -> String>>,
+    figures: Figures,
+    round: Round,
+    owners: BTreeMap<Conn, Owner>,
+    clients: Clients,
+    jobs: Jobs,
+    functions: Functions,
+    links: Links,
+    list: List,
+    due: BTreeSet<(Micros, Due)>,
+    module_wake: Option<Micros>,
+    stopping: bool,
+    kept: Option<Vec<u8>>,
+}
+
+impl Edge<Router> {
+    /// An edge that hosts the decision module.
+    pub fn new(start: Start) -> Self {
+        let module = Router::new(start.seed, &start.settings.values_for_module());
+        Edge::with_module(start, module)
+    }
+}
+
+impl<M: Module> Edge<M> {
+    pub fn with_module(start: Start, module: M) -> Self {
+        let limits = Limits::of(&start.settings);
+        let functions = Functions::of(&start.settings);
+        let list = List::of(&start.settings);
+        let inner = Inner {
+            limits,
+            chance: Chance::new(start.seed),
+            incarnation: start.incarnation,
+            metrics_page: start.metrics_page,
+            figures: Figures::default(),
+            round: Round::default(),
+            owners: BTreeMap::new(),
+            clients: Clients::default(),
+            jobs: Jobs::default(),
+            functions,
+            links: Links::default(),
+            list,
+            due: BTreeSet::new(),
+            module_wake: None,
+            stopping: false,
+            kept: start.kept,
+            settings: start.settings,
+        };
+        Edge { module, inner }
+    }
+
+    fn rounds(&mut self, now: Micros, io: &mut dyn Io) {
+        // What carrying out a decision brings at once (a full connection, an ended job) is news of its own.
+        for _ in 0..limits::ROUNDS_A_TURN {
+            let due = self.inner.module_wake.is_some_and(|at| at <= now);
+            if !due && !self.inner.has_news() {
+                break;
+            }
+            let mut round = std::mem::take(&mut self.inner.round);
+            if due {
+                round.timer = true;
+                self.inner.module_wake = None;
+            }
+            self.module.round(now, &round, &mut carry::Carry { inner: &mut self.inner, io, now });
+        }
+    }
+}
+
+impl Inner {
+    fn has_news(&self) -> bool {
+        let r = &self.round;
+        !(r.lists.is_empty()
+            && r.jobs.is_empty()
+            && r.ends.is_empty()
+            && r.orders.is_empty()
+            && r.probes.is_empty()
+            && r.notes.is_empty()
+            && r.left.is_empty())
+    }
+    fn fall_due(&mut self, now: Micros, io: &mut dyn Io) {
+        while let Some((at, due)) = self.due.first().copied().filter(|(at, _)| *at <= now) {
+            self.due.remove(&(at, due));
+            match due {
+                Due::Execution(id) => self.execution_is_late(now, id),
+                Due::Order(id) => self.order_is_late(now, id),
+                Due::Probe(id) => self.probe_is_late(now, id),
+                Due::Link(conn) => self.look_at_link(now, conn, io),
+                Due::Client(conn) => self.look_at_client(now, conn, io),
+                Due::List => self.call_list(now, io),
+                Due::Save => self.save_list(now, io),
+                Due::Stop => self.end_all(now),
+            }
+        }
+    }
+}
+
+impl<M: Module> Core for Edge<M> {
+    fn start(&mut self, now: Micros, io: &mut dyn Io) {
+        self.inner.take_up_kept_list(now);
+        self.inner.call_list(now, io);
+    }
+
+    fn event(&mut self, now: Micros, event: Event<'_>, io: &mut dyn Io) {
+        let inner = &mut self.inner;
+        let conn = match event {
+            Event::Accepted { conn, .. } => return inner.client_came(now, conn, io),
+            Event::Connected { conn }
+            | Event::Bytes { conn, .. }
+            | Event::Writable { conn }
+            | Event::Closed { conn, .. } => conn,
+        };
+        let Some(owner) = inner.owners.get(&conn).copied() else { return };
+        if matches!(event, Event::Closed { .. }) {
+            inner.owners.remove(&conn);
+        }
+        match owner {
+            Owner::Client => inner.client_event(now, conn, event, io),
+            Owner::Link => inner.link_event(now, conn, event, io),
+            Owner::List => inner.list_event(now, conn, event, io),
+        }
+    }
+
+    fn turn(&mut self, now: Micros, io: &mut dyn Io) {
+        self.inner.fall_due(now, io);
+        self.rounds(now, io);
+        self.inner.flush_links(now, io);
+        self.inner.flush_clients(now, io);
+    }
+
+    fn wake(&self) -> Option<Micros> {
+        let news = self.inner.has_news().then_some(0);
+        let due = self.inner.due.first().map(|(at, _)| *at);
+        due.into_iter().chain(self.inner.module_wake).chain(news).min()
+    }
+
+    fn stop(&mut self, now: Micros, _: &mut dyn Io) {
+        if !self.inner.stopping {
+            tracing::info!(open = self.inner.jobs.open(), "asked to end: no new jobs are taken");
+            self.inner.stopping = true;
+            self.inner.due.insert((now + self.inner.limits.stop_within, Due::Stop));
+        }
+    }
+
+    fn done(&self) -> bool {
+        self.inner.stopping && self.inner.jobs.open() == 0 && self.inner.clients.nothing_to_write()
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-edge/src/limits.rs
@@ -0,0 +1,66 @@
+use sanddrum_net::Micros;
+use sanddrum_settings::Loaded;
+
+/// Rounds of the module in one turn of the loop; what is left over waits for the next, so that sockets are served.
+pub(crate) const ROUNDS_A_TURN: usize = 4;
+
+/// The named bounds, as set (`limits` in the settings); see docs/settings.md for what each guards.
+#[derive(Clone, Debug)]
+pub(crate) struct Limits {
+    pub answer_ahead: Micros,
+    pub max_open: usize,
+    pub max_clients: usize,
+    pub client_idle: Micros,
+    pub head_time_out: Micros,
+    pub linger: Micros,
+    pub largest_head: usize,
+    pub largest_body: usize,
+    pub pipelined: usize,
+    pub waiting_per_client: usize,
+    pub waiting_per_worker: usize,
+    pub largest_frame: usize,
+    pub streams: usize,
+    pub connections: usize,
+    pub connect_time_out: Micros,
+    pub idle_close: Micros,
+    pub probe_time_out: Micros,
+    pub order_time_out: Micros,
+    pub list_retry: (Micros, Micros),
+    pub save_least: Micros,
+    pub stop_within: Micros,
+    pub max_retry_after: Micros,
+    pub max_functions: usize,
+}
+
+impl Limits {
+    pub fn of(l: &Loaded) -> Self {
+        let span = |name: &str| l.span(&format!("limits.{name}-us"));
+        let bytes = |name: &str| l.size(&format!("limits.{name}-bytes"));
+        let count = |name: &str| l.size(&format!("limits.{name}"));
+        Limits {
+            answer_ahead: span("answer-ahead"),
+            max_open: count("max-open"),
+            max_clients: count("max-clients"),
+            client_idle: span("client-idle"),
+            head_time_out: span("head-time-out"),
+            linger: span("linger"),
+            largest_head: bytes("largest-head"),
+            largest_body: bytes("largest-body"),
+            pipelined: count("pipelined"),
+            waiting_per_client: bytes("waiting-per-client"),
+            waiting_per_worker: bytes("waiting-per-worker"),
+            largest_frame: bytes("largest-frame"),
+            streams: count("streams"),
+            connections: count("connections"),
+            connect_time_out: span("connect-time-out"),
+            idle_close: span("idle-close"),
+            probe_time_out: span("probe-time-out"),
+            order_time_out: span("order-time-out"),
+            list_retry: (span("list-retry-least"), span("list-retry-most")),
+            save_least: span("save-least"),
+            stop_within: span("stop-within"),
+            max_retry_after: span("max-retry-after"),
+            max_functions: count("max-functions"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-edge/src/list.rs
@@ -0,0 +1,206 @@
+//! Following the list service: whole lists and changes by version, called again after a growing wait.
+
+use crate::state::{self, Kept};
+use crate::{Due, Inner, Owner};
+use sanddrum::{CellId, KindId, ListKind, Micros, WorkerId, WorkerList, WorkerRow, WorkerState, ZoneId};
+use sanddrum_net::{Conn, Event, Io, Outbox};
+use sanddrum_settings::Loaded;
+use sanddrum_wire::{frame::frame, id_of, Frames, FromList, Hello, Phase, Row, Rows, ToList, Watch, VERSION};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Default)]
+pub(crate) struct List {
+    zones: Vec<String>,
+    conn: Option<Conn>,
+    up: bool,
+    frames: Frames,
+    out: Option<Outbox<()>>,
+    run: u64,
+    version: u64,
+    /// The list as it stands, and when each worker's process started (nought: long ago).
+    rows: BTreeMap<WorkerId, (Row, Micros)>,
+    wait: Micros,
+    saving: bool,
+}
+
+impl List {
+    pub fn of(l: &Loaded) -> Self {
+        List { zones: l.names("zones"), ..List::default() }
+    }
+    /// Zones that the settings do not name count as further ones.
+    fn zone(&self, name: &str) -> ZoneId {
+        ZoneId(self.zones.iter().position(|z| z == name).unwrap_or(self.zones.len()))
+    }
+    /// When a worker's process started. The same start stays the same instant, however often it is told, as a
+    /// later one would mean a restart; an older incarnation is stale news.
+    fn started(&self, worker: WorkerId, row: &Row, now: Micros) -> (u64, Micros) {
+        match self.rows.get(&worker) {
+            Some((known, started)) if known.incarnation >= row.incarnation => (known.incarnation, *started),
+            _ if row.age_us < 0 => (row.incarnation, 0),
+            _ => (row.incarnation, (now - row.age_us).max(1)),
+        }
+    }
+    fn worker_row(&self, worker: WorkerId, row: &Row, started: Micros) -> WorkerRow {
+        WorkerRow {
+            worker,
+            zone: self.zone(&row.zone),
+            cell: CellId(row.cell as usize),
+            kind: KindId(row.kind as usize),
+            size: row.size,
+            state: match row.phase {
+                Phase::Ready => WorkerState::Ready,
+                Phase::Draining => WorkerState::Draining,
+                Phase::Gone => WorkerState::Gone,
+            },
+            started,
+        }
+    }
+}
+
+impl Inner {
+    pub(crate) fn take_up_kept_list(&mut self, now: Micros) {
+        let Some(bytes) = self.kept.take() else { return };
+        match state::read(&bytes) {
+            Ok(kept) => {
+                (self.list.run, self.list.version) = (kept.run, kept.version);
+                let rows = state::aged(&kept, now);
+                tracing::info!(workers = rows.len(), version = kept.version, "the kept worker list is taken up");
+                self.take_rows(now, ListKind::Cached, &rows);
+            }
+            Err(why) => tracing::warn!(reason = "kept-list", why, "the kept worker list is not used"),
+        }
+    }
+
+    fn take_rows(&mut self, now: Micros, kind: ListKind, rows: &[Row]) {
+        if kind != ListKind::Changes {
+            let listed: BTreeSet<WorkerId> = rows.iter().map(|row| WorkerId(id_of(&row.name))).collect();
+            self.list.rows.retain(|worker, _| listed.contains(worker));
+        }
+        let mut told = WorkerList { kind, rows: Vec::new() };
+        for row in rows {
+            let worker = WorkerId(id_of(&row.name));
+            let (incarnation, started) = self.list.started(worker, row, now);
+            self.links.set_target(worker, &row.name, &row.address);
+            told.rows.push(self.list.worker_row(worker, row, started));
+            self.list.rows.insert(worker, (Row { incarnation, ..row.clone() }, started));
+        }
+        self.figures.workers_listed.set(self.list.rows.len() as f64);
+        self.round.lists.push(told);
+    }
+
+    /// A worker's greeting tells of a start that the list has not told yet: its copies are gone and it is cold.
+    pub(crate) fn worker_started(&mut self, now: Micros, worker: WorkerId, incarnation: u64, age: Option<Micros>) {
+        let Some((row, _)) = self.list.rows.get(&worker) else { return };
+        if incarnation <= row.incarnation {
+            return;
+        }
+        let Some(age) = age else { return };
+        let row = Row { incarnation, age_us: age, ..row.clone() };
+        tracing::info!(worker = row.name, age_us = age, "a worker greets after a restart");
+        self.take_rows(now, ListKind::Changes, &[row]);
+    }
+
+    pub(crate) fn call_list(&mut self, now: Micros, io: &mut dyn Io) {
+        if self.list.conn.is_some() {
+            // Not up within the time for connections.
+            return if self.list.up { () } else { self.list_lost(now, io) };
+        }
+        let conn = io.connect(self.settings.text("edge.list"));
+        self.owners.insert(conn, Owner::List);
+        let name = self.settings.text("edge.name").to_string();
+        let mut out = Outbox::new(self.limits.largest_frame);
+        let hello = Hello { version: VERSION, name, incarnation: self.incarnation, age_us: None };
+        let _ = out.push((), &frame(&ToList::Hello(hello)));
+        let _ = out.push((), &frame(&ToList::Watch(Watch { version: self.list.version, run: self.list.run })));
+        self.list.conn = Some(conn);
+        self.list.out = Some(out);
+        self.list.up = false;
+        self.list.frames = Frames::new(self.limits.largest_frame);
+        self.due.insert((now + self.limits.connect_time_out, Due::List));
+    }
+
+    /// Calls again after a wait that doubles, by chance up to half of it less, so that edges do not call together.
+    fn list_lost(&mut self, now: Micros, io: &mut dyn Io) {
+        if let Some(conn) = self.list.conn.take() {
+            self.owners.remove(&conn);
+            io.reset(conn);
+        }
+        let (least, most) = self.limits.list_retry;
+        self.list.wait = (self.list.wait * 2).clamp(least, most);
+        let wait = (self.list.wait as f64 * (1.0 - self.chance.part() / 2.0)) as Micros;
+        tracing::info!(reason = "list-away", wait_us = wait, "the list service does not answer; the last list holds");
+        self.figures.list_losses.increment(1);
+        self.due.insert((now + wait, Due::List));
+    }
+
+    pub(crate) fn list_event(&mut self, now: Micros, conn: Conn, event: Event<'_>, io: &mut dyn Io) {
+        if self.list.conn != Some(conn) {
+            return;
+        }
+        match event {
+            Event::Connected { .. } => {
+                self.list.up = true;
+                self.flush_list(conn, io);
+            }
+            Event::Writable { .. } => {
+                self.list.out.iter_mut().for_each(Outbox::unblock);
+                self.flush_list(conn, io);
+            }
+            Event::Bytes { bytes, .. } => {
+                self.list.frames.take_in(bytes);
+                loop {
+                    match self.list.frames.next::<FromList>() {
+                        Ok(None) => break,
+                        Ok(Some(FromList::Rows(rows))) => self.list_rows(now, conn, &rows, io),
+                        Ok(Some(FromList::Hello(_))) => {}
+                        Err(e) => {
+                            tracing::warn!(reason = "garbled-list", problem = %e, "the list service is called anew");
+                            return self.list_lost(now, io);
+                        }
+                    }
+                }
+            }
+            Event::Closed { .. } => {
+                self.list.conn = None;
+                self.list_lost(now, io);
+            }
+            Event::Accepted { .. } => {}
+        }
+    }
+    fn flush_list(&mut self, conn: Conn, io: &mut dyn Io) {
+        self.list.out.iter_mut().for_each(|out| out.flush(conn, io));
+    }
+
+    fn list_rows(&mut self, now: Micros, conn: Conn, rows: &Rows, io: &mut dyn Io) {
+        self.list.wait = 0;
+        let follows = rows.run == self.list.run && rows.after == self.list.version;
+        if !rows.whole && !follows {
+            // A change was missed: only a whole list can tell.
+            if let Some(out) = &mut self.list.out {
+                let _ = out.push((), &frame(&ToList::Watch(Watch::default())));
+            }
+            return self.flush_list(conn, io);
+        }
+        if rows.whole && rows.run == self.list.run && rows.version < self.list.version {
+            return;
+        }
+        (self.list.run, self.list.version) = (rows.run, rows.version);
+        let kind = if rows.whole { ListKind::Full } else { ListKind::Changes };
+        self.take_rows(now, kind, &rows.rows);
+        if !self.list.saving {
+            self.list.saving = true;
+            self.due.insert((now + self.limits.save_least, Due::Save));
+        }
+    }
+
+    pub(crate) fn save_list(&mut self, now: Micros, io: &mut dyn Io) {
+        self.list.saving = false;
+        let stands = self.list.rows.values().filter(|(row, _)| row.phase != Phase::Gone);
+        let aged = |(row, started): &(Row, Micros)| {
+            let age_us = if *started > 0 { now - started } else { -1 };
+            Row { age_us, ..row.clone() }
+        };
+        let rows = stands.map(aged).collect();
+        io.save(&state::write(&Kept { at: now, run: self.list.run, version: self.list.version, rows }));
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-edge/src/state.rs
@@ -0,0 +1,50 @@
+//! What an edge keeps over a restart: the last worker list, with a mark of what it is and a checksum.
+
+use minicbor::{Decode, Encode};
+use sanddrum_net::Micros;
+use sanddrum_wire::Row;
+
+const MAGIC: &[u8] = b"sanddrum worker list 1\n";
+
+#[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct Kept {
+    /// When it was kept, by the clock that goes on over restarts.
+    #[n(0)]
+    pub at: i64,
+    #[n(1)]
+    pub run: u64,
+    #[n(2)]
+    pub version: u64,
+    /// Ages are as of `at`.
+    #[n(3)]
+    pub rows: Vec<Row>,
+}
+
+pub fn write(kept: &Kept) -> Vec<u8> {
+    let content = minicbor::to_vec(kept).unwrap_or_default();
+    let mut out = MAGIC.to_vec();
+    out.extend_from_slice(&crc32fast::hash(&content).to_be_bytes());
+    out.extend_from_slice(&content);
+    out
+}
+
+/// Reads what was kept.
+///
+/// # Errors
+/// It is not a kept list, or it is torn; the text says which.
+pub fn read(bytes: &[u8]) -> Result<Kept, &'static str> {
+    let rest = bytes.strip_prefix(MAGIC).ok_or("it is not a kept worker list of this version")?;
+    let (sum, content) = rest.split_first_chunk::<4>().ok_or("it is torn")?;
+    if crc32fast::hash(content).to_be_bytes() != *sum {
+        return Err("it is torn: its checksum does not fit");
+    }
+    minicbor::decode(content).map_err(|_| "it can't be read")
+}
+
+/// Rows kept at one instant as they stand at another.
+pub fn aged(kept: &Kept, now: Micros) -> Vec<Row> {
+    let since = (now - kept.at).max(0);
+    let older = |row: &Row| Row { age_us: if row.age_us < 0 { row.age_us } else { row.age_us + since }, ..row.clone() };
+    kept.rows.iter().map(older).collect()
+}
--- /dev/null
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -0,0 +1,546 @@
+//! The product's driver: one thread, real sockets, the monotonic clock, signals.
+
+use crate::{Closed, Conn, Core, Door, Event, HostId, Io, Micros, Side, Tap};
+use polling::{Event as Ready, PollMode, Poller};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use slab::Slab;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown as Half, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Bytes read from one connection before the others have their turn.
+const READ_AT_ONCE: usize = 64 * 1024;
+/// Connections accepted before the others have their turn.
+const ACCEPTS_AT_ONCE: usize = 256;
+/// No descriptor is free: accepting pauses so long, or until a connection ends.
+const ACCEPT_PAUSE: Micros = 50_000;
+
+enum Source {
+    Listener { host: HostId, door: Door, listener: TcpListener },
+    Stream(Stream),
+    Signals(UnixStream),
+}
+
+struct Stream {
+    host: HostId,
+    conn: Conn,
+    socket: TcpStream,
+    connecting: bool,
+    paused: bool,
+    wants_write: bool,
+    /// Not in the poller: the other side hung up while nothing may be told of it, which would be told for ever.
+    asleep: bool,
+}
+
+struct Hosted {
+    core: Box<dyn Core>,
+    /// Its connections' places among the sources.
+    conns: BTreeMap<Conn, usize>,
+    doors: Vec<usize>,
+    state_file: Option<PathBuf>,
+    frozen: bool,
+    touched: bool,
+    stopping: bool,
+    /// Connections that break at their next write.
+    torn: BTreeSet<Conn>,
+}
+
+impl Hosted {
+    fn new(core: Box<dyn Core>, state_file: Option<PathBuf>) -> Self {
+        Hosted {
+            core,
+            conns: BTreeMap::new(),
+            doors: Vec::new(),
+            state_file,
+            frozen: false,
+            touched: true,
+            stopping: false,
+            torn: BTreeSet::new(),
+        }
+    }
+}
+
+/// Why [`EventLoop::run`] came back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shutdown {
+    /// Every core was asked to end and owes nothing.
+    InOrder,
+    /// A second signal came.
+    AtOnce,
+}
+
+pub struct EventLoop {
+    poller: Poller,
+    sources: Slab<Source>,
+    hosts: Vec<Option<Hosted>>,
+    tap: Box<dyn Tap>,
+    begun: Instant,
+    epoch: Micros,
+    next_conn: u64,
+    /// Connections refused before they began, and torn ones, told once the core is not being called.
+    refused: Vec<(HostId, Conn)>,
+    broken: Vec<(HostId, Conn)>,
+    accepts_again: Option<Micros>,
+    signals: u32,
+    buffer: Vec<u8>,
+}
+
+impl EventLoop {
+    /// The clock starts at the time of day and only goes forward from there, so that instants kept over a restart
+    /// stay comparable.
+    pub fn new(tap: Box<dyn Tap>) -> io::Result<Self> {
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Ok(EventLoop {
+            poller: Poller::new()?,
+            sources: Slab::new(),
+            hosts: Vec::new(),
+            tap,
+            begun: Instant::now(),
+            epoch: epoch.as_micros() as Micros,
+            next_conn: 0,
+            refused: Vec::new(),
+            broken: Vec::new(),
+            accepts_again: None,
+            signals: 0,
+            buffer: vec![0; READ_AT_ONCE],
+        })
+    }
+    pub fn now(&self) -> Micros {
+        self.epoch + self.begun.elapsed().as_micros() as Micros
+    }
+    pub fn tap(&mut self) -> &mut dyn Tap {
+        &mut *self.tap
+    }
+    /// SIGTERM and SIGINT ask the cores to end; a second one ends the loop at once.
+    pub fn catch_signals(&mut self) -> io::Result<()> {
+        let (ours, theirs) = UnixStream::pair()?;
+        ours.set_nonblocking(true)?;
+        signal_hook::low_level::pipe::register(SIGTERM, theirs.try_clone()?)?;
+        signal_hook::low_level::pipe::register(SIGINT, theirs)?;
+        let key = self.sources.insert(Source::Signals(ours));
+        if let Source::Signals(pipe) = &self.sources[key] {
+            self.poller.add_with_mode(pipe, Ready::readable(key), PollMode::Level)?;
+        }
+        Ok(())
+    }
+    /// Binds a door; the port may be nought, the address bound is given back.
+    pub fn bind(at: &str) -> io::Result<(TcpListener, String)> {
+        let listener = TcpListener::bind(at)?;
+        listener.set_nonblocking(true)?;
+        let at = listener.local_addr()?.to_string();
+        Ok((listener, at))
+    }
+    /// Takes a core in and starts it.
+    pub fn add(
+        &mut self,
+        core: Box<dyn Core>,
+        doors: Vec<TcpListener>,
+        state_file: Option<PathBuf>,
+    ) -> io::Result<HostId> {
+        let host = HostId(self.hosts.len());
+        self.hosts.push(Some(Hosted::new(core, state_file)));
+        self.listen(host, doors)?;
+        self.call(host, |core, now, io| core.start(now, io));
+        Ok(host)
+    }
+    fn listen(&mut self, host: HostId, doors: Vec<TcpListener>) -> io::Result<()> {
+        for (n, listener) in doors.into_iter().enumerate() {
+            let key = self.sources.insert(Source::Listener { host, door: Door(n), listener });
+            if let Source::Listener { listener, .. } = &self.sources[key] {
+                self.poller.add_with_mode(listener, Ready::readable(key), PollMode::Level)?;
+            }
+            if let Some(Some(hosted)) = self.hosts.get_mut(host.0) {
+                hosted.doors.push(key);
+            }
+        }
+        Ok(())
+    }
+    /// A core dies: its doors close and its connections break.
+    pub fn kill(&mut self, host: HostId) {
+        let Some(hosted) = self.hosts.get_mut(host.0).and_then(Option::take) else { return };
+        for key in hosted.doors.iter().chain(hosted.conns.values()) {
+            self.remove(*key);
+        }
+        hosted.conns.keys().for_each(|conn| self.tap.ended(self.now(), host, *conn));
+    }
+    /// A core takes the place of a dead one.
+    pub fn replace(&mut self, host: HostId, core: Box<dyn Core>, doors: Vec<TcpListener>) -> io::Result<()> {
+        self.kill(host);
+        self.hosts[host.0] = Some(Hosted::new(core, None));
+        self.listen(host, doors)?;
+        self.call(host, |core, now, io| core.start(now, io));
+        Ok(())
+    }
+    /// A frozen core's machine is silent: nothing is read, written or refused, and no time passes for it.
+    pub fn freeze(&mut self, host: HostId, frozen: bool) {
+        if let Some(Some(hosted)) = self.hosts.get_mut(host.0) {
+            (hosted.frozen, hosted.touched) = (frozen, true);
+        }
+        let keys: Vec<usize> = self.host(host).map_or(vec![], |h| h.conns.values().copied().collect());
+        keys.into_iter().for_each(|key| self.watch(key));
+    }
+    /// Each connection of a core breaks at its next write, in the middle of what is written.
+    pub fn tear_connections(&mut self, host: HostId) {
+        if let Some(Some(hosted)) = self.hosts.get_mut(host.0) {
+            hosted.torn = hosted.conns.keys().copied().collect();
+        }
+    }
+    /// Breaks every connection of a core, as a reset on the way would.
+    pub fn break_connections(&mut self, host: HostId) {
+        let conns: Vec<Conn> = self.host(host).map_or(vec![], |h| h.conns.keys().copied().collect());
+        for conn in conns {
+            self.end(host, conn, Closed::Reset);
+        }
+    }
+    fn host(&self, host: HostId) -> Option<&Hosted> {
+        self.hosts.get(host.0).and_then(Option::as_ref)
+    }
+
+    /// Runs until every core is done, or a second signal.
+    pub fn run(&mut self) -> io::Result<Shutdown> {
+        loop {
+            self.step(None)?;
+            if self.signals > 1 {
+                return Ok(Shutdown::AtOnce);
+            }
+            if self.hosts.iter().flatten().all(|h| h.core.done()) {
+                return Ok(Shutdown::InOrder);
+            }
+        }
+    }
+    /// Runs until this instant.
+    pub fn run_until(&mut self, until: Micros) -> io::Result<()> {
+        while self.now() < until && self.signals == 0 {
+            self.step(Some(until))?;
+        }
+        Ok(())
+    }
+    /// Whether a signal asked for the end.
+    pub fn signalled(&self) -> bool {
+        self.signals > 0
+    }
+
+    fn step(&mut self, until: Option<Micros>) -> io::Result<()> {
+        let wakes = self.hosts.iter().flatten().filter(|h| !h.frozen).filter_map(|h| h.core.wake());
+        let next = wakes.chain(until).chain(self.accepts_again).min();
+        let waits = !(self.refused.is_empty() && self.broken.is_empty());
+        let timeout = next.map(|at| Duration::from_micros((at - self.now()).max(0) as u64));
+        let mut ready = Vec::new();
+        match self.poller.wait(&mut ready, if waits { Some(Duration::ZERO) } else { timeout }) {
+            Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
+            _ => {}
+        }
+        for event in ready {
+            match self.sources.get(event.key) {
+                Some(Source::Listener { .. }) => self.accept(event.key),
+                Some(Source::Stream(_)) => self.ready(event),
+                Some(Source::Signals(_)) => self.signal(event.key),
+                None => {}
+            }
+        }
+        for (host, conn) in std::mem::take(&mut self.refused) {
+            self.call(host, |core, now, io| core.event(now, Event::Closed { conn, how: Closed::Refused }, io));
+        }
+        for (host, conn) in std::mem::take(&mut self.broken) {
+            self.end(host, conn, Closed::Reset);
+        }
+        if self.accepts_again.is_some_and(|at| at <= self.now()) {
+            self.accept_again();
+        }
+        let now = self.now();
+        for n in 0..self.hosts.len() {
+            let Some(hosted) = &mut self.hosts[n] else { continue };
+            let due = hosted.touched || hosted.core.wake().is_some_and(|at| at <= now);
+            if due && !hosted.frozen {
+                hosted.touched = false;
+                self.call(HostId(n), |core, now, io| core.turn(now, io));
+            }
+        }
+        Ok(())
+    }
+
+    fn signal(&mut self, key: usize) {
+        let Some(Source::Signals(pipe)) = self.sources.get_mut(key) else { return };
+        let mut bytes = [0; 16];
+        self.signals += pipe.read(&mut bytes).unwrap_or(0) as u32;
+        for n in 0..self.hosts.len() {
+            if let Some(hosted) = self.hosts[n].as_mut().filter(|h| !h.stopping) {
+                hosted.stopping = true;
+                for key in std::mem::take(&mut hosted.doors) {
+                    self.remove(key);
+                }
+                self.call(HostId(n), |core, now, io| core.stop(now, io));
+            }
+        }
+    }
+
+    fn accept(&mut self, key: usize) {
+        for _ in 0..ACCEPTS_AT_ONCE {
+            let Some(Source::Listener { host, door, listener }) = self.sources.get(key) else { return };
+            let (host, door) = (*host, *door);
+            if self.host(host).is_none_or(|h| h.frozen) {
+                // A silent machine's kernel may still take connections; its process does not.
+                self.accepts_again = Some(self.now() + ACCEPT_PAUSE);
+                let _ = self.poller.modify_with_mode(listener, Ready::none(key), PollMode::Level);
+                return;
+            }
+            match listener.accept() {
+                Ok((socket, _)) => {
+                    if let Some(conn) = self.take_in(host, socket, false) {
+                        self.tap.opened(self.now(), host, conn, Side::Accepted, "");
+                        self.call(host, |core, now, io| core.event(now, Event::Accepted { conn, door }, io));
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(e) => {
+                    tracing::warn!(reason = "no-descriptor", error = %e, "accepting pauses; raise the limit of open files");
+                    self.accepts_again = Some(self.now() + ACCEPT_PAUSE);
+                    let _ = self.poller.modify_with_mode(listener, Ready::none(key), PollMode::Level);
+                    return;
+                }
+            }
+        }
+    }
+    fn accept_again(&mut self) {
+        self.accepts_again = None;
+        for (key, source) in &self.sources {
+            if let Source::Listener { listener, .. } = source {
+                let _ = self.poller.modify_with_mode(listener, Ready::readable(key), PollMode::Level);
+            }
+        }
+    }
+    fn take_in(&mut self, host: HostId, socket: TcpStream, connecting: bool) -> Option<Conn> {
+        socket.set_nonblocking(true).ok()?;
+        let _ = socket.set_nodelay(true);
+        let conn = Conn(self.next_conn);
+        self.next_conn += 1;
+        let stream = Stream { host, conn, socket, connecting, paused: false, wants_write: connecting, asleep: false };
+        let key = self.sources.insert(Source::Stream(stream));
+        let Some(Source::Stream(stream)) = self.sources.get(key) else { return None };
+        let interest = if connecting { Ready::writable(key) } else { Ready::readable(key) };
+        if self.poller.add_with_mode(&stream.socket, interest, PollMode::Level).is_err() {
+            self.sources.remove(key);
+            return None;
+        }
+        if let Some(Some(hosted)) = self.hosts.get_mut(host.0) {
+            hosted.conns.insert(conn, key);
+        }
+        Some(conn)
+    }
+    /// Asks the poller for what a stream can make use of now.
+    fn watch(&mut self, key: usize) {
+        let Some(Source::Stream(s)) = self.sources.get_mut(key) else { return };
+        let frozen = self.hosts.get(s.host.0).is_some_and(|h| h.as_ref().is_some_and(|h| h.frozen));
+        let interest = Ready {
+            key,
+            readable: !frozen && !s.paused && !s.connecting,
+            writable: !frozen && s.wants_write,
+        };
+        if !s.asleep {
+            let _ = self.poller.modify_with_mode(&s.socket, interest, PollMode::Level);
+        } else if interest.readable || interest.writable {
+            s.asleep = self.poller.add_with_mode(&s.socket, interest, PollMode::Level).is_err();
+        }
+    }
+
+    fn ready(&mut self, event: Ready) {
+        let Some(Source::Stream(s)) = self.sources.get_mut(event.key) else { return };
+        let (host, conn) = (s.host, s.conn);
+        let frozen = self.hosts.get(host.0).is_some_and(|h| h.as_ref().is_some_and(|h| h.frozen));
+        if frozen || (s.paused && event.readable && !s.wants_write) {
+            s.asleep = self.poller.delete(&s.socket).is_ok();
+            return;
+        }
+        if event.writable && s.wants_write {
+            if s.connecting {
+                if s.socket.take_error().ok().flatten().is_some() || s.socket.peer_addr().is_err() {
+                    return self.end(host, conn, Closed::Refused);
+                }
+                (s.connecting, s.wants_write) = (false, false);
+                self.watch(event.key);
+                self.call(host, |core, now, io| core.event(now, Event::Connected { conn }, io));
+            } else {
+                s.wants_write = false;
+                self.watch(event.key);
+                self.call(host, |core, now, io| core.event(now, Event::Writable { conn }, io));
+            }
+        }
+        if event.readable {
+            self.read(event.key, host, conn);
+        }
+    }
+    fn read(&mut self, key: usize, host: HostId, conn: Conn) {
+        let Some(Source::Stream(s)) = self.sources.get_mut(key) else { return };
+        if s.conn != conn || s.paused {
+            return;
+        }
+        let mut buffer = std::mem::take(&mut self.buffer);
+        let read = s.socket.read(&mut buffer);
+        match read {
+            Ok(0) => self.end(host, conn, Closed::InOrder),
+            Ok(n) => {
+                let bytes = &buffer[..n];
+                self.tap.came(self.now(), host, conn, bytes);
+                self.call(host, |core, now, io| core.event(now, Event::Bytes { conn, bytes }, io));
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            Err(_) => self.end(host, conn, Closed::Reset),
+        }
+        self.buffer = buffer;
+    }
+    /// The other side, or the network, ended it.
+    fn end(&mut self, host: HostId, conn: Conn, how: Closed) {
+        if how == Closed::Reset {
+            self.linger_none(host, conn);
+        }
+        if self.forget(host, conn) {
+            self.call(host, |core, now, io| core.event(now, Event::Closed { conn, how }, io));
+        }
+    }
+    /// What is not yet delivered is thrown away when the socket goes, and the other side sees a reset.
+    fn linger_none(&self, host: HostId, conn: Conn) {
+        let key = self.host(host).and_then(|h| h.conns.get(&conn));
+        if let Some(Source::Stream(s)) = key.and_then(|key| self.sources.get(*key)) {
+            let _ = socket2::SockRef::from(&s.socket).set_linger(Some(Duration::ZERO));
+        }
+    }
+    fn forget(&mut self, host: HostId, conn: Conn) -> bool {
+        let Some(Some(hosted)) = self.hosts.get_mut(host.0) else { return false };
+        let Some(key) = hosted.conns.remove(&conn) else { return false };
+        self.remove(key);
+        self.tap.ended(self.now(), host, conn);
+        if self.accepts_again.is_some() {
+            self.accepts_again = Some(self.now());
+        }
+        true
+    }
+    fn remove(&mut self, key: usize) {
+        match self.sources.try_remove(key) {
+            Some(Source::Listener { listener, .. }) => drop(self.poller.delete(&listener)),
+            Some(Source::Stream(s)) => drop(self.poller.delete(&s.socket)),
+            Some(Source::Signals(pipe)) => drop(self.poller.delete(&pipe)),
+            None => {}
+        }
+    }
+    fn call(&mut self, host: HostId, what: impl FnOnce(&mut dyn Core, Micros, &mut dyn Io)) {
+        let Some(hosted) = self.hosts.get_mut(host.0).and_then(Option::as_mut) else { return };
+        hosted.touched = true;
+        let mut core = std::mem::replace(&mut hosted.core, Box::new(Away));
+        let now = self.now();
+        what(&mut *core, now, &mut Sockets { driver: self, host });
+        if let Some(Some(hosted)) = self.hosts.get_mut(host.0) {
+            hosted.core = core;
+        }
+    }
+    fn open(&mut self, host: HostId, to: &str) -> Option<Conn> {
+        let at: SocketAddr = to.parse().ok()?;
+        let domain = if at.is_ipv4() { socket2::Domain::IPV4 } else { socket2::Domain::IPV6 };
+        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None).ok()?;
+        socket.set_nonblocking(true).ok()?;
+        match socket.connect(&at.into()) {
+            Err(e) if e.raw_os_error() != Some(libc::EINPROGRESS) => return None,
+            _ => {}
+        }
+        self.take_in(host, socket.into(), true)
+    }
+}
+
+/// Stands in a core's place while it is being called.
+struct Away;
+
+impl Core for Away {
+    fn start(&mut self, _: Micros, _: &mut dyn Io) {}
+    fn event(&mut self, _: Micros, _: Event<'_>, _: &mut dyn Io) {}
+    fn turn(&mut self, _: Micros, _: &mut dyn Io) {}
+    fn wake(&self) -> Option<Micros> {
+        None
+    }
+}
+
+struct Sockets<'a> {
+    driver: &'a mut EventLoop,
+    host: HostId,
+}
+
+impl Sockets<'_> {
+    fn stream(&mut self, conn: Conn) -> Option<(usize, &mut Stream)> {
+        let key = *self.driver.host(self.host)?.conns.get(&conn)?;
+        match self.driver.sources.get_mut(key) {
+            Some(Source::Stream(s)) => Some((key, s)),
+            _ => None,
+        }
+    }
+}
+
+impl Io for Sockets<'_> {
+    fn connect(&mut self, to: &str) -> Conn {
+        let conn = self.driver.open(self.host, to).unwrap_or_else(|| {
+            let conn = Conn(self.driver.next_conn);
+            self.driver.next_conn += 1;
+            self.driver.refused.push((self.host, conn));
+            conn
+        });
+        let (now, host) = (self.driver.now(), self.host);
+        self.driver.tap.opened(now, host, conn, Side::Connected, to);
+        conn
+    }
+    fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        let torn = bytes.len() > 1
+            && self.driver.hosts[self.host.0].as_mut().is_some_and(|hosted| hosted.torn.remove(&conn));
+        if torn {
+            let wrote = self.write(conn, &bytes[..bytes.len() / 2]);
+            let (driver, host) = (&mut *self.driver, self.host);
+            driver.broken.push((host, conn));
+            return wrote;
+        }
+        let Some((key, s)) = self.stream(conn) else { return 0 };
+        if s.connecting {
+            return 0;
+        }
+        let mut wrote = 0;
+        while wrote < bytes.len() {
+            match s.socket.write(&bytes[wrote..]) {
+                Ok(n) if n > 0 => wrote += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                // An error shows when the stream is next read.
+                _ => break,
+            }
+        }
+        if wrote < bytes.len() {
+            s.wants_write = true;
+            self.driver.watch(key);
+        }
+        let (now, host) = (self.driver.now(), self.host);
+        self.driver.tap.went(now, host, conn, &bytes[..wrote]);
+        wrote
+    }
+    fn close(&mut self, conn: Conn) {
+        if let Some((_, s)) = self.stream(conn) {
+            let _ = s.socket.shutdown(Half::Write);
+        }
+        self.driver.forget(self.host, conn);
+    }
+    fn reset(&mut self, conn: Conn) {
+        self.driver.linger_none(self.host, conn);
+        self.driver.forget(self.host, conn);
+    }
+    fn pause(&mut self, conn: Conn, paused: bool) {
+        if let Some((key, s)) = self.stream(conn) {
+            s.paused = paused;
+            self.driver.watch(key);
+        }
+    }
+    fn save(&mut self, state: &[u8]) {
+        let Some(file) = self.driver.host(self.host).and_then(|h| h.state_file.clone()) else { return };
+        let beside = file.with_extension("new");
+        let kept = std::fs::write(&beside, state).and_then(|()| std::fs::rename(&beside, &file));
+        if let Err(e) = kept {
+            tracing::warn!(reason = "state-file", file = %file.display(), error = %e, "state was not kept; look at the disk");
+        }
+    }
+}
+
--- /dev/null
+++ b/crates/sanddrum-net/src/lib.rs
@@ -0,0 +1,96 @@
+//! A *core* is a state machine without I/O: bytes, connection events and the time go in; bytes, connects, closes
+//! and the next instant to be woken come out. Two drivers run the same cores: [`EventLoop`] on real sockets and
+//! [`VirtualNet`] in virtual time. A driver decides nothing.
+
+mod chance;
+mod event_loop;
+mod outbox;
+mod tap;
+mod virtual_net;
+
+pub use chance::Chance;
+pub use event_loop::{EventLoop, Shutdown};
+pub use outbox::{Outbox, OutboxFull};
+pub use tap::{NoTap, Side, Tap};
+pub use virtual_net::{Links, VirtualNet};
+
+/// Whole microseconds, as an instant of the driver's clock or as a span.
+pub type Micros = i64;
+
+/// A connection, as one core knows it. Never used twice by one driver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Conn(pub u64);
+
+/// A core's listening address, counted in the order in which it was given them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Door(pub usize);
+
+/// A core in its driver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HostId(pub usize);
+
+/// How the other side, or the network, ended a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closed {
+    /// An orderly end: all that the other side wrote has been delivered.
+    InOrder,
+    /// Broken: what was on its way is lost.
+    Reset,
+    /// It never came to be.
+    Refused,
+}
+
+#[derive(Debug)]
+pub enum Event<'a> {
+    Accepted {
+        conn: Conn,
+        door: Door,
+    },
+    Connected {
+        conn: Conn,
+    },
+    Bytes {
+        conn: Conn,
+        bytes: &'a [u8],
+    },
+    /// There is room again after a short write.
+    Writable {
+        conn: Conn,
+    },
+    /// The last event of a connection. None follows a core's own `close` or `reset`.
+    Closed {
+        conn: Conn,
+        how: Closed,
+    },
+}
+
+/// What a core may ask of its driver.
+pub trait Io {
+    /// Opens a connection; `Connected` or `Closed` follows.
+    fn connect(&mut self, to: &str) -> Conn;
+    /// Takes as many bytes as there is room for and says how many; after a short write `Writable` follows. What is
+    /// taken may reach the other side; what is not taken never does.
+    fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize;
+    /// Ends a connection in order: what was taken is still delivered.
+    fn close(&mut self, conn: Conn);
+    /// Breaks a connection: what is on its way may be lost.
+    fn reset(&mut self, conn: Conn);
+    /// While paused no `Bytes` come; the other side is slowed down by it.
+    fn pause(&mut self, conn: Conn, paused: bool);
+    /// Has this core's state kept, in place of what was kept before, whole or not at all.
+    fn save(&mut self, state: &[u8]);
+}
+
+pub trait Core {
+    fn start(&mut self, now: Micros, io: &mut dyn Io);
+    fn event(&mut self, now: Micros, event: Event<'_>, io: &mut dyn Io);
+    /// All that came in at this instant has been told, or the asked-for instant has come.
+    fn turn(&mut self, now: Micros, io: &mut dyn Io);
+    /// When to be called again at the latest.
+    fn wake(&self) -> Option<Micros>;
+    /// Asked to end: takes nothing new and gets `done` once it owes nothing.
+    fn stop(&mut self, _now: Micros, _io: &mut dyn Io) {}
+    fn done(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-net/src/virtual_net.rs
@@ -0,0 +1,453 @@
+//! Many cores in one thread and in virtual time. Equal seeds give equal timelines, to the byte.
+
+use crate::{Chance, Closed, Conn, Core, Door, Event, HostId, Io, Micros, Side, Tap};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// How the virtual links behave.
+#[derive(Clone, Debug)]
+pub struct Links {
+    /// One way, between hosts of one zone and of two.
+    pub same_zone: Micros,
+    pub cross_zone: Micros,
+    /// The part of the latency that chance may add.
+    pub jitter: f64,
+    /// The part of pieces that are lost and come again after `again`.
+    pub loss: f64,
+    pub again: Micros,
+    /// The part of pieces that arrive in two halves.
+    pub split: f64,
+    /// Bytes that may be under way on a connection, one way.
+    pub window: usize,
+}
+
+impl Default for Links {
+    fn default() -> Self {
+        Links {
+            same_zone: 200,
+            cross_zone: 600,
+            jitter: 0.2,
+            loss: 0.0,
+            again: 200_000,
+            split: 0.05,
+            window: 256 * 1024,
+        }
+    }
+}
+
+enum What {
+    Knock { from: Conn, to: String },
+    Connected { conn: Conn },
+    Bytes { conn: Conn, bytes: Vec<u8> },
+    Room { conn: Conn },
+    Closed { conn: Conn, how: Closed },
+}
+
+struct Hosted {
+    core: Option<Box<dyn Core>>,
+    zone: usize,
+    doors: Vec<String>,
+    kept: Option<Vec<u8>>,
+    frozen: bool,
+    wake: Option<Micros>,
+    conns: BTreeSet<Conn>,
+}
+
+/// One end of a connection.
+struct End {
+    host: HostId,
+    peer: Option<Conn>,
+    /// Bytes under way to the other end.
+    under_way: usize,
+    short: bool,
+    paused: bool,
+    /// What came while paused or frozen.
+    held: VecDeque<What>,
+    /// Nothing that was sent later arrives earlier.
+    last: Micros,
+}
+
+pub struct VirtualNet {
+    now: Micros,
+    links: Links,
+    chance: Chance,
+    tap: Box<dyn Tap>,
+    hosts: Vec<Hosted>,
+    ends: BTreeMap<Conn, End>,
+    doors: BTreeMap<String, (HostId, Door)>,
+    queue: BTreeMap<(Micros, u64), What>,
+    sent: u64,
+    next_conn: u64,
+    wakes: BTreeSet<(Micros, HostId)>,
+    touched: BTreeSet<HostId>,
+    /// Connections read again, whose held bytes are told once their core is not being called.
+    resumed: BTreeSet<Conn>,
+    /// One-way links between hosts that carry nothing until they are mended; what is sent meanwhile comes then.
+    cut: BTreeMap<(HostId, HostId), Vec<What>>,
+    steps: u64,
+}
+
+impl VirtualNet {
+    pub fn new(seed: u64, start: Micros, links: Links, tap: Box<dyn Tap>) -> Self {
+        VirtualNet {
+            now: start,
+            links,
+            chance: Chance::new(seed),
+            tap,
+            hosts: Vec::new(),
+            ends: BTreeMap::new(),
+            doors: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            sent: 0,
+            next_conn: 0,
+            wakes: BTreeSet::new(),
+            touched: BTreeSet::new(),
+            resumed: BTreeSet::new(),
+            cut: BTreeMap::new(),
+            steps: 0,
+        }
+    }
+    pub fn now(&self) -> Micros {
+        self.now
+    }
+    pub fn tap(&mut self) -> &mut dyn Tap {
+        &mut *self.tap
+    }
+    /// Events carried out so far.
+    pub fn steps(&self) -> u64 {
+        self.steps
+    }
+    pub fn add(&mut self, zone: usize, doors: &[&str], core: Box<dyn Core>) -> HostId {
+        let host = HostId(self.hosts.len());
+        let doors: Vec<String> = doors.iter().map(|d| d.to_string()).collect();
+        self.hosts.push(Hosted {
+            core: None,
+            zone,
+            doors,
+            kept: None,
+            frozen: false,
+            wake: None,
+            conns: BTreeSet::new(),
+        });
+        self.replace(host, core);
+        host
+    }
+    /// What the core last had kept; it outlives the core.
+    pub fn kept(&self, host: HostId) -> Option<Vec<u8>> {
+        self.hosts.get(host.0).and_then(|h| h.kept.clone())
+    }
+    /// A core takes the place of a dead one.
+    pub fn replace(&mut self, host: HostId, core: Box<dyn Core>) {
+        self.kill(host);
+        let Some(hosted) = self.hosts.get_mut(host.0) else { return };
+        (hosted.core, hosted.frozen) = (Some(core), false);
+        for (n, door) in hosted.doors.iter().enumerate() {
+            self.doors.insert(door.clone(), (host, Door(n)));
+        }
+        self.call(host, |core, now, io| core.start(now, io));
+        self.turn_touched();
+    }
+    /// A core dies: its doors close and its connections break.
+    pub fn kill(&mut self, host: HostId) {
+        let Some(hosted) = self.hosts.get_mut(host.0) else { return };
+        hosted.core = None;
+        self.doors.retain(|_, (owner, _)| *owner != host);
+        self.wakes.retain(|(_, h)| *h != host);
+        self.hosts[host.0].wake = None;
+        for conn in std::mem::take(&mut self.hosts[host.0].conns) {
+            self.drop_end(conn, Closed::Reset);
+        }
+    }
+    /// A frozen core's machine is silent: nothing is read, written or refused, and no time passes for it.
+    pub fn freeze(&mut self, host: HostId, frozen: bool) {
+        let Some(hosted) = self.hosts.get_mut(host.0) else { return };
+        hosted.frozen = frozen;
+        if !frozen && hosted.core.is_some() {
+            let conns: Vec<Conn> = hosted.conns.iter().copied().collect();
+            conns.into_iter().for_each(|conn| self.give_held(conn));
+            self.touched.insert(host);
+            self.turn_touched();
+        }
+    }
+    /// A one-way link carries nothing, or again what it should have and all that follows.
+    pub fn cut(&mut self, from: HostId, to: HostId, cut: bool) {
+        if cut {
+            self.cut.entry((from, to)).or_default();
+        } else if let Some(held) = self.cut.remove(&(from, to)) {
+            for what in held {
+                self.post(from, Some(to), 0, what);
+            }
+        }
+    }
+    /// Every connection of this host breaks; what is under way on it is torn off somewhere in the middle.
+    pub fn tear_connections(&mut self, host: HostId) {
+        let conns: Vec<Conn> = self.hosts.get(host.0).map_or(vec![], |h| h.conns.iter().copied().collect());
+        for conn in conns {
+            let peer = self.ends.get(&conn).and_then(|e| e.peer);
+            let both = [Some(conn), peer];
+            let ours = self.queue.iter().filter_map(|(key, what)| match what {
+                What::Bytes { conn, .. } if both.contains(&Some(*conn)) => Some(*key),
+                _ => None,
+            });
+            let keys: Vec<(Micros, u64)> = ours.collect();
+            for key in keys {
+                let part = self.chance.part();
+                if let Some(What::Bytes { bytes, .. }) = self.queue.get_mut(&key) {
+                    bytes.truncate((bytes.len() as f64 * part) as usize);
+                }
+            }
+            if let Some(hosted) = self.hosts.get_mut(host.0) {
+                hosted.conns.remove(&conn);
+            }
+            self.drop_end(conn, Closed::Reset);
+            self.call(host, |core, now, io| core.event(now, Event::Closed { conn, how: Closed::Reset }, io));
+        }
+        self.turn_touched();
+    }
+    pub fn stop(&mut self, host: HostId) {
+        self.call(host, |core, now, io| core.stop(now, io));
+        self.turn_touched();
+    }
+    /// Whether a core says that it owes nothing more; a dead one owes nothing.
+    pub fn done(&self, host: HostId) -> bool {
+        self.hosts.get(host.0).and_then(|h| h.core.as_ref()).is_none_or(|core| core.done())
+    }
+
+    /// Plays everything up to this instant.
+    pub fn run_until(&mut self, until: Micros) {
+        loop {
+            let first = self.queue.first_key_value().map(|((at, _), _)| *at);
+            let wake = self.wakes.first().map(|(at, _)| *at);
+            let Some(at) = first.into_iter().chain(wake).min().filter(|at| *at <= until) else { break };
+            self.now = self.now.max(at);
+            while let Some(entry) = self.queue.first_entry().filter(|e| e.key().0 <= at) {
+                self.steps += 1;
+                let what = entry.remove();
+                self.deliver(what);
+            }
+            while let Some((due, host)) = self.wakes.first().copied().filter(|(due, _)| *due <= at) {
+                self.wakes.remove(&(due, host));
+                self.hosts[host.0].wake = None;
+                if !self.hosts[host.0].frozen {
+                    self.touched.insert(host);
+                }
+            }
+            self.turn_touched();
+        }
+        self.now = self.now.max(until);
+    }
+
+    fn turn_touched(&mut self) {
+        loop {
+            while let Some(conn) = self.resumed.pop_first() {
+                self.give_held(conn);
+            }
+            let Some(host) = self.touched.pop_first() else { return };
+            if self.hosts[host.0].frozen {
+                continue;
+            }
+            self.call(host, |core, now, io| core.turn(now, io));
+            self.touched.remove(&host);
+            let wake = self.hosts[host.0].core.as_ref().and_then(|core| core.wake()).map(|at| at.max(self.now + 1));
+            let hosted = &mut self.hosts[host.0];
+            if hosted.wake != wake {
+                if let Some(at) = hosted.wake {
+                    self.wakes.remove(&(at, host));
+                }
+                self.wakes.extend(wake.map(|at| (at, host)));
+                hosted.wake = wake;
+            }
+        }
+    }
+    fn call(&mut self, host: HostId, what: impl FnOnce(&mut dyn Core, Micros, &mut dyn Io)) {
+        let Some(mut core) = self.hosts.get_mut(host.0).and_then(|h| h.core.take()) else { return };
+        let now = self.now;
+        what(&mut *core, now, &mut Wires { net: self, host });
+        self.hosts[host.0].core = Some(core);
+        self.touched.insert(host);
+    }
+    fn latency(&mut self, from: HostId, to: Option<HostId>) -> Micros {
+        let zone = |host: HostId| self.hosts.get(host.0).map_or(0, |h| h.zone);
+        let same = to.is_none_or(|to| zone(from) == zone(to));
+        let way = if same { self.links.same_zone } else { self.links.cross_zone };
+        let mut takes = way as f64 * (1.0 + self.chance.part() * self.links.jitter);
+        if self.links.loss > 0.0 && self.chance.is_below(self.links.loss) {
+            takes += self.links.again as f64;
+        }
+        takes as Micros
+    }
+    /// Sends on the way; nothing arrives before what the same end sent earlier.
+    fn post(&mut self, from: HostId, to: Option<HostId>, earliest: Micros, what: What) -> Micros {
+        if let Some(held) = to.and_then(|to| self.cut.get_mut(&(from, to))) {
+            held.push(what);
+            return earliest;
+        }
+        let at = (self.now + self.latency(from, to)).max(earliest);
+        self.sent += 1;
+        self.queue.insert((at, self.sent), what);
+        at
+    }
+    fn post_on(&mut self, conn: Conn, what: What) {
+        let Some(end) = self.ends.get(&conn) else { return };
+        let (from, last) = (end.host, end.last);
+        let to = end.peer.and_then(|peer| self.ends.get(&peer)).map(|e| e.host);
+        let at = self.post(from, to, last, what);
+        if let Some(end) = self.ends.get_mut(&conn) {
+            end.last = at;
+        }
+    }
+    fn open(&mut self, host: HostId, peer: Option<Conn>) -> Conn {
+        let conn = Conn(self.next_conn);
+        self.next_conn += 1;
+        let end =
+            End { host, peer, under_way: 0, short: false, paused: false, held: VecDeque::new(), last: self.now };
+        self.ends.insert(conn, end);
+        self.hosts[host.0].conns.insert(conn);
+        conn
+    }
+    /// An end goes; the other one is told.
+    fn drop_end(&mut self, conn: Conn, how: Closed) {
+        let peer = self.ends.get(&conn).and_then(|e| e.peer);
+        if let Some(peer) = peer {
+            self.post_on(conn, What::Closed { conn: peer, how });
+        }
+        if let Some(end) = self.ends.remove(&conn) {
+            self.tap.ended(self.now, end.host, conn);
+            self.hosts[end.host.0].conns.remove(&conn);
+        }
+    }
+    fn give_held(&mut self, conn: Conn) {
+        while let Some(end) = self.ends.get_mut(&conn) {
+            if end.paused || self.hosts[end.host.0].frozen {
+                return;
+            }
+            let Some(what) = end.held.pop_front() else { return };
+            self.deliver_now(conn, what);
+        }
+    }
+    fn deliver(&mut self, what: What) {
+        let conn = match &what {
+            What::Knock { from, to } => {
+                let (from, to) = (*from, to.clone());
+                return self.knock(from, &to);
+            }
+            What::Connected { conn }
+            | What::Bytes { conn, .. }
+            | What::Room { conn }
+            | What::Closed { conn, .. } => *conn,
+        };
+        let Some(end) = self.ends.get_mut(&conn) else { return };
+        let frozen = self.hosts[end.host.0].frozen;
+        let waits = matches!(what, What::Bytes { .. } | What::Closed { .. }) && end.paused;
+        if frozen || waits || !end.held.is_empty() {
+            end.held.push_back(what);
+            return;
+        }
+        self.deliver_now(conn, what);
+    }
+    fn knock(&mut self, from: Conn, to: &str) {
+        let Some(caller) = self.ends.get(&from).map(|e| e.host) else { return };
+        let Some((host, door)) = self.doors.get(to).copied() else {
+            self.post(caller, None, 0, What::Closed { conn: from, how: Closed::Refused });
+            return;
+        };
+        if self.hosts[host.0].frozen {
+            // Nothing answers; the caller gives up by itself, or is met once the machine is heard again.
+            self.sent += 1;
+            self.queue.insert((self.now + self.links.again, self.sent), What::Knock { from, to: to.into() });
+            return;
+        }
+        let conn = self.open(host, Some(from));
+        if let Some(end) = self.ends.get_mut(&from) {
+            end.peer = Some(conn);
+        }
+        self.tap.opened(self.now, host, conn, Side::Accepted, "");
+        self.post_on(conn, What::Connected { conn: from });
+        self.call(host, |core, now, io| core.event(now, Event::Accepted { conn, door }, io));
+    }
+    fn deliver_now(&mut self, conn: Conn, what: What) {
+        let Some(end) = self.ends.get(&conn) else { return };
+        let (host, peer) = (end.host, end.peer);
+        match what {
+            What::Knock { .. } => {}
+            What::Connected { conn } => {
+                self.call(host, |core, now, io| core.event(now, Event::Connected { conn }, io));
+            }
+            What::Bytes { bytes, .. } => {
+                if let Some(other) = peer.and_then(|peer| self.ends.get_mut(&peer)) {
+                    other.under_way = other.under_way.saturating_sub(bytes.len());
+                    if other.short && other.under_way * 2 <= self.links.window {
+                        other.short = false;
+                        self.post_on(conn, What::Room { conn: peer.unwrap_or(conn) });
+                    }
+                }
+                if !bytes.is_empty() {
+                    self.tap.came(self.now, host, conn, &bytes);
+                    self.call(host, |core, now, io| {
+                        core.event(now, Event::Bytes { conn, bytes: &bytes }, io);
+                    });
+                }
+            }
+            What::Room { conn } => {
+                self.call(host, |core, now, io| core.event(now, Event::Writable { conn }, io));
+            }
+            What::Closed { conn, how } => {
+                self.ends.remove(&conn);
+                self.hosts[host.0].conns.remove(&conn);
+                self.tap.ended(self.now, host, conn);
+                self.call(host, |core, now, io| core.event(now, Event::Closed { conn, how }, io));
+            }
+        }
+    }
+}
+
+struct Wires<'a> {
+    net: &'a mut VirtualNet,
+    host: HostId,
+}
+
+impl Io for Wires<'_> {
+    fn connect(&mut self, to: &str) -> Conn {
+        let conn = self.net.open(self.host, None);
+        let now = self.net.now;
+        self.net.tap.opened(now, self.host, conn, Side::Connected, to);
+        let target = self.net.doors.get(to).map(|(host, _)| *host);
+        self.net.post(self.host, target, 0, What::Knock { from: conn, to: to.into() });
+        conn
+    }
+    fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        let window = self.net.links.window;
+        let Some(end) = self.net.ends.get_mut(&conn) else { return 0 };
+        let Some(peer) = end.peer else { return 0 };
+        let takes = bytes.len().min(window.saturating_sub(end.under_way));
+        end.under_way += takes;
+        end.short = takes < bytes.len();
+        let taken = &bytes[..takes];
+        let now = self.net.now;
+        self.net.tap.went(now, self.host, conn, taken);
+        let split = takes > 1 && self.net.chance.is_below(self.net.links.split);
+        let at = if split { 1 + self.net.chance.below(takes - 1) } else { takes };
+        for part in [&taken[..at], &taken[at..]] {
+            if !part.is_empty() {
+                self.net.post_on(conn, What::Bytes { conn: peer, bytes: part.to_vec() });
+            }
+        }
+        takes
+    }
+    fn close(&mut self, conn: Conn) {
+        self.net.drop_end(conn, Closed::InOrder);
+    }
+    fn reset(&mut self, conn: Conn) {
+        self.net.drop_end(conn, Closed::Reset);
+    }
+    fn pause(&mut self, conn: Conn, paused: bool) {
+        if let Some(end) = self.net.ends.get_mut(&conn) {
+            end.paused = paused;
+            if !paused {
+                self.net.resumed.insert(conn);
+            }
+        }
+    }
+    fn save(&mut self, state: &[u8]) {
+        self.net.hosts[self.host.0].kept = Some(state.to_vec());
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-settings/src/checks.rs
@@ -0,0 +1,83 @@
+//! Combinations that cannot work are refused before anything starts.
+
+use crate::forms::Problem;
+use crate::values::Loaded;
+
+pub(crate) fn check(l: &Loaded) -> Result<(), Problem> {
+    let zones = l.names("zones");
+    let workloads = l.names("workloads");
+    if workloads.is_empty() {
+        return Err(l.problem_at("", "no workload is set", "add (workload \"a-name\" (effect ...) ...)"));
+    }
+    for n in 0..workloads.len() {
+        workload(l, &format!("workloads.{n}"))?;
+    }
+    for n in 0..l.count("functions") {
+        let at = format!("functions.{n}.workload");
+        let named = format!("functions.{n}.name");
+        if !l.has(&at) {
+            return Err(l.problem_at(&named, "a function needs a workload", "add (workload \"a-name\")"));
+        }
+        if !workloads.iter().any(|w| w == l.text(&at)) {
+            let known = format!("known are {}", workloads.join(", "));
+            return Err(l.problem_at(&at, format!("no workload {:?} is set", l.text(&at)), known));
+        }
+        let name = l.text(&named);
+        if name.trim_end_matches('*').contains('*') || name.is_empty() {
+            return Err(l.problem_at(&named, "a * may stand at the end only", "as \"pick-*\""));
+        }
+    }
+    let shares: f64 = (0..l.count("customers")).map(|n| l.number(&format!("customers.{n}.share"))).sum();
+    if l.count("customers") > 1 && shares > 1.0 + 1e-9 {
+        let what = format!("the customers' shares add up to {shares}");
+        return Err(l.problem_at("customers.0.share", what, "at most 1 in all"));
+    }
+    if l.text("copies.on-miss") == "miss" && !l.flag("copies.orders") {
+        let what = "nothing could ever be loaded: workers answer a miss and edges give no orders";
+        return Err(l.problem_at("copies.on-miss", what, "set (orders yes) or (on-miss load)"));
+    }
+    let rationed = l.span("copies.load-window-us") > 0;
+    if rationed && l.number("copies.load-free") < 1.0 && l.number("copies.load-share") <= 0.0 {
+        let what = "the ration of orders to load is nought";
+        return Err(l.problem_at("copies.load-window-us", what, "set load-free to 1 or more, or load-share above 0"));
+    }
+    if l.span("copies.keep-alive-us") == 0 {
+        return Err(l.problem_at("copies.keep-alive-us", "no copy would ever be found loaded", "set it above 0s"));
+    }
+    if l.has("edge.zone") && !zones.iter().any(|z| z == l.text("edge.zone")) {
+        let what = format!("no zone {:?} is set", l.text("edge.zone"));
+        return Err(l.problem_at("edge.zone", what, format!("known are {}", zones.join(", "))));
+    }
+    if l.number("me") >= l.number("routers") {
+        return Err(l.problem_at("me", "an edge's number must be below the number of edges", "they count from 0"));
+    }
+    let (least, most) = (l.span("limits.list-retry-least-us"), l.span("limits.list-retry-most-us"));
+    if least > most || least == 0 {
+        let what = "list-retry-least must be above 0 and no more than list-retry-most";
+        return Err(l.problem_at("limits.list-retry-least-us", what, "as 100ms and 5s"));
+    }
+    if l.number("limits.largest-body-bytes") >= l.number("limits.largest-frame-bytes") + 1.0 {
+        let what = "a body may be larger than a frame, so it could reach no worker";
+        return Err(l.problem_at("limits.largest-body-bytes", what, "set largest-frame above largest-body"));
+    }
+    Ok(())
+}
+
+fn workload(l: &Loaded, at: &str) -> Result<(), Problem> {
+    let name = |key: &str| format!("{at}.{key}");
+    let (target, limit) = (l.span(&name("start-target-us")), l.span(&name("time-limit-us")));
+    if target == 0 || target > limit {
+        let what = "the start target must be above 0 and no longer than the time limit";
+        return Err(l.problem_at(&name("start-target-us"), what, "as 1s and 3s"));
+    }
+    let fingerprinted = l.text(&name("effect")) == "fingerprinted";
+    if fingerprinted && !(l.has(&name("group")) && l.span(&name("repeat-window-us")) > 0) {
+        let what = "a fingerprinted workload needs to say which workers drop its repeats and for how long";
+        return Err(l.problem_at(&name("effect"), what, "add (group zone) and (repeat-window 2s), as the workers do it"));
+    }
+    if !fingerprinted && l.has(&name("group")) {
+        let what = "only fingerprinted workloads have a group";
+        return Err(l.problem_at(&name("group"), what, "take it out, or set (effect fingerprinted)"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sanddrum-settings/src/lib.rs
@@ -0,0 +1,48 @@
+//! Settings as S-expressions: read with their places in the file, checked against a schema before anything starts,
+//! and kept as dotted names with plain values, which is how the decision module asks for them.
+
+mod checks;
+mod forms;
+mod schema;
+mod values;
+
+pub use forms::Problem;
+pub use schema::{Key, Kind, Section, DEPLOYMENT};
+pub use values::{Loaded, Origin};
+
+use std::path::Path;
+
+/// Reads a deployment's settings from a file and checks them.
+///
+/// # Errors
+/// The file can't be read, or something in it is wrong: the problem names the place, what is wrong and what to do.
+pub fn load(path: &Path) -> Result<Loaded, Problem> {
+    let text = std::fs::read_to_string(path).map_err(|e| Problem::of_file(&path.display().to_string(), &e))?;
+    read(&path.display().to_string(), &text)
+}
+
+/// Reads a deployment's settings from a text.
+///
+/// # Errors
+/// As [`load`].
+pub fn read(file: &str, text: &str) -> Result<Loaded, Problem> {
+    let loaded = values::read(file, text, DEPLOYMENT)?;
+    checks::check(&loaded)?;
+    Ok(loaded)
+}
+
+/// Reads a text against another schema, for files of other kinds in the same form.
+///
+/// # Errors
+/// As [`load`], without the checks that only a deployment needs.
+pub fn read_as(file: &str, text: &str, schema: &'static [Section]) -> Result<Loaded, Problem> {
+    values::read(file, text, schema)
+}
+
+/// Checks a deployment again, after values were set from elsewhere.
+///
+/// # Errors
+/// As [`load`].
+pub fn check(loaded: &Loaded) -> Result<(), Problem> {
+    checks::check(loaded)
+}
--- /dev/null
+++ b/crates/sanddrum-settings/src/schema.rs
@@ -0,0 +1,211 @@
+//! What may be set, in which unit, within which bounds, and what it is for.
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    /// A span of time with a unit; kept in microseconds, its dotted name ends in `-us`.
+    Span,
+    /// An amount of memory; kept in MB, its dotted name ends in `-mb`.
+    Memory,
+    /// A number of bytes; its dotted name ends in `-bytes`.
+    Bytes,
+    /// A number, or a percentage, within bounds.
+    Number(f64, f64),
+    Whole(f64, f64),
+    Flag,
+    Text,
+    Choice(&'static [&'static str]),
+    /// An IP address and a port.
+    Address,
+    /// Names, one after the other.
+    Names,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Key {
+    pub name: &'static str,
+    pub kind: Kind,
+    /// Taken where the file says nothing; where there is none either, the reader's own counts.
+    pub default: Option<&'static str>,
+    pub about: &'static str,
+    /// The dotted name, where it is not the section's and the key's.
+    pub dotted: Option<&'static str>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Section {
+    pub name: &'static str,
+    /// What the dotted names of its keys begin with.
+    pub dotted: &'static str,
+    /// It may stand several times, each with a name of its own as its first part.
+    pub named: bool,
+    /// Several may have the same name.
+    pub repeats: bool,
+    pub keys: &'static [Key],
+    pub about: &'static str,
+}
+
+pub const fn key(name: &'static str, kind: Kind, default: Option<&'static str>, about: &'static str) -> Key {
+    Key { name, kind, default, about, dotted: None }
+}
+
+const fn as_is(key: Key, dotted: &'static str) -> Key {
+    Key { dotted: Some(dotted), ..key }
+}
+
+const ANY: f64 = 1e15;
+
+/// A deployment: what edges and the decision module are told.
+pub const DEPLOYMENT: &[Section] = &[
+    Section {
+        name: "deployment",
+        dotted: "deployment",
+        named: false,
+        repeats: false,
+        about: "the whole",
+        keys: &[
+            key("name", Kind::Text, Some("sanddrum"), "shown in logs and metrics; nothing depends on it"),
+            as_is(key("zones", Kind::Names, Some("here"), "zones, in an order that all programs share"), "zones"),
+            as_is(
+                key("importance-by", Kind::Choice(&["request", "work"]), None, "whether importance counts by job or by work"),
+                "importance-by",
+            ),
+        ],
+    },
+    Section {
+        name: "workload",
+        dotted: "workloads",
+        named: true,
+        repeats: false,
+        about: "a kind of job",
+        keys: &[
+            key("start-target", Kind::Span, Some("1s"), "wanted within"),
+            key("time-limit", Kind::Span, Some("5s"), "given up after, where the client does not say"),
+            key(
+                "effect",
+                Kind::Choice(&["restartable", "fingerprinted", "run-once"]),
+                Some("run-once"),
+                "whether a job may run again",
+            ),
+            key("group", Kind::Choice(&["all", "zone", "cell"]), None, "which workers drop repeats of fingerprinted jobs"),
+            key("repeat-window", Kind::Span, None, "for how long they do"),
+            key("importance", Kind::Number(0.0, 1e6), Some("1"), "what a job answered within its target is worth"),
+            key("late-importance", Kind::Number(0.0, 1.0), Some("0"), "the part of it that a later answer still earns"),
+        ],
+    },
+    Section {
+        name: "customer",
+        dotted: "customers",
+        named: true,
+        repeats: false,
+        about: "who asks",
+        keys: &[key("share", Kind::Number(0.0, 1.0), Some("1"), "its part of the service")],
+    },
+    Section {
+        name: "function",
+        dotted: "functions",
+        named: true,
+        repeats: false,
+        about: "what is called; a name may end in *, the longest that fits counts",
+        keys: &[
+            key("workload", Kind::Text, None, "the workload that its jobs belong to"),
+            key("memory", Kind::Memory, Some("256MB"), "of one loaded copy"),
+            key("lanes", Kind::Whole(1.0, 1e4), Some("1"), "jobs that one copy runs at a time"),
+            key("load", Kind::Span, None, "what a load usually takes, where known"),
+            key("work", Kind::Span, None, "what a job usually takes, where known"),
+        ],
+    },
+    Section {
+        name: "copies",
+        dotted: "copies",
+        named: false,
+        repeats: false,
+        about: "what workers do with loaded copies",
+        keys: &[
+            key("keep-alive", Kind::Span, Some("8s"), "the least time that workers keep an idle copy"),
+            key("on-miss", Kind::Choice(&["load", "miss"]), Some("load"), "what a worker does that lacks the function"),
+            key("orders", Kind::Flag, Some("yes"), "edges may have copies held and unloaded"),
+            key("load-window", Kind::Span, None, "rule 5: the window of the ration of orders to load"),
+            key("load-free", Kind::Number(0.0, ANY), None, "rule 5: orders to load in a window that are free"),
+            key("load-share", Kind::Number(0.0, 1.0), None, "rule 5: and for each job taken in it"),
+        ],
+    },
+    Section {
+        name: "design",
+        dotted: "design",
+        named: false,
+        repeats: false,
+        about: "the design's options, for all functions",
+        keys: &[
+            key("keep-alive", Kind::Span, None, "renew idle copies for longer than workers keep them"),
+            key("pre-warmed", Kind::Whole(0.0, 16.0), None, "copies of each function held ahead, by all edges together"),
+            key("drop-after", Kind::Span, None, "have copies unloaded that nobody asked for so long"),
+        ],
+    },
+    Section {
+        name: "rules",
+        dotted: "rules",
+        named: false,
+        repeats: false,
+        about: "the figures of the rules",
+        keys: &[
+            key("drain-grace", Kind::Span, Some("2s"), "rule 3: nothing new to a draining worker after"),
+            key("cold-from", Kind::Number(0.01, 1.0), Some("0.2"), "rule 4: a worker starts with this part of its capacity"),
+            key("cold", Kind::Span, Some("10s"), "rule 4: and is warm after"),
+            key("fall-multiple", Kind::Number(1.0, 100.0), Some("3"), "rule 4: it falls when sent so many times what it can do"),
+            key("fall", Kind::Span, Some("3s"), "rule 4: for so long"),
+        ],
+    },
+    Section {
+        name: "limits",
+        dotted: "limits",
+        named: false,
+        repeats: false,
+        about: "bounds; each shows by its name where it is hit",
+        keys: &[
+            key("max-executions", Kind::Whole(1.0, 100.0), Some("5"), "executions of one job"),
+            key("second-copies", Kind::Flag, Some("yes"), "a restartable job may run twice at a time"),
+            key("cancel", Kind::Flag, Some("yes"), "edges may take executions back"),
+            key("probes", Kind::Flag, Some("yes"), "edges may probe workers"),
+            key("max-retry-after", Kind::Span, Some("2s"), "the longest time to come back that clients heed"),
+            key("answer-ahead", Kind::Span, Some("20ms"), "a final answer is given so long before the client's time is up, for its way back"),
+            key("max-functions", Kind::Whole(1.0, 1e7), Some("100000"), "functions that an edge knows by name"),
+            key("max-open", Kind::Whole(1.0, 1e7), Some("20000"), "jobs held by an edge; more are pushed back unseen"),
+            key("max-clients", Kind::Whole(1.0, 1e6), Some("20000"), "client connections; more are closed at once"),
+            key("client-idle", Kind::Span, Some("60s"), "a client connection that asks nothing is closed after"),
+            key("head-time-out", Kind::Span, Some("10s"), "a request that has begun must be whole within"),
+            key("linger", Kind::Span, Some("1s"), "how long a refused client is read out, so that it gets its answer"),
+            key("largest-head", Kind::Bytes, Some("16KB"), "of a request"),
+            key("largest-body", Kind::Bytes, Some("8MB"), "of a request"),
+            key("pipelined", Kind::Whole(1.0, 1e4), Some("16"), "requests that one connection may have open"),
+            key("waiting-per-client", Kind::Bytes, Some("16MB"), "bytes of answers that a client is slow to read"),
+            key("waiting-per-worker", Kind::Bytes, Some("16MB"), "bytes that one connection to a worker is slow to take"),
+            key("largest-frame", Kind::Bytes, Some("16MB"), "of the worker protocol"),
+            key("streams", Kind::Whole(1.0, 1e5), Some("64"), "executions that one connection to a worker carries"),
+            key("connections", Kind::Whole(1.0, 1e3), Some("4"), "connections to one worker"),
+            key("connect-time-out", Kind::Span, Some("250ms"), "a connection not up by then is given up"),
+            key("idle-close", Kind::Span, Some("15s"), "a connection to a worker that carries nothing is closed after"),
+            key("probe-time-out", Kind::Span, Some("250ms"), "a probe unanswered by then is given up"),
+            key("order-time-out", Kind::Span, Some("10s"), "an order unanswered by then is given up"),
+            key("list-retry-least", Kind::Span, Some("100ms"), "first wait before the list service is called again"),
+            key("list-retry-most", Kind::Span, Some("5s"), "and the longest"),
+            key("save-least", Kind::Span, Some("500ms"), "the worker list is kept no more often than this"),
+            key("stop-within", Kind::Span, Some("10s"), "an edge asked to end has answered all by then"),
+        ],
+    },
+    Section {
+        name: "edge",
+        dotted: "edge",
+        named: false,
+        repeats: false,
+        about: "one edge; most are given on the command line where a file serves several",
+        keys: &[
+            key("name", Kind::Text, Some("edge-0"), "as workers and logs know it"),
+            key("listen", Kind::Address, Some("127.0.0.1:8080"), "the client door"),
+            key("list", Kind::Address, Some("127.0.0.1:8090"), "the list service"),
+            key("zone", Kind::Text, None, "the zone that it is in; the first one where not said"),
+            key("state-file", Kind::Text, None, "where the last list is kept over a restart"),
+            as_is(key("number", Kind::Whole(0.0, 1e6), Some("0"), "its own number among the edges"), "me"),
+            as_is(key("edges", Kind::Whole(1.0, 1e6), Some("1"), "how many there are"), "routers"),
+        ],
+    },
+];
--- /dev/null
+++ b/crates/sanddrum-wire/src/frame.rs
@@ -0,0 +1,87 @@
+//! Frames: four bytes of length, most significant first, then so many bytes of CBOR.
+
+use minicbor::{Decode, Encode};
+use std::fmt;
+
+pub const PREFIX: usize = 4;
+
+/// Why a stream of frames can't be read on. The connection has no meaning any more and is to be ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FrameError {
+    /// Longer than this side takes.
+    TooLarge { length: usize, most: usize },
+    /// Not a message of the protocol.
+    Garbled(String),
+}
+
+impl fmt::Display for FrameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FrameError::TooLarge { length, most } => {
+                write!(f, "a frame of {length} bytes; at most {most} are taken (limits largest-frame)")
+            }
+            FrameError::Garbled(why) => write!(f, "not a message of this protocol: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for FrameError {}
+
+/// Cuts a stream into frames. Holds no more than one frame and what came with it.
+#[derive(Debug, Default)]
+pub struct Frames {
+    bytes: Vec<u8>,
+    read: usize,
+    most: usize,
+}
+
+impl Frames {
+    /// Frames of more than `most` bytes are refused as soon as their length is read.
+    pub fn new(most: usize) -> Self {
+        Frames { bytes: Vec::new(), read: 0, most }
+    }
+    pub fn take_in(&mut self, bytes: &[u8]) {
+        if self.read > 0 {
+            self.bytes.drain(..self.read);
+            self.read = 0;
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+    /// The next whole frame's content; `None` until more bytes have come.
+    pub fn next_frame(&mut self) -> Result<Option<&[u8]>, FrameError> {
+        let rest = &self.bytes[self.read..];
+        let Some((prefix, content)) = rest.split_first_chunk::<PREFIX>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*prefix) as usize;
+        if length > self.most {
+            return Err(FrameError::TooLarge { length, most: self.most });
+        }
+        if content.len() < length {
+            return Ok(None);
+        }
+        let start = self.read + PREFIX;
+        self.read = start + length;
+        Ok(Some(&self.bytes[start..self.read]))
+    }
+    /// The next message. Kinds of message that this version does not know are skipped.
+    pub fn next<T: for<'b> Decode<'b, ()>>(&mut self) -> Result<Option<T>, FrameError> {
+        while let Some(frame) = self.next_frame()? {
+            match minicbor::decode(frame) {
+                Ok(message) => return Ok(Some(message)),
+                Err(e) if e.is_unknown_variant() => {}
+                Err(e) => return Err(FrameError::Garbled(e.to_string())),
+            }
+        }
+        Ok(None)
+    }
+}
+
+/// One message as a frame.
+pub fn frame<T: Encode<()>>(message: &T) -> Vec<u8> {
+    let mut out = vec![0; PREFIX];
+    // Writing to a Vec cannot fail, and the derived encoders have no errors of their own.
+    let written = minicbor::encode(message, &mut out);
+    debug_assert!(written.is_ok());
+    let length = (out.len() - PREFIX) as u32;
+    out[..PREFIX].copy_from_slice(&length.to_be_bytes());
+    out
+}
--- /dev/null
+++ b/crates/sanddrum-wire/src/lib.rs
@@ -0,0 +1,18 @@
+//! Codecs without I/O: the worker protocol (length-prefixed CBOR, RFC 8949; see docs/protocol.md) and the part of
+//! HTTP/1.1 (RFC 9110, RFC 9112) that the client door speaks.
+
+pub mod frame;
+pub mod http;
+pub mod messages;
+
+pub use frame::{FrameError, Frames};
+pub use messages::*;
+
+use std::hash::{DefaultHasher, Hasher};
+
+/// A stable id of a text: the same in every program, so that edges agree by hashing without a word between them.
+pub fn id_of(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    hasher.write(text.as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/sanddrum-wire/src/messages.rs
@@ -0,0 +1,349 @@
+//! The messages of the worker protocol, version 1. Each is an array of its number and one map with whole numbers as
+//! keys (RFC 8949, section 3.1); fields that a reader does not know are skipped, absent ones are absent.
+
+use minicbor::{Decode, Encode};
+
+/// The version that both sides name in their greeting; they speak the lesser.
+pub const VERSION: u32 = 1;
+
+/// From an edge to a worker.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(flat)]
+pub enum ToWorker {
+    #[n(0)]
+    Hello(#[n(0)] Hello),
+    #[n(1)]
+    Execute(#[n(0)] Execute),
+    #[n(2)]
+    Cancel(#[n(0)] Cancel),
+    #[n(3)]
+    Hold(#[n(0)] Hold),
+    #[n(4)]
+    Unload(#[n(0)] Unload),
+    #[n(5)]
+    Probe(#[n(0)] Probe),
+}
+
+/// From a worker to an edge.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(flat)]
+pub enum FromWorker {
+    #[n(0)]
+    Hello(#[n(0)] Hello),
+    #[n(1)]
+    Done(#[n(0)] Done),
+    #[n(2)]
+    Held(#[n(0)] Held),
+    #[n(3)]
+    Probed(#[n(0)] Probed),
+}
+
+/// To the list service, from edges and workers.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(flat)]
+pub enum ToList {
+    #[n(0)]
+    Hello(#[n(0)] Hello),
+    /// An edge follows the list.
+    #[n(1)]
+    Watch(#[n(0)] Watch),
+    /// A worker tells of itself; again when something changes.
+    #[n(2)]
+    Register(#[n(0)] Row),
+    /// A worker's process still runs.
+    #[n(3)]
+    Beat(#[n(0)] Beat),
+}
+
+/// From the list service to an edge.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(flat)]
+pub enum FromList {
+    #[n(0)]
+    Hello(#[n(0)] Hello),
+    #[n(1)]
+    Rows(#[n(0)] Rows),
+}
+
+/// From a worker to the function store.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(flat)]
+pub enum ToStore {
+    #[n(0)]
+    Fetch(#[n(0)] Fetch),
+}
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(flat)]
+pub enum FromStore {
+    #[n(0)]
+    Fetched(#[n(0)] Fetched),
+}
+
+#[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct Hello {
+    #[n(0)]
+    pub version: u32,
+    #[n(1)]
+    pub name: String,
+    /// Differs from one start of a process to the next, and grows.
+    #[n(2)]
+    #[cbor(default)]
+    pub incarnation: u64,
+    /// Microseconds since this process started; absent where that is not told.
+    #[n(3)]
+    pub age_us: Option<i64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct Execute {
+    /// Names this execution on this connection; never used twice on one connection.
+    #[n(0)]
+    pub id: u64,
+    #[n(1)]
+    pub workload: String,
+    #[n(2)]
+    pub function: String,
+    /// No answer is wanted after so many microseconds from its arrival.
+    #[n(3)]
+    pub limit_us: i64,
+    #[n(4)]
+    pub memory_mb: f64,
+    #[n(5)]
+    pub lanes: u32,
+    /// The mark by which a repeat of a fingerprinted job is known.
+    #[n(6)]
+    pub mark: Option<String>,
+    /// Passed through from the client, to find a job's way.
+    #[n(7)]
+    pub trace: Option<String>,
+    #[n(8)]
+    #[cbor(with = "minicbor::bytes", default)]
+    pub body: Vec<u8>,
+    #[n(9)]
+    pub customer: Option<String>,
+}
+
+#[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct Cancel {
+    #[n(0)]
+    pub id: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct Hold {
+    #[n(0)]
+    pub id: u64,
+    #[n(1)]
+    pub function: String,
+    /// Nought only asks.
+    #[n(2)]
+    pub copies: u32,
+    #[n(3)]
+    pub memory_mb: f64,
+    #[n(4)]
+    pub lanes: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct Unload {
+    #[n(0)]
+    pub function: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct Probe {
+    #[n(0)]
+    pub id: u64,
+}
+
+/// How a worker ended an execution or an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[cbor(index_only)]
+pub enum Ended {
+    #[n(0)]
+    Finished,
+    /// It ran, or may have, and came to nothing.
+    #[n(1)]
+    Error,
+    /// Turned away unlooked at: no room, or draining. It has not run.
+    #[n(2)]
+    Full,
+    /// The function is not loaded here, or its load failed. It has not run.
+    #[n(3)]
+    Miss,
+    /// Its time was up, or it was cancelled, before it began. It has not run.
+    #[n(4)]
+    Dropped,
+}
+
+/// What stood loaded when an execution came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[cbor(index_only)]
+pub enum Copy {
+    #[n(1)]
+    Stood,
+    #[n(2)]
+    BeganLoad,
+    #[n(3)]
+    WaitedForLoad,
+    #[n(4)]
+    LoadFailed,
+}
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(map)]
+pub struct Done {
+    #[n(0)]
+    pub id: u64,
+    #[n(1)]
+    pub ended: Ended,
+    #[n(2)]
+    pub copy: Option<Copy>,
+    /// Jobs for the same function that were held when this one came.
+    #[n(3)]
+    pub crowd: Option<u32>,
+    #[n(4)]
+    pub report: Option<LoadReport>,
+    #[n(5)]
+    #[cbor(with = "minicbor::bytes", default)]
+    pub body: Vec<u8>,
+}
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(map)]
+pub struct Held {
+    #[n(0)]
+    pub id: u64,
+    #[n(1)]
+    pub ended: Ended,
+    #[n(2)]
+    pub copies: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[cbor(map)]
+pub struct Probed {
+    #[n(0)]
+    pub id: u64,
+    #[n(1)]
+    pub report: Option<LoadReport>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct LoadReport {
+    #[n(0)]
+    pub held: Option<f64>,
+    #[n(1)]
+    pub queued: Option<f64>,
+    #[n(2)]
+    pub busy: Option<f64>,
+    #[n(3)]
+    pub memory_pinned: Option<f64>,
+    #[n(4)]
+    pub loads: Option<f64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct Watch {
+    /// The last version that this edge has; nought for none.
+    #[n(0)]
+    pub version: u64,
+    /// Which run of the list service that version is of; nought for none.
+    #[n(1)]
+    #[cbor(default)]
+    pub run: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Encode, Decode)]
+#[cbor(index_only)]
+pub enum Phase {
+    #[n(0)]
+    Ready,
+    #[n(1)]
+    Draining,
+    #[default]
+    #[n(2)]
+    Gone,
+}
+
+#[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct Row {
+    #[n(0)]
+    pub name: String,
+    #[n(1)]
+    pub address: String,
+    #[n(2)]
+    #[cbor(default)]
+    pub zone: String,
+    #[n(3)]
+    #[cbor(default)]
+    pub cell: u32,
+    #[n(4)]
+    #[cbor(default)]
+    pub kind: u32,
+    #[n(5)]
+    pub size: f64,
+    #[n(6)]
+    pub phase: Phase,
+    #[n(7)]
+    pub incarnation: u64,
+    /// Microseconds since its process started; negative where that is long ago.
+    #[n(8)]
+    pub age_us: i64,
+}
+
+#[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct Rows {
+    #[n(0)]
+    pub version: u64,
+    #[n(1)]
+    pub run: u64,
+    /// The whole list, or only what changed since the version that this follows.
+    #[n(2)]
+    pub whole: bool,
+    /// The version that changes apply to.
+    #[n(3)]
+    #[cbor(default)]
+    pub after: u64,
+    #[n(4)]
+    pub rows: Vec<Row>,
+}
+
+#[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct Beat {
+    #[n(0)]
+    pub incarnation: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct Fetch {
+    #[n(0)]
+    pub id: u64,
+    #[n(1)]
+    pub function: String,
+    #[n(2)]
+    pub size_mb: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
+#[cbor(map)]
+pub struct Fetched {
+    #[n(0)]
+    pub id: u64,
+    /// Otherwise turned away.
+    #[n(1)]
+    pub whole: bool,
+}
--- /dev/null
+++ b/crates/sanddrum-wire/tests/codecs.rs
@@ -0,0 +1,142 @@
+//! Both codecs against all that may come in: no panic, bounded memory, and what is written is read back.
+
+use proptest::prelude::*;
+use rstest::rstest;
+use sanddrum_wire::frame::{frame, FrameError, Frames};
+use sanddrum_wire::http::{self, Bad, Parsed};
+use sanddrum_wire::*;
+
+fn execute() -> impl Strategy<Value = ToWorker> {
+    let texts = ("[a-z-]{0,12}", "[a-z0-9]{0,12}", proptest::option::of("[a-z0-9]{1,20}"));
+    let numbers = (any::<u64>(), any::<i64>(), 0.0..1e6f64, any::<u32>());
+    (texts, numbers, proptest::collection::vec(any::<u8>(), 0..300)).prop_map(
+        |((workload, function, mark), (id, limit_us, memory_mb, lanes), body)| {
+            let trace = mark.clone();
+            let rest = Execute { mark, trace, body, ..Execute::default() };
+            ToWorker::Execute(Execute { id, workload, function, limit_us, memory_mb, lanes, ..rest })
+        },
+    )
+}
+
+proptest! {
+    #[test]
+    fn messages_survive_any_cut_of_the_stream(messages in proptest::collection::vec(execute(), 1..6), cut in 1usize..50) {
+        let bytes: Vec<u8> = messages.iter().flat_map(frame).collect();
+        let mut frames = Frames::new(1 << 16);
+        let mut read = Vec::new();
+        for piece in bytes.chunks(cut) {
+            frames.take_in(piece);
+            while let Some(message) = frames.next::<ToWorker>().unwrap() {
+                read.push(message);
+            }
+        }
+        prop_assert_eq!(read, messages);
+    }
+
+    #[test]
+    fn noise_never_panics_either_codec(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
+        let mut frames = Frames::new(1 << 10);
+        frames.take_in(&bytes);
+        while let Ok(Some(_)) = frames.next::<FromWorker>() {}
+        let mut framed = ((bytes.len() as u32).to_be_bytes()).to_vec();
+        framed.extend_from_slice(&bytes);
+        let mut frames = Frames::new(1 << 10);
+        frames.take_in(&framed);
+        while let Ok(Some(_)) = frames.next::<ToList>() {}
+        let _ = http::request(&bytes, 1 << 12, 1 << 12);
+        let _ = http::answer(&bytes);
+    }
+
+    #[test]
+    fn requests_survive_any_cut(body in proptest::collection::vec(any::<u8>(), 0..200), at in 0usize..400) {
+        let bytes = http::write_request("POST", "/v1/calls/a/b", &[("x-y", "z")], &body);
+        let at = at.min(bytes.len());
+        if at < bytes.len() {
+            let partial = matches!(http::request(&bytes[..at], 1 << 12, 1 << 12), Ok(Parsed::Partial { .. }));
+            prop_assert!(partial);
+        }
+        let Ok(Parsed::Whole(request, took)) = http::request(&bytes, 1 << 12, 1 << 12) else {
+            return Err(TestCaseError::fail("not read"));
+        };
+        prop_assert_eq!((request.body, took), (body, bytes.len()));
+    }
+}
+
+#[rstest]
+fn a_frame_too_large_is_refused_before_its_content_comes() {
+    let mut frames = Frames::new(1000);
+    frames.take_in(&1001u32.to_be_bytes());
+    assert_eq!(frames.next_frame(), Err(FrameError::TooLarge { length: 1001, most: 1000 }));
+}
+
+#[rstest]
+fn what_a_later_version_adds_is_skipped() {
+    // A message of kind 99, then a probe with a field 7 that is not known here.
+    let mut frames = Frames::new(1000);
+    frames.take_in(&[0, 0, 0, 4, 0x82, 0x18, 99, 0xa0]);
+    frames.take_in(&[0, 0, 0, 8, 0x82, 0x05, 0xa2, 0x00, 0x03, 0x07, 0x61, b'x']);
+    assert_eq!(frames.next::<ToWorker>(), Ok(Some(ToWorker::Probe(Probe { id: 3 }))));
+}
+
+/// The vectors of docs/protocol.md, read from the page itself.
+#[rstest]
+fn the_protocol_page_tells_what_is_sent() {
+    let page = include_str!("../../../docs/protocol.md");
+    let vectors: Vec<(String, Vec<u8>)> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("    vector "))
+        .filter_map(|line| line.split_once(": "))
+        .map(|(name, hex)| {
+            let digits: Vec<char> = hex.chars().filter(|c| c.is_ascii_hexdigit()).collect();
+            let byte = |pair: &[char]| u8::from_str_radix(&pair.iter().collect::<String>(), 16).unwrap();
+            (name.to_string(), digits.chunks(2).map(byte).collect())
+        })
+        .collect();
+    let execute = Execute {
+        id: 7,
+        workload: "trace-pass".into(),
+        function: "pick-1".into(),
+        limit_us: 1_500_000,
+        memory_mb: 300.0,
+        lanes: 1,
+        mark: Some("k1".into()),
+        body: b"hi".to_vec(),
+        ..Execute::default()
+    };
+    let report = LoadReport { held: Some(3.0), ..LoadReport::default() };
+    let done = Done {
+        id: 7,
+        ended: Ended::Finished,
+        copy: Some(sanddrum_wire::Copy::Stood),
+        crowd: None,
+        report: Some(report),
+        body: b"ok".to_vec(),
+    };
+    let hello = Hello { version: VERSION, name: "edge-0".into(), incarnation: 5, age_us: None };
+    let sent = [
+        ("hello", frame(&ToWorker::Hello(hello))),
+        ("execute", frame(&ToWorker::Execute(execute))),
+        ("cancel", frame(&ToWorker::Cancel(Cancel { id: 7 }))),
+        ("hold", frame(&ToWorker::Hold(Hold { id: 8, function: "pick-1".into(), copies: 1, memory_mb: 300.0, lanes: 1 }))),
+        ("probe", frame(&ToWorker::Probe(Probe { id: 9 }))),
+        ("done", frame(&FromWorker::Done(done))),
+        ("held", frame(&FromWorker::Held(Held { id: 8, ended: Ended::Full, copies: 0 }))),
+    ];
+    for (name, bytes) in &sent {
+        let hex: String = bytes.iter().map(|b| format!("{b:02x}")).collect();
+        let told = vectors.iter().find(|(n, _)| n == name).map(|(_, b)| b);
+        assert_eq!(told, Some(bytes), "{name}: {hex}");
+    }
+    assert_eq!(vectors.len(), sent.len());
+}
+
+#[rstest]
+#[case::no_head_end(&b"GET / HTTP/1.1\r\nx: y\r\n"[..], 10, Bad::HeadTooLarge)]
+#[case::two_lengths(b"POST / HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab", 99, Bad::Malformed)]
+#[case::signed_length(b"POST / HTTP/1.1\r\ncontent-length: +1\r\n\r\na", 99, Bad::Malformed)]
+#[case::chunked(b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n", 99, Bad::LengthRequired)]
+#[case::body(b"POST / HTTP/1.1\r\ncontent-length: 101\r\n\r\n", 99, Bad::BodyTooLarge)]
+#[case::endless_length(b"POST / HTTP/1.1\r\ncontent-length: 99999999999999999999999\r\n\r\n", 99, Bad::BodyTooLarge)]
+fn requests_that_cannot_be_served_say_why(#[case] bytes: &[u8], #[case] most: usize, #[case] why: Bad) {
+    assert_eq!(http::request(bytes, most, 100), Err(why));
+}
