--- /dev/null
+++ b/crates/sanddrum-cli/src/call.rs
@@ -0,0 +1,72 @@
+//! `sanddrum call`: one call through an edge, for people and scripts.
+
+use crate::{exit, fail};
+use clap::Args;
+use sanddrum_wire::http;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+#[derive(Args, Clone, Debug)]
+pub struct CallArgs {
+    /// The edge's client door
+    #[arg(long, default_value = "127.0.0.1:8080", value_name = "ADDRESS")]
+    pub edge: String,
+    pub workload: String,
+    pub function: String,
+    /// The job's input
+    #[arg(long, default_value = "")]
+    pub body: String,
+    #[arg(long)]
+    pub customer: Option<String>,
+    /// Given up after so many milliseconds
+    #[arg(long, value_name = "MS")]
+    pub time_limit: Option<u64>,
+    /// The mark by which a repeat of a fingerprinted job is known
+    #[arg(long)]
+    pub idempotency_key: Option<String>,
+}
+
+pub fn run(args: &CallArgs) -> ExitCode {
+    let began = Instant::now();
+    match ask(args) {
+        Ok(answer) => {
+            let end = answer.field("sanddrum-end").unwrap_or("answered");
+            let ms = began.elapsed().as_micros() as f64 / 1000.0;
+            eprintln!("{end} ({}) in {ms:.1} ms", answer.status);
+            let _ = std::io::stdout().write_all(&answer.body);
+            println!();
+            ExitCode::from(if answer.status == 200 { exit::GOOD } else { exit::BAD })
+        }
+        Err(problem) => fail(exit::TROUBLE, format!("{}: {problem}", args.edge)),
+    }
+}
+
+fn ask(args: &CallArgs) -> Result<http::Answer, String> {
+    let limit = args.time_limit.map(|ms| ms.to_string());
+    let mut fields = Vec::new();
+    let optional = [
+        ("sanddrum-customer", args.customer.as_deref()),
+        ("sanddrum-time-limit-ms", limit.as_deref()),
+        ("idempotency-key", args.idempotency_key.as_deref()),
+    ];
+    fields.extend(optional.iter().filter_map(|(name, value)| value.map(|v| (*name, v))));
+    let path = format!("/v1/calls/{}/{}", args.workload, args.function);
+    let request = http::write_request("POST", &path, &fields, args.body.as_bytes());
+    let mut socket = TcpStream::connect(&args.edge).map_err(|e| e.to_string())?;
+    let patience = Duration::from_millis(args.time_limit.unwrap_or(60_000) + 1000);
+    socket.set_read_timeout(Some(patience)).map_err(|e| e.to_string())?;
+    socket.write_all(&request).map_err(|e| e.to_string())?;
+    let mut bytes = Vec::new();
+    let mut piece = [0; 16 * 1024];
+    loop {
+        if let Some((answer, _)) = http::answer(&bytes).map_err(|_| "the answer is no HTTP")? {
+            return Ok(answer);
+        }
+        match socket.read(&mut piece).map_err(|e| e.to_string())? {
+            0 => return Err("the edge closed without an answer".into()),
+            n => bytes.extend_from_slice(&piece[..n]),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-cli/src/config.rs
@@ -0,0 +1,45 @@
+//! `sanddrum config`: settings checked and shown.
+
+use crate::{exit, fail};
+use sanddrum::Value;
+use std::path::Path;
+use std::process::ExitCode;
+
+pub fn check(file: &Path, scenario: bool) -> ExitCode {
+    match load(file, scenario) {
+        Ok(loaded) => {
+            let (workloads, functions) = (loaded.count("workloads"), loaded.count("functions"));
+            println!("{}: good; {workloads} workloads, {functions} functions", file.display());
+            ExitCode::from(exit::GOOD)
+        }
+        Err(problem) => fail(exit::USAGE, problem),
+    }
+}
+
+fn load(file: &Path, scenario: bool) -> Result<sanddrum_settings::Loaded, sanddrum_settings::Problem> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| sanddrum_settings::Problem::of_file(&name, &e))?;
+    if scenario {
+        return sanddrum_lab::Scenario::read(&name, &text, 1).map(|s| s.settings);
+    }
+    sanddrum_settings::read(&name, &text)
+}
+
+/// Every value in force, with where it came from and what it is for.
+pub fn show(file: &Path, scenario: bool) -> ExitCode {
+    let loaded = match load(file, scenario) {
+        Ok(loaded) => loaded,
+        Err(problem) => return fail(exit::USAGE, problem),
+    };
+    for (name, value) in &loaded.values.0 {
+        let value = match value {
+            Value::Number(n) => n.to_string(),
+            Value::Text(t) => format!("{t:?}"),
+            Value::Flag(f) => if *f { "yes" } else { "no" }.to_string(),
+        };
+        let origin = loaded.origins.get(name).map_or_else(|| "counted".to_string(), ToString::to_string);
+        println!("{name:36} {value:20} ; {origin}; {}", loaded.about(name));
+    }
+    println!("; what is not named here is as the decision module has it by itself (docs/settings.md)");
+    ExitCode::from(exit::GOOD)
+}
--- /dev/null
+++ b/crates/sanddrum-cli/src/edge.rs
@@ -0,0 +1,129 @@
+//! Running an edge on real sockets.
+
+use crate::{exit, fail};
+use clap::Args;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use sanddrum_edge::{state, Edge, Start};
+use sanddrum_net::{EventLoop, NoTap, Shutdown};
+use sanddrum_settings::{Loaded, Problem};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+#[derive(Args, Clone, Debug)]
+pub struct EdgeArgs {
+    /// The deployment's settings
+    #[arg(long, value_name = "FILE")]
+    pub settings: PathBuf,
+    /// The settings file is a scenario, which holds a deployment among other things
+    #[arg(long, hide = true)]
+    pub scenario: bool,
+    /// Where clients are listened for
+    #[arg(long, value_name = "ADDRESS")]
+    pub listen: Option<String>,
+    /// The list service
+    #[arg(long, value_name = "ADDRESS")]
+    pub list: Option<String>,
+    /// As workers and logs know this edge
+    #[arg(long)]
+    pub name: Option<String>,
+    /// The zone that it is in
+    #[arg(long)]
+    pub zone: Option<String>,
+    /// Its number among the edges, from 0 on
+    #[arg(long)]
+    pub number: Option<usize>,
+    /// How many edges there are
+    #[arg(long)]
+    pub edges: Option<usize>,
+    /// Where its last worker list is kept over a restart
+    #[arg(long, value_name = "FILE")]
+    pub state_file: Option<PathBuf>,
+    /// Any other setting, as limits.max-open=500; may be given several times
+    #[arg(long = "set", value_name = "NAME=VALUE")]
+    pub set: Vec<String>,
+    /// For runs that are to be repeated
+    #[arg(long)]
+    pub seed: Option<u64>,
+}
+
+/// Settings from the file and the command line, checked.
+///
+/// # Errors
+/// What is wrong, and where.
+pub fn settings(args: &EdgeArgs) -> Result<Loaded, Problem> {
+    let file = args.settings.display().to_string();
+    let text = std::fs::read_to_string(&args.settings).map_err(|e| Problem::of_file(&file, &e))?;
+    let more = if args.scenario { sanddrum_lab::SCENARIO } else { &[] };
+    let mut loaded = sanddrum_settings::read_with(&file, &text, more)?;
+    let given = [
+        ("edge.listen", args.listen.clone(), "--listen"),
+        ("edge.list", args.list.clone(), "--list"),
+        ("edge.name", args.name.clone(), "--name"),
+        ("edge.zone", args.zone.clone(), "--zone"),
+        ("edge.edges", args.edges.map(|n| n.to_string()), "--edges"),
+        ("edge.number", args.number.map(|n| n.to_string()), "--number"),
+        ("edge.state-file", args.state_file.as_ref().map(|f| f.display().to_string()), "--state-file"),
+    ];
+    for (name, value, by) in given {
+        if let Some(value) = value {
+            loaded.give(name, &value, by)?;
+        }
+    }
+    for set in &args.set {
+        let Some((name, value)) = set.split_once('=') else {
+            let remedy = "as --set limits.max-open=500".to_string();
+            return Err(Problem { file: "--set".into(), line: 0, column: 0, what: format!("{set:?} has no ="), remedy });
+        };
+        loaded.give(name, value, "--set")?;
+    }
+    sanddrum_settings::check(&loaded)?;
+    Ok(loaded)
+}
+
+/// What was kept, if it can be used; a torn or foreign file is set aside.
+fn kept(file: &Path) -> Option<Vec<u8>> {
+    let bytes = std::fs::read(file).ok()?;
+    match state::read(&bytes) {
+        Ok(_) => Some(bytes),
+        Err(why) => {
+            let aside = file.with_extension("set-aside");
+            let moved = std::fs::rename(file, &aside).is_ok();
+            tracing::warn!(file = %file.display(), aside = %aside.display(), moved, reason = "kept-list", why, "the kept worker list is set aside; the edge starts without it");
+            None
+        }
+    }
+}
+
+pub fn run(args: &EdgeArgs) -> ExitCode {
+    let settings = match settings(args) {
+        Ok(settings) => settings,
+        Err(problem) => return fail(exit::USAGE, problem),
+    };
+    match serve(args, settings) {
+        Ok(Shutdown::InOrder) => ExitCode::from(exit::GOOD),
+        Ok(Shutdown::AtOnce) => fail(exit::TROUBLE, "ended at once, as a second signal came"),
+        Err(e) => fail(exit::TROUBLE, e),
+    }
+}
+
+fn serve(args: &EdgeArgs, settings: Loaded) -> Result<Shutdown, String> {
+    let listen = settings.text("edge.listen").to_string();
+    let (door, at) = EventLoop::bind(&listen).map_err(|e| format!("{listen}: {e}; give another --listen"))?;
+    let recorder = PrometheusBuilder::new().install_recorder().map_err(|e| e.to_string())?;
+    let state_file = settings.has("edge.state-file").then(|| PathBuf::from(settings.text("edge.state-file")));
+    let begun = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+    let seed = args.seed.unwrap_or(begun ^ u64::from(std::process::id()));
+    tracing::info!(listen = at, list = settings.text("edge.list"), seed, "an edge begins");
+    let start = Start {
+        kept: state_file.as_deref().and_then(kept),
+        seed,
+        incarnation: begun,
+        metrics_page: Some(Box::new(move || recorder.render())),
+        settings,
+    };
+    let mut driver = EventLoop::new(Box::new(NoTap)).map_err(|e| e.to_string())?;
+    driver.catch_signals().map_err(|e| e.to_string())?;
+    driver.add(Box::new(Edge::new(start)), vec![door], state_file).map_err(|e| e.to_string())?;
+    driver.run().map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/crates/sanddrum-cli/src/lab.rs
@@ -0,0 +1,106 @@
+//! `sanddrum demo` and `sanddrum lab`: scenarios, on sockets with edges as processes, or in virtual time.
+
+use crate::{exit, fail};
+use clap::Args;
+use sanddrum_lab::{play, play_virtually, product_edge, EdgesAs, Outcome, Recording, Scenario, SocketStage, BAD_DAY};
+use std::path::{Path, PathBuf};
+use std::process::{Command, ExitCode, Stdio};
+
+#[derive(Args, Clone, Debug)]
+pub struct RunArgs {
+    /// The scenario; the bad day of the demo where none is given
+    pub file: Option<PathBuf>,
+    /// In virtual time, in this process: fast, and the same again for the same seed
+    #[arg(long = "virtual")]
+    pub in_virtual_time: bool,
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// The summary's last line is one JSON object
+    #[arg(long)]
+    pub json: bool,
+}
+
+pub fn run(args: &RunArgs) -> ExitCode {
+    let (name, text) = match &args.file {
+        None => ("bad-day.sx".to_string(), BAD_DAY.to_string()),
+        Some(file) => match std::fs::read_to_string(file) {
+            Ok(text) => (file.display().to_string(), text),
+            Err(e) => return fail(exit::USAGE, format!("{}: {e}", file.display())),
+        },
+    };
+    let scenario = match Scenario::read(&name, &text, args.seed) {
+        Ok(scenario) => scenario,
+        Err(problem) => return fail(exit::USAGE, problem),
+    };
+    let seconds = scenario.length / 1_000_000;
+    let how = if args.in_virtual_time { "in virtual time" } else { "on loopback sockets" };
+    let (workers, edges) = (scenario.workers, scenario.edges);
+    println!("{name}: {workers} workers, {edges} edges, {seconds} s of calls, seed {}, {how}", args.seed);
+    let played = if args.in_virtual_time {
+        play_virtually(scenario, product_edge()).map_err(|e| e.to_string())
+    } else {
+        on_sockets(scenario)
+    };
+    match played {
+        Ok(outcome) => tell(&outcome, args.json),
+        Err(problem) => fail(exit::TROUBLE, problem),
+    }
+}
+
+fn tell(outcome: &Outcome, json: bool) -> ExitCode {
+    print!("{}", outcome.text());
+    if json {
+        println!("{}", outcome.json());
+    }
+    ExitCode::from(if outcome.is_good() { exit::GOOD } else { exit::BAD })
+}
+
+/// A folder of this run's own that goes with it.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> std::io::Result<Self> {
+        let folder = std::env::temp_dir().join(format!("sanddrum-lab-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        Ok(Folder(folder))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Each edge is this program again, started as one.
+fn edge_process(program: &Path, settings: &Path, scenario: &Scenario, n: usize, listen: &str, list: &str) -> Command {
+    let mut command = Command::new(program);
+    command.args(["edge", "--scenario", "--settings"]).arg(settings);
+    command.args(["--listen", listen, "--list", list, "--name", &Scenario::edge_name(n)]);
+    command.args(["--zone", &scenario.zones[scenario.zone_of(n)]]);
+    command.args(["--number", &n.to_string(), "--edges", &scenario.edges.to_string()]);
+    command.stdin(Stdio::null());
+    command
+}
+
+fn on_sockets(scenario: Scenario) -> Result<Outcome, String> {
+    let folder = Folder::new().map_err(|e| e.to_string())?;
+    let settings = folder.0.join("scenario.sx");
+    std::fs::write(&settings, &scenario.text).map_err(|e| e.to_string())?;
+    let program = std::env::current_exe().map_err(|e| e.to_string())?;
+    let edges = EdgesAs::Processes(Box::new(move |n, fleet, state, seed| {
+        let (listen, list) = (&fleet.addresses.edges[n], &fleet.addresses.list);
+        let mut command = edge_process(&program, &settings, &fleet.scenario, n, listen, list);
+        command.arg("--state-file").arg(state).args(["--seed", &seed.to_string()]);
+        command
+    }));
+    let recording = Recording::default();
+    let stage = SocketStage::new(scenario, &recording, edges, folder.0.clone());
+    let mut stage = stage.map_err(|e| e.to_string())?;
+    stage.catch_signals().map_err(|e| e.to_string())?;
+    let outcome = play(&mut stage, &recording).map_err(|e| e.to_string())?;
+    if stage.signalled() {
+        return Err("ended by a signal before the scenario was over".into());
+    }
+    Ok(outcome)
+}
--- /dev/null
+++ b/crates/sanddrum-cli/src/main.rs
@@ -0,0 +1,94 @@
+//! The operators' command line.
+
+use clap::{Args, Parser, Subcommand};
+use sanddrum_cli::{call, config, edge, exit, fail, lab, logs};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A gateway that runs calls on workers which load functions on demand
+#[derive(Parser)]
+#[command(name = "sanddrum", version, after_help = "Examples:
+  sanddrum demo                                   the bad day, on loopback sockets
+  sanddrum lab run day.sx --virtual --seed 7      a scenario in virtual time
+  sanddrum config check armor.sx                  what is wrong with a settings file, and where
+  sanddrum call trace-pass pick-1 --body hello    one call through an edge
+
+Exit codes: 0 all well; 1 it ran and found something not well; 2 wrong arguments or settings; 3 it could not go on.")]
+struct Cli {
+    #[command(subcommand)]
+    command: What,
+    #[command(flatten)]
+    logs: logs::Logs,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Start everything on loopback, play the scripted bad day and judge it from the traffic
+    Demo(DemoArgs),
+    /// Scenarios
+    #[command(subcommand)]
+    Lab(Lab),
+    /// Settings files
+    #[command(subcommand)]
+    Config(Config),
+    /// Make one call through an edge
+    #[command(after_help = "Example:\n  sanddrum call trace-pass trace-1 --edge 127.0.0.1:8080 --time-limit 2000 --body hello")]
+    Call(call::CallArgs),
+    /// Run an edge, as sanddrum-edge does
+    #[command(hide = true)]
+    Edge(edge::EdgeArgs),
+}
+
+#[derive(Args)]
+struct DemoArgs {
+    /// The summary's last line is one JSON object
+    #[arg(long)]
+    json: bool,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+#[derive(Subcommand)]
+enum Lab {
+    /// Play a scenario and judge it
+    #[command(after_help = "Examples:
+  sanddrum lab run                                the bad day on sockets
+  sanddrum lab run --virtual --seed 7 --json      in virtual time: equal seeds give equal timelines")]
+    Run(lab::RunArgs),
+}
+
+#[derive(Subcommand)]
+enum Config {
+    /// Say what is wrong with a settings file, with line and column
+    Check {
+        file: PathBuf,
+        /// It is a scenario
+        #[arg(long)]
+        scenario: bool,
+    },
+    /// Every value in force, with where it came from
+    Show {
+        file: PathBuf,
+        /// It is a scenario
+        #[arg(long)]
+        scenario: bool,
+    },
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    if let Err(problem) = logs::begin(&cli.logs) {
+        return fail(exit::USAGE, problem);
+    }
+    match &cli.command {
+        What::Demo(args) => {
+            let args = lab::RunArgs { file: None, in_virtual_time: false, seed: args.seed, json: args.json };
+            lab::run(&args)
+        }
+        What::Lab(Lab::Run(args)) => lab::run(args),
+        What::Config(Config::Check { file, scenario }) => config::check(file, *scenario),
+        What::Config(Config::Show { file, scenario }) => config::show(file, *scenario),
+        What::Call(args) => call::run(args),
+        What::Edge(args) => edge::run(args),
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/callers.rs
@@ -0,0 +1,283 @@
+//! Clients: an open loop of calls from a seed, each over a connection of its own while it lasts, given up at its
+//! time limit, tried again where that is harmless.
+
+use crate::scenario::Scenario;
+use sanddrum_net::{Chance, Closed, Conn, Core, Event, Io, Micros, Outbox};
+use sanddrum_wire::http;
+use sanddrum_worker::Shared;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// What a scenario changes about the traffic while it runs.
+#[derive(Clone, Debug)]
+pub struct Mood {
+    /// Times the usual rate.
+    pub rate: f64,
+    /// This part of the calls goes to functions that were not called before, so many of each workload.
+    pub hot: f64,
+}
+
+impl Default for Mood {
+    fn default() -> Self {
+        Mood { rate: 1.0, hot: 0.0 }
+    }
+}
+
+/// Functions that a hot spell calls.
+const HOT: usize = 3;
+
+struct Call {
+    of: usize,
+    function: String,
+    customer: Option<String>,
+    work: Micros,
+    began: Micros,
+    tries: usize,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Next,
+    Again(u64),
+    GiveUp(u64),
+}
+
+struct Line {
+    edge: usize,
+    call: Option<u64>,
+    out: Outbox<()>,
+    bytes: Vec<u8>,
+    up: bool,
+}
+
+pub struct Callers {
+    scenario: Scenario,
+    edges: Vec<String>,
+    mood: Shared<Mood>,
+    chance: Chance,
+    ends: Micros,
+    popularity: Vec<f64>,
+    calls: BTreeMap<u64, (Call, Option<Conn>)>,
+    next: u64,
+    lines: BTreeMap<Conn, Line>,
+    idle: Vec<VecDeque<Conn>>,
+    due: BTreeSet<(Micros, Due)>,
+}
+
+/// Idle connections kept for one edge.
+const IDLE: usize = 256;
+
+impl Callers {
+    pub fn new(scenario: &Scenario, edges: Vec<String>, mood: Shared<Mood>, seed: u64) -> Self {
+        let l = &scenario.settings;
+        let zipf = l.number("traffic.zipf");
+        let mut sum = 0.0;
+        let popularity = (1..=l.size("traffic.functions")).map(|rank| {
+            sum += (rank as f64).powf(-zipf);
+            sum
+        });
+        Callers {
+            popularity: popularity.collect(),
+            idle: vec![VecDeque::new(); edges.len()],
+            edges,
+            mood,
+            chance: Chance::new(seed),
+            ends: 0,
+            calls: BTreeMap::new(),
+            next: 0,
+            lines: BTreeMap::new(),
+            due: BTreeSet::new(),
+            scenario: scenario.clone(),
+        }
+    }
+    fn pick(chance: &mut Chance, sums: &[f64]) -> usize {
+        let at = chance.part() * sums.last().copied().unwrap_or(1.0);
+        sums.partition_point(|sum| *sum <= at).min(sums.len().saturating_sub(1))
+    }
+    fn begin(&mut self, now: Micros, io: &mut dyn Io) {
+        let mood = self.mood.borrow().clone();
+        let rate = self.scenario.settings.number("traffic.rate") * mood.rate;
+        if now >= self.ends || rate <= 0.0 {
+            return;
+        }
+        let gap = self.chance.gap(1e6 / rate) as Micros;
+        self.due.insert((now + gap.max(1), Due::Next));
+        let mut sum = 0.0;
+        let shares: Vec<f64> = self.scenario.calls.iter().map(|c| {
+            sum += c.share;
+            sum
+        }).collect();
+        let of = Self::pick(&mut self.chance, &shares);
+        let what = &self.scenario.calls[of];
+        let function = if self.chance.is_below(mood.hot) {
+            format!("{}hot-{}", what.prefix, self.chance.below(HOT))
+        } else {
+            format!("{}{}", what.prefix, Self::pick(&mut self.chance, &self.popularity))
+        };
+        let work = self.chance.gap(what.work as f64).min(what.work as f64 * 6.0).max(100.0) as Micros;
+        let l = &self.scenario.settings;
+        let shares: Vec<f64> = (0..l.count("customers")).scan(0.0, |sum, n| {
+            *sum += l.number(&format!("customers.{n}.share"));
+            Some(*sum)
+        }).collect();
+        let customer = (!shares.is_empty()).then(|| Self::pick(&mut self.chance, &shares));
+        let customer = customer.map(|n| l.text(&format!("customers.{n}.name")).to_string());
+        let id = self.next;
+        self.next += 1;
+        self.calls.insert(id, (Call { of, function, customer, work, began: now, tries: 0 }, None));
+        self.due.insert((now + self.scenario.calls[of].time_limit, Due::GiveUp(id)));
+        self.attempt(now, id, io);
+    }
+
+    fn attempt(&mut self, now: Micros, id: u64, io: &mut dyn Io) {
+        let edge = self.chance.below(self.edges.len());
+        let Some((call, at)) = self.calls.get_mut(&id) else { return };
+        let what = &self.scenario.calls[call.of];
+        let left = call.began + what.time_limit - now;
+        // The call, its try, and how long ago it began: what a reader of the traffic needs to know.
+        let trace = format!("c{id}.{}.{}", call.tries, now - call.began);
+        let (limit, mark) = ((left / 1000).to_string(), format!("m{id}"));
+        let mut fields = vec![("sanddrum-trace", trace.as_str()), ("sanddrum-time-limit-ms", limit.as_str())];
+        if what.effect == "fingerprinted" {
+            fields.push(("idempotency-key", &mark));
+        }
+        if let Some(customer) = &call.customer {
+            fields.push(("sanddrum-customer", customer));
+        }
+        // A hint is right within a factor of two or so.
+        let hint = (call.work as f64 * (0.5 + self.chance.part() * 1.5)) as Micros;
+        let hint = hint.to_string();
+        if what.hints {
+            fields.push(("sanddrum-work-us", &hint));
+        }
+        if call.tries > 0 {
+            fields.push(("sanddrum-repeat", "1"));
+        }
+        let path = format!("/v1/calls/{}/{}", what.workload, call.function);
+        let bytes = http::write_request("POST", &path, &fields, format!("work-us={}", call.work).as_bytes());
+        call.tries += 1;
+        let conn = match self.idle[edge].pop_back() {
+            Some(conn) => conn,
+            None => {
+                let conn = io.connect(&self.edges[edge]);
+                let line = Line { edge, call: None, out: Outbox::new(1 << 20), bytes: Vec::new(), up: false };
+                self.lines.insert(conn, line);
+                conn
+            }
+        };
+        *at = Some(conn);
+        if let Some(line) = self.lines.get_mut(&conn) {
+            line.call = Some(id);
+            let _ = line.out.push((), &bytes);
+            if line.up {
+                line.out.flush(conn, io);
+            }
+        }
+    }
+
+    fn answered(&mut self, now: Micros, conn: Conn, answer: &http::Answer) {
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        let Some(id) = line.call.take() else { return };
+        if self.idle[line.edge].len() < IDLE {
+            self.idle[line.edge].push_back(conn);
+        }
+        let wait = answer.field("sanddrum-retry-after-ms").and_then(|ms| ms.parse::<Micros>().ok());
+        if answer.status == 503 {
+            let heeds = self.chance.is_below(self.scenario.settings.number("traffic.heeds"));
+            let usual = self.scenario.settings.span("traffic.retry-wait-us");
+            let wait = wait.filter(|_| heeds).map_or(usual, |ms| (ms * 1000).max(usual));
+            return self.again(now, id, wait);
+        }
+        self.over(id);
+    }
+    /// Tries again after a while, if there is a try and time left.
+    fn again(&mut self, now: Micros, id: u64, wait: Micros) {
+        let retries = self.scenario.settings.size("traffic.retries");
+        let Some((call, at)) = self.calls.get_mut(&id) else { return };
+        *at = None;
+        if call.tries > retries || now + wait >= call.began + self.scenario.calls[call.of].time_limit {
+            return self.over(id);
+        }
+        self.due.insert((now + wait, Due::Again(id)));
+    }
+    fn over(&mut self, id: u64) {
+        if let Some((call, _)) = self.calls.remove(&id) {
+            self.due.remove(&(call.began + self.scenario.calls[call.of].time_limit, Due::GiveUp(id)));
+        }
+    }
+    fn lost(&mut self, now: Micros, conn: Conn, how: Closed) {
+        let Some(line) = self.lines.remove(&conn) else { return };
+        self.idle[line.edge].retain(|idle| *idle != conn);
+        let Some(id) = line.call else { return };
+        let Some((call, _)) = self.calls.get(&id) else { return };
+        // Unreachable, or nothing of it was read: harmless for any workload. Else only where a repeat is.
+        let unsent = how == Closed::Refused || !line.up || line.out.holds(&());
+        let restartable = self.scenario.calls[call.of].effect == "restartable";
+        if unsent || restartable {
+            let wait = self.scenario.settings.span("traffic.retry-wait-us");
+            return self.again(now, id, wait);
+        }
+        self.over(id);
+    }
+    fn give_up(&mut self, id: u64, io: &mut dyn Io) {
+        if let Some((_, Some(conn))) = self.calls.remove(&id) {
+            self.lines.remove(&conn);
+            io.close(conn);
+        }
+    }
+}
+
+impl Core for Callers {
+    fn start(&mut self, now: Micros, _: &mut dyn Io) {
+        self.ends = now + self.scenario.length;
+        self.due.insert((now, Due::Next));
+    }
+    fn event(&mut self, now: Micros, event: Event<'_>, io: &mut dyn Io) {
+        match event {
+            Event::Connected { conn } => {
+                if let Some(line) = self.lines.get_mut(&conn) {
+                    line.up = true;
+                    line.out.flush(conn, io);
+                }
+            }
+            Event::Writable { conn } => {
+                if let Some(line) = self.lines.get_mut(&conn) {
+                    line.out.unblock();
+                    line.out.flush(conn, io);
+                }
+            }
+            Event::Bytes { conn, bytes } => {
+                let Some(line) = self.lines.get_mut(&conn) else { return };
+                line.bytes.extend_from_slice(bytes);
+                match http::answer(&line.bytes) {
+                    Ok(Some((answer, took))) => {
+                        line.bytes.drain(..took);
+                        self.answered(now, conn, &answer);
+                    }
+                    Ok(None) => {}
+                    Err(_) => {
+                        io.reset(conn);
+                        self.lost(now, conn, Closed::Reset);
+                    }
+                }
+            }
+            Event::Closed { conn, how } => self.lost(now, conn, how),
+            Event::Accepted { .. } => {}
+        }
+    }
+    fn turn(&mut self, now: Micros, io: &mut dyn Io) {
+        while let Some((at, due)) = self.due.first().copied().filter(|(at, _)| *at <= now) {
+            self.due.remove(&(at, due));
+            match due {
+                Due::Next => self.begin(now, io),
+                Due::Again(id) => self.attempt(now, id, io),
+                Due::GiveUp(id) => self.give_up(id, io),
+            }
+        }
+    }
+    fn wake(&self) -> Option<Micros> {
+        self.due.first().map(|(at, _)| *at)
+    }
+    fn done(&self) -> bool {
+        self.calls.is_empty() && self.due.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/checker.rs
@@ -0,0 +1,322 @@
+//! Judges the five rules, and that nothing was lost, from recorded traffic alone.
+
+use crate::recorder::{Log, Run, Try};
+use crate::scenario::{Calls, Scenario};
+use hdrhistogram::Histogram;
+use sanddrum_net::Micros;
+use sanddrum_wire::{Ended, Phase};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// A rule that was broken, once, and how.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// 1 to 5 as the users number them; nought for an account that does not add up.
+    pub rule: u8,
+    pub at: Micros,
+    pub what: String,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "rule {} at {:.3} s: {}", self.rule, self.at as f64 / 1e6, self.what)
+    }
+}
+
+pub struct Verdict {
+    pub taken: u64,
+    pub finished: u64,
+    pub pushed_back: u64,
+    pub killed: u64,
+    /// What an edge held when it was killed; its clients may try again.
+    pub lost_with_edge: u64,
+    /// Calls of which nothing reached any edge.
+    pub unreached: u64,
+    pub broken: Vec<Broken>,
+    /// Importance answered within the start target over importance asked.
+    pub service: f64,
+    pub latency: Histogram<u64>,
+    /// For each second: calls begun, and those of them in time.
+    pub seconds: Vec<(u32, u32)>,
+}
+
+/// Broken rules told of one kind; the rest is only counted.
+const TOLD: usize = 100;
+
+struct Judge<'a> {
+    log: &'a Log,
+    scenario: &'a Scenario,
+    workloads: BTreeMap<&'a str, &'a Calls>,
+    /// What a message takes on its way at most, for comparing times at two ends.
+    slack: Micros,
+    broken: Vec<Broken>,
+}
+
+/// Judges a log that began at `start`; `slack` is what a message takes on its way at most.
+pub fn judge(log: &Log, scenario: &Scenario, start: Micros, slack: Micros) -> Verdict {
+    let workloads = scenario.calls.iter().map(|c| (c.workload.as_str(), c)).collect();
+    let mut judge = Judge { log, scenario, workloads, slack, broken: Vec::new() };
+    let mut verdict = judge.answers(start);
+    judge.sent_after_the_answer();
+    judge.effects();
+    judge.drains();
+    judge.cold();
+    judge.ration();
+    judge.broken.sort_by_key(|b| (b.at, b.rule));
+    judge.broken.iter_mut().for_each(|b| b.at -= start);
+    judge.broken.truncate(TOLD);
+    verdict.broken = judge.broken;
+    verdict
+}
+
+impl Judge<'_> {
+    fn breaks(&mut self, rule: u8, at: Micros, what: String) {
+        self.broken.push(Broken { rule, at, what });
+    }
+    /// Whether the edge was down at some time between.
+    fn down(&self, edge: &str, from: Micros, to: Micros) -> bool {
+        let mut spells = self.log.down.iter().filter(|(name, ..)| name == edge);
+        spells.any(|(_, down, up)| *down <= to + self.slack && up.is_none_or(|up| up >= from - self.slack))
+    }
+
+    /// Rule 1, and the account.
+    fn answers(&mut self, start: Micros) -> Verdict {
+        let latency = Histogram::new_with_max(60_000_000, 3);
+        let mut latency = latency.unwrap_or_else(|_| unreachable!("a minute in three digits is within bounds"));
+        latency.auto(true);
+        let mut verdict = Verdict {
+            taken: 0,
+            finished: 0,
+            pushed_back: 0,
+            killed: 0,
+            lost_with_edge: 0,
+            unreached: 0,
+            broken: Vec::new(),
+            service: 0.0,
+            latency,
+            seconds: Vec::new(),
+        };
+        let mut refused = 0;
+        for t in &self.log.tries {
+            verdict.taken += 1;
+            let name = format!("call {} try {} at {}", t.call, t.number, t.edge);
+            if t.answers.len() > 1 {
+                self.breaks(1, t.answers[1].0, format!("{name} got {} answers", t.answers.len()));
+            }
+            match t.answers.first() {
+                Some((at, status)) => {
+                    match status {
+                        200 => verdict.finished += 1,
+                        503 => verdict.pushed_back += 1,
+                        502 | 504 => verdict.killed += 1,
+                        _ => refused += 1,
+                    }
+                    if *at > t.sent + t.limit + self.slack {
+                        let late = at - t.sent - t.limit;
+                        self.breaks(1, *at, format!("{name} was answered {late} us after its client's time"));
+                    }
+                }
+                None if self.down(&t.edge, t.sent, t.broken.unwrap_or(t.sent + t.limit)) => verdict.lost_with_edge += 1,
+                None => {
+                    let at = t.broken.unwrap_or(t.sent + t.limit);
+                    self.breaks(1, at, format!("{name} got no answer in the {} us its client waited", at - t.sent));
+                }
+            }
+        }
+        verdict.taken -= refused;
+        self.service(start, &mut verdict);
+        verdict
+    }
+
+    /// A call is served if one of its tries finished within the start target of its beginning.
+    fn service(&self, start: Micros, verdict: &mut Verdict) {
+        let mut calls: BTreeMap<u64, Vec<&Try>> = BTreeMap::new();
+        self.log.tries.iter().for_each(|t| calls.entry(t.call).or_default().push(t));
+        let (mut asked, mut earned) = (0.0, 0.0);
+        for tries in calls.values() {
+            let Some(first) = tries.first() else { continue };
+            let Some(calls) = self.workloads.get(first.workload.as_str()) else { continue };
+            asked += calls.importance;
+            let finished = tries.iter().flat_map(|t| &t.answers).find(|(_, status)| *status == 200);
+            let latency = finished.map(|(at, _)| at - first.began);
+            let in_time = latency.is_some_and(|l| l <= calls.start_target);
+            if in_time {
+                earned += calls.importance;
+            }
+            if let Some(l) = latency {
+                // An auto-resizing histogram takes any span.
+                let _ = verdict.latency.record(l.max(0) as u64);
+            }
+            let second = ((first.began - start) / 1_000_000).max(0) as usize;
+            if verdict.seconds.len() <= second {
+                verdict.seconds.resize(second + 1, (0, 0));
+            }
+            verdict.seconds[second].0 += 1;
+            verdict.seconds[second].1 += u32::from(in_time);
+        }
+        // Calls are numbered through, so what is missing was asked and never got to an edge.
+        let numbered = calls.last_key_value().map_or(0, |(last, _)| last + 1);
+        verdict.unreached = numbered - calls.len() as u64;
+        asked *= numbered as f64 / calls.len().max(1) as f64;
+        verdict.service = if asked > 0.0 { earned / asked } else { 1.0 };
+    }
+
+    /// Rule 1: nothing more is sent for a job that has its final answer.
+    fn sent_after_the_answer(&mut self) {
+        let answered: BTreeMap<(u64, u32), Micros> = self
+            .log
+            .tries
+            .iter()
+            .filter_map(|t| t.answers.first().map(|(at, _)| ((t.call, t.number), *at)))
+            .collect();
+        for run in &self.log.runs {
+            let Some(at) = answered.get(&(run.call, run.number)) else { continue };
+            if run.came > at + self.slack {
+                let what = format!("call {} try {} went to a worker after its answer", run.call, run.number);
+                self.breaks(1, run.came, what);
+            }
+        }
+    }
+
+    /// Rule 2. An execution that reached a worker may have run unless the worker had answered that it did not.
+    fn effects(&mut self) {
+        let not_run = |run: &Run, by: Micros| {
+            let no = |e: &Ended| matches!(e, Ended::Full | Ended::Miss | Ended::Dropped);
+            run.answers.first().is_some_and(|(at, ended)| *at <= by && no(ended))
+        };
+        let mut runs: BTreeMap<(u64, u32), Vec<&Run>> = BTreeMap::new();
+        self.log.runs.iter().for_each(|run| runs.entry((run.call, run.number)).or_default().push(run));
+        let pushed_back: BTreeMap<(u64, u32), Micros> = self
+            .log
+            .tries
+            .iter()
+            .filter_map(|t| t.answers.first().filter(|(_, s)| *s == 503).map(|(at, _)| ((t.call, t.number), *at)))
+            .collect();
+        let mut broken = Vec::new();
+        for (id, runs) in &runs {
+            let Some(calls) = runs.first().and_then(|run| self.workloads.get(run.workload.as_str())) else { continue };
+            let mut runs = runs.clone();
+            runs.sort_by_key(|run| run.came);
+            let name = format!("call {} try {} ({})", id.0, id.1, calls.effect);
+            for (n, later) in runs.iter().enumerate() {
+                let Some(earlier) = runs[..n].iter().find(|run| !not_run(run, later.came)) else { continue };
+                let allowed = match calls.effect.as_str() {
+                    "restartable" => true,
+                    "fingerprinted" => {
+                        let in_group = self.group(calls, earlier.worker) == self.group(calls, later.worker);
+                        in_group && later.came < earlier.came + calls.repeat_window + self.slack
+                    }
+                    _ => false,
+                };
+                if !allowed {
+                    let (from, to) = (earlier.worker, later.worker);
+                    broken.push((later.came, format!("{name} went to worker {to} when it may have run at {from}")));
+                }
+            }
+            let harmless = calls.effect == "restartable" || (calls.effect == "fingerprinted" && calls.group == "all");
+            if let Some(at) = pushed_back.get(id).filter(|_| !harmless) {
+                if runs.iter().any(|run| !not_run(run, *at)) {
+                    broken.push((*at, format!("{name} was pushed back when it may have run")));
+                }
+            }
+        }
+        broken.into_iter().for_each(|(at, what)| self.breaks(2, at, what));
+    }
+    fn group(&self, calls: &Calls, worker: usize) -> usize {
+        match calls.group.as_str() {
+            "zone" => self.scenario.zone_of(worker),
+            "cell" => worker / self.scenario.settings.size("fleet.cell-size").max(1),
+            _ => 0,
+        }
+    }
+
+    /// Rule 3: nothing new to a worker that the edge was told drains or is gone, but for a grace.
+    fn drains(&mut self) {
+        let grace = self.scenario.grace() + self.slack;
+        let mut told: BTreeMap<(&str, &str), Vec<(Micros, bool)>> = BTreeMap::new();
+        for t in &self.log.told {
+            told.entry((&t.edge, &t.worker)).or_default().push((t.at, t.phase == Phase::Ready));
+        }
+        let sent = self.log.runs.iter().map(|r| (r.came, r.worker, &r.edge, "a job"));
+        let ordered = self.log.orders.iter().map(|o| (o.came, o.worker, &o.edge, "an order to load"));
+        let mut broken = Vec::new();
+        for (came, worker, edge, what) in sent.chain(ordered) {
+            let name = Scenario::worker_name(worker);
+            let Some(words) = told.get(&(edge.as_str(), name.as_str())) else { continue };
+            // The last word that it was fit, and the first after it that it was not.
+            let before = words.iter().take_while(|(at, _)| *at <= came);
+            let fit = before.clone().filter(|(_, ready)| *ready).map(|(at, _)| *at).last().unwrap_or(Micros::MIN);
+            let unfit = before.filter(|(at, ready)| !*ready && *at > fit).map(|(at, _)| *at).next();
+            if let Some(at) = unfit.filter(|at| came > at + grace) {
+                let late = came - at;
+                broken.push((came, format!("{edge} sent {what} to {name} {late} us after word that it drains or is gone")));
+            }
+        }
+        broken.into_iter().for_each(|(at, what)| self.breaks(3, at, what));
+    }
+
+    /// Rule 4: what reached a cold worker from all edges, against what it bears.
+    fn cold(&mut self) {
+        let l = &self.scenario.settings;
+        let (cold, from) = (l.span("rules.cold-us"), l.number("rules.cold-from"));
+        let (multiple, fall) = (l.number("rules.fall-multiple"), l.span("rules.fall-us"));
+        let mut broken = Vec::new();
+        for (worker, started) in &self.log.starts {
+            let spec = self.scenario.worker(*worker, "", "", "");
+            let capacity = spec.cores as f64 * spec.speed;
+            let mut came: Vec<(Micros, f64)> = self
+                .log
+                .runs
+                .iter()
+                .filter(|r| r.worker == *worker && (*started..started + cold).contains(&r.came))
+                .filter_map(|r| self.workloads.get(r.workload.as_str()).map(|c| (r.came, c.work as f64)))
+                .collect();
+            came.sort_by_key(|(at, _)| *at);
+            let mut first = 0;
+            let mut sum = 0.0;
+            for (at, work) in &came {
+                sum += work;
+                while came[first].0 <= at - fall {
+                    sum -= came[first].1;
+                    first += 1;
+                }
+                let part = from + (1.0 - from) * (at - started) as f64 / cold.max(1) as f64;
+                let bears = multiple * part * capacity * fall as f64;
+                if sum > bears {
+                    broken.push((*at, format!("worker {worker} got {sum:.0} us of work while cold; it bears {bears:.0}")));
+                    break;
+                }
+            }
+        }
+        broken.into_iter().for_each(|(at, what)| self.breaks(4, at, what));
+    }
+
+    /// Rule 5: orders to load against jobs taken, by edge.
+    fn ration(&mut self) {
+        let l = &self.scenario.settings;
+        let window = l.span("copies.load-window-us");
+        if window == 0 {
+            return;
+        }
+        let (free, share) = (l.number("copies.load-free"), l.number("copies.load-share"));
+        let edges: BTreeSet<&str> = self.log.orders.iter().map(|o| o.edge.as_str()).collect();
+        let mut broken = Vec::new();
+        for edge in edges {
+            let mut orders: Vec<Micros> = self.log.orders.iter().filter(|o| o.edge == edge).map(|o| o.came).collect();
+            let mut taken: Vec<Micros> = self.log.tries.iter().filter(|t| t.edge == edge).map(|t| t.sent).collect();
+            orders.sort_unstable();
+            taken.sort_unstable();
+            for (n, at) in orders.iter().enumerate() {
+                // Both are seen at the far ends, so each window is drawn in the edge's favour by the way there.
+                let since = at - window + self.slack;
+                let ordered = n + 1 - orders.partition_point(|o| *o <= since);
+                let jobs = taken.partition_point(|t| t <= at) - taken.partition_point(|t| *t <= at - window - self.slack);
+                let allowed = free + share * jobs as f64;
+                if ordered as f64 > allowed {
+                    broken.push((*at, format!("{edge} gave {ordered} orders to load in a window that allows {allowed:.1}")));
+                }
+            }
+        }
+        broken.into_iter().for_each(|(at, what)| self.breaks(5, at, what));
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/fleet.rs
@@ -0,0 +1,140 @@
+//! The cores of a scenario, made as they are needed, with the handles through which it scripts their faults.
+
+use crate::callers::{Callers, Mood};
+use crate::scenario::Scenario;
+use sanddrum_net::{Core, Micros};
+use sanddrum_settings::{Loaded, Problem};
+use sanddrum_wire::{Phase, Row};
+use sanddrum_worker::{
+    ListFaults, ListService, ListSpec, Marks, Shared, Store, StoreFaults, StoreSpec, Worker, WorkerFaults,
+};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// A part of the scene that can be struck.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Who {
+    Worker(usize),
+    Edge(usize),
+    List,
+    Store,
+    Callers,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Addresses {
+    pub workers: Vec<String>,
+    pub edges: Vec<String>,
+    pub list: String,
+    pub store: String,
+}
+
+pub struct Fleet {
+    pub scenario: Scenario,
+    pub addresses: Addresses,
+    pub workers: Vec<Shared<WorkerFaults>>,
+    pub store: Shared<StoreFaults>,
+    pub list: Shared<ListFaults>,
+    pub mood: Shared<Mood>,
+    marks: Vec<Shared<Marks>>,
+    incarnations: Vec<u64>,
+    edge_starts: Vec<u64>,
+    list_runs: u64,
+}
+
+fn shared<T>(what: T) -> Shared<T> {
+    Rc::new(RefCell::new(what))
+}
+
+impl Fleet {
+    pub fn new(scenario: Scenario, addresses: Addresses) -> Self {
+        let window = scenario.calls.iter().map(|c| c.repeat_window).max().unwrap_or(0);
+        Fleet {
+            workers: (0..scenario.workers).map(|_| shared(WorkerFaults::default())).collect(),
+            store: shared(StoreFaults::default()),
+            list: shared(ListFaults::default()),
+            mood: shared(Mood::default()),
+            marks: (0..scenario.workers.max(1)).map(|_| shared(Marks::new(window))).collect(),
+            incarnations: vec![1; scenario.workers],
+            edge_starts: vec![0; scenario.edges],
+            list_runs: 0,
+            scenario,
+            addresses,
+        }
+    }
+    /// Workers of one group know each other's marks.
+    fn marks_of(&self, n: usize) -> Shared<Marks> {
+        let groups: Vec<&str> = self.scenario.calls.iter().map(|c| c.group.as_str()).collect();
+        let group = if groups.contains(&"cell") {
+            n / self.scenario.settings.size("fleet.cell-size").max(1)
+        } else if groups.contains(&"zone") {
+            self.scenario.zone_of(n)
+        } else {
+            0
+        };
+        self.marks[group].clone()
+    }
+    /// A worker that has run for long, or one that starts now, empty and cold.
+    pub fn worker(&mut self, n: usize, now: Micros, cold: bool) -> Box<dyn Core> {
+        if cold {
+            self.incarnations[n] += 1;
+            let mut faults = self.workers[n].borrow_mut();
+            *faults = WorkerFaults::default();
+        }
+        let a = &self.addresses;
+        let spec = self.scenario.worker(n, &a.workers[n], &a.list, &a.store);
+        let started = if cold { now } else { 0 };
+        let seed = self.scenario.seed.wrapping_mul(31).wrapping_add(n as u64);
+        Box::new(Worker::new(spec, seed, started, self.incarnations[n], self.workers[n].clone(), self.marks_of(n)))
+    }
+    pub fn store(&self) -> Box<dyn Core> {
+        let l = &self.scenario.settings;
+        let spec = StoreSpec {
+            at_once: l.size("store.at-once"),
+            most: l.size("store.most"),
+            us_per_mb: l.number("store.per-mb-us"),
+        };
+        Box::new(Store::new(spec, self.store.clone()))
+    }
+    pub fn list(&mut self, now: Micros) -> Box<dyn Core> {
+        let l = &self.scenario.settings;
+        let spec = ListSpec {
+            notice: (l.span("list-service.notice-least-us"), l.span("list-service.notice-most-us")),
+            silent_after: l.span("list-service.silent-after-us"),
+            changes_kept: l.size("list-service.changes-kept"),
+        };
+        self.list_runs += 1;
+        let row = |n: usize| {
+            let spec = self.scenario.worker(n, &self.addresses.workers[n], "", "");
+            Row {
+                size: spec.cores as f64 * spec.speed,
+                phase: Phase::Ready,
+                incarnation: 1,
+                age_us: -1,
+                name: spec.name,
+                address: spec.address,
+                zone: spec.zone,
+                cell: spec.cell,
+                kind: spec.kind,
+            }
+        };
+        let rows: Vec<Row> = (0..self.scenario.workers).map(row).collect();
+        let (seed, run) = (self.scenario.seed ^ 0x115, self.list_runs);
+        Box::new(ListService::new(spec, seed, run, self.list.clone()).with_rows(now, &rows))
+    }
+    pub fn callers(&self) -> Box<dyn Core> {
+        let seed = self.scenario.seed ^ 0xca11;
+        Box::new(Callers::new(&self.scenario, self.addresses.edges.clone(), self.mood.clone(), seed))
+    }
+    /// An edge's settings and seed for its next start.
+    ///
+    /// # Errors
+    /// An address is none.
+    pub fn edge(&mut self, n: usize) -> Result<(Loaded, u64, u64), Problem> {
+        self.edge_starts[n] += 1;
+        let settings = self.scenario.edge(n, &self.addresses.edges[n], &self.addresses.list)?;
+        let start = self.edge_starts[n];
+        let seed = self.scenario.seed.wrapping_mul(1009).wrapping_add(n as u64 * 101 + start);
+        Ok((settings, seed, start))
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/lib.rs
@@ -0,0 +1,37 @@
+//! The laboratory: scenarios with scripted troubles, played through the real edge on sockets or in virtual time, and
+//! a checker that judges the users' five rules from the traffic alone.
+
+mod callers;
+pub mod checker;
+mod fleet;
+mod player;
+pub mod recorder;
+mod scenario;
+mod schema;
+mod stage;
+
+pub use callers::{Callers, Mood};
+pub use fleet::{Addresses, Fleet, Who};
+pub use player::{play, Outcome};
+pub use recorder::Recording;
+pub use scenario::{Calls, Scenario, Trouble};
+pub use schema::{kinds, SCENARIO};
+pub use stage::{product_edge, EdgesAs, MakeEdge, SocketStage, Stage, VirtualStage};
+
+use sanddrum_net::Links;
+use std::io;
+
+/// The bad day that the demo plays.
+pub const BAD_DAY: &str = include_str!("../scenarios/bad-day.sx");
+
+/// Plays a scenario in virtual time.
+///
+/// # Errors
+/// The scenario can't be set up.
+pub fn play_virtually(scenario: Scenario, make_edge: MakeEdge) -> io::Result<Outcome> {
+    let recording = Recording::default();
+    let mut stage = VirtualStage::new(scenario, Links::default(), &recording, make_edge)?;
+    let mut outcome = play(&mut stage, &recording)?;
+    outcome.virtual_time = true;
+    Ok(outcome)
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/player.rs
@@ -0,0 +1,270 @@
+//! Plays a scenario's troubles on a stage, in their order, and has the traffic judged.
+
+use crate::checker::{judge, Verdict};
+use crate::fleet::Who;
+use crate::recorder::Recording;
+use crate::scenario::{Scenario, Trouble};
+use crate::stage::Stage;
+use sanddrum_net::{Chance, Micros};
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+use std::io;
+
+/// What came of it.
+pub struct Outcome {
+    pub verdict: Verdict,
+    pub seed: u64,
+    pub virtual_time: bool,
+    pub digest: u64,
+    /// What was done when, in words.
+    pub acts: Vec<(Micros, String)>,
+    pub runs: usize,
+    pub orders: usize,
+}
+
+struct Player<'a> {
+    stage: &'a mut dyn Stage,
+    recording: &'a Recording,
+    scenario: Scenario,
+    start: Micros,
+    struck: BTreeSet<Who>,
+    acts: Vec<(Micros, String)>,
+}
+
+/// Calls that are still open when no more are made get this much longer than their time limits.
+const AFTER: Micros = 1_000_000;
+
+/// Troubles that strike no worker or edge by name, and those that are over as soon as they are there.
+const NOBODYS: &[&str] = &["store-stall", "store-refuse", "list-away", "list-lag", "overload", "hot-functions"];
+const AT_ONCE: &[&str] = &["flush", "tear", "garble"];
+
+/// Plays a scenario to its end.
+///
+/// # Errors
+/// The stage could not go on, as when a port was lost.
+pub fn play(stage: &mut dyn Stage, recording: &Recording) -> io::Result<Outcome> {
+    let scenario = stage.fleet().scenario.clone();
+    let start = stage.now();
+    let (seed, slack) = (scenario.seed, stage.slack());
+    let mut player =
+        Player { stage, recording, scenario: scenario.clone(), start, struck: BTreeSet::new(), acts: Vec::new() };
+    player.all()?;
+    let acts = player.acts;
+    let recorder = recording.0.borrow();
+    let verdict = judge(&recorder.log, &scenario, start, slack);
+    let (runs, orders) = (recorder.log.runs.len(), recorder.log.orders.len());
+    Ok(Outcome { verdict, seed, virtual_time: false, digest: recorder.digest(), acts, runs, orders })
+}
+
+impl Player<'_> {
+    fn all(&mut self) -> io::Result<()> {
+        let mut ahead: Vec<(Micros, bool, usize)> = Vec::new();
+        for (n, t) in self.scenario.troubles.iter().enumerate() {
+            ahead.push((t.at, true, n));
+            ahead.push((t.at + t.length, false, n));
+        }
+        ahead.sort_by_key(|(at, begins, n)| (*at, *begins, *n));
+        let mut targets: Vec<Vec<Who>> = vec![Vec::new(); self.scenario.troubles.len()];
+        for (at, begins, n) in ahead {
+            if at > self.scenario.length && begins {
+                continue;
+            }
+            self.stage.run_until(self.start + at)?;
+            let trouble = self.scenario.troubles[n].clone();
+            if begins {
+                targets[n] = self.targets(n, &trouble);
+                if trouble.length > 0 && !AT_ONCE.contains(&trouble.kind.as_str()) {
+                    self.struck.extend(&targets[n]);
+                }
+                self.begin(&trouble, &targets[n]);
+            } else {
+                let whom = std::mem::take(&mut targets[n]);
+                self.end(&trouble, &whom)?;
+                self.struck.retain(|who| !whom.contains(who));
+            }
+        }
+        self.stage.run_until(self.start + self.scenario.length)?;
+        let longest = self.scenario.calls.iter().map(|c| c.time_limit).max().unwrap_or(0);
+        let last = self.stage.now() + longest + AFTER;
+        while !self.stage.calls_are_over() && self.stage.now() < last {
+            let next = self.stage.now() + 20_000;
+            self.stage.run_until(next)?;
+        }
+        // What is still on its way, an execution sent too late say, is seen, too.
+        let next = self.stage.now() + AFTER;
+        self.stage.run_until(next)
+    }
+
+    fn targets(&self, n: usize, t: &Trouble) -> Vec<Who> {
+        if NOBODYS.contains(&t.kind.as_str()) {
+            return Vec::new();
+        }
+        let edges = t.kind == "edge-crash";
+        let count = if edges { self.scenario.edges } else { self.scenario.workers };
+        let in_zone = |n: &usize| t.zone.as_ref().is_none_or(|z| *z == self.scenario.zones[self.scenario.zone_of(*n)]);
+        let who = |n| if edges { Who::Edge(n) } else { Who::Worker(n) };
+        let mut fit: Vec<Who> = (0..count).filter(in_zone).map(who).filter(|w| !self.struck.contains(w)).collect();
+        let all = ["zone-loss", "flush"].contains(&t.kind.as_str()) && t.part.is_none() && t.count.is_none();
+        let wanted = match (t.count, t.part) {
+            (Some(count), _) => count,
+            (None, Some(part)) => ((fit.len() as f64 * part).round() as usize).max(1),
+            _ if all => fit.len(),
+            _ => 1,
+        };
+        let mut chance = Chance::new(self.scenario.seed ^ (0x7a46 + n as u64));
+        while fit.len() > wanted {
+            fit.remove(chance.below(fit.len()));
+        }
+        fit
+    }
+
+    fn act(&mut self, what: &str, whom: &[Who]) {
+        let now = self.stage.now() - self.start;
+        let whom = if whom.is_empty() { String::new() } else { format!(" {whom:?}") };
+        tracing::info!(at_ms = now / 1000, "{what}{whom}");
+        self.acts.push((now, format!("{what}{whom}")));
+    }
+    fn faults(&mut self, whom: &[Who], set: impl Fn(&mut sanddrum_worker::WorkerFaults)) {
+        for who in whom {
+            if let Who::Worker(n) = who {
+                set(&mut self.stage.fleet().workers[*n].borrow_mut());
+            }
+        }
+    }
+    fn kill(&mut self, whom: &[Who]) {
+        for who in whom {
+            self.stage.kill(*who);
+            if let Who::Edge(n) = who {
+                let now = self.stage.now();
+                self.recording.0.borrow_mut().log.down.push((Scenario::edge_name(*n), now, None));
+            }
+        }
+    }
+    fn bring_back(&mut self, whom: &[Who]) -> io::Result<()> {
+        for who in whom {
+            self.stage.kill(*who);
+            self.stage.start(*who)?;
+            let now = self.stage.now();
+            let log = &mut self.recording.0.borrow_mut().log;
+            match who {
+                Who::Worker(n) => log.starts.push((*n, now)),
+                Who::Edge(n) => {
+                    let name = Scenario::edge_name(*n);
+                    if let Some(spell) = log.down.iter_mut().rev().find(|(edge, ..)| *edge == name) {
+                        spell.2 = Some(now);
+                    }
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn begin(&mut self, t: &Trouble, whom: &[Who]) {
+        self.act(&format!("{} begins", t.kind), whom);
+        let size = t.size;
+        match t.kind.as_str() {
+            "crash" | "edge-crash" | "zone-loss" => self.kill(whom),
+            "silent" => whom.iter().for_each(|who| self.stage.freeze(*who, true)),
+            "hang" => self.faults(whom, |f| f.hangs = true),
+            "slow" => self.faults(whom, |f| f.slower = size),
+            "lose-answers" => self.faults(whom, |f| f.loses = size.min(1.0)),
+            "load-fails" => self.faults(whom, |f| f.load_fails = size.min(1.0)),
+            "garble" => self.faults(whom, |f| f.garbles = true),
+            "drain" => self.faults(whom, |f| f.drains = true),
+            "flush" => self.faults(whom, |f| f.flush = true),
+            "tear" => whom.iter().for_each(|who| self.stage.tear(*who)),
+            "store-stall" => self.stage.fleet().store.borrow_mut().stalls = true,
+            "store-refuse" => self.stage.fleet().store.borrow_mut().refuses = true,
+            "list-away" => self.kill(&[Who::List]),
+            "list-lag" => self.stage.fleet().list.borrow_mut().lags = (size * 1e6) as Micros,
+            "overload" => self.stage.fleet().mood.borrow_mut().rate = size,
+            "hot-functions" => self.stage.fleet().mood.borrow_mut().hot = size.min(1.0),
+            _ => {}
+        }
+    }
+
+    fn end(&mut self, t: &Trouble, whom: &[Who]) -> io::Result<()> {
+        match t.kind.as_str() {
+            "crash" | "edge-crash" | "zone-loss" | "silent" | "drain" => self.bring_back(whom)?,
+            "hang" => self.faults(whom, |f| f.hangs = false),
+            "slow" => self.faults(whom, |f| f.slower = 0.0),
+            "lose-answers" => self.faults(whom, |f| f.loses = 0.0),
+            "load-fails" => self.faults(whom, |f| f.load_fails = 0.0),
+            "store-stall" => self.stage.fleet().store.borrow_mut().stalls = false,
+            "store-refuse" => self.stage.fleet().store.borrow_mut().refuses = false,
+            "list-away" => self.bring_back(&[Who::List])?,
+            "list-lag" => self.stage.fleet().list.borrow_mut().lags = 0,
+            "overload" => self.stage.fleet().mood.borrow_mut().rate = 1.0,
+            "hot-functions" => self.stage.fleet().mood.borrow_mut().hot = 0.0,
+            _ => return Ok(()),
+        }
+        self.act(&format!("{} ends", t.kind), whom);
+        Ok(())
+    }
+}
+
+impl Outcome {
+    pub fn latency_ms(&self, quantile: f64) -> f64 {
+        (self.verdict.latency.value_at_quantile(quantile) as f64 / 1000.0 * 100.0).round() / 100.0
+    }
+    /// The summary's last line.
+    pub fn json(&self) -> Value {
+        let v = &self.verdict;
+        let mut line = json!({
+            "jobs_taken": v.taken,
+            "finished": v.finished,
+            "pushed_back": v.pushed_back,
+            "killed": v.killed,
+            "lost_with_edge": v.lost_with_edge,
+            "unreached": v.unreached,
+            "rules_broken": v.broken.iter().map(ToString::to_string).collect::<Vec<_>>(),
+            "service": (v.service * 1e4).round() / 1e4,
+            "latency_ms": {
+                "p50": self.latency_ms(0.5),
+                "p99": self.latency_ms(0.99),
+                "p999": self.latency_ms(0.999),
+            },
+            "seed": self.seed,
+        });
+        if self.virtual_time {
+            line["timeline_digest"] = json!(format!("{:016x}", self.digest));
+        }
+        line
+    }
+    /// Whether all was answered once and every rule held.
+    pub fn is_good(&self) -> bool {
+        let v = &self.verdict;
+        v.broken.is_empty() && v.taken == v.finished + v.pushed_back + v.killed + v.lost_with_edge
+    }
+    /// The summary for people.
+    pub fn text(&self) -> String {
+        use std::fmt::Write;
+        let v = &self.verdict;
+        let mut out = String::new();
+        for (at, act) in &self.acts {
+            let _ = writeln!(out, "  {:7.3} s  {act}", *at as f64 / 1e6);
+        }
+        let _ = writeln!(out, "service a second (calls in time of calls begun):");
+        for (n, (begun, in_time)) in v.seconds.iter().enumerate() {
+            let part = f64::from(*in_time) / f64::from((*begun).max(1));
+            let bar = "#".repeat((part * 40.0).round() as usize);
+            let _ = writeln!(out, "  {n:3} s  {bar:40} {in_time:4} of {begun:4}");
+        }
+        let _ = writeln!(
+            out,
+            "jobs taken {}: finished {}, pushed back {}, killed {}, lost with a killed edge {}; calls that reached no edge {}",
+            v.taken, v.finished, v.pushed_back, v.killed, v.lost_with_edge, v.unreached
+        );
+        let _ = writeln!(out, "executions {}, orders to load {}", self.runs, self.orders);
+        let (p50, p99, p999) = (self.latency_ms(0.5), self.latency_ms(0.99), self.latency_ms(0.999));
+        let _ = writeln!(out, "service {:.3}; finished calls took {p50} ms (p50), {p99} (p99), {p999} (p999)", v.service);
+        for b in &v.broken {
+            let _ = writeln!(out, "BROKEN {b}");
+        }
+        if v.broken.is_empty() {
+            out.push_str("all five rules held, as seen from the traffic\n");
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/recorder.rs
@@ -0,0 +1,263 @@
+//! What crossed the sockets at clients, workers and the list service, read with the codecs and kept as a log. The
+//! edges' own state and logs are never looked at.
+
+use sanddrum_net::{Conn, HostId, Micros, Side, Tap};
+use sanddrum_wire::http::{self, Parsed};
+use sanddrum_wire::{Ended, Frames, FromList, FromWorker, Phase, ToList, ToWorker};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+
+/// Which of the things that are watched a core is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Callers,
+    Worker(usize),
+    List,
+    /// Not read: what it says is seen at its other end.
+    Other,
+}
+
+/// A try of a call, as its client sent it.
+#[derive(Clone, Debug, Default)]
+pub struct Try {
+    pub call: u64,
+    pub number: u32,
+    pub workload: String,
+    pub edge: String,
+    /// When its call began, and when this try had gone out whole.
+    pub began: Micros,
+    pub sent: Micros,
+    pub limit: Micros,
+    pub customer: Option<String>,
+    /// When each answer had come whole, with its status.
+    pub answers: Vec<(Micros, u16)>,
+    /// When the connection ended with the try unanswered.
+    pub broken: Option<Micros>,
+}
+
+/// An execution that reached a worker whole.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub worker: usize,
+    pub edge: String,
+    pub came: Micros,
+    pub call: u64,
+    pub number: u32,
+    pub workload: String,
+    /// What the worker answered to it, and when that left it.
+    pub answers: Vec<(Micros, Ended)>,
+}
+
+/// An order to load that reached a worker.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub worker: usize,
+    pub edge: String,
+    pub came: Micros,
+    pub copies: u32,
+}
+
+/// What an edge was told of a worker.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub edge: String,
+    pub at: Micros,
+    pub worker: String,
+    pub phase: Phase,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Log {
+    pub tries: Vec<Try>,
+    pub runs: Vec<Run>,
+    pub orders: Vec<Order>,
+    pub told: Vec<Told>,
+    /// Workers' starts, from cold, as the scenario made them.
+    pub starts: Vec<(usize, Micros)>,
+    /// When edges were down, by name: from, and until (if they came back).
+    pub down: Vec<(String, Micros, Option<Micros>)>,
+    pub bytes: u64,
+}
+
+enum Reader {
+    Caller { edge: String, out: Vec<u8>, inn: Vec<u8>, open: Option<usize> },
+    Worker { n: usize, edge: String, inn: Frames, out: Frames, runs: BTreeMap<u64, usize> },
+    List { edge: Option<String>, inn: Frames, out: Frames },
+}
+
+#[derive(Default)]
+pub struct Recorder {
+    roles: BTreeMap<HostId, Role>,
+    /// Edge names by their addresses.
+    edges: BTreeMap<String, String>,
+    readers: BTreeMap<(HostId, Conn), Reader>,
+    pub log: Log,
+    digest: DefaultHasher,
+}
+
+const MOST: usize = 64 << 20;
+
+impl Recorder {
+    pub fn role(&mut self, host: HostId, role: Role) {
+        self.roles.insert(host, role);
+    }
+    pub fn edge(&mut self, address: &str, name: &str) {
+        self.edges.insert(address.into(), name.into());
+    }
+    /// A figure of everything that crossed, when and where: equal timelines have equal ones.
+    pub fn digest(&self) -> u64 {
+        self.digest.finish()
+    }
+
+    fn caller_sent(log: &mut Log, now: Micros, edge: &str, out: &mut Vec<u8>, open: &mut Option<usize>) {
+        while let Ok(Parsed::Whole(request, took)) = http::request(out, MOST, MOST) {
+            out.drain(..took);
+            let trace = request.field("sanddrum-trace").unwrap_or_default();
+            let Some((call, number, since)) = read_trace(trace) else { continue };
+            let limit = request.field("sanddrum-time-limit-ms").and_then(|ms| ms.parse::<Micros>().ok());
+            let workload = request.path.split('/').nth(3).unwrap_or_default().to_string();
+            *open = Some(log.tries.len());
+            log.tries.push(Try {
+                call,
+                number,
+                workload,
+                edge: edge.to_string(),
+                began: now - since,
+                sent: now,
+                limit: limit.unwrap_or(0) * 1000,
+                customer: request.field("sanddrum-customer").map(String::from),
+                ..Try::default()
+            });
+        }
+    }
+}
+
+/// `c<call>.<try>.<microseconds since the call began>`.
+fn read_trace(trace: &str) -> Option<(u64, u32, Micros)> {
+    let mut parts = trace.strip_prefix('c')?.split('.');
+    let call = parts.next()?.parse().ok()?;
+    let number = parts.next()?.parse().ok()?;
+    Some((call, number, parts.next().and_then(|us| us.parse().ok()).unwrap_or(0)))
+}
+
+/// The recorder as a tap that a driver holds while the player holds it, too.
+#[derive(Clone, Default)]
+pub struct Recording(pub Rc<RefCell<Recorder>>);
+
+impl Tap for Recording {
+    fn opened(&mut self, now: Micros, host: HostId, conn: Conn, side: Side, to: &str) {
+        let mut this = self.0.borrow_mut();
+        (now, host, conn, 0u8).hash(&mut this.digest);
+        let role = this.roles.get(&host).copied().unwrap_or(Role::Other);
+        let reader = match (role, side) {
+            (Role::Callers, Side::Connected) => {
+                let edge = this.edges.get(to).cloned().unwrap_or_default();
+                Reader::Caller { edge, out: Vec::new(), inn: Vec::new(), open: None }
+            }
+            (Role::Worker(n), Side::Accepted) => {
+                let (inn, out) = (Frames::new(MOST), Frames::new(MOST));
+                Reader::Worker { n, edge: String::new(), inn, out, runs: BTreeMap::new() }
+            }
+            (Role::List, Side::Accepted) => {
+                Reader::List { edge: None, inn: Frames::new(MOST), out: Frames::new(MOST) }
+            }
+            _ => return,
+        };
+        this.readers.insert((host, conn), reader);
+    }
+
+    fn came(&mut self, now: Micros, host: HostId, conn: Conn, bytes: &[u8]) {
+        let this = &mut *self.0.borrow_mut();
+        (now, host, conn, 1u8, bytes).hash(&mut this.digest);
+        this.log.bytes += bytes.len() as u64;
+        let log = &mut this.log;
+        match this.readers.get_mut(&(host, conn)) {
+            Some(Reader::Caller { inn, open, .. }) => {
+                inn.extend_from_slice(bytes);
+                while let Ok(Some((answer, took))) = http::answer(inn) {
+                    inn.drain(..took);
+                    // An answer with no try open belongs to the last one: it is one too many.
+                    let at = open.take().or(log.tries.len().checked_sub(1));
+                    if let Some(t) = at.and_then(|at| log.tries.get_mut(at)) {
+                        t.answers.push((now, answer.status));
+                    }
+                }
+            }
+            Some(Reader::Worker { n, edge, inn, runs, .. }) => {
+                inn.take_in(bytes);
+                while let Ok(Some(message)) = inn.next::<ToWorker>() {
+                    match message {
+                        ToWorker::Hello(hello) => *edge = hello.name,
+                        ToWorker::Execute(e) => {
+                            let trace = e.trace.as_deref().and_then(read_trace);
+                            let Some((call, number, _)) = trace else { continue };
+                            runs.insert(e.id, log.runs.len());
+                            let (worker, edge) = (*n, edge.clone());
+                            let (workload, answers) = (e.workload, Vec::new());
+                            log.runs.push(Run { worker, edge, came: now, call, number, workload, answers });
+                        }
+                        ToWorker::Hold(h) if h.copies > 0 => {
+                            log.orders.push(Order { worker: *n, edge: edge.clone(), came: now, copies: h.copies });
+                        }
+                        _ => {}
+                    }
+                }
+            }
+            Some(Reader::List { edge, inn, .. }) => {
+                inn.take_in(bytes);
+                let mut name = String::new();
+                while let Ok(Some(message)) = inn.next::<ToList>() {
+                    match message {
+                        ToList::Hello(hello) => name = hello.name,
+                        ToList::Watch(_) if edge.is_none() => *edge = Some(name.clone()),
+                        _ => {}
+                    }
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn went(&mut self, now: Micros, host: HostId, conn: Conn, bytes: &[u8]) {
+        let this = &mut *self.0.borrow_mut();
+        (now, host, conn, 2u8, bytes).hash(&mut this.digest);
+        let log = &mut this.log;
+        match this.readers.get_mut(&(host, conn)) {
+            Some(Reader::Caller { edge, out, open, .. }) => {
+                out.extend_from_slice(bytes);
+                Recorder::caller_sent(log, now, edge, out, open);
+            }
+            Some(Reader::Worker { out, runs, .. }) => {
+                out.take_in(bytes);
+                while let Ok(Some(message)) = out.next::<FromWorker>() {
+                    let FromWorker::Done(done) = message else { continue };
+                    if let Some(run) = runs.get(&done.id).and_then(|at| log.runs.get_mut(*at)) {
+                        run.answers.push((now, done.ended));
+                    }
+                }
+            }
+            Some(Reader::List { edge: Some(edge), out, .. }) => {
+                out.take_in(bytes);
+                while let Ok(Some(message)) = out.next::<FromList>() {
+                    let FromList::Rows(rows) = message else { continue };
+                    for row in rows.rows {
+                        log.told.push(Told { edge: edge.clone(), at: now, worker: row.name, phase: row.phase });
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn ended(&mut self, now: Micros, host: HostId, conn: Conn) {
+        let this = &mut *self.0.borrow_mut();
+        (now, host, conn, 3u8).hash(&mut this.digest);
+        if let Some(Reader::Caller { open: Some(at), .. }) = this.readers.remove(&(host, conn)) {
+            if let Some(t) = this.log.tries.get_mut(at) {
+                t.broken = Some(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/scenario.rs
@@ -0,0 +1,185 @@
+//! A scenario: a deployment, a fleet of stand-ins, traffic and troubles.
+
+use crate::schema::{kinds, SCENARIO};
+use sanddrum_net::{Chance, Micros};
+use sanddrum_settings::{Loaded, Problem};
+use sanddrum_worker::{OnMiss, WorkerSpec};
+
+#[derive(Clone, Debug)]
+pub struct Calls {
+    pub workload: String,
+    pub share: f64,
+    pub work: Micros,
+    pub hints: bool,
+    pub start_target: Micros,
+    pub time_limit: Micros,
+    pub importance: f64,
+    pub effect: String,
+    pub group: String,
+    pub repeat_window: Micros,
+    /// The functions' common beginning, as set for this workload.
+    pub prefix: String,
+}
+
+#[derive(Clone, Debug)]
+pub struct Trouble {
+    pub kind: String,
+    pub at: Micros,
+    pub length: Micros,
+    pub part: Option<f64>,
+    pub count: Option<usize>,
+    pub zone: Option<String>,
+    pub size: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub settings: Loaded,
+    pub text: String,
+    pub seed: u64,
+    pub zones: Vec<String>,
+    pub workers: usize,
+    pub edges: usize,
+    pub length: Micros,
+    pub calls: Vec<Calls>,
+    pub troubles: Vec<Trouble>,
+}
+
+impl Scenario {
+    /// Reads a scenario from a text.
+    ///
+    /// # Errors
+    /// What is wrong with it, and where.
+    pub fn read(file: &str, text: &str, seed: u64) -> Result<Self, Problem> {
+        let l = sanddrum_settings::read_with(file, text, SCENARIO)?;
+        let problem = |what: String, remedy: &str| Problem {
+            file: file.into(),
+            line: 0,
+            column: 0,
+            what,
+            remedy: remedy.into(),
+        };
+        let workloads = l.names("workloads");
+        let mut calls = Vec::new();
+        for n in 0..l.count("calls") {
+            let name = l.text(&format!("calls.{n}.name")).to_string();
+            let Some(w) = workloads.iter().position(|w| *w == name) else {
+                return Err(problem(format!("calls of {name:?}, which is no workload"), "name one that is set"));
+            };
+            let at = |key: &str| format!("calls.{n}.{key}");
+            let of = |key: &str| format!("workloads.{w}.{key}");
+            let function = (0..l.count("functions")).find(|f| l.text(&format!("functions.{f}.workload")) == name);
+            let Some(function) = function else {
+                return Err(problem(format!("no function is set for {name:?}"), "add (function \"a-*\" (workload ...))"));
+            };
+            calls.push(Calls {
+                share: l.number(&at("share")),
+                work: l.span(&at("work-us")),
+                hints: l.flag(&at("hints")),
+                start_target: l.span(&of("start-target-us")),
+                time_limit: l.span(&of("time-limit-us")),
+                importance: l.number(&of("importance")),
+                effect: l.text(&of("effect")).to_string(),
+                group: l.text(&of("group")).to_string(),
+                repeat_window: l.span(&of("repeat-window-us")),
+                prefix: l.text(&format!("functions.{function}.name")).trim_end_matches('*').to_string(),
+                workload: name,
+            });
+        }
+        if calls.is_empty() {
+            return Err(problem("nothing is called".into(), "add (calls \"a-workload\" (share 1) (work 30ms))"));
+        }
+        let mut troubles = Vec::new();
+        for n in 0..l.count("troubles") {
+            let at = |key: &str| format!("troubles.{n}.{key}");
+            let kind = l.text(&at("name")).to_string();
+            if !kinds().contains(&kind.as_str()) {
+                let remedy = format!("known are {}", kinds().join(", "));
+                return Err(problem(format!("{kind:?} is no kind of trouble"), &remedy));
+            }
+            let zone = l.has(&at("zone")).then(|| l.text(&at("zone")).to_string());
+            if zone.as_ref().is_some_and(|z| !l.names("zones").contains(z)) || (kind == "zone-loss" && zone.is_none()) {
+                return Err(problem(format!("{kind}: a zone is wanted that is set"), "add (zone \"...\")"));
+            }
+            troubles.push(Trouble {
+                at: l.span(&at("at-us")),
+                length: l.span(&at("length-us")),
+                part: l.has(&at("part")).then(|| l.number(&at("part"))),
+                count: l.has(&at("count")).then(|| l.size(&at("count"))),
+                size: l.number(&at("size")),
+                kind,
+                zone,
+            });
+        }
+        Ok(Scenario {
+            seed,
+            zones: l.names("zones"),
+            workers: l.size("fleet.workers"),
+            edges: l.size("fleet.edges"),
+            length: l.span("traffic.length-us"),
+            calls,
+            troubles,
+            text: text.to_string(),
+            settings: l,
+        })
+    }
+    pub fn zone_of(&self, n: usize) -> usize {
+        n % self.zones.len().max(1)
+    }
+    pub fn grace(&self) -> Micros {
+        self.settings.span("rules.drain-grace-us")
+    }
+    pub fn worker_name(n: usize) -> String {
+        format!("worker-{n}")
+    }
+    pub fn edge_name(n: usize) -> String {
+        format!("edge-{n}")
+    }
+    /// A worker as it stands in the fleet, at these addresses.
+    pub fn worker(&self, n: usize, address: &str, list: &str, store: &str) -> WorkerSpec {
+        let l = &self.settings;
+        let slow = Chance::new(self.seed ^ (n as u64 + 1).wrapping_mul(0x9e37_79b9)).is_below(l.number("fleet.slow-part"));
+        WorkerSpec {
+            name: Self::worker_name(n),
+            address: address.into(),
+            zone: self.zones[self.zone_of(n)].clone(),
+            cell: (n / l.size("fleet.cell-size").max(1)) as u32,
+            kind: u32::from(slow),
+            cores: l.size("fleet.cores"),
+            speed: l.number(if slow { "fleet.slow-speed" } else { "fleet.speed" }),
+            queue: l.size("fleet.queue"),
+            memory_mb: l.number("fleet.memory-mb"),
+            loads_at_once: l.size("fleet.loads-at-once"),
+            keep_alive: l.span("copies.keep-alive-us"),
+            on_miss: if l.text("copies.on-miss") == "miss" { OnMiss::Miss } else { OnMiss::Load },
+            start_us_per_mb: l.number("fleet.start-per-mb-us"),
+            cold_from: l.number("rules.cold-from"),
+            cold: l.span("rules.cold-us"),
+            fall_multiple: l.number("rules.fall-multiple"),
+            fall: l.span("rules.fall-us"),
+            tells_crowd: l.flag("fleet.tells-crowd"),
+            report_every: l.span("fleet.report-every-us"),
+            list: list.into(),
+            store: store.into(),
+            beat_every: l.span("fleet.beat-every-us").max(1000),
+        }
+    }
+    /// An edge's settings, at these addresses.
+    ///
+    /// # Errors
+    /// An address is none.
+    pub fn edge(&self, n: usize, listen: &str, list: &str) -> Result<Loaded, Problem> {
+        let mut l = self.settings.clone();
+        for (name, value) in [
+            ("edge.name", Self::edge_name(n)),
+            ("edge.listen", listen.to_string()),
+            ("edge.list", list.to_string()),
+            ("edge.zone", self.zones[self.zone_of(n)].clone()),
+            ("edge.edges", self.edges.to_string()),
+            ("edge.number", n.to_string()),
+        ] {
+            l.give(name, &value, "scenario")?;
+        }
+        Ok(l)
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/stage.rs
@@ -0,0 +1,402 @@
+//! Where a scenario is played: the same acts on the virtual network and on sockets.
+
+use crate::fleet::{Addresses, Fleet, Who};
+use crate::recorder::{Recording, Role};
+use crate::scenario::Scenario;
+use sanddrum_edge::{Edge, Start};
+use sanddrum_net::{Core, EventLoop, HostId, Links, Micros, VirtualNet};
+use std::collections::BTreeMap;
+use std::io;
+use std::path::PathBuf;
+use std::process::{Child, Command};
+
+pub trait Stage {
+    fn now(&self) -> Micros;
+    fn fleet(&mut self) -> &mut Fleet;
+    fn run_until(&mut self, at: Micros) -> io::Result<()>;
+    fn kill(&mut self, who: Who);
+    /// Starts what was killed; workers come back cold.
+    fn start(&mut self, who: Who) -> io::Result<()>;
+    fn freeze(&mut self, who: Who, frozen: bool);
+    fn tear(&mut self, who: Who);
+    /// Every call has ended.
+    fn calls_are_over(&self) -> bool;
+    /// The longest that a message is on its way here.
+    fn slack(&self) -> Micros;
+}
+
+/// Makes the edge that a scenario is played with.
+pub type MakeEdge = Box<dyn Fn(Start) -> Box<dyn Core>>;
+
+/// The product's edge.
+pub fn product_edge() -> MakeEdge {
+    Box::new(|start| Box::new(Edge::new(start)))
+}
+
+pub struct VirtualStage {
+    net: VirtualNet,
+    fleet: Fleet,
+    hosts: BTreeMap<Who, HostId>,
+    make_edge: MakeEdge,
+    slack: Micros,
+}
+
+/// Virtual time starts here, well after nought, which stands for long ago.
+const BEGIN: Micros = 1_000_000_000;
+
+impl VirtualStage {
+    pub fn new(scenario: Scenario, links: Links, recording: &Recording, make_edge: MakeEdge) -> io::Result<Self> {
+        let address = |kind: usize, n: usize| format!("10.{kind}.{}.{}:1000", n / 250, n % 250 + 1);
+        let addresses = Addresses {
+            workers: (0..scenario.workers).map(|n| address(1, n)).collect(),
+            edges: (0..scenario.edges).map(|n| address(2, n)).collect(),
+            list: address(3, 0),
+            store: address(3, 1),
+        };
+        let slack = 4 * links.cross_zone + 2 * links.again;
+        let seed = scenario.seed;
+        let net = VirtualNet::new(seed, BEGIN, links, Box::new(recording.clone()));
+        let fleet = Fleet::new(scenario, addresses);
+        let mut stage = VirtualStage { net, fleet, hosts: BTreeMap::new(), make_edge, slack };
+        let (workers, edges) = (stage.fleet.scenario.workers, stage.fleet.scenario.edges);
+        let all = (0..workers).map(Who::Worker).chain((0..edges).map(Who::Edge));
+        for who in [Who::List, Who::Store].into_iter().chain(all).chain([Who::Callers]) {
+            stage.set_up(who, recording)?;
+        }
+        Ok(stage)
+    }
+    fn core(&mut self, who: Who, cold: bool) -> io::Result<Box<dyn Core>> {
+        let now = self.net.now();
+        Ok(match who {
+            Who::Worker(n) => self.fleet.worker(n, now, cold),
+            Who::List => self.fleet.list(now),
+            Who::Store => self.fleet.store(),
+            Who::Callers => self.fleet.callers(),
+            Who::Edge(n) => {
+                let (settings, seed, incarnation) = self.fleet.edge(n).map_err(io::Error::other)?;
+                let kept = self.hosts.get(&who).and_then(|host| self.net.kept(*host));
+                (self.make_edge)(Start { settings, seed, kept, incarnation, metrics_page: None })
+            }
+        })
+    }
+    fn set_up(&mut self, who: Who, recording: &Recording) -> io::Result<()> {
+        let a = &self.fleet.addresses;
+        let (zone, door) = match who {
+            Who::Worker(n) => (self.fleet.scenario.zone_of(n), Some(a.workers[n].clone())),
+            Who::Edge(n) => (self.fleet.scenario.zone_of(n), Some(a.edges[n].clone())),
+            Who::List => (0, Some(a.list.clone())),
+            Who::Store => (0, Some(a.store.clone())),
+            Who::Callers => (0, None),
+        };
+        let role = match who {
+            Who::Worker(n) => Role::Worker(n),
+            Who::List => Role::List,
+            Who::Callers => Role::Callers,
+            Who::Edge(_) | Who::Store => Role::Other,
+        };
+        // The role must be known before its first connection.
+        recording.0.borrow_mut().role(HostId(self.hosts.len()), role);
+        if let (Who::Edge(n), Some(door)) = (who, &door) {
+            recording.0.borrow_mut().edge(door, &Scenario::edge_name(n));
+        }
+        let core = self.core(who, false)?;
+        let doors: Vec<&str> = door.iter().map(String::as_str).collect();
+        let host = self.net.add(zone, &doors, core);
+        self.hosts.insert(who, host);
+        Ok(())
+    }
+    /// Events carried out so far.
+    pub fn steps(&self) -> u64 {
+        self.net.steps()
+    }
+}
+
+impl Stage for VirtualStage {
+    fn now(&self) -> Micros {
+        self.net.now()
+    }
+    fn fleet(&mut self) -> &mut Fleet {
+        &mut self.fleet
+    }
+    fn run_until(&mut self, at: Micros) -> io::Result<()> {
+        self.net.run_until(at);
+        Ok(())
+    }
+    fn kill(&mut self, who: Who) {
+        if let Some(host) = self.hosts.get(&who) {
+            self.net.kill(*host);
+        }
+    }
+    fn start(&mut self, who: Who) -> io::Result<()> {
+        let core = self.core(who, true)?;
+        if let Some(host) = self.hosts.get(&who) {
+            self.net.replace(*host, core);
+        }
+        Ok(())
+    }
+    fn freeze(&mut self, who: Who, frozen: bool) {
+        if let Some(host) = self.hosts.get(&who) {
+            self.net.freeze(*host, frozen);
+        }
+    }
+    fn tear(&mut self, who: Who) {
+        if let Some(host) = self.hosts.get(&who) {
+            self.net.tear_connections(*host);
+        }
+    }
+    fn calls_are_over(&self) -> bool {
+        self.hosts.get(&Who::Callers).is_none_or(|host| self.net.done(*host))
+    }
+    fn slack(&self) -> Micros {
+        self.slack
+    }
+}
+
+/// How edges are run on sockets.
+pub enum EdgesAs {
+    /// On the same loop as everything else.
+    Cores(MakeEdge),
+    /// Each as a process of its own: the command for an edge's number, its listening and its list's address, its
+    /// state file and its seed.
+    Processes(Box<dyn Fn(usize, &Fleet, &PathBuf, u64) -> Command>),
+}
+
+pub struct SocketStage {
+    driver: EventLoop,
+    fleet: Fleet,
+    hosts: BTreeMap<Who, HostId>,
+    edges_as: EdgesAs,
+    children: BTreeMap<usize, Child>,
+    folder: PathBuf,
+}
+
+/// A machine that is busy with other things may hold a process up for so long.
+const SOCKET_SLACK: Micros = 150_000;
+/// A port that was taken in between is waited for so long.
+const PORT_WAIT: Micros = 2_000_000;
+
+impl SocketStage {
+    /// Sets everything up on loopback ports that the system chooses; `folder` takes the edges' state files.
+    pub fn new(scenario: Scenario, recording: &Recording, edges_as: EdgesAs, folder: PathBuf) -> io::Result<Self> {
+        let driver = EventLoop::new(Box::new(recording.clone()))?;
+        let (workers, edges) = (scenario.workers, scenario.edges);
+        let mut bound = BTreeMap::new();
+        let mut bind = |who: Who| -> io::Result<String> {
+            let (listener, at) = EventLoop::bind("127.0.0.1:0")?;
+            bound.insert(who, listener);
+            Ok(at)
+        };
+        let addresses = Addresses {
+            workers: (0..workers).map(|n| bind(Who::Worker(n))).collect::<io::Result<_>>()?,
+            edges: (0..edges).map(|n| bind(Who::Edge(n))).collect::<io::Result<_>>()?,
+            list: bind(Who::List)?,
+            store: bind(Who::Store)?,
+        };
+        let fleet = Fleet::new(scenario, addresses);
+        let mut stage =
+            SocketStage { driver, fleet, hosts: BTreeMap::new(), edges_as, children: BTreeMap::new(), folder };
+        let all = (0..workers).map(Who::Worker).chain((0..edges).map(Who::Edge));
+        for who in [Who::List, Who::Store].into_iter().chain(all) {
+            let listener = bound.remove(&who);
+            stage.set_up(who, listener, recording)?;
+        }
+        // Edges that are processes need a moment; calls are made once they answer.
+        stage.wait_for_edges()?;
+        stage.set_up(Who::Callers, None, recording)?;
+        Ok(stage)
+    }
+    fn set_up(
+        &mut self,
+        who: Who,
+        listener: Option<std::net::TcpListener>,
+        recording: &Recording,
+    ) -> io::Result<()> {
+        if let Who::Edge(n) = who {
+            let address = self.fleet.addresses.edges[n].clone();
+            recording.0.borrow_mut().edge(&address, &Scenario::edge_name(n));
+            if matches!(self.edges_as, EdgesAs::Processes(_)) {
+                drop(listener);
+                return self.spawn(n);
+            }
+        }
+        let role = match who {
+            Who::Worker(n) => Role::Worker(n),
+            Who::List => Role::List,
+            Who::Callers => Role::Callers,
+            Who::Edge(_) | Who::Store => Role::Other,
+        };
+        recording.0.borrow_mut().role(HostId(self.hosts.len()), role);
+        let core = self.core(who, false)?;
+        let state = self.state_file(who);
+        let host = self.driver.add(core, listener.into_iter().collect(), state)?;
+        self.hosts.insert(who, host);
+        Ok(())
+    }
+    fn state_file(&self, who: Who) -> Option<PathBuf> {
+        match who {
+            Who::Edge(n) => Some(self.folder.join(format!("{}.state", Scenario::edge_name(n)))),
+            _ => None,
+        }
+    }
+    fn spawn(&mut self, n: usize) -> io::Result<()> {
+        let (_, seed, _) = self.fleet.edge(n).map_err(io::Error::other)?;
+        let state = self.state_file(Who::Edge(n)).unwrap_or_default();
+        if let EdgesAs::Processes(command) = &self.edges_as {
+            let child = command(n, &self.fleet, &state, seed).spawn()?;
+            self.children.insert(n, child);
+        }
+        Ok(())
+    }
+    fn wait_for_edges(&mut self) -> io::Result<()> {
+        let until = self.driver.now() + 10_000_000;
+        for address in self.fleet.addresses.edges.clone() {
+            while std::net::TcpStream::connect(&address).is_err() {
+                if self.driver.now() > until {
+                    return Err(io::Error::other(format!("no edge answers at {address}")));
+                }
+                let next = self.driver.now() + 10_000;
+                self.driver.run_until(next)?;
+            }
+        }
+        // Time for the list to reach them.
+        let next = self.driver.now() + 300_000;
+        self.driver.run_until(next)
+    }
+    fn core(&mut self, who: Who, cold: bool) -> io::Result<Box<dyn Core>> {
+        let now = self.driver.now();
+        Ok(match who {
+            Who::Worker(n) => self.fleet.worker(n, now, cold),
+            Who::List => self.fleet.list(now),
+            Who::Store => self.fleet.store(),
+            Who::Callers => self.fleet.callers(),
+            Who::Edge(n) => {
+                let (settings, seed, incarnation) = self.fleet.edge(n).map_err(io::Error::other)?;
+                let kept = self.state_file(who).and_then(|file| std::fs::read(file).ok());
+                let start = Start { settings, seed, kept, incarnation, metrics_page: None };
+                match &self.edges_as {
+                    EdgesAs::Cores(make) => make(start),
+                    EdgesAs::Processes(_) => Box::new(Edge::new(start)),
+                }
+            }
+        })
+    }
+    fn address(&self, who: Who) -> Option<&str> {
+        let a = &self.fleet.addresses;
+        match who {
+            Who::Worker(n) => Some(&a.workers[n]),
+            Who::Edge(n) => Some(&a.edges[n]),
+            Who::List => Some(&a.list),
+            Who::Store => Some(&a.store),
+            Who::Callers => None,
+        }
+    }
+    /// Whether a signal asked for the end.
+    pub fn signalled(&self) -> bool {
+        self.driver.signalled()
+    }
+    pub fn catch_signals(&mut self) -> io::Result<()> {
+        self.driver.catch_signals()
+    }
+    /// Asks the edges that are processes to end, and waits for them; gives the numbers of those that did not end
+    /// well.
+    pub fn end_edges(&mut self, ask: impl Fn(u32)) -> io::Result<Vec<usize>> {
+        let mut ill = Vec::new();
+        self.children.values().for_each(|child| ask(child.id()));
+        let until = self.driver.now() + 5_000_000;
+        for (n, mut child) in std::mem::take(&mut self.children) {
+            loop {
+                match child.try_wait()? {
+                    Some(status) if status.success() => break,
+                    Some(_) => {
+                        ill.push(n);
+                        break;
+                    }
+                    None if self.driver.now() > until => {
+                        child.kill()?;
+                        child.wait()?;
+                        ill.push(n);
+                        break;
+                    }
+                    None => {
+                        let next = self.driver.now() + 10_000;
+                        self.driver.run_until(next)?;
+                    }
+                }
+            }
+        }
+        Ok(ill)
+    }
+}
+
+impl Drop for SocketStage {
+    fn drop(&mut self) {
+        for child in self.children.values_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Stage for SocketStage {
+    fn now(&self) -> Micros {
+        self.driver.now()
+    }
+    fn fleet(&mut self) -> &mut Fleet {
+        &mut self.fleet
+    }
+    fn run_until(&mut self, at: Micros) -> io::Result<()> {
+        self.driver.run_until(at)
+    }
+    fn kill(&mut self, who: Who) {
+        if let Who::Edge(n) = who {
+            if let Some(mut child) = self.children.remove(&n) {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        if let Some(host) = self.hosts.get(&who) {
+            self.driver.kill(*host);
+        }
+    }
+    fn start(&mut self, who: Who) -> io::Result<()> {
+        if let Who::Edge(n) = who {
+            if matches!(self.edges_as, EdgesAs::Processes(_)) {
+                return self.spawn(n);
+            }
+        }
+        let Some(address) = self.address(who).map(String::from) else { return Ok(()) };
+        let until = self.driver.now() + PORT_WAIT;
+        let listener = loop {
+            match EventLoop::bind(&address) {
+                Ok((listener, _)) => break listener,
+                Err(e) if self.driver.now() > until => return Err(e),
+                Err(_) => {
+                    let next = self.driver.now() + 20_000;
+                    self.driver.run_until(next)?;
+                }
+            }
+        };
+        let core = self.core(who, true)?;
+        if let Some(host) = self.hosts.get(&who).copied() {
+            let state = self.state_file(who);
+            self.driver.replace(host, core, vec![listener], state)?;
+        }
+        Ok(())
+    }
+    fn freeze(&mut self, who: Who, frozen: bool) {
+        if let Some(host) = self.hosts.get(&who) {
+            self.driver.freeze(*host, frozen);
+        }
+    }
+    fn tear(&mut self, who: Who) {
+        if let Some(host) = self.hosts.get(&who) {
+            self.driver.tear_connections(*host);
+        }
+    }
+    fn calls_are_over(&self) -> bool {
+        self.hosts.get(&Who::Callers).is_none_or(|host| self.driver.core_done(*host))
+    }
+    fn slack(&self) -> Micros {
+        SOCKET_SLACK
+    }
+}
--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -167,9 +167,18 @@
         hosted.conns.keys().for_each(|conn| self.tap.ended(self.now(), host, *conn));
     }
     /// A core takes the place of a dead one.
-    pub fn replace(&mut self, host: HostId, core: Box<dyn Core>, doors: Vec<TcpListener>) -> io::Result<()> {
+    ///
+    /// # Errors
+    /// A door can't be watched.
+    pub fn replace(
+        &mut self,
+        host: HostId,
+        core: Box<dyn Core>,
+        doors: Vec<TcpListener>,
+        state_file: Option<PathBuf>,
+    ) -> io::Result<()> {
         self.kill(host);
-        self.hosts[host.0] = Some(Hosted::new(core, None));
+        self.hosts[host.0] = Some(Hosted::new(core, state_file));
         self.listen(host, doors)?;
         self.call(host, |core, now, io| core.start(now, io));
         Ok(())
@@ -218,6 +227,10 @@
         }
         Ok(())
     }
+    /// Whether a core says that it owes nothing more; a dead one owes nothing.
+    pub fn core_done(&self, host: HostId) -> bool {
+        self.host(host).is_none_or(|h| h.core.done())
+    }
     /// Whether a signal asked for the end.
     pub fn signalled(&self) -> bool {
         self.signals > 0
--- a/crates/sanddrum-settings/src/lib.rs
+++ b/crates/sanddrum-settings/src/lib.rs
@@ -7,7 +7,7 @@
 mod values;
 
 pub use forms::Problem;
-pub use schema::{Key, Kind, Section, DEPLOYMENT};
+pub use schema::{key, Key, Kind, Section, DEPLOYMENT};
 pub use values::{Loaded, Origin};
 
 use std::path::Path;
@@ -31,12 +31,15 @@
     Ok(loaded)
 }
 
-/// Reads a text against another schema, for files of other kinds in the same form.
+/// Reads a text that holds a deployment and more sections beside it.
 ///
 /// # Errors
-/// As [`load`], without the checks that only a deployment needs.
-pub fn read_as(file: &str, text: &str, schema: &'static [Section]) -> Result<Loaded, Problem> {
-    values::read(file, text, schema)
+/// As [`load`].
+pub fn read_with(file: &str, text: &str, more: &[Section]) -> Result<Loaded, Problem> {
+    let schema = [DEPLOYMENT, more].concat();
+    let loaded = values::read(file, text, &schema)?;
+    checks::check(&loaded)?;
+    Ok(loaded)
 }
 
 /// Checks a deployment again, after values were set from elsewhere.
--- a/crates/sanddrum-settings/src/values.rs
+++ b/crates/sanddrum-settings/src/values.rs
@@ -31,7 +31,7 @@
     /// Dotted names to plain values, as the decision module takes them.
     pub values: Settings,
     pub origins: BTreeMap<String, Origin>,
-    schema: &'static [Section],
+    schema: Vec<Section>,
 }
 
 impl Loaded {
@@ -67,7 +67,8 @@
     /// The name is unknown or the value is wrong for it.
     pub fn give(&mut self, name: &str, value: &str, by: &str) -> Result<(), Problem> {
         let nowhere = Place { line: 0, column: 0 };
-        let known = self.schema.iter().filter(|s| !s.named).flat_map(|s| s.keys.iter().map(move |k| (s, k)));
+        let schema = self.schema.clone();
+        let known = schema.iter().filter(|s| !s.named).flat_map(|s| s.keys.iter().map(move |k| (s, k)));
         let found = known.clone().find(|(s, k)| name == format!("{}.{}", s.name, k.name));
         let Some((section, key)) = found else {
             let names: Vec<String> = known.map(|(s, k)| format!("{}.{}", s.name, k.name)).collect();
@@ -111,8 +112,8 @@
     }
 }
 
-pub(crate) fn read(file: &str, text: &str, schema: &'static [Section]) -> Result<Loaded, Problem> {
-    let mut loaded = Loaded { file: file.into(), schema, ..Loaded::default() };
+pub(crate) fn read(file: &str, text: &str, schema: &[Section]) -> Result<Loaded, Problem> {
+    let mut loaded = Loaded { file: file.into(), schema: schema.to_vec(), ..Loaded::default() };
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
     for form in forms::forms(file, text)? {
         let found = schema.iter().find(|s| s.name == form.name);
--- /dev/null
+++ b/crates/sanddrum-worker/src/list_service.rs
@@ -0,0 +1,200 @@
+//! A stand-in for the service that lists the workers: it knows only which processes run, and tells late.
+
+use crate::faults::{ListFaults, Shared};
+use crate::peers::Peers;
+use sanddrum_net::{Chance, Conn, Core, Event, Io, Micros};
+use sanddrum_wire::{frame::frame, FromList, Hello, Phase, Row, Rows, ToList, VERSION};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+#[derive(Clone, Debug)]
+pub struct ListSpec {
+    /// A start, a drain or a broken connection is told after so long, from and to.
+    pub notice: (Micros, Micros),
+    /// A process that is not heard for so long counts as gone.
+    pub silent_after: Micros,
+    /// Changes kept for edges that come back; older ones get the whole list.
+    pub changes_kept: usize,
+}
+
+struct Member {
+    row: Row,
+    started: Micros,
+    heard: Micros,
+    conn: Option<Conn>,
+}
+
+pub struct ListService {
+    spec: ListSpec,
+    chance: Chance,
+    faults: Shared<ListFaults>,
+    /// Differs from one run of the service to the next, unless it kept its list.
+    run: u64,
+    version: u64,
+    peers: Peers,
+    watchers: BTreeSet<Conn>,
+    /// As told to edges; `seen` is what the service itself knows.
+    told: BTreeMap<String, Member>,
+    seen: BTreeMap<String, Member>,
+    changes: VecDeque<(u64, Row, Micros)>,
+    due: BTreeSet<(Micros, String)>,
+}
+
+impl ListService {
+    pub fn new(spec: ListSpec, seed: u64, run: u64, faults: Shared<ListFaults>) -> Self {
+        ListService {
+            spec,
+            chance: Chance::new(seed),
+            faults,
+            run,
+            version: 0,
+            peers: Peers::default(),
+            watchers: BTreeSet::new(),
+            told: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            changes: VecDeque::new(),
+            due: BTreeSet::new(),
+        }
+    }
+    /// Workers that it knows from the start, as one that kept its list would.
+    pub fn with_rows(mut self, now: Micros, rows: &[Row]) -> Self {
+        for row in rows {
+            let started = if row.age_us < 0 { 0 } else { now - row.age_us };
+            let member = || Member { row: row.clone(), started, heard: now, conn: None };
+            self.told.insert(row.name.clone(), member());
+            self.seen.insert(row.name.clone(), member());
+        }
+        self.version = 1;
+        self
+    }
+    fn aged(row: &Row, started: Micros, now: Micros) -> Row {
+        Row { age_us: if started > 0 { now - started } else { -1 }, ..row.clone() }
+    }
+    fn whole(&self, now: Micros) -> Rows {
+        let stands = self.told.values().filter(|m| m.row.phase != Phase::Gone);
+        let rows = stands.map(|m| Self::aged(&m.row, m.started, now)).collect();
+        Rows { version: self.version, run: self.run, whole: true, after: 0, rows }
+    }
+    fn watch(&mut self, now: Micros, conn: Conn, run: u64, version: u64) {
+        self.watchers.insert(conn);
+        let first = self.changes.front().map_or(self.version, |(v, ..)| v - 1);
+        let rows = if run != self.run || version < first || version > self.version || version == 0 {
+            self.whole(now)
+        } else {
+            let since = self.changes.iter().filter(|(v, ..)| *v > version);
+            let rows = since.map(|(_, row, started)| Self::aged(row, *started, now)).collect();
+            Rows { version: self.version, run: self.run, whole: false, after: version, rows }
+        };
+        self.peers.send(conn, &frame(&FromList::Rows(rows)));
+    }
+    /// Something about a worker has changed; edges are told in a while.
+    fn later(&mut self, now: Micros, name: &str) {
+        let (from, to) = self.spec.notice;
+        let wait = from + (self.chance.part() * (to - from) as f64) as Micros + self.faults.borrow().lags;
+        self.due.insert((now + wait, name.to_string()));
+    }
+    fn tell(&mut self, now: Micros, name: &str) {
+        let Some(seen) = self.seen.get(name) else { return };
+        let (row, started) = (seen.row.clone(), seen.started);
+        if self.told.get(name).is_some_and(|t| t.row.phase == row.phase && t.row.incarnation == row.incarnation) {
+            return;
+        }
+        let member = Member { row: row.clone(), started, heard: now, conn: None };
+        self.told.insert(name.to_string(), member);
+        self.version += 1;
+        self.changes.push_back((self.version, row.clone(), started));
+        if self.changes.len() > self.spec.changes_kept {
+            self.changes.pop_front();
+        }
+        let rows = vec![Self::aged(&row, started, now)];
+        let (version, run) = (self.version, self.run);
+        let change = frame(&FromList::Rows(Rows { version, run, whole: false, after: version - 1, rows }));
+        self.watchers.iter().for_each(|conn| self.peers.send(*conn, &change));
+    }
+    fn message(&mut self, now: Micros, conn: Conn, message: ToList) {
+        match message {
+            ToList::Hello(_) => {
+                let hello = Hello { version: VERSION, name: "list".into(), incarnation: self.run, age_us: None };
+                self.peers.send(conn, &frame(&FromList::Hello(hello)));
+            }
+            ToList::Watch(w) => self.watch(now, conn, w.run, w.version),
+            ToList::Register(row) => {
+                let name = row.name.clone();
+                if self.seen.get(&name).is_some_and(|m| m.row.incarnation > row.incarnation) {
+                    return;
+                }
+                let started = if row.age_us < 0 { 0 } else { now - row.age_us };
+                self.seen.insert(name.clone(), Member { row, started, heard: now, conn: Some(conn) });
+                self.later(now, &name);
+            }
+            ToList::Beat(beat) => {
+                let heard = |m: &&mut Member| m.conn == Some(conn) && m.row.incarnation == beat.incarnation;
+                if let Some(member) = self.seen.values_mut().find(heard) {
+                    member.heard = now;
+                }
+            }
+        }
+    }
+    fn lost(&mut self, now: Micros, names: Vec<String>) {
+        for name in names {
+            if let Some(member) = self.seen.get_mut(&name) {
+                (member.row.phase, member.conn) = (Phase::Gone, None);
+            }
+            self.later(now, &name);
+        }
+    }
+}
+
+impl Core for ListService {
+    fn start(&mut self, now: Micros, _: &mut dyn Io) {
+        self.seen.values_mut().for_each(|m| m.heard = now);
+    }
+    fn event(&mut self, now: Micros, event: Event<'_>, io: &mut dyn Io) {
+        match event {
+            Event::Accepted { conn, .. } => self.peers.add(conn),
+            Event::Writable { conn } => self.peers.unblock(conn),
+            Event::Closed { conn, .. } => {
+                self.peers.remove(conn);
+                self.watchers.remove(&conn);
+                let owned = self.seen.values().filter(|m| m.conn == Some(conn));
+                let names = owned.map(|m| m.row.name.clone()).collect();
+                self.lost(now, names);
+            }
+            Event::Bytes { conn, bytes } => {
+                self.peers.take_in(conn, bytes);
+                loop {
+                    match self.peers.next::<ToList>(conn) {
+                        Ok(Some(message)) => self.message(now, conn, message),
+                        Ok(None) => break,
+                        Err(_) => {
+                            self.peers.remove(conn);
+                            self.watchers.remove(&conn);
+                            io.reset(conn);
+                            break;
+                        }
+                    }
+                }
+            }
+            Event::Connected { .. } => {}
+        }
+    }
+    fn turn(&mut self, now: Micros, io: &mut dyn Io) {
+        let silent = now - self.spec.silent_after;
+        let gone = self.seen.values().filter(|m| m.row.phase != Phase::Gone && m.heard < silent);
+        let names = gone.map(|m| m.row.name.clone()).collect();
+        self.lost(now, names);
+        while let Some((at, name)) = self.due.first().cloned().filter(|(at, _)| *at <= now) {
+            self.due.remove(&(at, name.clone()));
+            self.tell(now, &name);
+        }
+        self.peers.flush(io);
+    }
+    fn wake(&self) -> Option<Micros> {
+        let due = self.due.first().map(|(at, _)| *at);
+        let stands = self.seen.values().filter(|m| m.row.phase != Phase::Gone);
+        let silent = stands.map(|m| m.heard + self.spec.silent_after + 1).min();
+        due.into_iter().chain(silent).min()
+    }
+    fn done(&self) -> bool {
+        true
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-worker/src/peers.rs
@@ -0,0 +1,63 @@
+//! The accepted connections of a stand-in: frames in, frames out.
+
+use sanddrum_net::{Conn, Io, Outbox};
+use sanddrum_wire::{FrameError, Frames};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Bytes that may wait for one peer, and the largest frame taken from one.
+const MOST: usize = 64 << 20;
+
+struct Peer {
+    frames: Frames,
+    out: Outbox<()>,
+}
+
+#[derive(Default)]
+pub(crate) struct Peers {
+    peers: BTreeMap<Conn, Peer>,
+    dirty: BTreeSet<Conn>,
+}
+
+impl Peers {
+    pub fn add(&mut self, conn: Conn) {
+        self.peers.insert(conn, Peer { frames: Frames::new(MOST), out: Outbox::new(MOST) });
+    }
+    pub fn remove(&mut self, conn: Conn) -> bool {
+        self.dirty.remove(&conn);
+        self.peers.remove(&conn).is_some()
+    }
+    pub fn has(&self, conn: Conn) -> bool {
+        self.peers.contains_key(&conn)
+    }
+    pub fn all(&self) -> Vec<Conn> {
+        self.peers.keys().copied().collect()
+    }
+    pub fn take_in(&mut self, conn: Conn, bytes: &[u8]) {
+        if let Some(peer) = self.peers.get_mut(&conn) {
+            peer.frames.take_in(bytes);
+        }
+    }
+    pub fn next<T: for<'b> minicbor::Decode<'b, ()>>(&mut self, conn: Conn) -> Result<Option<T>, FrameError> {
+        self.peers.get_mut(&conn).map_or(Ok(None), |peer| peer.frames.next())
+    }
+    pub fn send(&mut self, conn: Conn, bytes: &[u8]) {
+        if let Some(peer) = self.peers.get_mut(&conn) {
+            if peer.out.push((), bytes).is_ok() {
+                self.dirty.insert(conn);
+            }
+        }
+    }
+    pub fn unblock(&mut self, conn: Conn) {
+        if let Some(peer) = self.peers.get_mut(&conn) {
+            peer.out.unblock();
+            self.dirty.insert(conn);
+        }
+    }
+    pub fn flush(&mut self, io: &mut dyn Io) {
+        while let Some(conn) = self.dirty.pop_first() {
+            if let Some(peer) = self.peers.get_mut(&conn) {
+                peer.out.flush(conn, io);
+            }
+        }
+    }
+}
