--- /dev/null
+++ b/crates/sanddrum-lab/tests/broken_edges.rs
@@ -0,0 +1,167 @@
+//! A checker that has not been seen to fail proves nothing: for each rule an edge is broken on purpose and caught, on
+//! a day on which the edge as it is keeps the rule.
+
+use rstest::rstest;
+use sanddrum::*;
+use sanddrum_edge::{Edge, Module};
+use sanddrum_lab::checker::judge;
+use sanddrum_lab::recorder::{Log, Run, Try};
+use sanddrum_lab::{play_virtually, product_edge, MakeEdge, Scenario};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum How {
+    AnswersNothingItGivesUp,
+    RepeatsRunOnceJobs,
+    PushesBackWhatMayHaveRun,
+    MissesDrains,
+    MissesColdStarts,
+    LoadsWithoutRation,
+}
+
+/// The decision module, with something kept from it or done behind its back.
+struct Broken {
+    router: Router,
+    how: How,
+}
+
+impl Module for Broken {
+    fn round(&mut self, now: Micros, round: &Round, out: &mut impl Decisions) {
+        let mut round = round.clone();
+        for row in round.lists.iter_mut().flat_map(|list| &mut list.rows) {
+            match self.how {
+                How::MissesDrains => row.state = WorkerState::Ready,
+                How::MissesColdStarts => row.started = 0,
+                _ => {}
+            }
+        }
+        self.router.round(now, &round, &mut Crooked { out, how: self.how });
+    }
+}
+
+struct Crooked<'a, D> {
+    out: &'a mut D,
+    how: How,
+}
+
+impl<D: Decisions> Decisions for Crooked<'_, D> {
+    fn execute(&mut self, job: JobId, worker: WorkerId, limit: Micros) {
+        self.out.execute(job, worker, limit);
+    }
+    fn cancel(&mut self, job: JobId, execution: usize) {
+        self.out.cancel(job, execution);
+    }
+    fn push_back(&mut self, job: JobId, wait: Micros) {
+        if self.how != How::AnswersNothingItGivesUp {
+            self.out.push_back(job, wait);
+        }
+    }
+    fn kill(&mut self, job: JobId) {
+        match self.how {
+            How::AnswersNothingItGivesUp => {}
+            How::PushesBackWhatMayHaveRun => self.out.push_back(job, 0),
+            _ => self.out.kill(job),
+        }
+    }
+    fn hold(&mut self, worker: WorkerId, function: FunctionId, copies: u32) {
+        self.out.hold(worker, function, copies);
+    }
+    fn unload(&mut self, worker: WorkerId, function: FunctionId) {
+        self.out.unload(worker, function);
+    }
+    fn probe(&mut self, worker: WorkerId) {
+        self.out.probe(worker);
+    }
+    fn tell(&mut self, peer: Option<PeerId>, content: &[u8]) {
+        self.out.tell(peer, content);
+    }
+    fn wake_at(&mut self, at: Micros) {
+        self.out.wake_at(at);
+    }
+    fn note(&mut self, text: &str) {
+        self.out.note(text);
+    }
+}
+
+fn broken_edge(how: How) -> MakeEdge {
+    Box::new(move |start| {
+        let mut settings = start.settings.values_for_module();
+        match how {
+            How::RepeatsRunOnceJobs => {
+                settings.0.insert("workloads.0.effect".into(), Value::Text("restartable".into()));
+            }
+            How::LoadsWithoutRation => drop(settings.0.remove("copies.load-window-us")),
+            _ => {}
+        }
+        let module = Broken { router: Router::new(start.seed, &settings), how };
+        Box::new(Edge::with_module(start, module))
+    })
+}
+
+fn day(effect: &str, rest: &str) -> Scenario {
+    let text = format!(
+        r#"
+        (workload "job" (start-target 1s) (time-limit 2s) (effect {effect}))
+        (function "f-*" (workload "job") (memory 200MB) (lanes 2))
+        (fleet (workers 4) (edges 2) (cores 4))
+        (list-service (notice-least 100ms) (notice-most 200ms))
+        (calls "job" (work 40ms))
+        {rest}"#
+    );
+    Scenario::read("day.sx", &text, 3).unwrap()
+}
+
+const HANG: &str = r#"
+    (traffic (length 6s) (rate 120) (functions 6))
+    (trouble "hang" (at 2s) (length 3s) (count 1))"#;
+const DRAIN: &str = r#"
+    (rules (drain-grace 500ms))
+    (traffic (length 6s) (rate 120) (functions 6))
+    (trouble "drain" (at 2s) (length 3s) (count 1))"#;
+const COLD: &str = r#"
+    (rules (cold-from 2%) (cold 20s) (fall-multiple 1.5) (fall 2s))
+    (traffic (length 8s) (rate 260) (functions 6))
+    (trouble "crash" (at 2s) (length 1s) (count 3))"#;
+const RATION: &str = r#"
+    (copies (on-miss miss) (load-window 2s) (load-free 3) (load-share 1%) (keep-alive 1s))
+    (traffic (length 6s) (rate 100) (functions 60))"#;
+
+#[rstest]
+#[case::silence(How::AnswersNothingItGivesUp, 1, "run-once", HANG)]
+#[case::repeats(How::RepeatsRunOnceJobs, 2, "run-once", HANG)]
+#[case::pushback(How::PushesBackWhatMayHaveRun, 2, "run-once", HANG)]
+#[case::drains(How::MissesDrains, 3, "restartable", DRAIN)]
+#[case::cold(How::MissesColdStarts, 4, "restartable", COLD)]
+#[case::ration(How::LoadsWithoutRation, 5, "restartable", RATION)]
+fn a_broken_edge_is_caught_and_the_true_one_is_not(
+    #[case] how: How,
+    #[case] rule: u8,
+    #[case] effect: &str,
+    #[case] rest: &str,
+) {
+    let scenario = day(effect, rest);
+    let good = play_virtually(scenario.clone(), product_edge()).unwrap();
+    assert!(good.is_good(), "{}", good.text());
+    let bad = play_virtually(scenario, broken_edge(how)).unwrap();
+    assert!(bad.verdict.broken.iter().any(|b| b.rule == rule), "{}", bad.text());
+}
+
+/// What the edge's core itself makes impossible, as a log would show it.
+#[rstest]
+#[case::two_answers(vec![(200, 200), (300, 503)], None, 1)]
+#[case::sent_after_the_answer(vec![(200, 503)], Some(900_000), 1)]
+#[case::too_late(vec![(2_400_000, 504)], None, 1)]
+#[case::in_order(vec![(200, 200)], Some(100), 0)]
+fn what_a_client_and_a_worker_saw_is_judged(
+    #[case] answers: Vec<(i64, u16)>,
+    #[case] run: Option<i64>,
+    #[case] rule: u8,
+) {
+    let scenario = day("restartable", "");
+    let limit = 2_000_000;
+    let (workload, edge) = ("job".to_string(), "edge-0".to_string());
+    let one = Try { workload: workload.clone(), edge: edge.clone(), limit, answers, ..Try::default() };
+    let mut log = Log { tries: vec![one], ..Log::default() };
+    log.runs.extend(run.map(|came| Run { worker: 0, edge, came, call: 0, number: 0, workload, answers: vec![] }));
+    let verdict = judge(&log, &scenario, 0, 100_000);
+    assert_eq!(verdict.broken.iter().map(|b| b.rule).max().unwrap_or(0), rule);
+}
