--- a/crates/sanddrum-cli/src/bin/edge.rs
+++ b/crates/sanddrum-cli/src/bin/edge.rs
@@ -6,11 +6,15 @@
 
 /// Answers clients, decides where each job runs, and holds the connections to the workers
 #[derive(Parser)]
-#[command(name = "sanddrum-edge", version, after_help = "Examples:
+#[command(
+    name = "sanddrum-edge",
+    version,
+    after_help = "Examples:
   sanddrum-edge --settings armor.sx --zone bat-a --number 0 --edges 3 --state-file edge-0.state
   sanddrum-edge --settings armor.sx --listen 127.0.0.1:8081 --set limits.max-open=500 --log info
 
-SIGTERM has it take no new jobs and end once each held one has its final answer; a second one ends it at once.")]
+SIGTERM has it take no new jobs and end once each held one has its final answer; a second one ends it at once."
+)]
 struct Cli {
     #[command(flatten)]
     edge: edge::EdgeArgs,
--- a/crates/sanddrum-cli/src/edge.rs
+++ b/crates/sanddrum-cli/src/edge.rs
@@ -73,7 +73,13 @@
     for set in &args.set {
         let Some((name, value)) = set.split_once('=') else {
             let remedy = "as --set limits.max-open=500".to_string();
-            return Err(Problem { file: "--set".into(), line: 0, column: 0, what: format!("{set:?} has no ="), remedy });
+            return Err(Problem {
+                file: "--set".into(),
+                line: 0,
+                column: 0,
+                what: format!("{set:?} has no ="),
+                remedy,
+            });
         };
         loaded.give(name, value, "--set")?;
     }
--- a/crates/sanddrum-cli/src/lab.rs
+++ b/crates/sanddrum-cli/src/lab.rs
@@ -2,7 +2,9 @@
 
 use crate::{exit, fail};
 use clap::Args;
-use sanddrum_lab::{play, play_virtually, product_edge, EdgesAs, Outcome, Recording, Scenario, SocketStage, BAD_DAY};
+use sanddrum_lab::{
+    play, play_virtually, product_edge, EdgesAs, Outcome, Recording, Scenario, SocketStage, BAD_DAY,
+};
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode, Stdio};
 
@@ -73,7 +75,14 @@
 }
 
 /// Each edge is this program again, started as one.
-fn edge_process(program: &Path, settings: &Path, scenario: &Scenario, n: usize, listen: &str, list: &str) -> Command {
+fn edge_process(
+    program: &Path,
+    settings: &Path,
+    scenario: &Scenario,
+    n: usize,
+    listen: &str,
+    list: &str,
+) -> Command {
     let mut command = Command::new(program);
     command.args(["edge", "--scenario", "--settings"]).arg(settings);
     command.args(["--listen", listen, "--list", list, "--name", &Scenario::edge_name(n)]);
--- a/crates/sanddrum-cli/src/main.rs
+++ b/crates/sanddrum-cli/src/main.rs
@@ -7,13 +7,17 @@
 
 /// A gateway that runs calls on workers which load functions on demand
 #[derive(Parser)]
-#[command(name = "sanddrum", version, after_help = "Examples:
+#[command(
+    name = "sanddrum",
+    version,
+    after_help = "Examples:
   sanddrum demo                                   the bad day, on loopback sockets
   sanddrum lab run day.sx --virtual --seed 7      a scenario in virtual time
   sanddrum config check armor.sx                  what is wrong with a settings file, and where
   sanddrum call trace-pass pick-1 --body hello    one call through an edge
 
-Exit codes: 0 all well; 1 it ran and found something not well; 2 wrong arguments or settings; 3 it could not go on.")]
+Exit codes: 0 all well; 1 it ran and found something not well; 2 wrong arguments or settings; 3 it could not go on."
+)]
 struct Cli {
     #[command(subcommand)]
     command: What,
@@ -32,7 +36,9 @@
     #[command(subcommand)]
     Config(Config),
     /// Make one call through an edge
-    #[command(after_help = "Example:\n  sanddrum call trace-pass trace-1 --edge 127.0.0.1:8080 --time-limit 2000 --body hello")]
+    #[command(
+        after_help = "Example:\n  sanddrum call trace-pass trace-1 --edge 127.0.0.1:8080 --time-limit 2000 --body hello"
+    )]
     Call(call::CallArgs),
     /// Run an edge, as sanddrum-edge does
     #[command(hide = true)]
--- a/crates/sanddrum-edge/src/carry.rs
+++ b/crates/sanddrum-edge/src/carry.rs
@@ -35,7 +35,11 @@
             customer: job.customer.clone(),
         });
         let closed = job.closed;
-        let sent = if closed { Err(End::Moot) } else { inner.send(now, worker, execution, &frame(&message), self.io) };
+        let sent = if closed {
+            Err(End::Moot)
+        } else {
+            inner.send(now, worker, execution, &frame(&message), self.io)
+        };
         let due = now + limit;
         let conn = sent.unwrap_or(sanddrum_net::Conn(u64::MAX));
         inner.jobs.executions.insert(execution, Execution { job: id, number, worker, conn, sent: now, due });
--- a/crates/sanddrum-edge/src/clients.rs
+++ b/crates/sanddrum-edge/src/clients.rs
@@ -63,7 +63,8 @@
 fn number(request: &Request, name: &'static str) -> Result<Option<i64>, NoJob> {
     let Some(text) = request.field(name) else { return Ok(None) };
     let read = text.trim().parse::<i64>().ok().filter(|n| (0..=1_000_000_000_000).contains(n));
-    read.map(Some).ok_or_else(|| no_job(400, "bad-field", format!("{name}: a whole number from 0 on is wanted")))
+    read.map(Some)
+        .ok_or_else(|| no_job(400, "bad-field", format!("{name}: a whole number from 0 on is wanted")))
 }
 
 impl Inner {
@@ -196,7 +197,12 @@
         let answer = match (request.method.as_str(), path.as_str()) {
             ("GET", "/metrics") => {
                 let page = self.metrics_page.as_ref().map(|page| page()).unwrap_or_default();
-                Ok(http::response(200, &[("content-type", "text/plain; version=0.0.4")], page.as_bytes(), keep))
+                Ok(http::response(
+                    200,
+                    &[("content-type", "text/plain; version=0.0.4")],
+                    page.as_bytes(),
+                    keep,
+                ))
             }
             ("GET", "/health") => Ok(http::response(200, &[("content-type", "text/plain")], b"ok\n", keep)),
             _ => Err(self.take_call(now, conn, request, &path)),
@@ -218,8 +224,15 @@
                 self.figures.refused(end, no.reason);
                 tracing::info!(status = no.status, reason = no.reason, "not taken");
                 let retry_after = pushed_back.then_some(self.limits.max_retry_after);
-                Refusal { status: no.status, end, reason: no.reason, detail: &no.detail, retry_after, job: None }
-                    .response(keep)
+                Refusal {
+                    status: no.status,
+                    end,
+                    reason: no.reason,
+                    detail: &no.detail,
+                    retry_after,
+                    job: None,
+                }
+                .response(keep)
             }
         };
         if let Some(client) = self.clients.clients.get_mut(&conn) {
@@ -247,8 +260,12 @@
         let repeat = number(&request, "sanddrum-repeat")?.is_some_and(|n| n > 0);
         let found = self.functions.find(workload, function, self.limits.max_functions);
         let (id, known) = found.map_err(|unknown| match unknown {
-            Unknown::Workload => no_job(404, "no-such-workload", format!("no workload {workload:?} is set here")),
-            Unknown::Function => no_job(404, "no-such-function", format!("no function {function:?} is set for it")),
+            Unknown::Workload => {
+                no_job(404, "no-such-workload", format!("no workload {workload:?} is set here"))
+            }
+            Unknown::Function => {
+                no_job(404, "no-such-function", format!("no function {function:?} is set for it"))
+            }
             Unknown::TooMany => no_job(503, "max-functions", "this edge knows as many functions as it may"),
         })?;
         let (of, memory_mb, lanes, load) = (known.workload, known.memory_mb, known.lanes, known.load);
@@ -257,9 +274,8 @@
         let field = |name: &str| request.field(name).map(String::from);
         let customer = field("sanddrum-customer");
         let customers = self.settings.count("customers");
-        let number = (0..customers).find(|n| {
-            customer.as_deref() == self.settings.values.text(&format!("customers.{n}.name"))
-        });
+        let number = (0..customers)
+            .find(|n| customer.as_deref() == self.settings.values.text(&format!("customers.{n}.name")));
         let Some(client) = self.clients.clients.get(&conn) else {
             return Err(no_job(400, "client-left", "its client has left"));
         };
@@ -363,7 +379,14 @@
             _ => {}
         }
         if head.is_some_and(|at| at <= now) {
-            return self.turn_away(now, conn, 408, "head-time-out", "the request did not come whole in time", None);
+            return self.turn_away(
+                now,
+                conn,
+                408,
+                "head-time-out",
+                "the request did not come whole in time",
+                None,
+            );
         }
         if quiet && idle <= now {
             return self.drop_client(conn, io, client.out.waiting() == 0);
--- a/crates/sanddrum-edge/src/functions.rs
+++ b/crates/sanddrum-edge/src/functions.rs
@@ -64,7 +64,12 @@
     pub fn get(&self, id: FunctionId) -> Option<&Function> {
         self.known.get(&id)
     }
-    pub fn find(&mut self, workload: &str, function: &str, most: usize) -> Result<(FunctionId, &Function), Unknown> {
+    pub fn find(
+        &mut self,
+        workload: &str,
+        function: &str,
+        most: usize,
+    ) -> Result<(FunctionId, &Function), Unknown> {
         let name = format!("{workload}/{function}");
         let id = FunctionId(id_of(&name));
         if !self.known.contains_key(&id) {
--- a/crates/sanddrum-edge/src/jobs.rs
+++ b/crates/sanddrum-edge/src/jobs.rs
@@ -197,7 +197,13 @@
             None => true,
         };
         self.jobs.forget_if_done(e.job);
-        tracing::debug!(job = e.job.0, execution = e.number, worker = self.links.name(e.worker), ?end, "ended");
+        tracing::debug!(
+            job = e.job.0,
+            execution = e.number,
+            worker = self.links.name(e.worker),
+            ?end,
+            "ended"
+        );
         self.round.ends.push(ExecutionEnd {
             job: e.job,
             execution: e.number,
--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -103,7 +103,11 @@
         if link.out.push(mark, bytes).is_err() {
             // It does not read: as good as unreachable.
             self.figures.limit_hit("waiting-per-worker");
-            tracing::warn!(worker = self.links.name(worker), reason = "waiting-per-worker", "a worker reads too slowly");
+            tracing::warn!(
+                worker = self.links.name(worker),
+                reason = "waiting-per-worker",
+                "a worker reads too slowly"
+            );
             return Err(End::NoConnection);
         }
         if mark != Mark::Other {
@@ -136,7 +140,11 @@
         let target = self.links.targets.get_mut(&worker).ok_or(End::NoConnection)?;
         if target.conns.len() >= self.limits.connections {
             self.figures.limit_hit("connections");
-            tracing::warn!(worker = target.name, reason = "connections", "all connections to a worker are full");
+            tracing::warn!(
+                worker = target.name,
+                reason = "connections",
+                "all connections to a worker are full"
+            );
             return Err(End::Full);
         }
         let conn = io.connect(&target.address);
@@ -180,7 +188,7 @@
         let mut frames = std::mem::take(&mut link.frames);
         frames.take_in(bytes);
         loop {
-            let problem = match frames.next::<FromWorker>() {
+            let problem = match frames.next_message::<FromWorker>() {
                 Ok(None) => break,
                 Ok(Some(message)) => match self.worker_says(now, conn, worker, message) {
                     Ok(()) => continue,
@@ -200,7 +208,13 @@
         }
     }
 
-    fn worker_says(&mut self, now: Micros, conn: Conn, worker: WorkerId, says: FromWorker) -> Result<(), String> {
+    fn worker_says(
+        &mut self,
+        now: Micros,
+        conn: Conn,
+        worker: WorkerId,
+        says: FromWorker,
+    ) -> Result<(), String> {
         match says {
             FromWorker::Hello(hello) => {
                 let name = self.links.name(worker).unwrap_or_default();
@@ -225,7 +239,12 @@
                 let report = probed.report.as_ref().map(report_of);
                 if let Some(asked) = self.probe_over(now, probed.id) {
                     let latency = now - asked.sent;
-                    self.round.probes.push(ProbeEnd { worker: asked.worker, end: End::Finished, latency, report });
+                    self.round.probes.push(ProbeEnd {
+                        worker: asked.worker,
+                        end: End::Finished,
+                        latency,
+                        report,
+                    });
                 }
             }
         }
@@ -242,7 +261,13 @@
         }
         if !link.carries.is_empty() {
             let name = self.links.name(link.worker);
-            tracing::info!(worker = name, ?how, up = link.up, carried = link.carries.len(), "a connection ended");
+            tracing::info!(
+                worker = name,
+                ?how,
+                up = link.up,
+                carried = link.carries.len(),
+                "a connection ended"
+            );
         }
         for mark in &link.carries {
             let unread = !link.up || how == Closed::Refused || link.out.holds(mark);
@@ -284,12 +309,27 @@
 
     // ---- Orders and probes
 
-    pub(crate) fn order(&mut self, now: Micros, worker: WorkerId, function: FunctionId, copies: u32, io: &mut dyn Io) {
+    pub(crate) fn order(
+        &mut self,
+        now: Micros,
+        worker: WorkerId,
+        function: FunctionId,
+        copies: u32,
+        io: &mut dyn Io,
+    ) {
         self.links.asked += 1;
         let id = self.links.asked;
-        let Some(known) = self.functions.get(function) else { return };
-        let hold =
-            wire::Hold { id, function: known.name.clone(), copies, memory_mb: known.memory_mb, lanes: known.lanes };
+        let Some(known) = self.functions.get(function) else {
+            let end = End::Error;
+            return self.round.orders.push(OrderEnd { worker, function, end, latency: 0, copies: 0 });
+        };
+        let hold = wire::Hold {
+            id,
+            function: known.name.clone(),
+            copies,
+            memory_mb: known.memory_mb,
+            lanes: known.lanes,
+        };
         if copies > 0 {
             self.figures.orders.increment(1);
         }
--- a/crates/sanddrum-edge/src/list.rs
+++ b/crates/sanddrum-edge/src/list.rs
@@ -20,6 +20,8 @@
     /// The list as it stands, and when each worker's process started (nought: long ago).
     rows: BTreeMap<WorkerId, (Row, Micros)>,
     wait: Micros,
+    /// When to look whether it is up, or to call again; what fell due before is of an earlier call.
+    next: Micros,
     saving: bool,
 }
 
@@ -64,7 +66,11 @@
             Ok(kept) => {
                 (self.list.run, self.list.version) = (kept.run, kept.version);
                 let rows = state::aged(&kept, now);
-                tracing::info!(workers = rows.len(), version = kept.version, "the kept worker list is taken up");
+                tracing::info!(
+                    workers = rows.len(),
+                    version = kept.version,
+                    "the kept worker list is taken up"
+                );
                 self.take_rows(now, ListKind::Cached, &rows);
             }
             Err(why) => tracing::warn!(reason = "kept-list", why, "the kept worker list is not used"),
@@ -89,7 +95,13 @@
     }
 
     /// A worker's greeting tells of a start that the list has not told yet: its copies are gone and it is cold.
-    pub(crate) fn worker_started(&mut self, now: Micros, worker: WorkerId, incarnation: u64, age: Option<Micros>) {
+    pub(crate) fn worker_started(
+        &mut self,
+        now: Micros,
+        worker: WorkerId,
+        incarnation: u64,
+        age: Option<Micros>,
+    ) {
         let Some((row, _)) = self.list.rows.get(&worker) else { return };
         if incarnation <= row.incarnation {
             return;
@@ -101,9 +113,12 @@
     }
 
     pub(crate) fn call_list(&mut self, now: Micros, io: &mut dyn Io) {
+        if now < self.list.next || self.list.up {
+            return;
+        }
         if self.list.conn.is_some() {
             // Not up within the time for connections.
-            return if self.list.up { () } else { self.list_lost(now, io) };
+            return self.list_lost(now, io);
         }
         let conn = io.connect(self.settings.text("edge.list"));
         self.owners.insert(conn, Owner::List);
@@ -111,12 +126,17 @@
         let mut out = Outbox::new(self.limits.largest_frame);
         let hello = Hello { version: VERSION, name, incarnation: self.incarnation, age_us: None };
         let _ = out.push((), &frame(&ToList::Hello(hello)));
-        let _ = out.push((), &frame(&ToList::Watch(Watch { version: self.list.version, run: self.list.run })));
+        let _ =
+            out.push((), &frame(&ToList::Watch(Watch { version: self.list.version, run: self.list.run })));
         self.list.conn = Some(conn);
         self.list.out = Some(out);
         self.list.up = false;
         self.list.frames = Frames::new(self.limits.largest_frame);
-        self.due.insert((now + self.limits.connect_time_out, Due::List));
+        self.look_at_list_at(now + self.limits.connect_time_out);
+    }
+    fn look_at_list_at(&mut self, at: Micros) {
+        self.list.next = at;
+        self.due.insert((at, Due::List));
     }
 
     /// Calls again after a wait that doubles, by chance up to half of it less, so that edges do not call together.
@@ -125,12 +145,17 @@
             self.owners.remove(&conn);
             io.reset(conn);
         }
+        self.list.up = false;
         let (least, most) = self.limits.list_retry;
         self.list.wait = (self.list.wait * 2).clamp(least, most);
         let wait = (self.list.wait as f64 * (1.0 - self.chance.part() / 2.0)) as Micros;
-        tracing::info!(reason = "list-away", wait_us = wait, "the list service does not answer; the last list holds");
+        tracing::info!(
+            reason = "list-away",
+            wait_us = wait,
+            "the list service does not answer; the last list holds"
+        );
         self.figures.list_losses.increment(1);
-        self.due.insert((now + wait, Due::List));
+        self.look_at_list_at(now + wait);
     }
 
     pub(crate) fn list_event(&mut self, now: Micros, conn: Conn, event: Event<'_>, io: &mut dyn Io) {
@@ -149,7 +174,7 @@
             Event::Bytes { bytes, .. } => {
                 self.list.frames.take_in(bytes);
                 loop {
-                    match self.list.frames.next::<FromList>() {
+                    match self.list.frames.next_message::<FromList>() {
                         Ok(None) => break,
                         Ok(Some(FromList::Rows(rows))) => self.list_rows(now, conn, &rows, io),
                         Ok(Some(FromList::Hello(_))) => {}
--- a/crates/sanddrum-edge/src/state.rs
+++ b/crates/sanddrum-edge/src/state.rs
@@ -45,6 +45,9 @@
 /// Rows kept at one instant as they stand at another.
 pub fn aged(kept: &Kept, now: Micros) -> Vec<Row> {
     let since = (now - kept.at).max(0);
-    let older = |row: &Row| Row { age_us: if row.age_us < 0 { row.age_us } else { row.age_us + since }, ..row.clone() };
+    let older = |row: &Row| Row {
+        age_us: if row.age_us < 0 { row.age_us } else { row.age_us + since },
+        ..row.clone()
+    };
     kept.rows.iter().map(older).collect()
 }
--- /dev/null
+++ b/crates/sanddrum-edge/tests/clients.rs
@@ -0,0 +1,191 @@
+//! The client door under clients of every kind.
+
+mod host;
+
+use host::{Do, Host, S};
+use rstest::rstest;
+use sanddrum::JobId;
+use sanddrum_net::{Closed, Core, Event};
+use sanddrum_wire::{http, Ended};
+
+#[rstest]
+fn answers_go_out_in_the_order_of_the_requests() {
+    let mut h = Host::new(&[]);
+    let client = h.client();
+    h.strings.borrow_mut().deeds.extend([Do::Execute(0, 5 * S), Do::Execute(1, 5 * S)]);
+    let two = [
+        http::write_request("POST", "/v1/calls/job/f1", &[], b"a"),
+        http::write_request("POST", "/v1/calls/job/f2", &[], b"b"),
+    ];
+    h.says(client, &two.concat());
+    let worker = h.io.connects.last().unwrap().0;
+    h.up(worker);
+    let ids = h.executions_read(worker);
+    h.done(worker, ids[1], Ended::Finished);
+    assert!(h.statuses(client).is_empty(), "the first is not answered yet");
+    h.decide(Do::PushBack(0));
+    h.done(worker, ids[0], Ended::Finished);
+    assert_eq!(h.statuses(client), [503, 200]);
+    let first = &h.answers(client)[0];
+    assert_eq!(
+        (first.field("retry-after"), first.field("sanddrum-retry-after-ms")),
+        (Some("1"), Some("300"))
+    );
+    assert_eq!(first.field("content-type"), Some("application/problem+json"));
+}
+
+#[rstest]
+fn pipelining_is_bounded_and_goes_on_when_there_is_room() {
+    let mut h = Host::new(&[("limits.pipelined", "2")]);
+    let client = h.client();
+    let one = http::write_request("POST", "/v1/calls/job/f1", &[], b"");
+    h.says(client, &one.repeat(5));
+    assert_eq!(h.strings.borrow().jobs.len(), 2);
+    assert_eq!(h.io.paused.get(&client), Some(&true));
+    h.decide(Do::PushBack(0));
+    h.wait(0);
+    assert_eq!(h.strings.borrow().jobs.len(), 3);
+}
+
+#[rstest]
+fn a_request_may_come_byte_by_byte_but_not_for_ever() {
+    let mut h = Host::new(&[("limits.head-time-out", "1s")]);
+    let (client, slow) = (h.client(), h.client());
+    let request = http::write_request("POST", "/v1/calls/job/f1", &[("sanddrum-time-limit-ms", "700")], b"x");
+    request.iter().for_each(|byte| h.says(client, &[*byte]));
+    let due = h.strings.borrow().jobs[0].due;
+    assert_eq!(due, h.now + 700_000 - 20_000, "its client's time less the way back");
+    h.says(slow, b"POST /v1/calls/job/f1 HTTP/1.1\r\nx");
+    h.wait(S / 2);
+    h.says(slow, b"y");
+    h.wait(S);
+    assert_eq!(h.statuses(slow), [408]);
+}
+
+#[rstest]
+#[case::head("GET /health HTTP/1.1\r\nx: yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy", 431)]
+#[case::body("POST /v1/calls/job/f1 HTTP/1.1\r\ncontent-length: 999\r\n\r\n", 413)]
+#[case::noise("\u{1}\u{2}\u{3}\r\n\r\n", 400)]
+#[case::chunked("POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n", 411)]
+fn what_cannot_be_read_is_answered_and_the_connection_read_out_and_closed(
+    #[case] text: &str,
+    #[case] status: u16,
+) {
+    let mut h = Host::new(&[
+        ("limits.largest-head", "60 B"),
+        ("limits.largest-body", "50 B"),
+        ("limits.linger", "1s"),
+    ]);
+    let client = h.client();
+    h.says(client, text.as_bytes());
+    h.says(client, b"and more of it");
+    assert_eq!(h.statuses(client), [status]);
+    assert!(h.io.closed.is_empty());
+    h.wait(2 * S);
+    assert_eq!(h.io.closed, [(client, Some(Closed::InOrder))]);
+}
+
+#[rstest]
+#[case::path("POST", "/v1/calls/job", 404)]
+#[case::workload("POST", "/v1/calls/jib/f1", 404)]
+#[case::function("POST", "/v1/calls/job/g", 404)]
+#[case::method("GET", "/v1/calls/job/f1", 405)]
+#[case::health("GET", "/health", 200)]
+fn what_is_no_call_becomes_no_job(#[case] method: &str, #[case] path: &str, #[case] status: u16) {
+    let mut h = Host::new(&[]);
+    let client = h.client();
+    h.says(client, &http::write_request(method, path, &[], b""));
+    assert_eq!(h.statuses(client), [status]);
+    assert!(h.strings.borrow().jobs.is_empty());
+}
+
+#[rstest]
+fn more_jobs_than_may_be_held_are_pushed_back_unseen() {
+    let mut h = Host::new(&[("limits.max-open", "2")]);
+    let clients: Vec<_> = (0..3).map(|_| h.client()).collect();
+    clients.iter().for_each(|client| h.calls(*client, &[]));
+    assert_eq!((h.statuses(clients[1]), h.statuses(clients[2])), (vec![], vec![503]));
+    assert!(String::from_utf8_lossy(&h.answers(clients[2])[0].body).contains("max-open"));
+    assert_eq!(h.strings.borrow().jobs.len(), 2);
+}
+
+#[rstest]
+fn too_many_clients_and_silent_ones_are_closed() {
+    let mut h = Host::new(&[("limits.max-clients", "2"), ("limits.client-idle", "3s")]);
+    let clients: Vec<_> = (0..3).map(|_| h.client()).collect();
+    assert_eq!(h.io.closed, [(clients[2], Some(Closed::Reset))]);
+    h.calls(clients[0], &[]);
+    h.wait(9 * S);
+    assert!(h.io.closed.contains(&(clients[1], Some(Closed::InOrder))), "it said nothing");
+    assert!(!h.io.closed.iter().any(|(conn, _)| *conn == clients[0]), "it waits for its answer");
+}
+
+#[rstest]
+fn a_client_that_reads_too_slowly_is_closed_and_its_jobs_are_left() {
+    let mut h = Host::new(&[("limits.waiting-per-client", "500 B")]);
+    let client = h.client();
+    h.io.room.insert(client, 10);
+    for job in 0..4 {
+        h.calls(client, &[]);
+        h.decide(Do::PushBack(job));
+    }
+    h.calls(client, &[]);
+    assert!(h.io.closed.contains(&(client, Some(Closed::Reset))));
+}
+
+#[rstest]
+fn a_client_that_closes_has_left_and_is_sent_nothing() {
+    let mut h = Host::new(&[]);
+    let (client, worker) = h.call_out(5 * S);
+    h.up(worker);
+    h.event(Event::Closed { conn: client, how: Closed::InOrder });
+    h.turn();
+    assert_eq!(h.strings.borrow().left, [JobId(0)]);
+    h.done(worker, h.executions_read(worker)[0], Ended::Finished);
+    assert!(h.strings.borrow().ends[0].settled);
+    assert!(h.statuses(client).is_empty());
+}
+
+#[rstest]
+fn each_job_gets_one_answer_whatever_is_decided_for_it_twice() {
+    let mut h = Host::new(&[]);
+    let (client, _) = h.call_out(5 * S);
+    for deed in [Do::Kill(0), Do::PushBack(0), Do::Kill(0)] {
+        h.decide(deed);
+    }
+    assert_eq!(h.statuses(client), [502]);
+    h.decide(Do::Execute(0, S));
+    h.turn();
+    assert!(!h.ends().is_empty(), "what is sent for an ended job never leaves");
+}
+
+#[rstest]
+#[case::at_the_time_limit(11, 504)]
+#[case::before(1, 502)]
+fn killed_tells_whether_the_time_was_up(#[case] seconds: i64, #[case] status: u16) {
+    let mut h = Host::new(&[]);
+    let client = h.client();
+    h.calls(client, &[]);
+    h.now += seconds * S;
+    h.decide(Do::Kill(0));
+    assert_eq!(h.statuses(client), [status]);
+}
+
+#[rstest]
+fn an_edge_asked_to_end_takes_nothing_new_and_answers_what_it_holds() {
+    let mut h = Host::new(&[("limits.stop-within", "3s")]);
+    let (client, worker) = h.call_out(50 * S);
+    let (second, _) = h.call_out(50 * S);
+    let late = h.client();
+    h.up(worker);
+    h.edge.stop(h.now, &mut h.io);
+    h.calls(late, &[]);
+    assert_eq!(h.statuses(late), [503]);
+    assert!(h.io.closed.contains(&(late, Some(Closed::InOrder))));
+    h.done(worker, h.executions_read(worker)[0], Ended::Finished);
+    assert_eq!(h.statuses(client), [200]);
+    assert!(!h.edge.done());
+    h.wait(3 * S);
+    assert_eq!(h.statuses(second), [502], "the bound on ending");
+    assert!(h.edge.done());
+}
--- /dev/null
+++ b/crates/sanddrum-edge/tests/host/mod.rs
@@ -0,0 +1,249 @@
+//! An edge between a scripted network and a puppet in the module's place.
+#![allow(dead_code)]
+
+use sanddrum::*;
+use sanddrum_edge::{Edge, Module, Start};
+use sanddrum_net::{Closed, Conn, Core, Door, Event, Io};
+use sanddrum_wire::frame::frame;
+use sanddrum_wire::{http, Done, Ended, Frames, FromList, FromWorker, Hello, Phase, Row, Rows, ToWorker};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// What the puppet is told to decide in its next round.
+#[derive(Clone, Copy, Debug)]
+pub enum Do {
+    Execute(u64, Micros),
+    Cancel(u64, usize),
+    PushBack(u64),
+    Kill(u64),
+    Hold(u32),
+    Probe,
+}
+
+#[derive(Default)]
+pub struct Strings {
+    pub deeds: Vec<Do>,
+    pub ends: Vec<ExecutionEnd>,
+    pub orders: Vec<OrderEnd>,
+    pub probes: Vec<ProbeEnd>,
+    pub jobs: Vec<Job>,
+    pub left: Vec<JobId>,
+    pub lists: Vec<WorkerList>,
+}
+
+pub struct Puppet(Rc<RefCell<Strings>>);
+
+pub fn worker_id() -> WorkerId {
+    WorkerId(sanddrum_wire::id_of("w"))
+}
+
+impl Module for Puppet {
+    fn round(&mut self, _: Micros, round: &Round, out: &mut impl Decisions) {
+        let mut strings = self.0.borrow_mut();
+        strings.ends.extend(&round.ends);
+        strings.orders.extend(&round.orders);
+        strings.probes.extend(&round.probes);
+        strings.jobs.extend(&round.jobs);
+        strings.left.extend(&round.left);
+        strings.lists.extend(round.lists.iter().cloned());
+        let function = FunctionId(sanddrum_wire::id_of("job/f1"));
+        for deed in std::mem::take(&mut strings.deeds) {
+            match deed {
+                Do::Execute(job, limit) => out.execute(JobId(job), worker_id(), limit),
+                Do::Cancel(job, n) => out.cancel(JobId(job), n),
+                Do::PushBack(job) => out.push_back(JobId(job), 300_000),
+                Do::Kill(job) => out.kill(JobId(job)),
+                Do::Hold(copies) => out.hold(worker_id(), function, copies),
+                Do::Probe => out.probe(worker_id()),
+            }
+        }
+    }
+}
+
+/// Connections as the edge sees them, with what it wrote to each.
+pub struct Wires {
+    pub wrote: BTreeMap<Conn, Vec<u8>>,
+    pub connects: Vec<(Conn, String)>,
+    pub closed: Vec<(Conn, Option<Closed>)>,
+    pub paused: BTreeMap<Conn, bool>,
+    /// Bytes that connections still take; no bound where nothing is said.
+    pub room: BTreeMap<Conn, usize>,
+    pub saved: Option<Vec<u8>>,
+    next: u64,
+}
+
+impl Io for Wires {
+    fn connect(&mut self, to: &str) -> Conn {
+        self.next += 1;
+        self.connects.push((Conn(self.next), to.to_string()));
+        Conn(self.next)
+    }
+    fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        let room = self.room.entry(conn).or_insert(usize::MAX / 2);
+        let n = bytes.len().min(*room);
+        *room -= n;
+        self.wrote.entry(conn).or_default().extend_from_slice(&bytes[..n]);
+        n
+    }
+    fn close(&mut self, conn: Conn) {
+        self.closed.push((conn, Some(Closed::InOrder)));
+    }
+    fn reset(&mut self, conn: Conn) {
+        self.closed.push((conn, Some(Closed::Reset)));
+    }
+    fn pause(&mut self, conn: Conn, paused: bool) {
+        self.paused.insert(conn, paused);
+    }
+    fn save(&mut self, state: &[u8]) {
+        self.saved = Some(state.to_vec());
+    }
+}
+
+pub struct Host {
+    pub edge: Edge<Puppet>,
+    pub io: Wires,
+    pub now: Micros,
+    pub strings: Rc<RefCell<Strings>>,
+    pub list: Conn,
+    came: u64,
+}
+
+pub const S: Micros = 1_000_000;
+
+impl Host {
+    /// An edge with a restartable workload `job`, functions `f*`, one worker `w`, and what the story sets.
+    pub fn new(set: &[(&str, &str)]) -> Host {
+        let mut host = Host::bare(set, None);
+        host.list_says(&host.rows(1, true, 0, &[row("w", 1, Phase::Ready)]));
+        host
+    }
+    pub fn bare(set: &[(&str, &str)], kept: Option<Vec<u8>>) -> Host {
+        let text = r#"
+            (deployment (zones "a" "b"))
+            (workload "job" (time-limit 10s) (effect restartable))
+            (function "f*" (workload "job"))"#;
+        let mut settings = sanddrum_settings::read("story", text).unwrap();
+        set.iter().for_each(|(name, value)| settings.give(name, value, "story").unwrap());
+        let strings = Rc::new(RefCell::new(Strings::default()));
+        let start = Start { settings, seed: 1, kept, incarnation: 7, metrics_page: None };
+        let edge = Edge::with_module(start, Puppet(strings.clone()));
+        let io = Wires {
+            wrote: BTreeMap::new(),
+            connects: Vec::new(),
+            closed: Vec::new(),
+            paused: BTreeMap::new(),
+            room: BTreeMap::new(),
+            saved: None,
+            next: 1000,
+        };
+        let mut host = Host { edge, io, now: 1000 * S, strings, list: Conn(0), came: 0 };
+        host.edge.start(host.now, &mut host.io);
+        host.turn();
+        host.list = host.io.connects[0].0;
+        host.event(Event::Connected { conn: host.list });
+        host
+    }
+    pub fn event(&mut self, event: Event<'_>) {
+        self.edge.event(self.now, event, &mut self.io);
+        self.turn();
+    }
+    pub fn turn(&mut self) {
+        self.edge.turn(self.now, &mut self.io);
+    }
+    /// Lets time pass, with every wake on the way.
+    pub fn wait(&mut self, span: Micros) {
+        let until = self.now + span;
+        while let Some(at) = self.edge.wake().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            self.turn();
+        }
+        self.now = until;
+        self.turn();
+    }
+    pub fn decide(&mut self, deed: Do) {
+        self.strings.borrow_mut().deeds.push(deed);
+        // Any news calls the module; a client that asks for its health is not even that.
+        self.list_says(&self.rows(2, true, 0, &[row("w", 1, Phase::Ready)]));
+    }
+
+    // ---- Clients
+
+    pub fn client(&mut self) -> Conn {
+        self.came += 1;
+        let conn = Conn(self.came);
+        self.event(Event::Accepted { conn, door: Door(0) });
+        conn
+    }
+    pub fn says(&mut self, conn: Conn, bytes: &[u8]) {
+        self.event(Event::Bytes { conn, bytes });
+    }
+    pub fn calls(&mut self, conn: Conn, fields: &[(&str, &str)]) {
+        self.says(conn, &http::write_request("POST", "/v1/calls/job/f1", fields, b"in"));
+    }
+    /// A client with a call that the puppet sends to the worker at once.
+    pub fn call_out(&mut self, limit: Micros) -> (Conn, Conn) {
+        let client = self.client();
+        let job = self.strings.borrow().jobs.len() as u64;
+        self.strings.borrow_mut().deeds.push(Do::Execute(job, limit));
+        self.calls(client, &[]);
+        let worker = self.io.connects.last().unwrap().0;
+        (client, worker)
+    }
+    pub fn answers(&self, conn: Conn) -> Vec<http::Answer> {
+        let mut bytes = self.io.wrote.get(&conn).cloned().unwrap_or_default();
+        let mut answers = Vec::new();
+        while let Ok(Some((answer, took))) = http::answer(&bytes) {
+            bytes.drain(..took);
+            answers.push(answer);
+        }
+        answers
+    }
+    pub fn statuses(&self, conn: Conn) -> Vec<u16> {
+        self.answers(conn).iter().map(|a| a.status).collect()
+    }
+
+    // ---- Workers
+
+    pub fn up(&mut self, conn: Conn) {
+        self.event(Event::Connected { conn });
+    }
+    pub fn ends(&self) -> Vec<End> {
+        self.strings.borrow().ends.iter().map(|e| e.end).collect()
+    }
+    /// What a worker has read whole.
+    pub fn read_by(&self, conn: Conn) -> Vec<ToWorker> {
+        let mut frames = Frames::new(1 << 20);
+        frames.take_in(self.io.wrote.get(&conn).map_or(&[][..], Vec::as_slice));
+        std::iter::from_fn(|| frames.next_message().ok().flatten()).collect()
+    }
+    pub fn executions_read(&self, conn: Conn) -> Vec<u64> {
+        let each = |m| if let ToWorker::Execute(e) = m { Some(e.id) } else { None };
+        self.read_by(conn).into_iter().filter_map(each).collect()
+    }
+    pub fn worker_says(&mut self, conn: Conn, message: &FromWorker) {
+        self.says(conn, &frame(message));
+    }
+    pub fn done(&mut self, conn: Conn, id: u64, ended: Ended) {
+        let done = Done { id, ended, copy: None, crowd: None, report: None, body: b"out".to_vec() };
+        self.worker_says(conn, &FromWorker::Done(done));
+    }
+    pub fn greets(&mut self, conn: Conn, name: &str, incarnation: u64, age_us: Option<i64>) {
+        let hello = Hello { version: 1, name: name.into(), incarnation, age_us };
+        self.worker_says(conn, &FromWorker::Hello(hello));
+    }
+
+    // ---- The list service
+
+    pub fn rows(&self, version: u64, whole: bool, after: u64, rows: &[Row]) -> Rows {
+        Rows { version, run: 1, whole, after, rows: rows.to_vec() }
+    }
+    pub fn list_says(&mut self, rows: &Rows) {
+        self.says(self.list, &frame(&FromList::Rows(rows.clone())));
+    }
+}
+
+pub fn row(name: &str, incarnation: u64, phase: Phase) -> Row {
+    let (address, zone) = (format!("10.0.0.1:{}", 7000 + name.len()), "a".to_string());
+    Row { name: name.into(), address, zone, size: 4.0, phase, incarnation, age_us: -1, ..Row::default() }
+}
--- /dev/null
+++ b/crates/sanddrum-edge/tests/workers.rs
@@ -0,0 +1,260 @@
+//! Every way in which an execution can end, and whether it can have run.
+
+mod host;
+
+use host::{row, Do, Host, S};
+use rstest::rstest;
+use sanddrum::{End, ListKind, WorkerState};
+use sanddrum_edge::state;
+use sanddrum_net::{Closed, Event};
+use sanddrum_wire::{Ended, FromWorker, Held, Phase, Probed};
+
+#[rstest]
+#[case::refused(0, Closed::Refused, End::NoConnection)]
+#[case::written_in_part(60, Closed::Reset, End::NoConnection)]
+#[case::written_whole(10_000, Closed::Reset, End::Reset)]
+#[case::closed_in_order_without_an_answer(10_000, Closed::InOrder, End::Reset)]
+fn a_broken_connection_tells_whether_the_job_can_have_run(
+    #[case] room: usize,
+    #[case] how: Closed,
+    #[case] end: End,
+) {
+    let mut h = Host::new(&[]);
+    let (_, worker) = h.call_out(5 * S);
+    h.io.room.insert(worker, room);
+    if how != Closed::Refused {
+        h.up(worker);
+    }
+    assert_eq!(h.executions_read(worker).len(), usize::from(room == 10_000));
+    h.event(Event::Closed { conn: worker, how });
+    h.turn();
+    assert_eq!(h.ends(), [end]);
+}
+
+#[rstest]
+fn a_connection_that_is_not_up_in_time_is_given_up() {
+    let mut h = Host::new(&[("limits.connect-time-out", "100ms")]);
+    let (_, worker) = h.call_out(5 * S);
+    h.wait(S / 5);
+    assert_eq!(h.ends(), [End::NoConnection]);
+    assert!(h.io.closed.contains(&(worker, Some(Closed::Reset))));
+}
+
+#[rstest]
+fn an_answer_after_a_cancel_or_a_second_one_changes_nothing() {
+    let mut h = Host::new(&[]);
+    let (client, worker) = h.call_out(5 * S);
+    h.up(worker);
+    let id = h.executions_read(worker)[0];
+    h.decide(Do::Cancel(0, 0));
+    h.turn();
+    assert_eq!(h.ends(), [End::Cancelled]);
+    h.done(worker, id, Ended::Finished);
+    assert_eq!((h.ends().len(), h.statuses(client).len()), (1, 0));
+    h.decide(Do::PushBack(0));
+    h.done(worker, id, Ended::Finished);
+    assert_eq!(h.statuses(client), [503]);
+
+    let (client, _) = h.call_out(5 * S);
+    let id = h.executions_read(worker)[1];
+    h.done(worker, id, Ended::Finished);
+    h.done(worker, id, Ended::Error);
+    assert_eq!(h.statuses(client), [200]);
+    assert!(h.strings.borrow().ends[1].settled);
+    assert_eq!(h.ends().len(), 2);
+}
+
+#[rstest]
+fn what_was_never_written_is_taken_back_and_is_known_not_to_have_run() {
+    let mut h = Host::new(&[]);
+    let (_, worker) = h.call_out(5 * S);
+    h.decide(Do::Cancel(0, 0));
+    h.turn();
+    assert_eq!(h.ends(), [End::Moot]);
+    h.call_out(S / 10);
+    h.wait(S / 5);
+    assert_eq!(h.ends(), [End::Moot, End::NoConnection], "its time was up before it could be sent");
+    h.up(worker);
+    assert_eq!(h.executions_read(worker), [] as [u64; 0]);
+}
+
+#[rstest]
+fn what_was_written_and_is_not_answered_in_time_may_have_run() {
+    let mut h = Host::new(&[]);
+    let (client, worker) = h.call_out(S);
+    h.up(worker);
+    h.wait(2 * S);
+    assert_eq!(h.ends(), [End::TimedOut]);
+    let id = h.executions_read(worker)[0];
+    h.done(worker, id, Ended::Finished);
+    assert_eq!(h.statuses(client), [] as [u16; 0], "an execution that was given up answers nobody");
+}
+
+#[rstest]
+#[case::finished(Ended::Finished, End::Finished)]
+#[case::error(Ended::Error, End::Error)]
+#[case::full(Ended::Full, End::Full)]
+#[case::miss(Ended::Miss, End::Miss)]
+#[case::dropped(Ended::Dropped, End::Moot)]
+fn workers_ends_are_told_as_they_are(#[case] ended: Ended, #[case] end: End) {
+    let mut h = Host::new(&[]);
+    let (client, worker) = h.call_out(5 * S);
+    h.up(worker);
+    h.done(worker, h.executions_read(worker)[0], ended);
+    assert_eq!(h.ends(), [end]);
+    assert_eq!(h.statuses(client).len(), usize::from(ended == Ended::Finished));
+}
+
+#[rstest]
+#[case::noise(&[0, 0, 0, 2, 0xff, 0xff])]
+#[case::too_large(&[0x7f, 0xff, 0xff, 0xff])]
+#[case::half_a_frame_then_noise(&[0, 0, 0, 1, 0x00])]
+fn a_worker_that_sends_garbage_is_cut_off(#[case] bytes: &[u8]) {
+    let mut h = Host::new(&[]);
+    let (_, worker) = h.call_out(5 * S);
+    h.up(worker);
+    h.says(worker, bytes);
+    assert_eq!(h.ends(), [End::Reset]);
+    assert!(h.io.closed.contains(&(worker, Some(Closed::Reset))));
+}
+
+#[rstest]
+fn answers_count_only_where_they_were_asked_for() {
+    let mut h = Host::new(&[("limits.streams", "1")]);
+    let (first, one) = h.call_out(5 * S);
+    let (second, two) = h.call_out(5 * S);
+    assert_ne!(one, two, "each connection carries one");
+    h.up(one);
+    h.up(two);
+    let id = h.executions_read(one)[0];
+    h.done(two, id, Ended::Finished);
+    h.done(two, 999, Ended::Finished);
+    assert!(h.ends().is_empty() && h.statuses(first).is_empty() && h.statuses(second).is_empty());
+    h.done(one, id, Ended::Finished);
+    assert_eq!(h.statuses(first), [200]);
+}
+
+#[rstest]
+fn another_worker_at_its_address_is_not_talked_to() {
+    let mut h = Host::new(&[]);
+    let (_, worker) = h.call_out(5 * S);
+    h.up(worker);
+    h.greets(worker, "someone-else", 1, None);
+    assert_eq!(h.ends(), [End::Reset]);
+}
+
+#[rstest]
+fn connections_are_bounded_and_close_when_idle() {
+    let mut h =
+        Host::new(&[("limits.streams", "1"), ("limits.connections", "1"), ("limits.idle-close", "2s")]);
+    let (_, worker) = h.call_out(50 * S);
+    h.up(worker);
+    h.call_out(50 * S);
+    h.turn();
+    assert_eq!(h.ends(), [End::Full]);
+    h.wait(5 * S);
+    assert!(h.io.closed.is_empty(), "it carries an execution");
+    h.done(worker, h.executions_read(worker)[0], Ended::Finished);
+    h.wait(4 * S);
+    assert!(h.io.closed.contains(&(worker, Some(Closed::InOrder))));
+}
+
+#[rstest]
+fn a_worker_that_does_not_read_is_as_good_as_unreachable() {
+    let mut h = Host::new(&[("limits.waiting-per-worker", "100 B")]);
+    let (_, worker) = h.call_out(5 * S);
+    h.io.room.insert(worker, 0);
+    h.up(worker);
+    for _ in 0..5 {
+        h.call_out(5 * S);
+    }
+    h.turn();
+    assert!(h.ends().contains(&End::NoConnection));
+}
+
+#[rstest]
+fn every_order_and_probe_gets_exactly_one_end() {
+    let mut h = Host::new(&[("limits.order-time-out", "1s")]);
+    let (_, worker) = h.call_out(50 * S);
+    h.up(worker);
+    h.decide(Do::Hold(1));
+    h.decide(Do::Probe);
+    let held = FromWorker::Held(Held { id: 1, ended: Ended::Finished, copies: 1 });
+    let probed = FromWorker::Probed(Probed { id: 2, report: None });
+    for message in [&held, &held, &probed, &probed] {
+        h.worker_says(worker, message);
+    }
+    h.decide(Do::Hold(1));
+    h.decide(Do::Probe);
+    h.wait(2 * S);
+    let strings = h.strings.borrow();
+    assert_eq!(strings.orders.iter().map(|o| o.end).collect::<Vec<_>>(), [End::Finished, End::TimedOut]);
+    assert_eq!(strings.probes.iter().map(|p| p.end).collect::<Vec<_>>(), [End::Finished, End::TimedOut]);
+}
+
+// ---- The list
+
+#[rstest]
+fn a_missed_change_has_the_whole_list_asked_for() {
+    let mut h = Host::new(&[]);
+    let before = h.io.wrote[&h.list].len();
+    let lists = h.strings.borrow().lists.len();
+    h.list_says(&h.rows(5, false, 4, &[row("w", 1, Phase::Draining)]));
+    assert!(h.io.wrote[&h.list].len() > before, "it asks");
+    assert_eq!(h.strings.borrow().lists.len(), lists, "and tells the module nothing yet");
+    h.list_says(&h.rows(2, false, 1, &[row("w", 1, Phase::Draining)]));
+    let told = h.strings.borrow().lists.last().map(|l| (l.kind, l.rows[0].state));
+    assert_eq!(told, Some((ListKind::Changes, WorkerState::Draining)));
+}
+
+#[rstest]
+fn the_same_start_is_one_instant_and_a_greeting_may_tell_of_a_new_one() {
+    let mut h = Host::new(&[]);
+    let young = |incarnation, age_us| sanddrum_wire::Row { age_us, ..row("w", incarnation, Phase::Ready) };
+    h.list_says(&h.rows(2, true, 0, &[young(2, 500_000)]));
+    let first = h.strings.borrow().lists.last().unwrap().rows[0].started;
+    assert_eq!(first, h.now - 500_000);
+    h.now += S;
+    h.list_says(&h.rows(3, true, 0, &[young(2, 1_700_000)]));
+    assert_eq!(h.strings.borrow().lists.last().unwrap().rows[0].started, first, "200 ms late, not restarted");
+    let (_, worker) = h.call_out(5 * S);
+    h.up(worker);
+    h.greets(worker, "w", 3, Some(1000));
+    let told = h.strings.borrow().lists.last().unwrap().rows[0];
+    assert_eq!(told.started, h.now - 1000);
+    h.list_says(&h.rows(4, true, 0, &[young(2, 9_000_000)]));
+    assert_eq!(h.strings.borrow().lists.last().unwrap().rows[0].started, told.started, "stale news");
+}
+
+#[rstest]
+fn the_last_list_comes_back_after_a_crash_unless_it_is_torn() {
+    let mut h = Host::new(&[]);
+    h.wait(S);
+    let kept = h.io.saved.clone().unwrap();
+    let again = Host::bare(&[], Some(kept.clone()));
+    assert_eq!(again.strings.borrow().lists[0].kind, ListKind::Cached);
+    assert_eq!(again.strings.borrow().lists[0].rows[0].state, WorkerState::Ready);
+    for torn in [&kept[..kept.len() - 3], b"something else", &[]] {
+        assert!(state::read(torn).is_err());
+        let again = Host::bare(&[], Some(torn.to_vec()));
+        assert!(again.strings.borrow().lists.is_empty());
+    }
+}
+
+#[rstest]
+fn a_list_service_that_is_away_is_called_again_ever_less_often() {
+    let mut h = Host::new(&[("limits.list-retry-least", "100ms"), ("limits.list-retry-most", "1s")]);
+    h.event(Event::Closed { conn: h.list, how: Closed::Reset });
+    let mut calls = Vec::new();
+    for _ in 0..6 {
+        let before = h.io.connects.len();
+        let since = h.now;
+        while h.io.connects.len() == before {
+            h.wait(10_000);
+        }
+        calls.push(h.now - since);
+        let conn = h.io.connects.last().unwrap().0;
+        h.event(Event::Closed { conn, how: Closed::Refused });
+    }
+    assert!(calls[0] <= 110_000 && calls[5] >= 500_000 && calls[5] <= 1_010_000, "{calls:?}");
+}
--- a/crates/sanddrum-lab/src/callers.rs
+++ b/crates/sanddrum-lab/src/callers.rs
@@ -102,10 +102,15 @@
         let gap = self.chance.gap(1e6 / rate) as Micros;
         self.due.insert((now + gap.max(1), Due::Next));
         let mut sum = 0.0;
-        let shares: Vec<f64> = self.scenario.calls.iter().map(|c| {
-            sum += c.share;
-            sum
-        }).collect();
+        let shares: Vec<f64> = self
+            .scenario
+            .calls
+            .iter()
+            .map(|c| {
+                sum += c.share;
+                sum
+            })
+            .collect();
         let of = Self::pick(&mut self.chance, &shares);
         let what = &self.scenario.calls[of];
         let function = if self.chance.is_below(mood.hot) {
@@ -115,10 +120,12 @@
         };
         let work = self.chance.gap(what.work as f64).min(what.work as f64 * 6.0).max(100.0) as Micros;
         let l = &self.scenario.settings;
-        let shares: Vec<f64> = (0..l.count("customers")).scan(0.0, |sum, n| {
-            *sum += l.number(&format!("customers.{n}.share"));
-            Some(*sum)
-        }).collect();
+        let shares: Vec<f64> = (0..l.count("customers"))
+            .scan(0.0, |sum, n| {
+                *sum += l.number(&format!("customers.{n}.share"));
+                Some(*sum)
+            })
+            .collect();
         let customer = (!shares.is_empty()).then(|| Self::pick(&mut self.chance, &shares));
         let customer = customer.map(|n| l.text(&format!("customers.{n}.name")).to_string());
         let id = self.next;
--- a/crates/sanddrum-lab/src/checker.rs
+++ b/crates/sanddrum-lab/src/checker.rs
@@ -82,7 +82,8 @@
     /// Rule 1, and the account.
     fn answers(&mut self, start: Micros) -> Verdict {
         let latency = Histogram::new_with_max(60_000_000, 3);
-        let mut latency = latency.unwrap_or_else(|_| unreachable!("a minute in three digits is within bounds"));
+        let mut latency =
+            latency.unwrap_or_else(|_| unreachable!("a minute in three digits is within bounds"));
         latency.auto(true);
         let mut verdict = Verdict {
             taken: 0,
@@ -116,10 +117,16 @@
                         self.breaks(1, *at, format!("{name} was answered {late} us after its client's time"));
                     }
                 }
-                None if self.down(&t.edge, t.sent, t.broken.unwrap_or(t.sent + t.limit)) => verdict.lost_with_edge += 1,
+                None if self.down(&t.edge, t.sent, t.broken.unwrap_or(t.sent + t.limit)) => {
+                    verdict.lost_with_edge += 1
+                }
                 None => {
                     let at = t.broken.unwrap_or(t.sent + t.limit);
-                    self.breaks(1, at, format!("{name} got no answer in the {} us its client waited", at - t.sent));
+                    self.breaks(
+                        1,
+                        at,
+                        format!("{name} got no answer in the {} us its client waited", at - t.sent),
+                    );
                 }
             }
         }
@@ -190,11 +197,15 @@
             .log
             .tries
             .iter()
-            .filter_map(|t| t.answers.first().filter(|(_, s)| *s == 503).map(|(at, _)| ((t.call, t.number), *at)))
+            .filter_map(|t| {
+                t.answers.first().filter(|(_, s)| *s == 503).map(|(at, _)| ((t.call, t.number), *at))
+            })
             .collect();
         let mut broken = Vec::new();
         for (id, runs) in &runs {
-            let Some(calls) = runs.first().and_then(|run| self.workloads.get(run.workload.as_str())) else { continue };
+            let Some(calls) = runs.first().and_then(|run| self.workloads.get(run.workload.as_str())) else {
+                continue;
+            };
             let mut runs = runs.clone();
             runs.sort_by_key(|run| run.came);
             let name = format!("call {} try {} ({})", id.0, id.1, calls.effect);
@@ -210,10 +221,14 @@
                 };
                 if !allowed {
                     let (from, to) = (earlier.worker, later.worker);
-                    broken.push((later.came, format!("{name} went to worker {to} when it may have run at {from}")));
+                    broken.push((
+                        later.came,
+                        format!("{name} went to worker {to} when it may have run at {from}"),
+                    ));
                 }
             }
-            let harmless = calls.effect == "restartable" || (calls.effect == "fingerprinted" && calls.group == "all");
+            let harmless =
+                calls.effect == "restartable" || (calls.effect == "fingerprinted" && calls.group == "all");
             if let Some(at) = pushed_back.get(id).filter(|_| !harmless) {
                 if runs.iter().any(|run| !not_run(run, *at)) {
                     broken.push((*at, format!("{name} was pushed back when it may have run")));
@@ -245,11 +260,15 @@
             let Some(words) = told.get(&(edge.as_str(), name.as_str())) else { continue };
             // The last word that it was fit, and the first after it that it was not.
             let before = words.iter().take_while(|(at, _)| *at <= came);
-            let fit = before.clone().filter(|(_, ready)| *ready).map(|(at, _)| *at).last().unwrap_or(Micros::MIN);
+            let fit =
+                before.clone().filter(|(_, ready)| *ready).map(|(at, _)| *at).last().unwrap_or(Micros::MIN);
             let unfit = before.filter(|(at, ready)| !*ready && *at > fit).map(|(at, _)| *at).next();
             if let Some(at) = unfit.filter(|at| came > at + grace) {
                 let late = came - at;
-                broken.push((came, format!("{edge} sent {what} to {name} {late} us after word that it drains or is gone")));
+                broken.push((
+                    came,
+                    format!("{edge} sent {what} to {name} {late} us after word that it drains or is gone"),
+                ));
             }
         }
         broken.into_iter().for_each(|(at, what)| self.breaks(3, at, what));
@@ -283,7 +302,10 @@
                 let part = from + (1.0 - from) * (at - started) as f64 / cold.max(1) as f64;
                 let bears = multiple * part * capacity * fall as f64;
                 if sum > bears {
-                    broken.push((*at, format!("worker {worker} got {sum:.0} us of work while cold; it bears {bears:.0}")));
+                    broken.push((
+                        *at,
+                        format!("worker {worker} got {sum:.0} us of work while cold; it bears {bears:.0}"),
+                    ));
                     break;
                 }
             }
@@ -302,18 +324,24 @@
         let edges: BTreeSet<&str> = self.log.orders.iter().map(|o| o.edge.as_str()).collect();
         let mut broken = Vec::new();
         for edge in edges {
-            let mut orders: Vec<Micros> = self.log.orders.iter().filter(|o| o.edge == edge).map(|o| o.came).collect();
-            let mut taken: Vec<Micros> = self.log.tries.iter().filter(|t| t.edge == edge).map(|t| t.sent).collect();
+            let mut orders: Vec<Micros> =
+                self.log.orders.iter().filter(|o| o.edge == edge).map(|o| o.came).collect();
+            let mut taken: Vec<Micros> =
+                self.log.tries.iter().filter(|t| t.edge == edge).map(|t| t.sent).collect();
             orders.sort_unstable();
             taken.sort_unstable();
             for (n, at) in orders.iter().enumerate() {
                 // Both are seen at the far ends, so each window is drawn in the edge's favour by the way there.
                 let since = at - window + self.slack;
                 let ordered = n + 1 - orders.partition_point(|o| *o <= since);
-                let jobs = taken.partition_point(|t| t <= at) - taken.partition_point(|t| *t <= at - window - self.slack);
+                let jobs = taken.partition_point(|t| t <= at)
+                    - taken.partition_point(|t| *t <= at - window - self.slack);
                 let allowed = free + share * jobs as f64;
                 if ordered as f64 > allowed {
-                    broken.push((*at, format!("{edge} gave {ordered} orders to load in a window that allows {allowed:.1}")));
+                    broken.push((
+                        *at,
+                        format!("{edge} gave {ordered} orders to load in a window that allows {allowed:.1}"),
+                    ));
                 }
             }
         }
--- a/crates/sanddrum-lab/src/fleet.rs
+++ b/crates/sanddrum-lab/src/fleet.rs
@@ -85,7 +85,14 @@
         let spec = self.scenario.worker(n, &a.workers[n], &a.list, &a.store);
         let started = if cold { now } else { 0 };
         let seed = self.scenario.seed.wrapping_mul(31).wrapping_add(n as u64);
-        Box::new(Worker::new(spec, seed, started, self.incarnations[n], self.workers[n].clone(), self.marks_of(n)))
+        Box::new(Worker::new(
+            spec,
+            seed,
+            started,
+            self.incarnations[n],
+            self.workers[n].clone(),
+            self.marks_of(n),
+        ))
     }
     pub fn store(&self) -> Box<dyn Core> {
         let l = &self.scenario.settings;
--- a/crates/sanddrum-lab/src/player.rs
+++ b/crates/sanddrum-lab/src/player.rs
@@ -35,7 +35,8 @@
 const AFTER: Micros = 1_000_000;
 
 /// Troubles that strike no worker or edge by name, and those that are over as soon as they are there.
-const NOBODYS: &[&str] = &["store-stall", "store-refuse", "list-away", "list-lag", "overload", "hot-functions"];
+const NOBODYS: &[&str] =
+    &["store-stall", "store-refuse", "list-away", "list-lag", "overload", "hot-functions"];
 const AT_ONCE: &[&str] = &["flush", "tear", "garble"];
 
 /// Plays a scenario to its end.
@@ -46,8 +47,14 @@
     let scenario = stage.fleet().scenario.clone();
     let start = stage.now();
     let (seed, slack) = (scenario.seed, stage.slack());
-    let mut player =
-        Player { stage, recording, scenario: scenario.clone(), start, struck: BTreeSet::new(), acts: Vec::new() };
+    let mut player = Player {
+        stage,
+        recording,
+        scenario: scenario.clone(),
+        start,
+        struck: BTreeSet::new(),
+        acts: Vec::new(),
+    };
     player.all()?;
     let acts = player.acts;
     let recorder = recording.0.borrow();
@@ -101,9 +108,11 @@
         }
         let edges = t.kind == "edge-crash";
         let count = if edges { self.scenario.edges } else { self.scenario.workers };
-        let in_zone = |n: &usize| t.zone.as_ref().is_none_or(|z| *z == self.scenario.zones[self.scenario.zone_of(*n)]);
+        let in_zone =
+            |n: &usize| t.zone.as_ref().is_none_or(|z| *z == self.scenario.zones[self.scenario.zone_of(*n)]);
         let who = |n| if edges { Who::Edge(n) } else { Who::Worker(n) };
-        let mut fit: Vec<Who> = (0..count).filter(in_zone).map(who).filter(|w| !self.struck.contains(w)).collect();
+        let mut fit: Vec<Who> =
+            (0..count).filter(in_zone).map(who).filter(|w| !self.struck.contains(w)).collect();
         let all = ["zone-loss", "flush"].contains(&t.kind.as_str()) && t.part.is_none() && t.count.is_none();
         let wanted = match (t.count, t.part) {
             (Some(count), _) => count,
@@ -258,7 +267,11 @@
         );
         let _ = writeln!(out, "executions {}, orders to load {}", self.runs, self.orders);
         let (p50, p99, p999) = (self.latency_ms(0.5), self.latency_ms(0.99), self.latency_ms(0.999));
-        let _ = writeln!(out, "service {:.3}; finished calls took {p50} ms (p50), {p99} (p99), {p999} (p999)", v.service);
+        let _ = writeln!(
+            out,
+            "service {:.3}; finished calls took {p50} ms (p50), {p99} (p99), {p999} (p999)",
+            v.service
+        );
         for b in &v.broken {
             let _ = writeln!(out, "BROKEN {b}");
         }
--- a/crates/sanddrum-lab/src/recorder.rs
+++ b/crates/sanddrum-lab/src/recorder.rs
@@ -84,7 +84,7 @@
 enum Reader {
     Caller { edge: String, out: Vec<u8>, inn: Vec<u8>, open: Option<usize> },
     Worker { n: usize, edge: String, inn: Frames, out: Frames, runs: BTreeMap<u64, usize> },
-    List { edge: Option<String>, inn: Frames, out: Frames },
+    List { name: String, edge: Option<String>, inn: Frames, out: Frames },
 }
 
 #[derive(Default)]
@@ -160,9 +160,12 @@
                 let (inn, out) = (Frames::new(MOST), Frames::new(MOST));
                 Reader::Worker { n, edge: String::new(), inn, out, runs: BTreeMap::new() }
             }
-            (Role::List, Side::Accepted) => {
-                Reader::List { edge: None, inn: Frames::new(MOST), out: Frames::new(MOST) }
-            }
+            (Role::List, Side::Accepted) => Reader::List {
+                name: String::new(),
+                edge: None,
+                inn: Frames::new(MOST),
+                out: Frames::new(MOST),
+            },
             _ => return,
         };
         this.readers.insert((host, conn), reader);
@@ -187,7 +190,7 @@
             }
             Some(Reader::Worker { n, edge, inn, runs, .. }) => {
                 inn.take_in(bytes);
-                while let Ok(Some(message)) = inn.next::<ToWorker>() {
+                while let Ok(Some(message)) = inn.next_message::<ToWorker>() {
                     match message {
                         ToWorker::Hello(hello) => *edge = hello.name,
                         ToWorker::Execute(e) => {
@@ -199,18 +202,22 @@
                             log.runs.push(Run { worker, edge, came: now, call, number, workload, answers });
                         }
                         ToWorker::Hold(h) if h.copies > 0 => {
-                            log.orders.push(Order { worker: *n, edge: edge.clone(), came: now, copies: h.copies });
+                            log.orders.push(Order {
+                                worker: *n,
+                                edge: edge.clone(),
+                                came: now,
+                                copies: h.copies,
+                            });
                         }
                         _ => {}
                     }
                 }
             }
-            Some(Reader::List { edge, inn, .. }) => {
+            Some(Reader::List { name, edge, inn, .. }) => {
                 inn.take_in(bytes);
-                let mut name = String::new();
-                while let Ok(Some(message)) = inn.next::<ToList>() {
+                while let Ok(Some(message)) = inn.next_message::<ToList>() {
                     match message {
-                        ToList::Hello(hello) => name = hello.name,
+                        ToList::Hello(hello) => *name = hello.name,
                         ToList::Watch(_) if edge.is_none() => *edge = Some(name.clone()),
                         _ => {}
                     }
@@ -231,7 +238,7 @@
             }
             Some(Reader::Worker { out, runs, .. }) => {
                 out.take_in(bytes);
-                while let Ok(Some(message)) = out.next::<FromWorker>() {
+                while let Ok(Some(message)) = out.next_message::<FromWorker>() {
                     let FromWorker::Done(done) = message else { continue };
                     if let Some(run) = runs.get(&done.id).and_then(|at| log.runs.get_mut(*at)) {
                         run.answers.push((now, done.ended));
@@ -240,10 +247,15 @@
             }
             Some(Reader::List { edge: Some(edge), out, .. }) => {
                 out.take_in(bytes);
-                while let Ok(Some(message)) = out.next::<FromList>() {
+                while let Ok(Some(message)) = out.next_message::<FromList>() {
                     let FromList::Rows(rows) = message else { continue };
                     for row in rows.rows {
-                        log.told.push(Told { edge: edge.clone(), at: now, worker: row.name, phase: row.phase });
+                        log.told.push(Told {
+                            edge: edge.clone(),
+                            at: now,
+                            worker: row.name,
+                            phase: row.phase,
+                        });
                     }
                 }
             }
--- a/crates/sanddrum-lab/src/scenario.rs
+++ b/crates/sanddrum-lab/src/scenario.rs
@@ -64,13 +64,20 @@
         for n in 0..l.count("calls") {
             let name = l.text(&format!("calls.{n}.name")).to_string();
             let Some(w) = workloads.iter().position(|w| *w == name) else {
-                return Err(problem(format!("calls of {name:?}, which is no workload"), "name one that is set"));
+                return Err(problem(
+                    format!("calls of {name:?}, which is no workload"),
+                    "name one that is set",
+                ));
             };
             let at = |key: &str| format!("calls.{n}.{key}");
             let of = |key: &str| format!("workloads.{w}.{key}");
-            let function = (0..l.count("functions")).find(|f| l.text(&format!("functions.{f}.workload")) == name);
+            let function =
+                (0..l.count("functions")).find(|f| l.text(&format!("functions.{f}.workload")) == name);
             let Some(function) = function else {
-                return Err(problem(format!("no function is set for {name:?}"), "add (function \"a-*\" (workload ...))"));
+                return Err(problem(
+                    format!("no function is set for {name:?}"),
+                    "add (function \"a-*\" (workload ...))",
+                ));
             };
             calls.push(Calls {
                 share: l.number(&at("share")),
@@ -87,7 +94,10 @@
             });
         }
         if calls.is_empty() {
-            return Err(problem("nothing is called".into(), "add (calls \"a-workload\" (share 1) (work 30ms))"));
+            return Err(problem(
+                "nothing is called".into(),
+                "add (calls \"a-workload\" (share 1) (work 30ms))",
+            ));
         }
         let mut troubles = Vec::new();
         for n in 0..l.count("troubles") {
@@ -98,7 +108,9 @@
                 return Err(problem(format!("{kind:?} is no kind of trouble"), &remedy));
             }
             let zone = l.has(&at("zone")).then(|| l.text(&at("zone")).to_string());
-            if zone.as_ref().is_some_and(|z| !l.names("zones").contains(z)) || (kind == "zone-loss" && zone.is_none()) {
+            if zone.as_ref().is_some_and(|z| !l.names("zones").contains(z))
+                || (kind == "zone-loss" && zone.is_none())
+            {
                 return Err(problem(format!("{kind}: a zone is wanted that is set"), "add (zone \"...\")"));
             }
             troubles.push(Trouble {
@@ -138,7 +150,8 @@
     /// A worker as it stands in the fleet, at these addresses.
     pub fn worker(&self, n: usize, address: &str, list: &str, store: &str) -> WorkerSpec {
         let l = &self.settings;
-        let slow = Chance::new(self.seed ^ (n as u64 + 1).wrapping_mul(0x9e37_79b9)).is_below(l.number("fleet.slow-part"));
+        let slow = Chance::new(self.seed ^ (n as u64 + 1).wrapping_mul(0x9e37_79b9))
+            .is_below(l.number("fleet.slow-part"));
         WorkerSpec {
             name: Self::worker_name(n),
             address: address.into(),
--- a/crates/sanddrum-lab/src/schema.rs
+++ b/crates/sanddrum-lab/src/schema.rs
@@ -3,8 +3,24 @@
 use sanddrum_settings::{key, Kind, Section};
 
 const KINDS: &[&str] = &[
-    "crash", "hang", "silent", "slow", "lose-answers", "load-fails", "garble", "drain", "zone-loss", "flush", "tear",
-    "store-stall", "store-refuse", "list-away", "list-lag", "edge-crash", "overload", "hot-functions",
+    "crash",
+    "hang",
+    "silent",
+    "slow",
+    "lose-answers",
+    "load-fails",
+    "garble",
+    "drain",
+    "zone-loss",
+    "flush",
+    "tear",
+    "store-stall",
+    "store-refuse",
+    "list-away",
+    "list-lag",
+    "edge-crash",
+    "overload",
+    "hot-functions",
 ];
 
 pub const SCENARIO: &[Section] = &[
@@ -19,16 +35,31 @@
             key("edges", Kind::Whole(1.0, 1e4), Some("2"), "spread over the zones in turn"),
             key("cores", Kind::Whole(1.0, 1e3), Some("4"), "of a worker"),
             key("speed", Kind::Number(0.01, 100.0), Some("1"), "of a core"),
-            key("slow-part", Kind::Number(0.0, 1.0), Some("0"), "the part of workers that are of a slower kind"),
+            key(
+                "slow-part",
+                Kind::Number(0.0, 1.0),
+                Some("0"),
+                "the part of workers that are of a slower kind",
+            ),
             key("slow-speed", Kind::Number(0.01, 100.0), Some("0.6"), "the speed of their cores"),
-            key("cell-size", Kind::Whole(1.0, 1e3), Some("4"), "workers that share the marks of jobs they have seen"),
+            key(
+                "cell-size",
+                Kind::Whole(1.0, 1e3),
+                Some("4"),
+                "workers that share the marks of jobs they have seen",
+            ),
             key("queue", Kind::Whole(0.0, 1e5), Some("24"), "jobs that wait at a worker; more are full"),
             key("memory", Kind::Memory, Some("6GB"), "of a worker, for copies"),
             key("loads-at-once", Kind::Whole(1.0, 100.0), Some("4"), "at a worker; twice as many wait"),
             key("start-per-mb", Kind::Span, Some("400us"), "the part of a load after its fetch"),
             key("report-every", Kind::Span, Some("250ms"), "how old a load report may be"),
             key("beat-every", Kind::Span, Some("200ms"), "how often a worker tells that it runs"),
-            key("tells-crowd", Kind::Flag, Some("no"), "answers tell how many jobs of the function were held"),
+            key(
+                "tells-crowd",
+                Kind::Flag,
+                Some("no"),
+                "answers tell how many jobs of the function were held",
+            ),
         ],
     },
     Section {
@@ -96,7 +127,12 @@
             key("part", Kind::Number(0.0, 1.0), None, "the part of workers or edges struck; one at least"),
             key("count", Kind::Whole(1.0, 1e5), None, "or how many"),
             key("zone", Kind::Text, None, "struck are those in this zone"),
-            key("size", Kind::Number(0.0, 1e6), Some("2"), "how bad: times slower, times the load, part lost"),
+            key(
+                "size",
+                Kind::Number(0.0, 1e6),
+                Some("2"),
+                "how bad: times slower, times the load, part lost",
+            ),
         ],
     },
 ];
--- a/crates/sanddrum-lab/src/stage.rs
+++ b/crates/sanddrum-lab/src/stage.rs
@@ -45,7 +45,12 @@
 const BEGIN: Micros = 1_000_000_000;
 
 impl VirtualStage {
-    pub fn new(scenario: Scenario, links: Links, recording: &Recording, make_edge: MakeEdge) -> io::Result<Self> {
+    pub fn new(
+        scenario: Scenario,
+        links: Links,
+        recording: &Recording,
+        make_edge: MakeEdge,
+    ) -> io::Result<Self> {
         let address = |kind: usize, n: usize| format!("10.{kind}.{}.{}:1000", n / 250, n % 250 + 1);
         let addresses = Addresses {
             workers: (0..scenario.workers).map(|n| address(1, n)).collect(),
@@ -152,13 +157,16 @@
     }
 }
 
+/// The command that runs an edge as a process.
+pub type MakeCommand = Box<dyn Fn(usize, &Fleet, &PathBuf, u64) -> Command>;
+
 /// How edges are run on sockets.
 pub enum EdgesAs {
     /// On the same loop as everything else.
     Cores(MakeEdge),
     /// Each as a process of its own: the command for an edge's number, its listening and its list's address, its
     /// state file and its seed.
-    Processes(Box<dyn Fn(usize, &Fleet, &PathBuf, u64) -> Command>),
+    Processes(MakeCommand),
 }
 
 pub struct SocketStage {
@@ -177,7 +185,12 @@
 
 impl SocketStage {
     /// Sets everything up on loopback ports that the system chooses; `folder` takes the edges' state files.
-    pub fn new(scenario: Scenario, recording: &Recording, edges_as: EdgesAs, folder: PathBuf) -> io::Result<Self> {
+    pub fn new(
+        scenario: Scenario,
+        recording: &Recording,
+        edges_as: EdgesAs,
+        folder: PathBuf,
+    ) -> io::Result<Self> {
         let driver = EventLoop::new(Box::new(recording.clone()))?;
         let (workers, edges) = (scenario.workers, scenario.edges);
         let mut bound = BTreeMap::new();
@@ -193,8 +206,14 @@
             store: bind(Who::Store)?,
         };
         let fleet = Fleet::new(scenario, addresses);
-        let mut stage =
-            SocketStage { driver, fleet, hosts: BTreeMap::new(), edges_as, children: BTreeMap::new(), folder };
+        let mut stage = SocketStage {
+            driver,
+            fleet,
+            hosts: BTreeMap::new(),
+            edges_as,
+            children: BTreeMap::new(),
+            folder,
+        };
         let all = (0..workers).map(Who::Worker).chain((0..edges).map(Who::Edge));
         for who in [Who::List, Who::Store].into_iter().chain(all) {
             let listener = bound.remove(&who);
--- a/crates/sanddrum-lab/tests/broken_edges.rs
+++ b/crates/sanddrum-lab/tests/broken_edges.rs
@@ -161,7 +161,15 @@
     let (workload, edge) = ("job".to_string(), "edge-0".to_string());
     let one = Try { workload: workload.clone(), edge: edge.clone(), limit, answers, ..Try::default() };
     let mut log = Log { tries: vec![one], ..Log::default() };
-    log.runs.extend(run.map(|came| Run { worker: 0, edge, came, call: 0, number: 0, workload, answers: vec![] }));
+    log.runs.extend(run.map(|came| Run {
+        worker: 0,
+        edge,
+        came,
+        call: 0,
+        number: 0,
+        workload,
+        answers: vec![],
+    }));
     let verdict = judge(&log, &scenario, 0, 100_000);
     assert_eq!(verdict.broken.iter().map(|b| b.rule).max().unwrap_or(0), rule);
 }
--- a/crates/sanddrum-lab/tests/stories.rs
+++ b/crates/sanddrum-lab/tests/stories.rs
@@ -1,5 +1,5 @@
 use rstest::rstest;
-use sanddrum_lab::{play_virtually, product_edge, Scenario, BAD_DAY};
+use sanddrum_lab::{play, play_virtually, product_edge, EdgesAs, Recording, Scenario, SocketStage, BAD_DAY};
 
 #[rstest]
 fn the_bad_day_ends_well_and_twice_alike(#[values(1, 2, 3)] seed: u64) {
@@ -9,3 +9,36 @@
     let second = play_virtually(scenario, product_edge()).unwrap();
     assert_eq!(first.json(), second.json());
 }
+
+/// Two seconds of trouble on real sockets; the long one is the demo.
+#[rstest]
+fn a_short_bad_day_on_sockets_ends_well() {
+    let text = r#"
+        (deployment (zones "a" "b"))
+        (workload "job" (start-target 1s) (time-limit 2s) (effect restartable))
+        (workload "once" (start-target 1s) (time-limit 2s) (effect run-once))
+        (function "f-*" (workload "job") (memory 100MB) (lanes 2))
+        (function "o-*" (workload "once") (memory 100MB) (lanes 2))
+        (rules (cold-from 30%) (cold 1s) (drain-grace 1s))
+        (fleet (workers 6) (edges 2) (cores 4))
+        (list-service (notice-least 100ms) (notice-most 200ms) (silent-after 1s))
+        (traffic (length 2s) (rate 150) (functions 6))
+        (calls "job" (share 70%) (work 10ms))
+        (calls "once" (share 30%) (work 10ms))
+        (trouble "crash" (at 300ms) (length 600ms))
+        (trouble "hang" (at 400ms) (length 800ms))
+        (trouble "drain" (at 500ms) (length 1s))
+        (trouble "tear" (at 600ms) (count 2))
+        (trouble "edge-crash" (at 900ms) (length 200ms))
+        (trouble "list-away" (at 700ms) (length 500ms))"#;
+    let folder = std::env::temp_dir().join(format!("sanddrum-story-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let scenario = Scenario::read("short.sx", text, 5).unwrap();
+    let recording = Recording::default();
+    let edges = EdgesAs::Cores(product_edge());
+    let mut stage = SocketStage::new(scenario, &recording, edges, folder.clone()).unwrap();
+    let outcome = play(&mut stage, &recording).unwrap();
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(outcome.is_good(), "{}", outcome.text());
+    assert!(outcome.verdict.finished > 100, "{}", outcome.text());
+}
--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -255,7 +255,9 @@
             }
         }
         for (host, conn) in std::mem::take(&mut self.refused) {
-            self.call(host, |core, now, io| core.event(now, Event::Closed { conn, how: Closed::Refused }, io));
+            self.call(host, |core, now, io| {
+                core.event(now, Event::Closed { conn, how: Closed::Refused }, io)
+            });
         }
         for (host, conn) in std::mem::take(&mut self.broken) {
             self.end(host, conn, Closed::Reset);
@@ -331,7 +333,8 @@
         let _ = socket.set_nodelay(true);
         let conn = Conn(self.next_conn);
         self.next_conn += 1;
-        let stream = Stream { host, conn, socket, connecting, paused: false, wants_write: connecting, asleep: false };
+        let stream =
+            Stream { host, conn, socket, connecting, paused: false, wants_write: connecting, asleep: false };
         let key = self.sources.insert(Source::Stream(stream));
         let Some(Source::Stream(stream)) = self.sources.get(key) else { return None };
         let interest = if connecting { Ready::writable(key) } else { Ready::readable(key) };
@@ -556,4 +559,3 @@
         }
     }
 }
-
--- a/crates/sanddrum-net/src/virtual_net.rs
+++ b/crates/sanddrum-net/src/virtual_net.rs
@@ -81,6 +81,8 @@
     touched: BTreeSet<HostId>,
     /// Connections read again, whose held bytes are told once their core is not being called.
     resumed: BTreeSet<Conn>,
+    /// Connections that break at their next write.
+    torn: BTreeSet<Conn>,
     /// One-way links between hosts that carry nothing until they are mended; what is sent meanwhile comes then.
     cut: BTreeMap<(HostId, HostId), Vec<What>>,
     steps: u64,
@@ -102,6 +104,7 @@
             wakes: BTreeSet::new(),
             touched: BTreeSet::new(),
             resumed: BTreeSet::new(),
+            torn: BTreeSet::new(),
             cut: BTreeMap::new(),
             steps: 0,
         }
@@ -178,30 +181,9 @@
             }
         }
     }
-    /// Every connection of this host breaks; what is under way on it is torn off somewhere in the middle.
+    /// Each connection of a core breaks at its next write, in the middle of what is written.
     pub fn tear_connections(&mut self, host: HostId) {
-        let conns: Vec<Conn> = self.hosts.get(host.0).map_or(vec![], |h| h.conns.iter().copied().collect());
-        for conn in conns {
-            let peer = self.ends.get(&conn).and_then(|e| e.peer);
-            let both = [Some(conn), peer];
-            let ours = self.queue.iter().filter_map(|(key, what)| match what {
-                What::Bytes { conn, .. } if both.contains(&Some(*conn)) => Some(*key),
-                _ => None,
-            });
-            let keys: Vec<(Micros, u64)> = ours.collect();
-            for key in keys {
-                let part = self.chance.part();
-                if let Some(What::Bytes { bytes, .. }) = self.queue.get_mut(&key) {
-                    bytes.truncate((bytes.len() as f64 * part) as usize);
-                }
-            }
-            if let Some(hosted) = self.hosts.get_mut(host.0) {
-                hosted.conns.remove(&conn);
-            }
-            self.drop_end(conn, Closed::Reset);
-            self.call(host, |core, now, io| core.event(now, Event::Closed { conn, how: Closed::Reset }, io));
-        }
-        self.turn_touched();
+        self.torn.extend(self.hosts.get(host.0).iter().flat_map(|h| &h.conns));
     }
     pub fn stop(&mut self, host: HostId) {
         self.call(host, |core, now, io| core.stop(now, io));
@@ -247,7 +229,8 @@
             }
             self.call(host, |core, now, io| core.turn(now, io));
             self.touched.remove(&host);
-            let wake = self.hosts[host.0].core.as_ref().and_then(|core| core.wake()).map(|at| at.max(self.now + 1));
+            let wake =
+                self.hosts[host.0].core.as_ref().and_then(|core| core.wake()).map(|at| at.max(self.now + 1));
             let hosted = &mut self.hosts[host.0];
             if hosted.wake != wake {
                 if let Some(at) = hosted.wake {
@@ -298,8 +281,15 @@
     fn open(&mut self, host: HostId, peer: Option<Conn>) -> Conn {
         let conn = Conn(self.next_conn);
         self.next_conn += 1;
-        let end =
-            End { host, peer, under_way: 0, short: false, paused: false, held: VecDeque::new(), last: self.now };
+        let end = End {
+            host,
+            peer,
+            under_way: 0,
+            short: false,
+            paused: false,
+            held: VecDeque::new(),
+            last: self.now,
+        };
         self.ends.insert(conn, end);
         self.hosts[host.0].conns.insert(conn);
         conn
@@ -415,6 +405,17 @@
         conn
     }
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        if bytes.len() > 1 && self.net.torn.remove(&conn) {
+            let wrote = self.write(conn, &bytes[..bytes.len() / 2]);
+            let peer = self.net.ends.get(&conn).and_then(|e| e.peer);
+            if let Some(peer) = peer {
+                self.net.post_on(conn, What::Closed { conn: peer, how: Closed::Reset });
+            }
+            self.net.sent += 1;
+            let broken = What::Closed { conn, how: Closed::Reset };
+            self.net.queue.insert((self.net.now, self.net.sent), broken);
+            return wrote;
+        }
         let window = self.net.links.window;
         let Some(end) = self.net.ends.get_mut(&conn) else { return 0 };
         let Some(peer) = end.peer else { return 0 };
--- a/crates/sanddrum-settings/src/checks.rs
+++ b/crates/sanddrum-settings/src/checks.rs
@@ -39,17 +39,29 @@
     let rationed = l.span("copies.load-window-us") > 0;
     if rationed && l.number("copies.load-free") < 1.0 && l.number("copies.load-share") <= 0.0 {
         let what = "the ration of orders to load is nought";
-        return Err(l.problem_at("copies.load-window-us", what, "set load-free to 1 or more, or load-share above 0"));
+        return Err(l.problem_at(
+            "copies.load-window-us",
+            what,
+            "set load-free to 1 or more, or load-share above 0",
+        ));
     }
     if l.span("copies.keep-alive-us") == 0 {
-        return Err(l.problem_at("copies.keep-alive-us", "no copy would ever be found loaded", "set it above 0s"));
+        return Err(l.problem_at(
+            "copies.keep-alive-us",
+            "no copy would ever be found loaded",
+            "set it above 0s",
+        ));
     }
     if l.has("edge.zone") && !zones.iter().any(|z| z == l.text("edge.zone")) {
         let what = format!("no zone {:?} is set", l.text("edge.zone"));
         return Err(l.problem_at("edge.zone", what, format!("known are {}", zones.join(", "))));
     }
     if l.number("me") >= l.number("routers") {
-        return Err(l.problem_at("me", "an edge's number must be below the number of edges", "they count from 0"));
+        return Err(l.problem_at(
+            "me",
+            "an edge's number must be below the number of edges",
+            "they count from 0",
+        ));
     }
     let (least, most) = (l.span("limits.list-retry-least-us"), l.span("limits.list-retry-most-us"));
     if least > most || least == 0 {
@@ -73,7 +85,11 @@
     let fingerprinted = l.text(&name("effect")) == "fingerprinted";
     if fingerprinted && !(l.has(&name("group")) && l.span(&name("repeat-window-us")) > 0) {
         let what = "a fingerprinted workload needs to say which workers drop its repeats and for how long";
-        return Err(l.problem_at(&name("effect"), what, "add (group zone) and (repeat-window 2s), as the workers do it"));
+        return Err(l.problem_at(
+            &name("effect"),
+            what,
+            "add (group zone) and (repeat-window 2s), as the workers do it",
+        ));
     }
     if !fingerprinted && l.has(&name("group")) {
         let what = "only fingerprinted workloads have a group";
--- a/crates/sanddrum-settings/src/forms.rs
+++ b/crates/sanddrum-settings/src/forms.rs
@@ -62,7 +62,12 @@
 /// How deep forms may be nested; deeper ones are refused before they are read.
 const DEEPEST: usize = 32;
 
-pub(crate) fn problem(file: &str, place: Place, what: impl Into<String>, remedy: impl Into<String>) -> Problem {
+pub(crate) fn problem(
+    file: &str,
+    place: Place,
+    what: impl Into<String>,
+    remedy: impl Into<String>,
+) -> Problem {
     let (what, remedy) = (what.into(), remedy.into());
     Problem { file: file.into(), line: place.line, column: place.column, what, remedy }
 }
@@ -81,7 +86,11 @@
                     line: l.line(),
                     column: l.column() + 1,
                 });
-                let remedy = "look for a bracket or a quote that is not closed before this place";
+                let remedy = if e.to_string().contains("number") {
+                    "write the number and its unit apart, as 500 B"
+                } else {
+                    "look for a bracket or a quote that is not closed before this place"
+                };
                 return Err(problem(file, at, e.to_string(), remedy));
             }
         }
--- a/crates/sanddrum-settings/src/values.rs
+++ b/crates/sanddrum-settings/src/values.rs
@@ -58,7 +58,8 @@
         self.size(&format!("{name}.count"))
     }
     pub fn names(&self, name: &str) -> Vec<String> {
-        let each = |n| self.values.text(&format!("{name}.{n}.name")).or(self.values.text(&format!("{name}.{n}")));
+        let each =
+            |n| self.values.text(&format!("{name}.{n}.name")).or(self.values.text(&format!("{name}.{n}")));
         (0..self.count(name)).filter_map(|n| each(n).map(String::from)).collect()
     }
     /// Sets one value from elsewhere than the file, as `limits.max-open` or `edge.listen`, written as in a file.
@@ -93,7 +94,12 @@
         values
     }
     /// The place of a setting in the file, for a problem that concerns it.
-    pub(crate) fn problem_at(&self, name: &str, what: impl Into<String>, remedy: impl Into<String>) -> Problem {
+    pub(crate) fn problem_at(
+        &self,
+        name: &str,
+        what: impl Into<String>,
+        remedy: impl Into<String>,
+    ) -> Problem {
         let place = match self.origins.get(name) {
             Some(Origin::File { line, column }) => Place { line: *line, column: *column },
             _ => Place { line: 0, column: 0 },
@@ -262,7 +268,10 @@
                 other => return wrong(&format!("{other:?} is not a unit of time"), "us, ms, s, min or h"),
             };
             let span = (n * unit).round();
-            (0.0..=1e15).contains(&span).then_some(Value::Number(span)).ok_or(("a span from 0 on is wanted".into(), String::new()))
+            (0.0..=1e15)
+                .contains(&span)
+                .then_some(Value::Number(span))
+                .ok_or(("a span from 0 on is wanted".into(), String::new()))
         }
         (Kind::Span, _) => wrong("a span of time is wanted", "write a number and its unit, as 250ms"),
         (Kind::Memory | Kind::Bytes, [Part::Number(n), Part::Word(unit)]) => {
--- a/crates/sanddrum-wire/src/frame.rs
+++ b/crates/sanddrum-wire/src/frame.rs
@@ -63,7 +63,7 @@
         Ok(Some(&self.bytes[start..self.read]))
     }
     /// The next message. Kinds of message that this version does not know are skipped.
-    pub fn next<T: for<'b> Decode<'b, ()>>(&mut self) -> Result<Option<T>, FrameError> {
+    pub fn next_message<T: for<'b> Decode<'b, ()>>(&mut self) -> Result<Option<T>, FrameError> {
         while let Some(frame) = self.next_frame()? {
             match minicbor::decode(frame) {
                 Ok(message) => return Ok(Some(message)),
--- a/crates/sanddrum-wire/src/http.rs
+++ b/crates/sanddrum-wire/src/http.rs
@@ -55,9 +55,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Parsed {
     /// More bytes are needed; the client may wait to be told to send its body (RFC 9110, section 10.1.1).
-    Partial {
-        expects_continue: bool,
-    },
+    Partial { expects_continue: bool },
     /// A request, and how many bytes it took.
     Whole(Request, usize),
 }
@@ -73,7 +71,11 @@
     })?;
     let httparse::Status::Complete(at) = parsed else {
         let too_large = bytes.len() > most_head;
-        return if too_large { Err(Bad::HeadTooLarge) } else { Ok(Parsed::Partial { expects_continue: false }) };
+        return if too_large {
+            Err(Bad::HeadTooLarge)
+        } else {
+            Ok(Parsed::Partial { expects_continue: false })
+        };
     };
     if at > most_head {
         return Err(Bad::HeadTooLarge);
@@ -93,7 +95,8 @@
     let one_one = head.version == Some(1);
     let mut options = field("connection").flat_map(|v| v.split(|b| *b == b','));
     let said = |what: &[u8], v: &[u8]| v.trim_ascii().eq_ignore_ascii_case(what);
-    let keep_alive = if one_one { !options.any(|v| said(b"close", v)) } else { options.any(|v| said(b"keep-alive", v)) };
+    let keep_alive =
+        if one_one { !options.any(|v| said(b"close", v)) } else { options.any(|v| said(b"keep-alive", v)) };
     let text = |v: &[u8]| String::from_utf8_lossy(v).into_owned();
     let request = Request {
         method: head.method.unwrap_or_default().to_string(),
@@ -185,7 +188,9 @@
 pub fn answer(bytes: &[u8]) -> Result<Option<(Answer, usize)>, Bad> {
     let mut fields = [httparse::EMPTY_HEADER; FIELDS];
     let mut head = httparse::Response::new(&mut fields);
-    let httparse::Status::Complete(at) = head.parse(bytes).map_err(|_| Bad::Malformed)? else { return Ok(None) };
+    let httparse::Status::Complete(at) = head.parse(bytes).map_err(|_| Bad::Malformed)? else {
+        return Ok(None);
+    };
     let length = length_of(values(head.headers, "content-length"))?;
     let Some(body) = bytes[at..].get(..length) else { return Ok(None) };
     let text = |v: &[u8]| String::from_utf8_lossy(v).into_owned();
--- a/crates/sanddrum-wire/tests/codecs.rs
+++ b/crates/sanddrum-wire/tests/codecs.rs
@@ -26,7 +26,7 @@
         let mut read = Vec::new();
         for piece in bytes.chunks(cut) {
             frames.take_in(piece);
-            while let Some(message) = frames.next::<ToWorker>().unwrap() {
+            while let Some(message) = frames.next_message::<ToWorker>().unwrap() {
                 read.push(message);
             }
         }
@@ -37,12 +37,12 @@
     fn noise_never_panics_either_codec(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
         let mut frames = Frames::new(1 << 10);
         frames.take_in(&bytes);
-        while let Ok(Some(_)) = frames.next::<FromWorker>() {}
+        while let Ok(Some(_)) = frames.next_message::<FromWorker>() {}
         let mut framed = ((bytes.len() as u32).to_be_bytes()).to_vec();
         framed.extend_from_slice(&bytes);
         let mut frames = Frames::new(1 << 10);
         frames.take_in(&framed);
-        while let Ok(Some(_)) = frames.next::<ToList>() {}
+        while let Ok(Some(_)) = frames.next_message::<ToList>() {}
         let _ = http::request(&bytes, 1 << 12, 1 << 12);
         let _ = http::answer(&bytes);
     }
@@ -75,7 +75,7 @@
     let mut frames = Frames::new(1000);
     frames.take_in(&[0, 0, 0, 4, 0x82, 0x18, 99, 0xa0]);
     frames.take_in(&[0, 0, 0, 8, 0x82, 0x05, 0xa2, 0x00, 0x03, 0x07, 0x61, b'x']);
-    assert_eq!(frames.next::<ToWorker>(), Ok(Some(ToWorker::Probe(Probe { id: 3 }))));
+    assert_eq!(frames.next_message::<ToWorker>(), Ok(Some(ToWorker::Probe(Probe { id: 3 }))));
 }
 
 /// The vectors of docs/protocol.md, read from the page itself.
@@ -117,7 +117,16 @@
         ("hello", frame(&ToWorker::Hello(hello))),
         ("execute", frame(&ToWorker::Execute(execute))),
         ("cancel", frame(&ToWorker::Cancel(Cancel { id: 7 }))),
-        ("hold", frame(&ToWorker::Hold(Hold { id: 8, function: "pick-1".into(), copies: 1, memory_mb: 300.0, lanes: 1 }))),
+        (
+            "hold",
+            frame(&ToWorker::Hold(Hold {
+                id: 8,
+                function: "pick-1".into(),
+                copies: 1,
+                memory_mb: 300.0,
+                lanes: 1,
+            })),
+        ),
         ("probe", frame(&ToWorker::Probe(Probe { id: 9 }))),
         ("done", frame(&FromWorker::Done(done))),
         ("held", frame(&FromWorker::Held(Held { id: 8, ended: Ended::Full, copies: 0 }))),
@@ -132,11 +141,19 @@
 
 #[rstest]
 #[case::no_head_end(&b"GET / HTTP/1.1\r\nx: y\r\n"[..], 10, Bad::HeadTooLarge)]
-#[case::two_lengths(b"POST / HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab", 99, Bad::Malformed)]
+#[case::two_lengths(
+    b"POST / HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
+    99,
+    Bad::Malformed
+)]
 #[case::signed_length(b"POST / HTTP/1.1\r\ncontent-length: +1\r\n\r\na", 99, Bad::Malformed)]
 #[case::chunked(b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n", 99, Bad::LengthRequired)]
 #[case::body(b"POST / HTTP/1.1\r\ncontent-length: 101\r\n\r\n", 99, Bad::BodyTooLarge)]
-#[case::endless_length(b"POST / HTTP/1.1\r\ncontent-length: 99999999999999999999999\r\n\r\n", 99, Bad::BodyTooLarge)]
+#[case::endless_length(
+    b"POST / HTTP/1.1\r\ncontent-length: 99999999999999999999999\r\n\r\n",
+    99,
+    Bad::BodyTooLarge
+)]
 fn requests_that_cannot_be_served_say_why(#[case] bytes: &[u8], #[case] most: usize, #[case] why: Bad) {
     assert_eq!(http::request(bytes, most, 100), Err(why));
 }
--- a/crates/sanddrum-worker/src/list_service.rs
+++ b/crates/sanddrum-worker/src/list_service.rs
@@ -95,7 +95,11 @@
     fn tell(&mut self, now: Micros, name: &str) {
         let Some(seen) = self.seen.get(name) else { return };
         let (row, started) = (seen.row.clone(), seen.started);
-        if self.told.get(name).is_some_and(|t| t.row.phase == row.phase && t.row.incarnation == row.incarnation) {
+        if self
+            .told
+            .get(name)
+            .is_some_and(|t| t.row.phase == row.phase && t.row.incarnation == row.incarnation)
+        {
             return;
         }
         let member = Member { row: row.clone(), started, heard: now, conn: None };
@@ -113,7 +117,8 @@
     fn message(&mut self, now: Micros, conn: Conn, message: ToList) {
         match message {
             ToList::Hello(_) => {
-                let hello = Hello { version: VERSION, name: "list".into(), incarnation: self.run, age_us: None };
+                let hello =
+                    Hello { version: VERSION, name: "list".into(), incarnation: self.run, age_us: None };
                 self.peers.send(conn, &frame(&FromList::Hello(hello)));
             }
             ToList::Watch(w) => self.watch(now, conn, w.run, w.version),
@@ -162,7 +167,7 @@
             Event::Bytes { conn, bytes } => {
                 self.peers.take_in(conn, bytes);
                 loop {
-                    match self.peers.next::<ToList>(conn) {
+                    match self.peers.next_message::<ToList>(conn) {
                         Ok(Some(message)) => self.message(now, conn, message),
                         Ok(None) => break,
                         Err(_) => {
--- a/crates/sanddrum-worker/src/machine.rs
+++ b/crates/sanddrum-worker/src/machine.rs
@@ -47,9 +47,23 @@
 
 #[derive(Debug, PartialEq)]
 pub(crate) enum Effect {
-    Done { ticket: Ticket, ended: Ended, copy: Option<Copy>, crowd: u32, mark: Option<String> },
-    Held { ticket: Ticket, ended: Ended, copies: u32 },
-    Fetch { load: u64, function: String, size_mb: f64 },
+    Done {
+        ticket: Ticket,
+        ended: Ended,
+        copy: Option<Copy>,
+        crowd: u32,
+        mark: Option<String>,
+    },
+    Held {
+        ticket: Ticket,
+        ended: Ended,
+        copies: u32,
+    },
+    Fetch {
+        load: u64,
+        function: String,
+        size_mb: f64,
+    },
     /// It was sent far more than it can do while cold, and stays down.
     Fell,
 }
@@ -60,7 +74,9 @@
     Queued,
     Fetching,
     Starting(Micros),
-    Stands { idle_since: Micros },
+    Stands {
+        idle_since: Micros,
+    },
 }
 
 #[derive(Debug)]
@@ -181,7 +197,8 @@
         }
         let sent: f64 = self.came.iter().map(|(_, work)| work).sum();
         let window = self.size.fall.min(now - self.started).max(self.size.fall / 2) as f64;
-        let bears = self.size.fall_multiple * self.part(now) * self.size.cores as f64 * self.size.speed * window;
+        let bears =
+            self.size.fall_multiple * self.part(now) * self.size.cores as f64 * self.size.speed * window;
         if sent > bears {
             self.effects.push(Effect::Fell);
         }
@@ -229,7 +246,9 @@
         }
     }
 
-    pub fn hold(&mut self, now: Micros, ticket: Ticket, function: &str, copies: u32, memory_mb: f64, lanes: u32, draining: bool) {
+    pub fn hold(&mut self, now: Micros, ticket: Ticket, hold: &sanddrum_wire::Hold, draining: bool) {
+        let (function, copies) = (hold.function.as_str(), hold.copies);
+        let (memory_mb, lanes) = (hold.memory_mb, hold.lanes.max(1));
         if copies == 0 {
             let copies = self.standing(function);
             return self.effects.push(Effect::Held { ticket, ended: Ended::Finished, copies });
@@ -252,9 +271,8 @@
     }
 
     pub fn unload(&mut self, function: &str) {
-        self.copies.retain(|_, c| {
-            c.function != function || c.busy > 0 || !matches!(c.stage, Stage::Stands { .. })
-        });
+        self.copies
+            .retain(|_, c| c.function != function || c.busy > 0 || !matches!(c.stage, Stage::Stands { .. }));
     }
     /// All functions are released anew: what is idle goes, what is at work goes when it is done.
     pub fn flush(&mut self) {
@@ -311,16 +329,24 @@
         let function = copy.function.clone();
         self.copies.remove(&load);
         if self.of(&function).count() == 0 {
-            let (gone, stay) = std::mem::take(&mut self.waiting).into_iter().partition(|w| w.task.function == function);
+            let (gone, stay) =
+                std::mem::take(&mut self.waiting).into_iter().partition(|w| w.task.function == function);
             self.waiting = stay;
             let gone: VecDeque<Waiting> = gone;
             for w in gone {
                 let ticket = w.task.ticket;
                 let copy = Some(Copy::LoadFailed);
-                self.effects.push(Effect::Done { ticket, ended: Ended::Miss, copy, crowd: w.crowd, mark: None });
+                self.effects.push(Effect::Done {
+                    ticket,
+                    ended: Ended::Miss,
+                    copy,
+                    crowd: w.crowd,
+                    mark: None,
+                });
             }
         }
-        let (failed, stay) = std::mem::take(&mut self.wanted).into_iter().partition(|w| w.function == function);
+        let (failed, stay) =
+            std::mem::take(&mut self.wanted).into_iter().partition(|w| w.function == function);
         self.wanted = stay;
         let failed: Vec<Wanted> = failed;
         for w in failed {
@@ -411,7 +437,13 @@
         }
         if let Some(w) = self.waiting.remove(n) {
             let ticket = w.task.ticket;
-            self.effects.push(Effect::Done { ticket, ended: Ended::Full, copy: None, crowd: w.crowd, mark: None });
+            self.effects.push(Effect::Done {
+                ticket,
+                ended: Ended::Full,
+                copy: None,
+                crowd: w.crowd,
+                mark: None,
+            });
         }
         false
     }
--- a/crates/sanddrum-worker/src/peers.rs
+++ b/crates/sanddrum-worker/src/peers.rs
@@ -37,8 +37,11 @@
             peer.frames.take_in(bytes);
         }
     }
-    pub fn next<T: for<'b> minicbor::Decode<'b, ()>>(&mut self, conn: Conn) -> Result<Option<T>, FrameError> {
-        self.peers.get_mut(&conn).map_or(Ok(None), |peer| peer.frames.next())
+    pub fn next_message<T: for<'b> minicbor::Decode<'b, ()>>(
+        &mut self,
+        conn: Conn,
+    ) -> Result<Option<T>, FrameError> {
+        self.peers.get_mut(&conn).map_or(Ok(None), |peer| peer.frames.next_message())
     }
     pub fn send(&mut self, conn: Conn, bytes: &[u8]) {
         if let Some(peer) = self.peers.get_mut(&conn) {
--- a/crates/sanddrum-worker/src/store.rs
+++ b/crates/sanddrum-worker/src/store.rs
@@ -74,7 +74,7 @@
                 self.advance(now);
                 self.peers.take_in(conn, bytes);
                 loop {
-                    match self.peers.next::<ToStore>(conn) {
+                    match self.peers.next_message::<ToStore>(conn) {
                         Ok(Some(ToStore::Fetch(f))) => {
                             self.fetches += 1;
                             if self.faults.borrow().refuses || self.in_hand.len() >= self.spec.most {
--- a/crates/sanddrum-worker/src/worker.rs
+++ b/crates/sanddrum-worker/src/worker.rs
@@ -5,8 +5,8 @@
 use crate::peers::Peers;
 use sanddrum_net::{Chance, Conn, Core, Event, Io, Micros, Outbox};
 use sanddrum_wire::{
-    frame::frame, Beat, Done, Ended, Fetch, Frames, FromStore, FromWorker, Held, Hello, LoadReport, Phase, Probed, Row,
-    ToList, ToStore, ToWorker, VERSION,
+    frame::frame, Beat, Done, Ended, Fetch, Frames, FromStore, FromWorker, Held, Hello, LoadReport, Phase,
+    Probed, Row, ToList, ToStore, ToWorker, VERSION,
 };
 use std::collections::BTreeSet;
 
@@ -176,7 +176,13 @@
                 if e.mark.as_deref().is_some_and(|mark| self.marks.borrow().is_repeat(now, mark)) {
                     let copy = Some(sanddrum_wire::Copy::Stood);
                     let ended = Ended::Finished;
-                    return self.machine.effects.push(Effect::Done { ticket, ended, copy, crowd: 0, mark: None });
+                    return self.machine.effects.push(Effect::Done {
+                        ticket,
+                        ended,
+                        copy,
+                        crowd: 0,
+                        mark: None,
+                    });
                 }
                 let work = std::str::from_utf8(&e.body).ok().and_then(|text| text.strip_prefix("work-us="));
                 let work = work.and_then(|us| us.trim().parse().ok()).unwrap_or(1000.0);
@@ -188,7 +194,7 @@
             ToWorker::Cancel(c) => self.machine.cancel(Ticket(conn.0, c.id)),
             ToWorker::Hold(h) => {
                 let ticket = Ticket(conn.0, h.id);
-                self.machine.hold(now, ticket, &h.function, h.copies, h.memory_mb, h.lanes.max(1), self.drains);
+                self.machine.hold(now, ticket, &h, self.drains);
             }
             ToWorker::Unload(u) => self.machine.unload(&u.function),
             ToWorker::Probe(p) => {
@@ -275,7 +281,7 @@
                     self.machine.fetched(now, load, false);
                 }
             }
-            while let Ok(Some(FromStore::Fetched(f))) = self.store.frames.next::<FromStore>() {
+            while let Ok(Some(FromStore::Fetched(f))) = self.store.frames.next_message::<FromStore>() {
                 self.fetches.remove(&f.id);
                 self.machine.fetched(now, f.id, f.whole);
             }
@@ -288,7 +294,7 @@
                     self.machine.slower = self.faults.borrow().slower;
                     self.machine.advance(now);
                     loop {
-                        match self.peers.next::<ToWorker>(conn) {
+                        match self.peers.next_message::<ToWorker>(conn) {
                             Ok(Some(message)) => self.message(now, conn, message),
                             Ok(None) => break,
                             Err(problem) => {
@@ -323,7 +329,10 @@
         }
         if garbles {
             self.faults.borrow_mut().garbles = false;
-            self.peers.all().into_iter().for_each(|conn| self.peers.send(conn, &[0, 0, 0, 3, 0xff, 0xfe, 0xfd]));
+            self.peers
+                .all()
+                .into_iter()
+                .for_each(|conn| self.peers.send(conn, &[0, 0, 0, 3, 0xff, 0xfe, 0xfd]));
         }
         if now >= self.beat {
             self.beat = now + self.spec.beat_every;
