--- a/crates/sanddrum-cli/src/lab.rs
+++ b/crates/sanddrum-cli/src/lab.rs
@@ -3,7 +3,7 @@
 use crate::{exit, fail};
 use clap::Args;
 use sanddrum_lab::{
-    play, play_virtually, product_edge, EdgesAs, Outcome, Recording, Scenario, SocketStage, BAD_DAY,
+    play, play_virtually, product_edge, EdgesAs, Outcome, Recording, Scenario, SocketStage, Stage, BAD_DAY,
 };
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode, Stdio};
@@ -92,17 +92,71 @@
     command
 }
 
-fn on_sockets(scenario: Scenario) -> Result<Outcome, String> {
-    let folder = Folder::new().map_err(|e| e.to_string())?;
+#[derive(Args, Clone, Debug)]
+pub struct StandArgs {
+    /// The scenario whose fleet is set up; that of the demo where none is given
+    pub file: Option<PathBuf>,
+    /// The edge's client door
+    #[arg(long, default_value = "127.0.0.1:8080", value_name = "ADDRESS")]
+    pub listen: String,
+}
+
+/// A fleet with one edge and no calls, until a signal.
+pub fn stand(args: &StandArgs) -> ExitCode {
+    let read = args.file.as_ref().map(std::fs::read_to_string).unwrap_or_else(|| Ok(BAD_DAY.to_string()));
+    let text = match read {
+        Ok(text) => text,
+        Err(e) => return fail(exit::USAGE, e),
+    };
+    let mut scenario = match Scenario::read("scenario", &text, 1) {
+        Ok(scenario) => scenario,
+        Err(problem) => return fail(exit::USAGE, problem),
+    };
+    scenario.edges = 1;
+    let names: Vec<String> = scenario.calls.iter().map(|c| format!("{}/{}1", c.workload, c.prefix)).collect();
+    let kept = || -> Result<(), String> {
+        let folder = Folder::new().map_err(|e| e.to_string())?;
+        let (recording, edges) = (Recording::default(), processes(&folder)?);
+        let file = folder.0.join("scenario.sx");
+        std::fs::write(&file, &text).map_err(|e| e.to_string())?;
+        let door = [args.listen.as_str()];
+        let stage = SocketStage::standing(scenario, &recording, edges, folder.0.clone(), &door);
+        let mut stage = stage.map_err(|e| format!("{}: {e}", args.listen))?;
+        stage.catch_signals().map_err(|e| e.to_string())?;
+        println!(
+            "an edge answers at {}; functions such as {}; end it with ctrl-c",
+            args.listen,
+            names.join(", ")
+        );
+        while !stage.signalled() {
+            let next = stage.now() + 100_000;
+            stage.run_until(next).map_err(|e| e.to_string())?;
+        }
+        Ok(())
+    };
+    match kept() {
+        Ok(()) => ExitCode::from(exit::GOOD),
+        Err(problem) => fail(exit::TROUBLE, problem),
+    }
+}
+
+/// Edges as processes of this program, with the scenario's text in this folder as their settings.
+fn processes(folder: &Folder) -> Result<EdgesAs, String> {
     let settings = folder.0.join("scenario.sx");
-    std::fs::write(&settings, &scenario.text).map_err(|e| e.to_string())?;
     let program = std::env::current_exe().map_err(|e| e.to_string())?;
-    let edges = EdgesAs::Processes(Box::new(move |n, fleet, state, seed| {
+    Ok(EdgesAs::Processes(Box::new(move |n, fleet, state, seed| {
         let (listen, list) = (&fleet.addresses.edges[n], &fleet.addresses.list);
         let mut command = edge_process(&program, &settings, &fleet.scenario, n, listen, list);
         command.arg("--state-file").arg(state).args(["--seed", &seed.to_string()]);
         command
-    }));
+    })))
+}
+
+fn on_sockets(scenario: Scenario) -> Result<Outcome, String> {
+    let folder = Folder::new().map_err(|e| e.to_string())?;
+    let settings = folder.0.join("scenario.sx");
+    std::fs::write(&settings, &scenario.text).map_err(|e| e.to_string())?;
+    let edges = processes(&folder)?;
     let recording = Recording::default();
     let stage = SocketStage::new(scenario, &recording, edges, folder.0.clone());
     let mut stage = stage.map_err(|e| e.to_string())?;
--- a/crates/sanddrum-cli/src/lib.rs
+++ b/crates/sanddrum-cli/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod edge;
 pub mod lab;
+pub mod load;
 pub mod logs;
 
 use std::fmt::Display;
--- /dev/null
+++ b/crates/sanddrum-cli/src/load.rs
@@ -0,0 +1,223 @@
+//! `sanddrum lab load` and `lab measure`: load on an edge, and what an edge costs on this machine.
+
+use crate::{exit, fail};
+use clap::Args;
+use sanddrum_lab::{measure, Decides, Hammer, HammerSpec, Hammered, MeasureSpec, Measured};
+use sanddrum_net::{EventLoop, NoTap};
+use serde_json::{json, Value};
+use std::process::ExitCode;
+
+#[derive(Args, Clone, Debug)]
+pub struct LoadArgs {
+    /// The edge's client door
+    #[arg(long, default_value = "127.0.0.1:8080", value_name = "ADDRESS")]
+    pub edge: String,
+    pub workload: String,
+    /// Called are this name and a number behind it
+    pub function: String,
+    #[arg(long, default_value_t = 1)]
+    pub functions: usize,
+    /// Calls a second, open loop; 0: as many as it takes
+    #[arg(long, default_value_t = 100.0)]
+    pub rate: f64,
+    #[arg(long, default_value_t = 10, value_name = "SECONDS")]
+    pub length: u32,
+    #[arg(long, default_value_t = 64)]
+    pub connections: usize,
+    #[arg(long, default_value = "work-us=1000")]
+    pub body: String,
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    #[arg(long)]
+    pub json: bool,
+}
+
+pub fn load(args: &LoadArgs) -> ExitCode {
+    let spec = HammerSpec {
+        edge: args.edge.clone(),
+        workload: args.workload.clone(),
+        function: args.function.clone(),
+        functions: args.functions,
+        connections: args.connections,
+        rate: args.rate,
+        length: i64::from(args.length) * 1_000_000,
+        warm_up: 0,
+        body: args.body.clone(),
+        seed: args.seed,
+    };
+    match hammer(spec) {
+        Ok(seen) => {
+            println!("{}", line(&seen));
+            if args.json {
+                println!("{}", figures(&seen));
+            }
+            ExitCode::from(if seen.finished > 0 { exit::GOOD } else { exit::BAD })
+        }
+        Err(problem) => fail(exit::TROUBLE, problem),
+    }
+}
+
+fn hammer(spec: HammerSpec) -> std::io::Result<Hammered> {
+    let mut driver = EventLoop::new(Box::new(NoTap))?;
+    driver.catch_signals()?;
+    let until = driver.now() + spec.length + 5_000_000;
+    let hammer = Hammer::new(spec);
+    let seen = hammer.seen.clone();
+    let host = driver.add(Box::new(hammer), vec![], None)?;
+    while !driver.core_done(host) && driver.now() < until && !driver.signalled() {
+        let next = driver.now() + 50_000;
+        driver.run_until(next)?;
+    }
+    let seen = std::mem::replace(&mut *seen.borrow_mut(), Hammered::empty());
+    Ok(seen)
+}
+
+fn line(h: &Hammered) -> String {
+    let q = |q| h.quantile_us(q) as f64 / 1000.0;
+    let (p50, p99, p999) = (q(0.5), q(0.99), q(0.999));
+    let others: Vec<String> = h.others.iter().map(|(status, n)| format!("{n} x {status}")).collect();
+    let others = if others.is_empty() { "none".into() } else { others.join(", ") };
+    let rate = h.rate();
+    format!("{rate:.0} calls/s finished; {p50:.3} ms (p50), {p99:.3} (p99), {p999:.3} (p999); others: {others}; dropped {}", h.dropped)
+}
+
+fn figures(h: &Hammered) -> Value {
+    let others: Vec<Value> =
+        h.others.iter().map(|(status, n)| json!({"status": status, "calls": n})).collect();
+    json!({
+        "finished": h.finished,
+        "calls_per_s": h.rate().round(),
+        "latency_us": {"p50": h.quantile_us(0.5), "p99": h.quantile_us(0.99), "p999": h.quantile_us(0.999)},
+        "others": others,
+        "dropped": h.dropped,
+    })
+}
+
+#[derive(Args, Clone, Debug)]
+pub struct MeasureArgs {
+    /// Seconds of each run
+    #[arg(long, default_value_t = 4, value_name = "SECONDS")]
+    pub length: u32,
+    /// Runs of each kind, taken in turn
+    #[arg(long, default_value_t = 5)]
+    pub runs: usize,
+    /// Only this part: rate, fleet, idle
+    #[arg(long)]
+    pub part: Option<String>,
+}
+
+pub fn run(args: &MeasureArgs) -> ExitCode {
+    let wanted = |part: &str| args.part.as_deref().is_none_or(|only| only == part);
+    let all = || -> Result<(), String> {
+        if wanted("rate") {
+            rate(args)?;
+        }
+        if wanted("fleet") {
+            fleet(args)?;
+        }
+        if wanted("idle") {
+            idle(args)?;
+        }
+        Ok(())
+    };
+    match all() {
+        Ok(()) => ExitCode::from(exit::GOOD),
+        Err(problem) => fail(exit::TROUBLE, problem),
+    }
+}
+
+fn spec(args: &MeasureArgs, decides: Decides) -> MeasureSpec {
+    let length = i64::from(args.length) * 1_000_000;
+    MeasureSpec {
+        decides,
+        workers: 10,
+        functions: 100,
+        connections: 64,
+        idle_clients: 0,
+        rate: 0.0,
+        length,
+        warm_up: length / 4,
+    }
+}
+
+/// Least, middle and most.
+fn spread(mut figures: Vec<f64>) -> (f64, f64, f64) {
+    figures.sort_by(f64::total_cmp);
+    let at = |n: usize| figures.get(n).copied().unwrap_or(0.0);
+    (at(0), at(figures.len() / 2), at(figures.len().saturating_sub(1)))
+}
+
+fn told((least, middle, most): (f64, f64, f64)) -> String {
+    format!("{middle:.2} ({least:.2} to {most:.2})")
+}
+
+/// The module beside a bare forwarder: calls a second when saturated, then latencies at half the module's rate.
+fn rate(args: &MeasureArgs) -> Result<(), String> {
+    let pairs = |rate: f64| -> Result<Vec<(Measured, Measured)>, String> {
+        let one = |decides| measure(&MeasureSpec { rate, ..spec(args, decides) });
+        (0..args.runs).map(|_| Ok((one(Decides::Module)?, one(Decides::Forwarder)?))).collect()
+    };
+    let saturated = pairs(0.0)?;
+    println!("saturated, 10 workers, 100 functions, 64 connections, {} runs in turn:", args.runs);
+    let of = |figure: &dyn Fn(&(Measured, Measured)) -> f64| spread(saturated.iter().map(figure).collect());
+    println!("  calls a second, module         {}", told(of(&|(m, _)| m.load.rate())));
+    println!("  calls a second, forwarder      {}", told(of(&|(_, f)| f.load.rate())));
+    println!("  module over forwarder          {}", told(of(&|(m, f)| m.load.rate() / f.load.rate())));
+    println!("  edge CPU a call, module (us)   {}", told(of(&|(m, _)| m.cpu_us_per_call)));
+    println!("  edge CPU a call, forwarder     {}", told(of(&|(_, f)| f.cpu_us_per_call)));
+    let half = of(&|(m, _)| m.load.rate()).1 / 2.0;
+    let open = pairs(half)?;
+    println!(
+        "open loop at half of that, {half:.0} calls a second, latency in ms from when each call was meant:"
+    );
+    for (name, q) in [("p50", 0.5), ("p99", 0.99), ("p999", 0.999)] {
+        let of =
+            |figure: &dyn Fn(&(Measured, Measured)) -> f64| told(spread(open.iter().map(figure).collect()));
+        let (module, forwarder) = (
+            of(&|(m, _)| m.load.quantile_us(q) as f64 / 1000.0),
+            of(&|(_, f)| f.load.quantile_us(q) as f64 / 1000.0),
+        );
+        println!("  {name:5} module {module}, forwarder {forwarder}");
+    }
+    let others: u64 =
+        open.iter().flat_map(|(m, f)| m.load.others.values().chain(f.load.others.values())).sum();
+    println!("  answers that were not finished {others}");
+    Ok(())
+}
+
+/// CPU a call as the fleet grows, at one rate.
+fn fleet(args: &MeasureArgs) -> Result<(), String> {
+    println!("edge CPU a call (us) at 2,000 calls a second:");
+    for (workers, functions) in
+        [(10, 100), (100, 100), (1000, 100), (10, 10_000), (100, 10_000), (1000, 10_000)]
+    {
+        let one = |decides| measure(&MeasureSpec { workers, functions, rate: 2000.0, ..spec(args, decides) });
+        let runs: Vec<(Measured, Measured)> = (0..args.runs)
+            .map(|_| Ok((one(Decides::Module)?, one(Decides::Forwarder)?)))
+            .collect::<Result<_, String>>()?;
+        let module = told(spread(runs.iter().map(|(m, _)| m.cpu_us_per_call).collect()));
+        let forwarder = told(spread(runs.iter().map(|(_, f)| f.cpu_us_per_call).collect()));
+        let p99 = told(spread(runs.iter().map(|(m, _)| m.load.quantile_us(0.99) as f64 / 1000.0).collect()));
+        println!("  {workers:5} workers {functions:6} functions: module {module}, forwarder {forwarder}; module's p99 {p99} ms");
+    }
+    Ok(())
+}
+
+/// This process's memory in MB; edge, workers and clients are all in it.
+fn memory_mb() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|l| l.trim().split(' ').next().and_then(|kb| kb.parse::<f64>().ok())).unwrap_or(0.0)
+        / 1024.0
+}
+
+/// Thousands of clients that say nothing, and what they do to those that do.
+fn idle(args: &MeasureArgs) -> Result<(), String> {
+    for idle_clients in [0, 9_000] {
+        let before = memory_mb();
+        let m = measure(&MeasureSpec { idle_clients, rate: 2000.0, ..spec(args, Decides::Module) })?;
+        let grown = memory_mb() - before;
+        println!("{idle_clients} idle clients, 2,000 calls a second: {}; CPU a call {:.1} us; memory grown by {grown:.1} MB (both ends)", line(&m.load), m.cpu_us_per_call);
+    }
+    Ok(())
+}
--- a/crates/sanddrum-cli/src/main.rs
+++ b/crates/sanddrum-cli/src/main.rs
@@ -1,7 +1,7 @@
 //! The operators' command line.
 
 use clap::{Args, Parser, Subcommand};
-use sanddrum_cli::{call, config, edge, exit, fail, lab, logs};
+use sanddrum_cli::{call, config, edge, exit, fail, lab, load, logs};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -61,6 +61,16 @@
   sanddrum lab run                                the bad day on sockets
   sanddrum lab run --virtual --seed 7 --json      in virtual time: equal seeds give equal timelines")]
     Run(lab::RunArgs),
+    /// Set up a small fleet on loopback with an edge on a known port, and keep it running
+    #[command(after_help = "Example:\n  sanddrum lab stand --listen 127.0.0.1:8080")]
+    Stand(lab::StandArgs),
+    /// Put load on an edge, open loop, and tell its latencies
+    #[command(
+        after_help = "Example:\n  sanddrum lab load trace-pass trace- --functions 8 --rate 200 --body work-us=5000"
+    )]
+    Load(load::LoadArgs),
+    /// Measure what an edge costs on this machine, beside a bare forwarder
+    Measure(load::MeasureArgs),
 }
 
 #[derive(Subcommand)]
@@ -92,6 +102,9 @@
             lab::run(&args)
         }
         What::Lab(Lab::Run(args)) => lab::run(args),
+        What::Lab(Lab::Stand(args)) => lab::stand(args),
+        What::Lab(Lab::Load(args)) => load::load(args),
+        What::Lab(Lab::Measure(args)) => load::run(args),
         What::Config(Config::Check { file, scenario }) => config::check(file, *scenario),
         What::Config(Config::Show { file, scenario }) => config::show(file, *scenario),
         What::Call(args) => call::run(args),
--- /dev/null
+++ b/crates/sanddrum-lab/src/hammer.rs
@@ -0,0 +1,201 @@
+//! Load on one edge: as many calls as it takes, or an open loop at a set rate whose latencies count from when each call
+//! was meant to be made, so that a slow edge cannot hide its own delays.
+
+use hdrhistogram::Histogram;
+use sanddrum_net::{Chance, Conn, Core, Event, Io, Micros, Outbox};
+use sanddrum_wire::http;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+#[derive(Clone, Debug)]
+pub struct HammerSpec {
+    pub edge: String,
+    pub workload: String,
+    /// The functions called are this and a number, all equally often.
+    pub function: String,
+    pub functions: usize,
+    pub connections: usize,
+    /// Calls a second; nought: as many as it takes, each connection one at a time.
+    pub rate: f64,
+    pub length: Micros,
+    /// Calls begun in this first part are not counted.
+    pub warm_up: Micros,
+    pub body: String,
+    pub seed: u64,
+}
+
+#[derive(Debug)]
+pub struct Hammered {
+    pub finished: u64,
+    /// By status; nought stands for a broken connection.
+    pub others: BTreeMap<u16, u64>,
+    pub latency: Histogram<u64>,
+    /// Calls that no connection was free for, and that were given up for it.
+    pub dropped: u64,
+    pub counted: Micros,
+}
+
+impl Hammered {
+    pub fn empty() -> Self {
+        let latency = Histogram::new_with_bounds(1, 600_000_000, 3);
+        let latency =
+            latency.unwrap_or_else(|_| unreachable!("ten minutes in three digits are within bounds"));
+        Hammered { finished: 0, others: BTreeMap::new(), latency, dropped: 0, counted: 0 }
+    }
+    pub fn rate(&self) -> f64 {
+        self.finished as f64 / (self.counted.max(1) as f64 / 1e6)
+    }
+    pub fn quantile_us(&self, q: f64) -> u64 {
+        self.latency.value_at_quantile(q)
+    }
+}
+
+struct Line {
+    up: bool,
+    /// When the call that is out was meant to be made.
+    meant: Option<Micros>,
+    out: Outbox<()>,
+    bytes: Vec<u8>,
+}
+
+pub struct Hammer {
+    spec: HammerSpec,
+    requests: Vec<Vec<u8>>,
+    chance: Chance,
+    begun: Micros,
+    ends: Micros,
+    next: Micros,
+    lines: BTreeMap<Conn, Line>,
+    free: Vec<Conn>,
+    behind: VecDeque<Micros>,
+    out: usize,
+    pub seen: Rc<RefCell<Hammered>>,
+}
+
+/// Calls that wait for a free connection; more are dropped and counted.
+const BEHIND: usize = 1_000_000;
+
+impl Hammer {
+    pub fn new(spec: HammerSpec) -> Self {
+        let request = |n| {
+            let path = format!("/v1/calls/{}/{}{n}", spec.workload, spec.function);
+            http::write_request("POST", &path, &[], spec.body.as_bytes())
+        };
+        Hammer {
+            requests: (0..spec.functions.max(1)).map(request).collect(),
+            chance: Chance::new(spec.seed),
+            begun: 0,
+            ends: 0,
+            next: 0,
+            lines: BTreeMap::new(),
+            free: Vec::new(),
+            behind: VecDeque::new(),
+            out: 0,
+            seen: Rc::new(RefCell::new(Hammered::empty())),
+            spec,
+        }
+    }
+    fn send(&mut self, conn: Conn, meant: Micros, io: &mut dyn Io) {
+        let n = self.chance.below(self.requests.len());
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        line.meant = Some(meant);
+        self.out += 1;
+        let _ = line.out.push((), &self.requests[n]);
+        if line.up {
+            line.out.flush(conn, io);
+        }
+    }
+    fn open(&mut self, io: &mut dyn Io) {
+        let conn = io.connect(&self.spec.edge);
+        let line = Line { up: false, meant: None, out: Outbox::new(1 << 20), bytes: Vec::new() };
+        self.lines.insert(conn, line);
+    }
+    fn answered(&mut self, now: Micros, conn: Conn, status: u16, io: &mut dyn Io) {
+        let Some(meant) = self.lines.get_mut(&conn).and_then(|line| line.meant.take()) else { return };
+        self.out -= 1;
+        let mut seen = self.seen.borrow_mut();
+        if meant >= self.begun + self.spec.warm_up && meant < self.ends {
+            match status {
+                200 => {
+                    seen.finished += 1;
+                    let _ = seen.latency.record((now - meant).max(1) as u64);
+                }
+                other => *seen.others.entry(other).or_default() += 1,
+            }
+        }
+        drop(seen);
+        if self.spec.rate <= 0.0 {
+            if now < self.ends && status != 0 {
+                self.send(conn, now, io);
+            }
+        } else if let Some(meant) = self.behind.pop_front() {
+            self.send(conn, meant, io);
+        } else {
+            self.free.push(conn);
+        }
+    }
+}
+
+impl Core for Hammer {
+    fn start(&mut self, now: Micros, io: &mut dyn Io) {
+        (self.begun, self.ends, self.next) = (now, now + self.spec.length, now);
+        self.seen.borrow_mut().counted = self.spec.length - self.spec.warm_up;
+        (0..self.spec.connections).for_each(|_| self.open(io));
+    }
+    fn event(&mut self, now: Micros, event: Event<'_>, io: &mut dyn Io) {
+        match event {
+            Event::Connected { conn } => {
+                if let Some(line) = self.lines.get_mut(&conn) {
+                    line.up = true;
+                    match self.spec.rate > 0.0 {
+                        true => self.free.push(conn),
+                        false => self.send(conn, now, io),
+                    }
+                }
+            }
+            Event::Writable { conn } => {
+                if let Some(line) = self.lines.get_mut(&conn) {
+                    line.out.unblock();
+                    line.out.flush(conn, io);
+                }
+            }
+            Event::Bytes { conn, bytes } => {
+                let Some(line) = self.lines.get_mut(&conn) else { return };
+                line.bytes.extend_from_slice(bytes);
+                if let Ok(Some((answer, took))) = http::answer(&line.bytes) {
+                    line.bytes.drain(..took);
+                    self.answered(now, conn, answer.status, io);
+                }
+            }
+            Event::Closed { conn, .. } => {
+                self.answered(now, conn, 0, io);
+                self.lines.remove(&conn);
+                self.free.retain(|free| *free != conn);
+            }
+            Event::Accepted { .. } => {}
+        }
+    }
+    fn turn(&mut self, now: Micros, io: &mut dyn Io) {
+        if self.spec.rate <= 0.0 {
+            return;
+        }
+        while self.next <= now && self.next < self.ends {
+            let meant = self.next;
+            self.next += (self.chance.gap(1e6 / self.spec.rate) as Micros).max(1);
+            match self.free.pop() {
+                Some(conn) => self.send(conn, meant, io),
+                None if self.behind.len() < BEHIND => self.behind.push_back(meant),
+                None => self.seen.borrow_mut().dropped += 1,
+            }
+        }
+    }
+    fn wake(&self) -> Option<Micros> {
+        let next = if self.spec.rate > 0.0 && self.next < self.ends { self.next } else { self.ends };
+        (!self.done()).then_some(next)
+    }
+    fn done(&self) -> bool {
+        // Seen by the driver after its time is up and every call has ended.
+        self.next >= self.ends && self.out == 0 && self.behind.is_empty()
+    }
+}
--- a/crates/sanddrum-lab/src/lib.rs
+++ b/crates/sanddrum-lab/src/lib.rs
@@ -4,6 +4,8 @@
 mod callers;
 pub mod checker;
 mod fleet;
+mod hammer;
+mod measure;
 mod player;
 pub mod recorder;
 mod scenario;
@@ -12,6 +14,8 @@
 
 pub use callers::{Callers, Mood};
 pub use fleet::{Addresses, Fleet, Who};
+pub use hammer::{Hammer, HammerSpec, Hammered};
+pub use measure::{measure, Decides, MeasureSpec, Measured};
 pub use player::{play, Outcome};
 pub use recorder::Recording;
 pub use scenario::{Calls, Scenario, Trouble};
--- /dev/null
+++ b/crates/sanddrum-lab/src/measure.rs
@@ -0,0 +1,297 @@
+//! What the edge costs on this machine: itself beside a bare forwarder on the same loop and codecs, with workers that
+//! answer at once, so that what is left is the edge.
+
+use crate::hammer::{Hammer, HammerSpec, Hammered};
+use sanddrum::{Decisions, Micros, Round, Router, WorkerId, WorkerState};
+use sanddrum_edge::{Edge, Module, Start};
+use sanddrum_net::{Conn, Core, Event, EventLoop, Io, NoTap};
+use sanddrum_settings::Loaded;
+use sanddrum_wire::frame::frame;
+use sanddrum_wire::{
+    Copy, Done, Ended, Frames, FromWorker, Held, Hello, LoadReport, Phase, Probed, Row, ToWorker, VERSION,
+};
+use sanddrum_worker::{ListService, ListSpec};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::TcpListener;
+use std::sync::{
+    atomic::{AtomicBool, AtomicU64, Ordering},
+    Arc,
+};
+
+/// Workers that answer at once and hold every function; one for each door.
+#[derive(Default)]
+struct Instant {
+    peers: BTreeMap<Conn, (usize, Frames, Vec<u8>)>,
+    dirty: BTreeSet<Conn>,
+}
+
+impl Core for Instant {
+    fn start(&mut self, _: Micros, _: &mut dyn Io) {}
+    fn event(&mut self, _: Micros, event: Event<'_>, _: &mut dyn Io) {
+        match event {
+            Event::Accepted { conn, door } => {
+                self.peers.insert(conn, (door.0, Frames::new(1 << 24), Vec::new()));
+            }
+            Event::Bytes { conn, bytes } => {
+                let Some((n, frames, out)) = self.peers.get_mut(&conn) else { return };
+                frames.take_in(bytes);
+                while let Ok(Some(message)) = frames.next_message::<ToWorker>() {
+                    let report =
+                        Some(LoadReport { held: Some(0.0), queued: Some(0.0), ..LoadReport::default() });
+                    let answer = match message {
+                        ToWorker::Hello(_) => {
+                            let name = format!("worker-{n}");
+                            FromWorker::Hello(Hello { version: VERSION, name, incarnation: 1, age_us: None })
+                        }
+                        ToWorker::Execute(e) => FromWorker::Done(Done {
+                            id: e.id,
+                            ended: Ended::Finished,
+                            copy: Some(Copy::Stood),
+                            crowd: None,
+                            report,
+                            body: b"done".to_vec(),
+                        }),
+                        ToWorker::Hold(h) => FromWorker::Held(Held {
+                            id: h.id,
+                            ended: Ended::Finished,
+                            copies: h.copies.max(1),
+                        }),
+                        ToWorker::Probe(p) => FromWorker::Probed(Probed { id: p.id, report }),
+                        ToWorker::Cancel(_) | ToWorker::Unload(_) => continue,
+                    };
+                    out.extend_from_slice(&frame(&answer));
+                }
+                self.dirty.insert(conn);
+            }
+            Event::Writable { conn } => drop(self.dirty.insert(conn)),
+            Event::Closed { conn, .. } => drop(self.peers.remove(&conn)),
+            Event::Connected { .. } => {}
+        }
+    }
+    fn turn(&mut self, _: Micros, io: &mut dyn Io) {
+        while let Some(conn) = self.dirty.pop_first() {
+            if let Some((.., out)) = self.peers.get_mut(&conn) {
+                let wrote = io.write(conn, out);
+                out.drain(..wrote);
+            }
+        }
+    }
+    fn wake(&self) -> Option<Micros> {
+        None
+    }
+}
+
+/// No decision at all: each job goes to the next worker.
+#[derive(Default)]
+struct Forwarder {
+    workers: Vec<WorkerId>,
+    next: usize,
+}
+
+impl Module for Forwarder {
+    fn round(&mut self, now: Micros, round: &Round, out: &mut impl Decisions) {
+        for row in round.lists.iter().flat_map(|list| &list.rows) {
+            if row.state == WorkerState::Ready && !self.workers.contains(&row.worker) {
+                self.workers.push(row.worker);
+            }
+        }
+        for job in &round.jobs {
+            match self.workers.len() {
+                0 => out.push_back(job.id, 0),
+                n => out.execute(job.id, self.workers[self.next % n], job.due - now),
+            }
+            self.next += 1;
+        }
+        for end in round.ends.iter().filter(|end| !end.settled) {
+            out.kill(end.job);
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decides {
+    Module,
+    Forwarder,
+}
+
+#[derive(Clone, Debug)]
+pub struct MeasureSpec {
+    pub decides: Decides,
+    pub workers: usize,
+    pub functions: usize,
+    pub connections: usize,
+    pub idle_clients: usize,
+    pub rate: f64,
+    pub length: Micros,
+    pub warm_up: Micros,
+}
+
+pub struct Measured {
+    pub load: Hammered,
+    /// Processor time of the edge's thread for each call that it answered.
+    pub cpu_us_per_call: f64,
+}
+
+/// Processor time of the calling thread, in microseconds.
+fn thread_cpu_us() -> f64 {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    text.split_whitespace().next().and_then(|ns| ns.parse::<f64>().ok()).unwrap_or(0.0) / 1000.0
+}
+
+/// Connects so many clients that say nothing.
+struct Idle {
+    edge: String,
+    wanted: usize,
+    open: usize,
+}
+
+impl Core for Idle {
+    fn start(&mut self, _: Micros, io: &mut dyn Io) {
+        self.more(io);
+    }
+    fn event(&mut self, _: Micros, event: Event<'_>, io: &mut dyn Io) {
+        if let Event::Connected { .. } = event {
+            self.more(io);
+        }
+    }
+    fn turn(&mut self, _: Micros, _: &mut dyn Io) {}
+    fn wake(&self) -> Option<Micros> {
+        None
+    }
+}
+
+impl Idle {
+    fn more(&mut self, io: &mut dyn Io) {
+        if self.open < self.wanted {
+            self.open += 1;
+            io.connect(&self.edge);
+        }
+    }
+}
+
+const SETTINGS: &str = r#"
+    (workload "job" (start-target 1s) (time-limit 5s) (effect restartable))
+    (function "f*" (workload "job") (memory 100MB) (lanes 64))
+    (limits (max-clients 100000) (client-idle 10min))"#;
+
+fn settings(listen: &str, list: &str) -> Result<Loaded, String> {
+    let mut settings = sanddrum_settings::read("measure", SETTINGS).map_err(|e| e.to_string())?;
+    settings.give("edge.listen", listen, "measure").map_err(|e| e.to_string())?;
+    settings.give("edge.list", list, "measure").map_err(|e| e.to_string())?;
+    Ok(settings)
+}
+
+/// Runs a loop in a thread of its own until told to stop; gives the processor time that it took.
+fn in_thread(
+    stop: Arc<AtomicBool>,
+    make: impl FnOnce(&mut EventLoop) -> io::Result<()> + Send + 'static,
+) -> std::thread::JoinHandle<io::Result<()>> {
+    std::thread::spawn(move || {
+        let mut driver = EventLoop::new(Box::new(NoTap))?;
+        make(&mut driver)?;
+        while !stop.load(Ordering::Relaxed) {
+            let until = driver.now() + 50_000;
+            driver.run_until(until)?;
+        }
+        Ok(())
+    })
+}
+
+/// Measures one edge, in one thread, under load from another, with its workers in a third.
+///
+/// # Errors
+/// A socket could not be had: mostly too few file descriptors.
+pub fn measure(spec: &MeasureSpec) -> Result<Measured, String> {
+    let text = |e: io::Error| e.to_string();
+    let stop = Arc::new(AtomicBool::new(false));
+    let bound: Vec<(TcpListener, String)> =
+        (0..spec.workers).map(|_| EventLoop::bind("127.0.0.1:0")).collect::<io::Result<_>>().map_err(text)?;
+    let (list_door, list_at) = EventLoop::bind("127.0.0.1:0").map_err(text)?;
+    let (edge_door, edge_at) = EventLoop::bind("127.0.0.1:0").map_err(text)?;
+    let row = |(n, (_, at)): (usize, &(TcpListener, String))| Row {
+        name: format!("worker-{n}"),
+        address: at.clone(),
+        zone: "here".into(),
+        size: 4.0,
+        phase: Phase::Ready,
+        incarnation: 1,
+        age_us: -1,
+        ..Row::default()
+    };
+    let rows: Vec<Row> = bound.iter().enumerate().map(row).collect();
+    let doors: Vec<TcpListener> = bound.into_iter().map(|(listener, _)| listener).collect();
+    let workers = in_thread(stop.clone(), move |driver| {
+        let spec = ListSpec { notice: (0, 0), silent_after: Micros::MAX / 4, changes_kept: 16 };
+        let list = ListService::new(spec, 1, 1, Default::default()).with_rows(driver.now(), &rows);
+        driver.add(Box::new(list), vec![list_door], None)?;
+        driver.add(Box::new(Instant::default()), doors, None).map(drop)
+    });
+    // The edge's thread tells its processor time every slice; nobody waits for it.
+    let cpu_us = Arc::new(AtomicU64::new(0));
+    let telling = cpu_us.clone();
+    let settings = settings(&edge_at, &list_at)?;
+    let decides = spec.decides;
+    let edge_stop = stop.clone();
+    let edge = std::thread::spawn(move || -> io::Result<()> {
+        let mut driver = EventLoop::new(Box::new(NoTap))?;
+        let start = Start { settings, seed: 1, kept: None, incarnation: 1, metrics_page: None };
+        let core: Box<dyn Core> = match decides {
+            Decides::Module => {
+                let module = Router::new(1, &start.settings.values_for_module());
+                Box::new(Edge::with_module(start, module))
+            }
+            Decides::Forwarder => Box::new(Edge::with_module(start, Forwarder::default())),
+        };
+        driver.add(core, vec![edge_door], None)?;
+        while !edge_stop.load(Ordering::Relaxed) {
+            let until = driver.now() + 50_000;
+            driver.run_until(until)?;
+            telling.store(thread_cpu_us() as u64, Ordering::Relaxed);
+        }
+        Ok(())
+    });
+    let cpu = || cpu_us.load(Ordering::Relaxed) as f64;
+    let mut driver = EventLoop::new(Box::new(NoTap)).map_err(text)?;
+    let wait = |driver: &mut EventLoop, span: Micros| {
+        let until = driver.now() + span;
+        driver.run_until(until).map_err(text)
+    };
+    if spec.idle_clients > 0 {
+        let idle = Idle { edge: edge_at.clone(), wanted: spec.idle_clients, open: 0 };
+        driver.add(Box::new(idle), vec![], None).map_err(text)?;
+        wait(&mut driver, 200_000 + spec.idle_clients as Micros * 100)?;
+    }
+    wait(&mut driver, 300_000)?;
+    let hammer = Hammer::new(HammerSpec {
+        edge: edge_at,
+        workload: "job".into(),
+        function: "f".into(),
+        functions: spec.functions,
+        connections: spec.connections,
+        rate: spec.rate,
+        length: spec.length,
+        warm_up: spec.warm_up,
+        body: String::new(),
+        seed: 1,
+    });
+    let seen = hammer.seen.clone();
+    let host = driver.add(Box::new(hammer), vec![], None).map_err(text)?;
+    wait(&mut driver, spec.warm_up)?;
+    let before = cpu();
+    wait(&mut driver, spec.length - spec.warm_up)?;
+    let after = cpu();
+    for _ in 0..100 {
+        if driver.core_done(host) {
+            break;
+        }
+        wait(&mut driver, 20_000)?;
+    }
+    stop.store(true, Ordering::Relaxed);
+    for thread in [workers, edge] {
+        thread.join().map_err(|_| "a thread panicked".to_string())?.map_err(text)?;
+    }
+    let load = std::mem::replace(&mut *seen.borrow_mut(), Hammered::empty());
+    let cpu_us_per_call = (after - before) / load.finished.max(1) as f64;
+    Ok(Measured { load, cpu_us_per_call })
+}
--- a/crates/sanddrum-lab/src/stage.rs
+++ b/crates/sanddrum-lab/src/stage.rs
@@ -190,12 +190,28 @@
         recording: &Recording,
         edges_as: EdgesAs,
         folder: PathBuf,
+    ) -> io::Result<Self> {
+        let mut stage = Self::standing(scenario, recording, edges_as, folder, &[])?;
+        stage.set_up(Who::Callers, None, recording)?;
+        Ok(stage)
+    }
+    /// The same without callers, and with edges at these addresses as far as they go.
+    ///
+    /// # Errors
+    /// A port is taken, or an edge does not answer.
+    pub fn standing(
+        scenario: Scenario,
+        recording: &Recording,
+        edges_as: EdgesAs,
+        folder: PathBuf,
+        edge_doors: &[&str],
     ) -> io::Result<Self> {
         let driver = EventLoop::new(Box::new(recording.clone()))?;
         let (workers, edges) = (scenario.workers, scenario.edges);
         let mut bound = BTreeMap::new();
         let mut bind = |who: Who| -> io::Result<String> {
-            let (listener, at) = EventLoop::bind("127.0.0.1:0")?;
+            let given = if let Who::Edge(n) = who { edge_doors.get(n).copied() } else { None };
+            let (listener, at) = EventLoop::bind(given.unwrap_or("127.0.0.1:0"))?;
             bound.insert(who, listener);
             Ok(at)
         };
@@ -221,7 +237,6 @@
         }
         // Edges that are processes need a moment; calls are made once they answer.
         stage.wait_for_edges()?;
-        stage.set_up(Who::Callers, None, recording)?;
         Ok(stage)
     }
     fn set_up(
