Homes worked out only where they matter; no settings looked up for warm workers

Need: CPU a call grew with the fleet, 96 us at 100 workers and 298 at 1,000 beside a forwarder's 50. Cause: every job drew and sorted all workers as homes, and each worker that started cost settings lookups. Change: homes are lazy, a worker keeps the instant at which it is warm. With 10,000 functions asks of each function's homes rule the cost; left as it is, since it is a decision.

--- a/crates/sanddrum-lab/src/measure.rs
+++ b/crates/sanddrum-lab/src/measure.rs
@@ -233,24 +233,27 @@
     let settings = settings(&edge_at, &list_at)?;
     let decides = spec.decides;
     let edge_stop = stop.clone();
-    let edge = std::thread::spawn(move || -> io::Result<()> {
-        let mut driver = EventLoop::new(Box::new(NoTap))?;
-        let start = Start { settings, seed: 1, kept: None, incarnation: 1, metrics_page: None };
-        let core: Box<dyn Core> = match decides {
-            Decides::Module => {
-                let module = Router::new(1, &start.settings.values_for_module());
-                Box::new(Edge::with_module(start, module))
+    // Named, so that a profiler can tell it from the rest.
+    let edge =
+        std::thread::Builder::new().name(format!("edge-{decides:?}")).spawn(move || -> io::Result<()> {
+            let mut driver = EventLoop::new(Box::new(NoTap))?;
+            let start = Start { settings, seed: 1, kept: None, incarnation: 1, metrics_page: None };
+            let core: Box<dyn Core> = match decides {
+                Decides::Module => {
+                    let module = Router::new(1, &start.settings.values_for_module());
+                    Box::new(Edge::with_module(start, module))
+                }
+                Decides::Forwarder => Box::new(Edge::with_module(start, Forwarder::default())),
+            };
+            driver.add(core, vec![edge_door], None)?;
+            while !edge_stop.load(Ordering::Relaxed) {
+                let until = driver.now() + 50_000;
+                driver.run_until(until)?;
+                telling.store(thread_cpu_us() as u64, Ordering::Relaxed);
             }
-            Decides::Forwarder => Box::new(Edge::with_module(start, Forwarder::default())),
-        };
-        driver.add(core, vec![edge_door], None)?;
-        while !edge_stop.load(Ordering::Relaxed) {
-            let until = driver.now() + 50_000;
-            driver.run_until(until)?;
-            telling.store(thread_cpu_us() as u64, Ordering::Relaxed);
-        }
-        Ok(())
-    });
+            Ok(())
+        });
+    let edge = edge.map_err(text)?;
     let cpu = || cpu_us.load(Ordering::Relaxed) as f64;
     let mut driver = EventLoop::new(Box::new(NoTap)).map_err(text)?;
     let wait = |driver: &mut EventLoop, span: Micros| {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,6 +9,7 @@
 
 use crate::state::{Due, Effect, Execution, Function, Held, Place, Worker};
 use crate::*;
+use std::cell::LazyCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -251,6 +252,7 @@
         }
         let now = self.now;
         let limit = FIRST_LIMIT / self.span("routers", 1).max(1) as f64;
+        let cold = self.span("rules.cold-us", 0);
         for row in &list.rows {
             let new = || Worker { row: *row, pace: 1.0, calm: 1.0, limit, ..Worker::default() };
             let worker = self.workers.entry(row.worker).or_insert_with(new);
@@ -260,7 +262,7 @@
                 (worker.pace, worker.seen) = (worker.calm, 0.0);
                 (worker.budget, worker.budget_at) = (0.0, now);
             }
-            worker.row = *row;
+            (worker.row, worker.warm) = (*row, row.started + cold);
             if restarted || row.state == WorkerState::Gone {
                 self.forget_copies(row.worker);
             }
@@ -566,12 +568,9 @@
         self.cold_budget(id).is_none_or(|budget| budget > drawn * work)
     }
     fn cold_budget(&self, id: WorkerId) -> Option<f64> {
-        let worker = self.workers.get(&id).filter(|w| w.row.started > 0)?;
+        let worker = self.workers.get(&id).filter(|w| w.row.started > 0 && self.now < w.warm)?;
         let (now, span, fall) = (self.now, self.span("rules.cold-us", 0), self.fall_span());
         let age = (now - worker.row.started).max(0);
-        if age >= span {
-            return None;
-        }
         let from = self.settings.number("rules.cold-from").unwrap_or(1.0);
         let part = from + (1.0 - from) * age as f64 / span as f64;
         let share = worker.row.size / self.sizes.max(worker.row.size);
@@ -677,7 +676,8 @@
             |(w, p): &&(WorkerId, Place)| p.barred <= self.now && self.has_room(*w, share) && in_time(*w);
         let far = |w: WorkerId| self.workers.get(&w).is_some_and(|w| w.row.zone != near);
 
-        let homes = self.homes(job.function, &ready);
+        // Worked out only where they matter, as that takes a draw for each worker.
+        let homes = LazyCell::new(|| self.homes(job.function, &ready));
         let width = self.width(function, ready.len()).min(ready.len());
         let place_at = |w: &WorkerId| function.places.get(w).copied().unwrap_or_default();
         let wide = width.max((ready.len() as f64).sqrt().ceil() as usize).min(ready.len());
@@ -691,9 +691,8 @@
         let spreads = width > FEW_HOMES || warm.iter().all(|(w, _)| self.crowded(*w));
         let presumes = !asks && often && spreads;
         let believed = |w: &WorkerId| warm.iter().any(|(at, _)| at == w);
-        let unsure: Vec<WorkerId> = homes[..wide].iter().filter(|w| !believed(w)).copied().collect();
-        let maybe =
-            homes[..width].iter().filter(|w| presumes && !believed(w) && self.cold_budget(**w).is_none());
+        let maybe = if presumes { &homes[..width] } else { &[] };
+        let maybe = maybe.iter().filter(|w| !believed(w) && self.cold_budget(**w).is_none());
         let presumed: Vec<(WorkerId, Place)> = maybe
             .map(|w| (*w, Place { copies: 1, ..place_at(w) }))
             .filter(|(_, p)| {
@@ -716,16 +715,16 @@
 
         // Exception: a home found without its copy gets one ordered for the jobs that follow; so does the
         // next one that is not crowded, where all warm workers with room are.
-        let spare = homes.iter().enumerate().find(|(n, w)| {
+        let candidates = if asks || !self.allows("copies.orders") { &[] } else { homes.as_slice() };
+        let spare = candidates.iter().enumerate().find(|(n, w)| {
             let place = place_at(w);
             let found = *n < width && width > FEW_HOMES && place.absent > self.now;
             let wanted = found || (crowds && function.calls > 2.0 && underway == 0);
             let fit = place.order.is_none() && place.barred <= self.now && !self.stands(&place);
             wanted && fit && !self.crowded(**w)
         });
-        let spare = spare.map(|(_, w)| *w).filter(|_| !asks && self.allows("copies.orders"));
         if let Some(w) = warmest {
-            if let Some(to) = spare.filter(|_| !self.loads_pressed()) {
+            if let Some(to) = spare.map(|(_, w)| *w).filter(|_| !self.loads_pressed()) {
                 self.order(to, job.function, 1, out);
             }
             return self.execute(id, w, work, out);
@@ -748,6 +747,7 @@
         let ahead = function.waiting.iter().filter(|other| **other < id).count();
 
         // Exception: before a load, ask where else the function stands; other routers' loads are not told.
+        let unsure: Vec<WorkerId> = homes[..wide].iter().filter(|w| !believed(w)).copied().collect();
         if asks && self.ask(job.function, &unsure, out) {
             return self.wait(id);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,6 +20,8 @@
 #[derive(Default)]
 pub(crate) struct Worker {
     pub row: WorkerRow,
+    /// From when on it is warm, where it started not long ago.
+    pub warm: Micros,
     /// Own jobs in flight.
     pub own: u32,
     /// Executions out here, oldest first: when sent, and from when on their answers are late.
