--- /dev/null
+++ b/crates/sanddrum-cli/tests/processes.rs
@@ -0,0 +1,189 @@
+//! The edge as a process: signals, restarts, and what is said about wrong settings.
+
+use rstest::rstest;
+use sanddrum_wire::http;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+const SETTINGS: &str = r#"
+    (workload "job" (time-limit 30s) (effect run-once))
+    (function "f*" (workload "job"))
+    (limits (stop-within 1s) (list-retry-most 100ms))"#;
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let folder = std::env::temp_dir().join(format!("sanddrum-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::write(folder.join("settings.sx"), SETTINGS).unwrap();
+        Folder(folder)
+    }
+}
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn sanddrum(args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sanddrum"));
+    command.args(args).stdin(Stdio::null());
+    command
+}
+
+struct Edge {
+    child: Child,
+    at: String,
+}
+
+impl Edge {
+    /// Starts one and learns its door from its log.
+    fn start(folder: &Folder, listen: &str) -> Edge {
+        Edge::start_by(folder, listen, Command::new(env!("CARGO_BIN_EXE_sanddrum-edge")))
+    }
+    fn start_by(folder: &Folder, listen: &str, mut command: Command) -> Edge {
+        let (settings, state) = (folder.0.join("settings.sx"), folder.0.join("state"));
+        command.args(["--settings", settings.to_str().unwrap(), "--state-file", state.to_str().unwrap()]);
+        command.args(["--listen", listen, "--list", "127.0.0.1:1", "--log", "info", "--log-format", "json"]);
+        let mut child = command.stderr(Stdio::piped()).stdin(Stdio::null()).spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        let at = loop {
+            line.clear();
+            assert!(log.read_line(&mut line).unwrap() > 0, "it ended before it listened");
+            if let Some((_, rest)) = line.split_once("\"listen\":\"") {
+                break rest.split('"').next().unwrap().to_string();
+            }
+        };
+        // Its further lines are read away, so that it never waits for a full pipe.
+        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Edge { child, at }
+    }
+    fn signal(&self, which: &str) {
+        let sent = Command::new("sh").args(["-c", &format!("kill -{which} {}", self.child.id())]).status();
+        assert!(sent.unwrap().success());
+    }
+    fn ends_with(&mut self) -> Option<i32> {
+        let until = Instant::now() + Duration::from_secs(20);
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            std::thread::yield_now();
+        }
+        panic!("it did not end");
+    }
+}
+
+impl Drop for Edge {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn call(socket: &mut TcpStream) {
+    socket.write_all(&http::write_request("POST", "/v1/calls/job/f1", &[], b"")).unwrap();
+}
+
+fn answer(socket: &mut TcpStream) -> http::Answer {
+    socket.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let mut bytes = Vec::new();
+    let mut piece = [0; 4096];
+    loop {
+        if let Some((answer, _)) = http::answer(&bytes).unwrap() {
+            return answer;
+        }
+        let n = socket.read(&mut piece).unwrap();
+        assert!(n > 0, "closed without an answer");
+        bytes.extend_from_slice(&piece[..n]);
+    }
+}
+
+/// Asked for its health, it has read all that came before.
+fn healthy(at: &str) -> u16 {
+    let mut socket = TcpStream::connect(at).unwrap();
+    socket.write_all(&http::write_request("GET", "/health", &[], b"")).unwrap();
+    answer(&mut socket).status
+}
+
+#[rstest]
+fn sigterm_ends_it_in_order_with_an_answer_for_each_held_job() {
+    let folder = Folder::new("sigterm");
+    let mut edge = Edge::start(&folder, "127.0.0.1:0");
+    let mut client = TcpStream::connect(&edge.at).unwrap();
+    call(&mut client);
+    assert_eq!(healthy(&edge.at), 200);
+    edge.signal("TERM");
+    let status = answer(&mut client).status;
+    assert!(status == 502 || status == 503, "{status}");
+    assert_eq!(edge.ends_with(), Some(0));
+}
+
+#[rstest]
+fn after_sigkill_it_comes_back_on_the_same_port() {
+    let folder = Folder::new("sigkill");
+    let mut edge = Edge::start(&folder, "127.0.0.1:0");
+    let mut client = TcpStream::connect(&edge.at).unwrap();
+    call(&mut client);
+    assert_eq!(healthy(&edge.at), 200);
+    edge.signal("KILL");
+    assert_eq!(edge.ends_with(), None);
+    std::fs::write(folder.0.join("state"), b"torn").unwrap();
+    let again = Edge::start(&folder, &edge.at);
+    assert_eq!(healthy(&again.at), 200);
+    assert!(folder.0.join("state.set-aside").exists(), "a foreign state file is set aside");
+}
+
+#[rstest]
+fn without_free_descriptors_it_waits_and_goes_on_once_there_are_some() {
+    let folder = Folder::new("descriptors");
+    let mut command = Command::new("sh");
+    command.args(["-c", "ulimit -n 40; exec \"$0\" \"$@\"", env!("CARGO_BIN_EXE_sanddrum-edge")]);
+    let edge = Edge::start_by(&folder, "127.0.0.1:0", command);
+    let clients: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(&edge.at).unwrap()).collect();
+    drop(clients);
+    assert_eq!(healthy(&edge.at), 200);
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned() + &String::from_utf8_lossy(&output.stdout)
+}
+
+#[rstest]
+fn wrong_settings_are_refused_with_their_place() {
+    let folder = Folder::new("config");
+    let file = folder.0.join("settings.sx");
+    let path = file.to_str().unwrap();
+    let good = sanddrum(&["config", "check", path]).output().unwrap();
+    assert_eq!(good.status.code(), Some(0), "{}", text(&good));
+    let shown = text(&sanddrum(&["config", "show", path]).output().unwrap());
+    assert!(shown.contains("limits.stop-within-us") && shown.contains("line 4, column 13"), "{shown}");
+    std::fs::write(&file, format!("{SETTINGS}\n(limit (max-open 3))")).unwrap();
+    let bad = sanddrum(&["config", "check", path]).output().unwrap();
+    assert_eq!(bad.status.code(), Some(2));
+    assert!(
+        text(&bad).contains("settings.sx:5:1") && text(&bad).contains("did you mean limits?"),
+        "{}",
+        text(&bad)
+    );
+}
+
+#[rstest]
+fn equal_seeds_print_equal_summaries() {
+    let run = |seed: &str| {
+        let output = sanddrum(&["lab", "run", "--virtual", "--json", "--log", "off", "--seed", seed])
+            .output()
+            .unwrap();
+        assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+        String::from_utf8(output.stdout).unwrap().lines().last().unwrap().to_string()
+    };
+    let first = run("9");
+    assert_eq!(first, run("9"));
+    assert_ne!(first, run("10"));
+    assert!(first.contains("timeline_digest"));
+}
--- a/crates/sanddrum-lab/src/callers.rs
+++ b/crates/sanddrum-lab/src/callers.rs
@@ -14,11 +14,13 @@
     pub rate: f64,
     /// This part of the calls goes to functions that were not called before, so many of each workload.
     pub hot: f64,
+    /// This part of the calls is the last customer's, whatever its share.
+    pub greedy: f64,
 }
 
 impl Default for Mood {
     fn default() -> Self {
-        Mood { rate: 1.0, hot: 0.0 }
+        Mood { rate: 1.0, hot: 0.0, greedy: 0.0 }
     }
 }
 
@@ -126,7 +128,12 @@
                 Some(*sum)
             })
             .collect();
-        let customer = (!shares.is_empty()).then(|| Self::pick(&mut self.chance, &shares));
+        let greedy = mood.greedy > 0.0 && self.chance.is_below(mood.greedy);
+        let customer = match shares.len() {
+            0 => None,
+            n if greedy => Some(n - 1),
+            _ => Some(Self::pick(&mut self.chance, &shares)),
+        };
         let customer = customer.map(|n| l.text(&format!("customers.{n}.name")).to_string());
         let id = self.next;
         self.next += 1;
--- a/crates/sanddrum-lab/src/player.rs
+++ b/crates/sanddrum-lab/src/player.rs
@@ -36,7 +36,7 @@
 
 /// Troubles that strike no worker or edge by name, and those that are over as soon as they are there.
 const NOBODYS: &[&str] =
-    &["store-stall", "store-refuse", "list-away", "list-lag", "overload", "hot-functions"];
+    &["store-stall", "store-refuse", "list-away", "list-lag", "overload", "hot-functions", "greedy-customer"];
 const AT_ONCE: &[&str] = &["flush", "tear", "garble"];
 
 /// Plays a scenario to its end.
@@ -189,6 +189,7 @@
             "list-lag" => self.stage.fleet().list.borrow_mut().lags = (size * 1e6) as Micros,
             "overload" => self.stage.fleet().mood.borrow_mut().rate = size,
             "hot-functions" => self.stage.fleet().mood.borrow_mut().hot = size.min(1.0),
+            "greedy-customer" => self.stage.fleet().mood.borrow_mut().greedy = size.min(1.0),
             _ => {}
         }
     }
@@ -206,6 +207,7 @@
             "list-lag" => self.stage.fleet().list.borrow_mut().lags = 0,
             "overload" => self.stage.fleet().mood.borrow_mut().rate = 1.0,
             "hot-functions" => self.stage.fleet().mood.borrow_mut().hot = 0.0,
+            "greedy-customer" => self.stage.fleet().mood.borrow_mut().greedy = 0.0,
             _ => return Ok(()),
         }
         self.act(&format!("{} ends", t.kind), whom);
--- a/crates/sanddrum-lab/src/schema.rs
+++ b/crates/sanddrum-lab/src/schema.rs
@@ -21,6 +21,7 @@
     "edge-crash",
     "overload",
     "hot-functions",
+    "greedy-customer",
 ];
 
 pub const SCENARIO: &[Section] = &[
