--- /dev/null
+++ b/crates/sanddrum-identity/src/lib.rs
@@ -0,0 +1,20 @@
+//! Who calls, and what they may. Everything here is a function of bytes, settings and the time given: no file, clock
+//! or socket is touched.
+//!
+//! - [`keys`]: the set of verifying keys, which of its versions may follow which, and what a restart must remember.
+//! - [`token`]: a token checked against the set.
+//! - [`gate`]: how much work is spent on checking, and for whom.
+//! - [`rights`]: which customer may run what, and which line says so.
+
+pub mod gate;
+pub mod keys;
+pub mod rights;
+pub mod token;
+
+pub use gate::{Gate, GateLimits};
+pub use keys::{Floor, KeySet, KeyState, SecretKey};
+pub use rights::{Rights, Ruling};
+pub use token::{Claims, Refused};
+
+/// Whole seconds since 1970, as tokens and key sets state them (RFC 7519, section 2, NumericDate).
+pub type Seconds = i64;
