--- a/crates/sanddrum-cli/src/call.rs
+++ b/crates/sanddrum-cli/src/call.rs
@@ -20,6 +20,9 @@
     pub body: String,
     #[arg(long)]
     pub customer: Option<String>,
+    /// A file with a token to show
+    #[arg(long, value_name = "FILE")]
+    pub token: Option<std::path::PathBuf>,
     /// Given up after so many milliseconds
     #[arg(long, value_name = "MS")]
     pub time_limit: Option<u64>,
@@ -45,10 +48,14 @@
 
 fn ask(args: &CallArgs) -> Result<http::Answer, String> {
     let limit = args.time_limit.map(|ms| ms.to_string());
+    let token =
+        args.token.as_ref().map(std::fs::read_to_string).transpose().map_err(|e| format!("--token: {e}"))?;
+    let token = token.map(|text| format!("Bearer {}", text.trim()));
     let mut fields = Vec::new();
     let optional = [
         ("sanddrum-customer", args.customer.as_deref()),
         ("sanddrum-time-limit-ms", limit.as_deref()),
+        ("authorization", token.as_deref()),
         ("idempotency-key", args.idempotency_key.as_deref()),
     ];
     fields.extend(optional.iter().filter_map(|(name, value)| value.map(|v| (*name, v))));
--- a/crates/sanddrum-cli/src/edge.rs
+++ b/crates/sanddrum-cli/src/edge.rs
@@ -3,7 +3,7 @@
 use crate::{exit, fail};
 use clap::Args;
 use metrics_exporter_prometheus::PrometheusBuilder;
-use sanddrum_edge::{state, Edge, Start};
+use sanddrum_edge::{state, Edge, Start, KEYS};
 use sanddrum_net::{EventLoop, NoTap, Shutdown};
 use sanddrum_settings::{Loaded, Problem};
 use std::path::{Path, PathBuf};
@@ -126,10 +126,26 @@
         seed,
         incarnation: begun,
         metrics_page: Some(Box::new(move || recorder.render())),
-        settings,
+        settings: settings.clone(),
     };
     let mut driver = EventLoop::new(Box::new(NoTap)).map_err(|e| e.to_string())?;
     driver.catch_signals().map_err(|e| e.to_string())?;
-    driver.add(Box::new(Edge::new(start)), vec![door], state_file).map_err(|e| e.to_string())?;
+    let keys_file =
+        settings.has("identity.keys-file").then(|| PathBuf::from(settings.text("identity.keys-file")));
+    let audit_file =
+        settings.has("identity.audit-file").then(|| PathBuf::from(settings.text("identity.audit-file")));
+    if keys_file.is_some() && state_file.is_none() {
+        tracing::warn!(
+            reason = "no-state-file",
+            "without --state-file a restart does not know which keys were revoked"
+        );
+    }
+    let host = driver.add(Box::new(Edge::new(start)), vec![door], state_file).map_err(|e| e.to_string())?;
+    if let Some(file) = audit_file {
+        driver.audit_to(host, file, settings.size("identity.audit-most-bytes") as u64);
+    }
+    if let Some(file) = keys_file {
+        driver.watch(host, KEYS, file, settings.span("identity.watch-every-us"));
+    }
     driver.run().map_err(|e| e.to_string())
 }
--- a/crates/sanddrum-cli/src/lab.rs
+++ b/crates/sanddrum-cli/src/lab.rs
@@ -143,11 +143,16 @@
 /// Edges as processes of this program, with the scenario's text in this folder as their settings.
 fn processes(folder: &Folder) -> Result<EdgesAs, String> {
     let settings = folder.0.join("scenario.sx");
+    let home = folder.0.clone();
     let program = std::env::current_exe().map_err(|e| e.to_string())?;
     Ok(EdgesAs::Processes(Box::new(move |n, fleet, state, seed| {
         let (listen, list) = (&fleet.addresses.edges[n], &fleet.addresses.list);
         let mut command = edge_process(&program, &settings, &fleet.scenario, n, listen, list);
         command.arg("--state-file").arg(state).args(["--seed", &seed.to_string()]);
+        if fleet.wallet.is_some() {
+            let file = home.join(fleet.scenario.settings.text("identity.keys-file"));
+            command.arg("--set").arg(format!("identity.keys-file={}", file.display()));
+        }
         command
     })))
 }
--- a/crates/sanddrum-cli/src/lib.rs
+++ b/crates/sanddrum-cli/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod call;
 pub mod config;
 pub mod edge;
+pub mod keys;
 pub mod lab;
 pub mod load;
 pub mod logs;
--- a/crates/sanddrum-cli/src/main.rs
+++ b/crates/sanddrum-cli/src/main.rs
@@ -1,7 +1,7 @@
 //! The operators' command line.
 
 use clap::{Args, Parser, Subcommand};
-use sanddrum_cli::{call, config, edge, exit, fail, lab, load, logs};
+use sanddrum_cli::{call, config, edge, exit, fail, keys, lab, load, logs};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -35,6 +35,15 @@
     /// Settings files
     #[command(subcommand)]
     Config(Config),
+    /// The keys that tokens are signed with
+    #[command(subcommand)]
+    Keys(keys::Keys),
+    /// Tokens
+    #[command(subcommand)]
+    Token(keys::Token),
+    /// Who may run what
+    #[command(subcommand)]
+    Rights(keys::RightsCommand),
     /// Make one call through an edge
     #[command(
         after_help = "Example:\n  sanddrum call trace-pass trace-1 --edge 127.0.0.1:8080 --time-limit 2000 --body hello"
@@ -107,6 +116,9 @@
         What::Lab(Lab::Measure(args)) => load::run(args),
         What::Config(Config::Check { file, scenario }) => config::check(file, *scenario),
         What::Config(Config::Show { file, scenario }) => config::show(file, *scenario),
+        What::Keys(command) => keys::keys(command),
+        What::Token(command) => keys::token(command),
+        What::Rights(command) => keys::rights(command),
         What::Call(args) => call::run(args),
         What::Edge(args) => edge::run(args),
     }
--- a/crates/sanddrum-cli/tests/processes.rs
+++ b/crates/sanddrum-cli/tests/processes.rs
@@ -187,3 +187,45 @@
     assert_ne!(first, run("10"));
     assert!(first.contains("timeline_digest"));
 }
+
+/// What an operator does with keys, against an edge that runs.
+#[rstest]
+fn keys_are_made_rotated_and_revoked_while_an_edge_runs() {
+    let folder = Folder::new("keys");
+    let path = |name: &str| folder.0.join(name).to_str().unwrap().to_string();
+    let (keys, secrets, settings) = (path("keys.json"), path("secrets"), path("settings.sx"));
+    let run = |args: &[&str]| sanddrum(args).output().unwrap();
+    assert_eq!(run(&["keys", "new", &keys, "--secrets", &secrets, "--name", "a"]).status.code(), Some(0));
+    let identity =
+        format!("(identity (tokens required) (keys-file {keys:?}) (watch-every 20ms)) (deny \"x*\")");
+    std::fs::write(&settings, format!("{SETTINGS}{identity}")).unwrap();
+    let edge = Edge::start(&folder, "127.0.0.1:0");
+    let secret = format!("{secrets}/a.secret");
+    let token = |customer: &str| {
+        let issued = run(&["token", "issue", "--secret", &secret, "--customer", customer]);
+        assert_eq!(issued.status.code(), Some(0), "{}", text(&issued));
+        let file = path("token");
+        std::fs::write(&file, &issued.stdout).unwrap();
+        file
+    };
+    let call = |file: &str| {
+        text(&run(&["call", "job", "f1", "--edge", &edge.at, "--token", file, "--time-limit", "300"]))
+    };
+    let good = token("obs-brest");
+    let answered = call(&good);
+    assert!(answered.contains("not-in-time") || answered.contains("time-limit"), "{answered}");
+    assert!(call(&token("xenon")).contains("not-allowed"));
+    let explained = run(&["rights", "explain", "--settings", &settings, "xenon", "job/f1"]);
+    assert!(text(&explained).contains("denied by (deny") && explained.status.code() == Some(1));
+    let good = token("obs-brest");
+    assert_eq!(run(&["keys", "revoke", &keys, "a"]).status.code(), Some(0));
+    let until = Instant::now() + Duration::from_secs(20);
+    while !call(&good).contains("token-key-revoked") {
+        assert!(Instant::now() < until, "the edge never heard of it");
+    }
+    assert!(text(&run(&["keys", "list", &keys])).contains("a: revoked"));
+    use std::os::unix::fs::PermissionsExt;
+    std::fs::set_permissions(&secret, std::fs::Permissions::from_mode(0o644)).unwrap();
+    let loose = run(&["token", "issue", "--secret", &secret, "--customer", "obs-brest"]);
+    assert!(loose.status.code() == Some(1) && text(&loose).contains("chmod 600"), "{}", text(&loose));
+}
--- a/crates/sanddrum-edge/src/clients.rs
+++ b/crates/sanddrum-edge/src/clients.rs
@@ -122,6 +122,7 @@
         let Some(client) = self.clients.clients.remove(&conn) else { return };
         self.clients.dirty.remove(&conn);
         self.figures.clients_open.decrement(1.0);
+        self.identity.client_gone(conn);
         for place in client.places {
             let Place::Open { job, .. } = place else { continue };
             if self.jobs.close(job).is_some() {
@@ -158,7 +159,7 @@
                     client.bytes.drain(..took);
                     client.told_to_go_on = false;
                     client.began = None;
-                    self.take_request(now, conn, request);
+                    self.take_request(now, conn, request, io);
                 }
                 Err(bad) => {
                     let detail = "the request can't be read; see the client door's page";
@@ -191,8 +192,8 @@
         self.clients.dirty.insert(conn);
     }
 
-    fn take_request(&mut self, now: Micros, conn: Conn, request: Request) {
-        let keep = request.keep_alive && !self.stopping;
+    fn take_request(&mut self, now: Micros, conn: Conn, request: Request, io: &mut dyn Io) {
+        let mut keep = request.keep_alive && !self.stopping;
         let path = request.path.split('?').next().unwrap_or_default().to_string();
         let answer = match (request.method.as_str(), path.as_str()) {
             ("GET", "/metrics") => {
@@ -205,7 +206,7 @@
                 ))
             }
             ("GET", "/health") => Ok(http::response(200, &[("content-type", "text/plain")], b"ok\n", keep)),
-            _ => Err(self.take_call(now, conn, request, &path)),
+            _ => Err(self.take_call(now, conn, request, &path, io)),
         };
         let answer = match answer {
             Ok(answer) => answer,
@@ -216,14 +217,16 @@
                 return;
             }
             Err(Err(no)) => {
-                let pushed_back = no.status == 503;
+                // What was refused for who asks has not run either, and is a final answer as any pushback.
+                let pushed_back = matches!(no.status, 401 | 403 | 503);
                 let end = if pushed_back { "pushed-back" } else { "refused" };
-                if pushed_back {
+                if no.status == 503 {
                     self.figures.limit_hit(no.reason);
                 }
                 self.figures.refused(end, no.reason);
                 tracing::info!(status = no.status, reason = no.reason, "not taken");
-                let retry_after = pushed_back.then_some(self.limits.max_retry_after);
+                let retry_after = (no.status == 503).then_some(self.limits.max_retry_after);
+                keep &= !self.identity.is_out(conn);
                 Refusal {
                     status: no.status,
                     end,
@@ -241,7 +244,14 @@
         }
     }
 
-    fn take_call(&mut self, now: Micros, conn: Conn, request: Request, path: &str) -> Result<JobId, NoJob> {
+    fn take_call(
+        &mut self,
+        now: Micros,
+        conn: Conn,
+        request: Request,
+        path: &str,
+        io: &mut dyn Io,
+    ) -> Result<JobId, NoJob> {
         let names = path.strip_prefix("/v1/calls/").and_then(|rest| rest.split_once('/'));
         let Some((workload, function)) = names.filter(|(_, f)| !f.is_empty() && !f.contains('/')) else {
             return Err(no_job(404, "no-such-path", "calls go to POST /v1/calls/{workload}/{function}"));
@@ -255,6 +265,8 @@
         if self.jobs.open() >= self.limits.max_open {
             return Err(no_job(503, "max-open", "this edge holds as many jobs as it may; nothing was done"));
         }
+        let customer = self.may_call(now, conn, &request, (workload, function), io);
+        let customer = customer.map_err(|why| no_job(why.status(), why.reason(), why.detail()))?;
         let limit = number(&request, "sanddrum-time-limit-ms")?.map(|ms| ms * 1000);
         let work = number(&request, "sanddrum-work-us")?;
         let repeat = number(&request, "sanddrum-repeat")?.is_some_and(|n| n > 0);
@@ -272,7 +284,6 @@
         let whole = self.settings.span(&format!("workloads.{}.time-limit-us", of.0));
         let limit = limit.map_or(whole, |told| told.min(whole)) - self.limits.answer_ahead;
         let field = |name: &str| request.field(name).map(String::from);
-        let customer = field("sanddrum-customer");
         let customers = self.settings.count("customers");
         let number = (0..customers)
             .find(|n| customer.as_deref() == self.settings.values.text(&format!("customers.{n}.name")));
--- /dev/null
+++ b/crates/sanddrum-edge/src/identity.rs
@@ -0,0 +1,258 @@
+//! Who calls: tokens, the key set in force, rights, and the audit of all that was refused or changed.
+
+use crate::state::Kept;
+use crate::Inner;
+use sanddrum_identity::gate::Standing;
+use sanddrum_identity::rights::{Line, Pattern};
+use sanddrum_identity::token::{self, Terms};
+use sanddrum_identity::{Floor, Gate, GateLimits, KeySet, Refused, Rights};
+use sanddrum_net::{Conn, Io, Micros};
+use sanddrum_settings::{Loaded, Origin};
+use sanddrum_wire::http::Request;
+use serde_json::json;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Tokens {
+    Off,
+    Optional,
+    Required,
+}
+
+pub(crate) struct Identity {
+    tokens: Tokens,
+    gate: Gate,
+    keys: Option<KeySet>,
+    floor: Floor,
+    rights: Rights,
+    /// What each client's connection has shown.
+    standings: BTreeMap<Conn, Standing>,
+    audit: AuditRate,
+}
+
+/// Lines a second, and how many were left out since the last one.
+struct AuditRate {
+    per_s: f64,
+    left: f64,
+    at: Micros,
+    omitted: u64,
+}
+
+/// Why a call is not taken, as the client is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotTaken {
+    Token(Refused),
+    /// No key set has ever been in force here.
+    NoKeys,
+    /// The token is of one customer and the call names another.
+    Mismatch,
+    /// This customer may not run it.
+    Rights,
+}
+
+impl NotTaken {
+    pub fn status(self) -> u16 {
+        match self {
+            NotTaken::Token(Refused::Busy) | NotTaken::NoKeys => 503,
+            NotTaken::Token(_) => 401,
+            NotTaken::Mismatch | NotTaken::Rights => 403,
+        }
+    }
+    pub fn reason(self) -> &'static str {
+        match self {
+            NotTaken::Token(refused) => refused.reason(),
+            NotTaken::NoKeys => "keys-missing",
+            NotTaken::Mismatch => "customer-mismatch",
+            NotTaken::Rights => "not-allowed",
+        }
+    }
+    pub fn detail(self) -> &'static str {
+        match self {
+            NotTaken::Token(refused) => refused.detail(),
+            NotTaken::NoKeys => "this edge has no keys to check tokens with yet; ask another one",
+            NotTaken::Mismatch => "the token is of another customer than the call names",
+            NotTaken::Rights => "this customer may not run this function",
+        }
+    }
+}
+
+/// Rights as the settings state them.
+pub fn rights_of(l: &Loaded) -> Rights {
+    let mut lines = Vec::new();
+    for (kind, allows) in [("deny", false), ("allow", true)] {
+        for (n, customer) in l.names(kind).iter().enumerate() {
+            let patterns =
+                |names: &[String]| names.iter().filter_map(|name| Pattern::new(name).ok()).collect();
+            let place = match l.origins.get(&format!("{kind}.{n}.name")) {
+                Some(Origin::File { line, .. }) => format!("({kind} {customer:?} ...) in line {line}"),
+                _ => format!("({kind} {customer:?} ...)"),
+            };
+            lines.push(Line {
+                allows,
+                customers: patterns(std::slice::from_ref(customer)),
+                workloads: patterns(&l.names(&format!("{kind}.{n}.workloads"))),
+                functions: patterns(&l.names(&format!("{kind}.{n}.functions"))),
+                place,
+            });
+        }
+    }
+    Rights { lines, allows_by_default: l.text("rights.default") != "deny" }
+}
+
+impl Identity {
+    pub fn of(l: &Loaded) -> Self {
+        let seconds = |name: &str| l.span(name) / 1_000_000;
+        let terms = Terms {
+            audience: l.text("identity.audience").to_string(),
+            leeway: seconds("identity.leeway-us"),
+            longest: seconds("identity.longest-token-us"),
+            longest_bytes: l.size("identity.largest-token-bytes"),
+        };
+        let limits = GateLimits {
+            checks_per_s: l.number("identity.token-checks"),
+            remembered: l.size("identity.token-memory"),
+            bad_tokens: l.size("identity.bad-tokens") as u32,
+        };
+        let per_s = l.number("identity.audit-rate");
+        Identity {
+            tokens: match l.text("identity.tokens") {
+                "required" => Tokens::Required,
+                "optional" => Tokens::Optional,
+                _ => Tokens::Off,
+            },
+            gate: Gate::new(limits, terms),
+            keys: None,
+            floor: Floor::default(),
+            rights: rights_of(l),
+            standings: BTreeMap::new(),
+            audit: AuditRate { per_s, left: per_s, at: 0, omitted: 0 },
+        }
+    }
+    pub fn remember_floor(&mut self, kept: &Kept) {
+        self.floor =
+            Floor { version: kept.keys_version, revoked: kept.keys_revoked.iter().cloned().collect() };
+    }
+    pub fn floor(&self) -> (u64, Vec<String>) {
+        (self.floor.version, self.floor.revoked.iter().cloned().collect())
+    }
+    pub fn client_gone(&mut self, conn: Conn) {
+        self.standings.remove(&conn);
+    }
+    /// Whether a connection has sent so many bad tokens that it is closed.
+    pub fn is_out(&self, conn: Conn) -> bool {
+        self.standings.get(&conn).is_some_and(|standing| self.gate.is_out(*standing))
+    }
+
+    /// The customer that calls, if any is known.
+    fn who(&mut self, now: Micros, conn: Conn, request: &Request) -> Result<Option<String>, NotTaken> {
+        let named = request.field("sanddrum-customer").map(String::from);
+        if self.tokens == Tokens::Off {
+            return Ok(named);
+        }
+        let Some(token) = bearer(request) else {
+            let missing = Err(NotTaken::Token(Refused::Missing));
+            return if self.tokens == Tokens::Optional { Ok(None) } else { missing };
+        };
+        let keys = self.keys.as_ref().ok_or(NotTaken::NoKeys)?;
+        let standing = self.standings.entry(conn).or_default();
+        let (claims, _) = self.gate.judge(now, token, keys, standing).map_err(NotTaken::Token)?;
+        if named.is_some_and(|named| named != claims.sub) {
+            return Err(NotTaken::Mismatch);
+        }
+        Ok(Some(claims.sub))
+    }
+}
+
+/// RFC 6750, section 2.1.
+fn bearer(request: &Request) -> Option<&str> {
+    let (scheme, token) = request.field("authorization")?.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
+}
+
+impl Inner {
+    /// The customer of a call that may run, or why it may not. What is refused is told to the audit.
+    pub(crate) fn may_call(
+        &mut self,
+        now: Micros,
+        conn: Conn,
+        request: &Request,
+        (workload, function): (&str, &str),
+        io: &mut dyn Io,
+    ) -> Result<Option<String>, NotTaken> {
+        let who = self.identity.who(now, conn, request);
+        let judged = who.and_then(|who| {
+            let ruling = self.identity.rights.rule(who.as_deref().unwrap_or_default(), workload, function);
+            if ruling.allowed {
+                Ok(who)
+            } else {
+                Err(NotTaken::Rights)
+            }
+        });
+        if let Err(why) = judged {
+            // The customer is only claimed where the token is not good; the token itself is never told.
+            let claimed = bearer(request).and_then(token::claimed);
+            let claimed = claimed.or_else(|| request.field("sanddrum-customer").map(token::tame));
+            let call = format!("{}/{}", token::tame(workload), token::tame(function));
+            let key = bearer(request).and_then(token::named_key);
+            tracing::info!(reason = why.reason(), claimed, key, call, "a call is refused");
+            self.audit(now, &json!({"what": "refused", "reason": why.reason(), "claimed": claimed, "key": key, "call": call}), io);
+        }
+        judged
+    }
+
+    fn audit(&mut self, now: Micros, line: &serde_json::Value, io: &mut dyn Io) {
+        let rate = &mut self.identity.audit;
+        let passed = (now - rate.at).max(0) as f64 / 1e6;
+        (rate.left, rate.at) = ((rate.left + passed * rate.per_s).min(rate.per_s), now);
+        if rate.left < 1.0 {
+            rate.omitted += 1;
+            return;
+        }
+        rate.left -= 1.0;
+        let mut line = line.clone();
+        line["at_us"] = json!(now);
+        line["edge"] = json!(self.settings.text("edge.name"));
+        let omitted = std::mem::take(&mut rate.omitted);
+        if omitted > 0 {
+            line["omitted_before"] = json!(omitted);
+        }
+        io.audit(&line.to_string());
+    }
+
+    /// The key file is there, has changed, or can't be read. What is not good leaves the last good set in force.
+    pub(crate) fn keys_came(&mut self, now: Micros, content: Result<&[u8], &str>, io: &mut dyn Io) {
+        let read =
+            content.map_err(String::from).and_then(|bytes| KeySet::read(bytes).map_err(|e| e.to_string()));
+        let (reason, why) = match read {
+            Ok(set) => {
+                match set.may_follow(self.identity.keys.as_ref(), &self.identity.floor, now / 1_000_000) {
+                    Ok(()) => return self.take_keys(now, set, io),
+                    Err(refused) => (refused.reason(), refused.to_string()),
+                }
+            }
+            Err(why) => ("keys-unreadable", why),
+        };
+        let in_force = self.identity.keys.as_ref().map(|set| set.version);
+        tracing::error!(reason, why, in_force, "a key set is refused; the last good one stays in force");
+        metrics::counter!("sanddrum_key_sets_refused_total", "reason" => reason).increment(1);
+        self.audit(
+            now,
+            &json!({"what": "keys-refused", "reason": reason, "why": why, "in_force": in_force}),
+            io,
+        );
+    }
+    fn take_keys(&mut self, now: Micros, set: KeySet, io: &mut dyn Io) {
+        if self.identity.keys.as_ref() == Some(&set) {
+            return;
+        }
+        // Recorded before it is in force: a crash in between never brings a revoked key back.
+        self.identity.floor = set.floor(&self.identity.floor);
+        self.save_state(now, io);
+        let states: BTreeMap<&String, String> =
+            set.keys.iter().map(|(kid, k)| (kid, format!("{:?}", k.state))).collect();
+        tracing::info!(version = set.version, ?states, "a key set is in force");
+        metrics::gauge!("sanddrum_keys_version").set(set.version as f64);
+        self.audit(now, &json!({"what": "keys", "version": set.version, "states": states}), io);
+        self.identity.keys = Some(set);
+    }
+}
--- a/crates/sanddrum-edge/src/jobs.rs
+++ b/crates/sanddrum-edge/src/jobs.rs
@@ -100,6 +100,10 @@
             ms = (wait / 1000).to_string();
             fields.extend([("retry-after", seconds.as_str()), ("sanddrum-retry-after-ms", ms.as_str())]);
         }
+        if self.status == 401 {
+            // RFC 6750, section 3.
+            fields.push(("www-authenticate", "Bearer error=\"invalid_token\""));
+        }
         if let Some(job) = self.job {
             body["job"] = json!(job.0);
         }
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -6,6 +6,7 @@
 mod clients;
 mod figures;
 mod functions;
+mod identity;
 mod jobs;
 mod limits;
 mod links;
@@ -13,9 +14,11 @@
 pub mod state;
 
 pub use figures::Figures;
+pub use identity::rights_of;
 
 use clients::Clients;
 use functions::Functions;
+use identity::Identity;
 use jobs::Jobs;
 use limits::Limits;
 use links::Links;
@@ -57,6 +60,9 @@
     List,
 }
 
+/// The name of the watched file that holds the key set.
+pub const KEYS: &str = "keys";
+
 /// What an edge starts with.
 pub struct Start {
     pub settings: Loaded,
@@ -87,6 +93,7 @@
     clients: Clients,
     jobs: Jobs,
     functions: Functions,
+    identity: Identity,
     links: Links,
     list: List,
     due: BTreeSet<(Micros, Due)>,
@@ -108,6 +115,7 @@
         let limits = Limits::of(&start.settings);
         let functions = Functions::of(&start.settings);
         let list = List::of(&start.settings);
+        let identity = Identity::of(&start.settings);
         let inner = Inner {
             limits,
             chance: Chance::new(start.seed),
@@ -119,6 +127,7 @@
             clients: Clients::default(),
             jobs: Jobs::default(),
             functions,
+            identity,
             links: Links::default(),
             list,
             due: BTreeSet::new(),
@@ -214,6 +223,12 @@
         due.into_iter().chain(self.inner.module_wake).chain(news).min()
     }
 
+    fn file(&mut self, now: Micros, name: &str, content: Result<&[u8], &str>, io: &mut dyn Io) {
+        if name == KEYS {
+            self.inner.keys_came(now, content, io);
+        }
+    }
+
     fn stop(&mut self, now: Micros, _: &mut dyn Io) {
         if !self.inner.stopping {
             tracing::info!(open = self.inner.jobs.open(), "asked to end: no new jobs are taken");
--- a/crates/sanddrum-edge/src/list.rs
+++ b/crates/sanddrum-edge/src/list.rs
@@ -60,11 +60,13 @@
 }
 
 impl Inner {
+    /// What is kept over a restart: the list, and what must never be forgotten of the keys.
     pub(crate) fn take_up_kept_list(&mut self, now: Micros) {
         let Some(bytes) = self.kept.take() else { return };
         match state::read(&bytes) {
             Ok(kept) => {
                 (self.list.run, self.list.version) = (kept.run, kept.version);
+                self.identity.remember_floor(&kept);
                 let rows = state::aged(&kept, now);
                 tracing::info!(
                     workers = rows.len(),
@@ -220,12 +222,17 @@
 
     pub(crate) fn save_list(&mut self, now: Micros, io: &mut dyn Io) {
         self.list.saving = false;
+        self.save_state(now, io);
+    }
+    pub(crate) fn save_state(&self, now: Micros, io: &mut dyn Io) {
         let stands = self.list.rows.values().filter(|(row, _)| row.phase != Phase::Gone);
         let aged = |(row, started): &(Row, Micros)| {
             let age_us = if *started > 0 { now - started } else { -1 };
             Row { age_us, ..row.clone() }
         };
         let rows = stands.map(aged).collect();
-        io.save(&state::write(&Kept { at: now, run: self.list.run, version: self.list.version, rows }));
+        let (run, version) = (self.list.run, self.list.version);
+        let (keys_version, keys_revoked) = self.identity.floor();
+        io.save(&state::write(&Kept { at: now, run, version, rows, keys_version, keys_revoked }));
     }
 }
--- a/crates/sanddrum-edge/src/state.rs
+++ b/crates/sanddrum-edge/src/state.rs
@@ -19,6 +19,13 @@
     /// Ages are as of `at`.
     #[n(3)]
     pub rows: Vec<Row>,
+    /// The highest version of the keys that was in force, and the keys that were revoked.
+    #[n(4)]
+    #[cbor(default)]
+    pub keys_version: u64,
+    #[n(5)]
+    #[cbor(default)]
+    pub keys_revoked: Vec<String>,
 }
 
 pub fn write(kept: &Kept) -> Vec<u8> {
--- a/crates/sanddrum-identity/src/keys.rs
+++ b/crates/sanddrum-identity/src/keys.rs
@@ -51,9 +51,15 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             SetRefused::Unreadable(why) => write!(f, "it can't be read: {why}"),
-            SetRefused::Older { has, floor } => write!(f, "version {has} is older than {floor}, which was in force"),
-            SetRefused::SameVersion(v) => write!(f, "version {v} is in force with another content; raise the version"),
-            SetRefused::Shrunken(kid) => write!(f, "key {kid} still verifies and is missing; retire or revoke it first"),
+            SetRefused::Older { has, floor } => {
+                write!(f, "version {has} is older than {floor}, which was in force")
+            }
+            SetRefused::SameVersion(v) => {
+                write!(f, "version {v} is in force with another content; raise the version")
+            }
+            SetRefused::Shrunken(kid) => {
+                write!(f, "key {kid} still verifies and is missing; retire or revoke it first")
+            }
             SetRefused::Revived(kid) => write!(f, "key {kid} was revoked and stays so; make a new key"),
         }
     }
@@ -163,7 +169,12 @@
     ///
     /// # Errors
     /// Why not.
-    pub fn may_follow(&self, current: Option<&KeySet>, floor: &Floor, now: Seconds) -> Result<(), SetRefused> {
+    pub fn may_follow(
+        &self,
+        current: Option<&KeySet>,
+        floor: &Floor,
+        now: Seconds,
+    ) -> Result<(), SetRefused> {
         if self.version < floor.version {
             return Err(SetRefused::Older { has: self.version, floor: floor.version });
         }
@@ -190,7 +201,8 @@
 
     /// What a restart must remember of this set, beside what it remembered before.
     pub fn floor(&self, before: &Floor) -> Floor {
-        let revoked = self.keys.iter().filter(|(_, key)| key.state == KeyState::Revoked).map(|(kid, _)| kid.clone());
+        let revoked =
+            self.keys.iter().filter(|(_, key)| key.state == KeyState::Revoked).map(|(kid, _)| kid.clone());
         let revoked = before.revoked.iter().cloned().chain(revoked).collect();
         Floor { version: self.version.max(before.version), revoked }
     }
@@ -209,7 +221,9 @@
     /// A key of that name is there, or was.
     pub fn add(&mut self, kid: &str, x: String) -> Result<(), String> {
         if self.keys.contains_key(kid) || kid.is_empty() || kid.len() > LONGEST_KID {
-            return Err(format!("key {kid:?} is there already, or its name is not of 1 to {LONGEST_KID} bytes"));
+            return Err(format!(
+                "key {kid:?} is there already, or its name is not of 1 to {LONGEST_KID} bytes"
+            ));
         }
         let state = if self.signing().is_none() { KeyState::Signing } else { KeyState::Coming };
         self.keys.insert(kid.to_string(), PublicKey { x, state });
@@ -221,8 +235,10 @@
     /// # Errors
     /// No key is coming.
     pub fn rotate(&mut self, until: Seconds) -> Result<String, String> {
-        let coming = self.keys.iter().find(|(_, key)| key.state == KeyState::Coming).map(|(kid, _)| kid.clone());
-        let coming = coming.ok_or("no key is coming; add one first, so that every edge knows it before it signs")?;
+        let coming =
+            self.keys.iter().find(|(_, key)| key.state == KeyState::Coming).map(|(kid, _)| kid.clone());
+        let coming =
+            coming.ok_or("no key is coming; add one first, so that every edge knows it before it signs")?;
         for key in self.keys.values_mut().filter(|key| key.state == KeyState::Signing) {
             key.state = KeyState::Retiring(until);
         }
@@ -273,7 +289,8 @@
     /// # Errors
     /// It is not a secret key file; nothing of its content is told.
     pub fn read(bytes: &[u8]) -> Result<SecretKey, String> {
-        let key: SecretKey = serde_json::from_slice(bytes).map_err(|_| "not a secret key file".to_string())?;
+        let key: SecretKey =
+            serde_json::from_slice(bytes).map_err(|_| "not a secret key file".to_string())?;
         key.seed()?;
         Ok(key)
     }
--- a/crates/sanddrum-identity/src/rights.rs
+++ b/crates/sanddrum-identity/src/rights.rs
@@ -44,7 +44,8 @@
 
 impl Line {
     fn fits(&self, customer: &str, workload: &str, function: &str) -> bool {
-        let any = |patterns: &[Pattern], name: &str| patterns.is_empty() || patterns.iter().any(|p| p.fits(name));
+        let any =
+            |patterns: &[Pattern], name: &str| patterns.is_empty() || patterns.iter().any(|p| p.fits(name));
         self.customers.iter().any(|p| p.fits(customer))
             && any(&self.workloads, workload)
             && any(&self.functions, function)
--- a/crates/sanddrum-identity/src/token.rs
+++ b/crates/sanddrum-identity/src/token.rs
@@ -184,3 +184,27 @@
     let signer = EncodingKey::from_ed_der(&key.pkcs8()?);
     jsonwebtoken::encode(&header, claims, &signer).map_err(|e| e.to_string())
 }
+
+/// What a token says of its subject, unchecked: for a log, never for a decision.
+pub fn claimed(token: &str) -> Option<String> {
+    let body = token.split('.').nth(1).filter(|part| part.len() < UNCHECKED)?;
+    let bytes = base64::Engine::decode(&base64::engine::general_purpose::URL_SAFE_NO_PAD, body).ok()?;
+    let claims: serde_json::Value = serde_json::from_slice(&bytes).ok()?;
+    claims.get("sub").and_then(|sub| sub.as_str()).map(tame)
+}
+
+/// The key that a token names, unchecked: for a log.
+pub fn named_key(token: &str) -> Option<String> {
+    let header = token.split('.').next().filter(|part| part.len() < UNCHECKED)?;
+    let bytes = base64::Engine::decode(&base64::engine::general_purpose::URL_SAFE_NO_PAD, header).ok()?;
+    let header: serde_json::Value = serde_json::from_slice(&bytes).ok()?;
+    header.get("kid").and_then(|kid| kid.as_str()).map(tame)
+}
+
+/// The longest part of a token that is looked into for a log.
+const UNCHECKED: usize = 4096;
+
+/// A stranger's text, short and without anything that could break a line.
+pub fn tame(text: &str) -> String {
+    text.chars().take(64).map(|c| if c.is_ascii_graphic() { c } else { '?' }).collect()
+}
--- a/crates/sanddrum-lab/src/lib.rs
+++ b/crates/sanddrum-lab/src/lib.rs
@@ -11,6 +11,7 @@
 mod scenario;
 mod schema;
 mod stage;
+mod wallet;
 
 pub use callers::{Callers, Mood};
 pub use fleet::{Addresses, Fleet, Who};
--- a/crates/sanddrum-lab/src/player.rs
+++ b/crates/sanddrum-lab/src/player.rs
@@ -35,8 +35,18 @@
 const AFTER: Micros = 1_000_000;
 
 /// Troubles that strike no worker or edge by name, and those that are over as soon as they are there.
-const NOBODYS: &[&str] =
-    &["store-stall", "store-refuse", "list-away", "list-lag", "overload", "hot-functions", "greedy-customer"];
+const NOBODYS: &[&str] = &[
+    "store-stall",
+    "store-refuse",
+    "list-away",
+    "list-lag",
+    "overload",
+    "hot-functions",
+    "greedy-customer",
+    "key-new",
+    "key-rotate",
+    "key-revoke",
+];
 const AT_ONCE: &[&str] = &["flush", "tear", "garble"];
 
 /// Plays a scenario to its end.
@@ -84,6 +94,9 @@
                     self.struck.extend(&targets[n]);
                 }
                 self.begin(&trouble, &targets[n]);
+                if trouble.kind.starts_with("key-") {
+                    self.change_keys(&trouble)?;
+                }
             } else {
                 let whom = std::mem::take(&mut targets[n]);
                 self.end(&trouble, &whom)?;
@@ -169,6 +182,23 @@
         Ok(())
     }
 
+    fn change_keys(&mut self, t: &Trouble) -> io::Result<()> {
+        let now = self.stage.now();
+        if let Some(wallet) = self.stage.fleet().wallet.clone() {
+            let mut wallet = wallet.borrow_mut();
+            match t.kind.as_str() {
+                "key-new" => wallet.add(),
+                "key-rotate" => wallet.rotate(now, t.length),
+                _ => wallet.revoke(now),
+            }
+            let reach = self.scenario.settings.span("gateways.keys-reach-edges-us");
+            let bound = reach + self.scenario.settings.span("identity.watch-every-us");
+            let revoked = wallet.revoked.iter().map(|(kid, at)| (kid.clone(), at + bound));
+            self.recording.0.borrow_mut().log.revoked = revoked.collect();
+        }
+        self.stage.spread_keys()
+    }
+
     fn begin(&mut self, t: &Trouble, whom: &[Who]) {
         self.act(&format!("{} begins", t.kind), whom);
         let size = t.size;
--- a/crates/sanddrum-lab/src/recorder.rs
+++ b/crates/sanddrum-lab/src/recorder.rs
@@ -31,6 +31,8 @@
     pub sent: Micros,
     pub limit: Micros,
     pub customer: Option<String>,
+    /// The key that its token names.
+    pub key: Option<String>,
     /// When each answer had come whole, with its status.
     pub answers: Vec<(Micros, u16)>,
     /// When the connection ended with the try unanswered.
@@ -78,6 +80,8 @@
     pub starts: Vec<(usize, Micros)>,
     /// When edges were down, by name: from, and until (if they came back).
     pub down: Vec<(String, Micros, Option<Micros>)>,
+    /// Keys that were revoked, and from when on no edge takes a call under them.
+    pub revoked: BTreeMap<String, Micros>,
     pub bytes: u64,
 }
 
@@ -118,6 +122,7 @@
             let Some((call, number, since)) = read_trace(trace) else { continue };
             let limit = request.field("sanddrum-time-limit-ms").and_then(|ms| ms.parse::<Micros>().ok());
             let workload = request.path.split('/').nth(3).unwrap_or_default().to_string();
+            let token = request.field("authorization").and_then(|a| a.split(' ').next_back());
             *open = Some(log.tries.len());
             log.tries.push(Try {
                 call,
@@ -128,6 +133,7 @@
                 sent: now,
                 limit: limit.unwrap_or(0) * 1000,
                 customer: request.field("sanddrum-customer").map(String::from),
+                key: token.and_then(sanddrum_identity::token::named_key),
                 ..Try::default()
             });
         }
--- a/crates/sanddrum-lab/src/schema.rs
+++ b/crates/sanddrum-lab/src/schema.rs
@@ -22,6 +22,9 @@
     "overload",
     "hot-functions",
     "greedy-customer",
+    "key-new",
+    "key-rotate",
+    "key-revoke",
 ];
 
 pub const SCENARIO: &[Section] = &[
@@ -104,6 +107,23 @@
             key("heeds", Kind::Number(0.0, 1.0), Some("0.8"), "the part of clients that heed the told time"),
         ],
     },
+    Section {
+        name: "gateways",
+        dotted: "gateways",
+        named: false,
+        repeats: false,
+        about: "callers that show tokens, as the deployment's identity asks for them",
+        keys: &[
+            key("token-lasts", Kind::Span, Some("60s"), "a token's own time"),
+            key("renewed-every", Kind::Span, Some("5s"), "how long a gateway goes on with the token it has"),
+            key(
+                "keys-reach-edges",
+                Kind::Span,
+                Some("100ms"),
+                "how long a new key set takes to an edge at most",
+            ),
+        ],
+    },
     Section {
         name: "calls",
         dotted: "calls",
--- a/crates/sanddrum-lab/src/stage.rs
+++ b/crates/sanddrum-lab/src/stage.rs
@@ -3,7 +3,7 @@
 use crate::fleet::{Addresses, Fleet, Who};
 use crate::recorder::{Recording, Role};
 use crate::scenario::Scenario;
-use sanddrum_edge::{Edge, Start};
+use sanddrum_edge::{Edge, Start, KEYS};
 use sanddrum_net::{Core, EventLoop, HostId, Links, Micros, VirtualNet};
 use std::collections::BTreeMap;
 use std::io;
@@ -19,6 +19,8 @@
     fn start(&mut self, who: Who) -> io::Result<()>;
     fn freeze(&mut self, who: Who, frozen: bool);
     fn tear(&mut self, who: Who);
+    /// The key set has changed: edges get it.
+    fn spread_keys(&mut self) -> io::Result<()>;
     /// Every call has ended.
     fn calls_are_over(&self) -> bool;
     /// The longest that a message is on its way here.
@@ -108,8 +110,14 @@
         let doors: Vec<&str> = door.iter().map(String::as_str).collect();
         let host = self.net.add(zone, &doors, core);
         self.hosts.insert(who, host);
+        self.give_keys(who);
         Ok(())
     }
+    fn give_keys(&mut self, who: Who) {
+        if let (Who::Edge(_), Some(host), Some(keys)) = (who, self.hosts.get(&who), self.fleet.keys()) {
+            self.net.give_file(*host, KEYS, Ok(&keys));
+        }
+    }
     /// Events carried out so far.
     pub fn steps(&self) -> u64 {
         self.net.steps()
@@ -137,6 +145,11 @@
         if let Some(host) = self.hosts.get(&who) {
             self.net.replace(*host, core);
         }
+        self.give_keys(who);
+        Ok(())
+    }
+    fn spread_keys(&mut self) -> io::Result<()> {
+        (0..self.fleet.scenario.edges).for_each(|n| self.give_keys(Who::Edge(n)));
         Ok(())
     }
     fn freeze(&mut self, who: Who, frozen: bool) {
@@ -230,6 +243,7 @@
             children: BTreeMap::new(),
             folder,
         };
+        stage.spread_keys()?;
         let all = (0..workers).map(Who::Worker).chain((0..edges).map(Who::Edge));
         for who in [Who::List, Who::Store].into_iter().chain(all) {
             let listener = bound.remove(&who);
@@ -264,8 +278,18 @@
         let state = self.state_file(who);
         let host = self.driver.add(core, listener.into_iter().collect(), state)?;
         self.hosts.insert(who, host);
+        self.watch_keys(who, host);
         Ok(())
     }
+    fn keys_file(&self) -> PathBuf {
+        self.folder.join(self.fleet.scenario.settings.text("identity.keys-file"))
+    }
+    fn watch_keys(&mut self, who: Who, host: HostId) {
+        if self.fleet.wallet.is_some() && matches!(who, Who::Edge(_)) {
+            let every = self.fleet.scenario.settings.span("identity.watch-every-us");
+            self.driver.watch(host, KEYS, self.keys_file(), every);
+        }
+    }
     fn state_file(&self, who: Who) -> Option<PathBuf> {
         match who {
             Who::Edge(n) => Some(self.folder.join(format!("{}.state", Scenario::edge_name(n)))),
@@ -414,9 +438,16 @@
         if let Some(host) = self.hosts.get(&who).copied() {
             let state = self.state_file(who);
             self.driver.replace(host, core, vec![listener], state)?;
+            self.watch_keys(who, host);
         }
         Ok(())
     }
+    fn spread_keys(&mut self) -> io::Result<()> {
+        let Some(keys) = self.fleet.keys() else { return Ok(()) };
+        let (file, beside) = (self.keys_file(), self.folder.join("keys.beside"));
+        std::fs::write(&beside, keys)?;
+        std::fs::rename(&beside, &file)
+    }
     fn freeze(&mut self, who: Who, frozen: bool) {
         if let Some(host) = self.hosts.get(&who) {
             self.driver.freeze(*host, frozen);
--- a/crates/sanddrum-lab/tests/broken_edges.rs
+++ b/crates/sanddrum-lab/tests/broken_edges.rs
@@ -7,6 +7,7 @@
 use sanddrum_lab::checker::judge;
 use sanddrum_lab::recorder::{Log, Run, Try};
 use sanddrum_lab::{play_virtually, product_edge, MakeEdge, Scenario};
+use sanddrum_net::{Core, Event, Io};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum How {
@@ -173,3 +174,49 @@
     let verdict = judge(&log, &scenario, 0, 100_000);
     assert_eq!(verdict.broken.iter().map(|b| b.rule).max().unwrap_or(0), rule);
 }
+
+/// An edge that takes up its first key set and never hears of another.
+struct Deaf<C> {
+    core: C,
+    heard: bool,
+}
+
+impl<C: Core> Core for Deaf<C> {
+    fn start(&mut self, now: Micros, io: &mut dyn Io) {
+        self.core.start(now, io);
+    }
+    fn event(&mut self, now: Micros, event: Event<'_>, io: &mut dyn Io) {
+        self.core.event(now, event, io);
+    }
+    fn turn(&mut self, now: Micros, io: &mut dyn Io) {
+        self.core.turn(now, io);
+    }
+    fn wake(&self) -> Option<Micros> {
+        self.core.wake()
+    }
+    fn file(&mut self, now: Micros, name: &str, content: Result<&[u8], &str>, io: &mut dyn Io) {
+        if !std::mem::replace(&mut self.heard, true) {
+            self.core.file(now, name, content, io);
+        }
+    }
+}
+
+#[rstest]
+fn an_edge_that_goes_on_under_a_revoked_key_is_caught() {
+    let text = r#"
+        (workload "job" (start-target 1s) (time-limit 2s) (effect restartable))
+        (function "f-*" (workload "job") (memory 200MB) (lanes 2))
+        (customer "a")
+        (identity (tokens required) (keys-file "keys.json") (watch-every 10ms))
+        (gateways (renewed-every 3s))
+        (fleet (workers 2) (edges 1) (cores 4))
+        (traffic (length 4s) (rate 50) (functions 4))
+        (calls "job" (work 10ms))
+        (trouble "key-revoke" (at 2s))"#;
+    let scenario = Scenario::read("keys.sx", text, 1).unwrap();
+    let good = play_virtually(scenario.clone(), product_edge()).unwrap();
+    assert!(good.is_good() && good.verdict.pushed_back > 20, "{}", good.text());
+    let deaf: MakeEdge = Box::new(|start| Box::new(Deaf { core: Edge::new(start), heard: false }));
+    let bad = play_virtually(scenario, deaf).unwrap();
+    assert!(bad.verdict.broken.iter().any(|b| b.what.contains("revoked key")), "{}", bad.text());
+}
--- a/crates/sanddrum-lab/tests/stories.rs
+++ b/crates/sanddrum-lab/tests/stories.rs
@@ -42,3 +42,14 @@
     assert!(outcome.is_good(), "{}", outcome.text());
     assert!(outcome.verdict.finished > 100, "{}", outcome.text());
 }
+
+const KEYS: &str = include_str!("../scenarios/keys.sx");
+
+/// Keys change while everything else goes wrong, too; refusals are final answers and nothing is taken under a revoked
+/// key.
+#[rstest]
+fn keys_are_rotated_and_revoked_in_mid_run(#[values(1, 2, 3, 4)] seed: u64) {
+    let outcome = play_virtually(Scenario::read("keys.sx", KEYS, seed).unwrap(), product_edge()).unwrap();
+    assert!(outcome.is_good(), "{}", outcome.text());
+    assert!(outcome.verdict.finished > 1000 && outcome.verdict.pushed_back > 50, "{}", outcome.text());
+}
--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -1,8 +1,9 @@
 //! The product's driver: one thread, real sockets, the monotonic clock, signals.
 
+use crate::files::{Audit, Watched};
 use crate::{Closed, Conn, Core, Door, Event, HostId, Io, Micros, Side, Tap};
 use polling::{Event as Ready, PollMode, Poller};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use slab::Slab;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read, Write};
@@ -22,6 +23,7 @@
     Listener { host: HostId, door: Door, listener: TcpListener },
     Stream(Stream),
     Signals(UnixStream),
+    Reload(UnixStream),
 }
 
 struct Stream {
@@ -46,6 +48,8 @@
     stopping: bool,
     /// Connections that break at their next write.
     torn: BTreeSet<Conn>,
+    audit: Option<Audit>,
+    watched: Vec<Watched>,
 }
 
 impl Hosted {
@@ -59,6 +63,8 @@
             touched: true,
             stopping: false,
             torn: BTreeSet::new(),
+            audit: None,
+            watched: Vec::new(),
         }
     }
 }
@@ -120,12 +126,44 @@
         ours.set_nonblocking(true)?;
         signal_hook::low_level::pipe::register(SIGTERM, theirs.try_clone()?)?;
         signal_hook::low_level::pipe::register(SIGINT, theirs)?;
-        let key = self.sources.insert(Source::Signals(ours));
-        if let Source::Signals(pipe) = &self.sources[key] {
-            self.poller.add_with_mode(pipe, Ready::readable(key), PollMode::Level)?;
+        let (reload, asks) = UnixStream::pair()?;
+        reload.set_nonblocking(true)?;
+        signal_hook::low_level::pipe::register(SIGHUP, asks)?;
+        for source in [Source::Signals(ours), Source::Reload(reload)] {
+            let key = self.sources.insert(source);
+            if let Source::Signals(pipe) | Source::Reload(pipe) = &self.sources[key] {
+                self.poller.add_with_mode(pipe, Ready::readable(key), PollMode::Level)?;
+            }
         }
         Ok(())
     }
+    /// Lines of this core's audit go to a file, and to one more of the same size once that is full.
+    pub fn audit_to(&mut self, host: HostId, file: PathBuf, most: u64) {
+        if let Some(Some(hosted)) = self.hosts.get_mut(host.0) {
+            hosted.audit = Some(Audit::new(file, most));
+        }
+    }
+    /// Tells this core of a file now, whenever it changes (looked at every so often), and on SIGHUP.
+    pub fn watch(&mut self, host: HostId, name: &str, file: PathBuf, every: Micros) {
+        if let Some(Some(hosted)) = self.hosts.get_mut(host.0) {
+            hosted.watched.push(Watched::new(name, file, every));
+        }
+        self.look_at_files(host, true);
+    }
+    fn look_at_files(&mut self, host: HostId, anyway: bool) {
+        let now = self.now();
+        let Some(Some(hosted)) = self.hosts.get_mut(host.0) else { return };
+        let mut watched = std::mem::take(&mut hosted.watched);
+        for file in &mut watched {
+            if let Some(content) = file.look(now, anyway) {
+                let content = content.as_deref().map_err(String::as_str);
+                self.call(host, |core, now, io| core.file(now, &file.name, content, io));
+            }
+        }
+        if let Some(Some(hosted)) = self.hosts.get_mut(host.0) {
+            hosted.watched = watched;
+        }
+    }
     /// Binds a door; the port may be nought, the address bound is given back.
     pub fn bind(at: &str) -> io::Result<(TcpListener, String)> {
         let listener = TcpListener::bind(at)?;
@@ -189,7 +227,7 @@
             (hosted.frozen, hosted.touched) = (frozen, true);
         }
         let keys: Vec<usize> = self.host(host).map_or(vec![], |h| h.conns.values().copied().collect());
-        keys.into_iter().for_each(|key| self.watch(key));
+        keys.into_iter().for_each(|key| self.attend(key));
     }
     /// Each connection of a core breaks at its next write, in the middle of what is written.
     pub fn tear_connections(&mut self, host: HostId) {
@@ -238,7 +276,8 @@
 
     fn step(&mut self, until: Option<Micros>) -> io::Result<()> {
         let wakes = self.hosts.iter().flatten().filter(|h| !h.frozen).filter_map(|h| h.core.wake());
-        let next = wakes.chain(until).chain(self.accepts_again).min();
+        let files = self.hosts.iter().flatten().flat_map(|h| h.watched.iter().map(|w| w.next));
+        let next = wakes.chain(files).chain(until).chain(self.accepts_again).min();
         let waits = !(self.refused.is_empty() && self.broken.is_empty());
         let timeout = next.map(|at| Duration::from_micros((at - self.now()).max(0) as u64));
         let mut ready = Vec::new();
@@ -251,6 +290,7 @@
                 Some(Source::Listener { .. }) => self.accept(event.key),
                 Some(Source::Stream(_)) => self.ready(event),
                 Some(Source::Signals(_)) => self.signal(event.key),
+                Some(Source::Reload(_)) => self.reload(event.key),
                 None => {}
             }
         }
@@ -267,6 +307,10 @@
         }
         let now = self.now();
         for n in 0..self.hosts.len() {
+            let looks = self.hosts[n].as_ref().is_some_and(|h| h.watched.iter().any(|w| w.next <= now));
+            if looks {
+                self.look_at_files(HostId(n), false);
+            }
             let Some(hosted) = &mut self.hosts[n] else { continue };
             let due = hosted.touched || hosted.core.wake().is_some_and(|at| at <= now);
             if due && !hosted.frozen {
@@ -292,6 +336,12 @@
         }
     }
 
+    fn reload(&mut self, key: usize) {
+        let Some(Source::Reload(pipe)) = self.sources.get_mut(key) else { return };
+        let _ = pipe.read(&mut [0; 16]);
+        (0..self.hosts.len()).for_each(|n| self.look_at_files(HostId(n), true));
+    }
+
     fn accept(&mut self, key: usize) {
         for _ in 0..ACCEPTS_AT_ONCE {
             let Some(Source::Listener { host, door, listener }) = self.sources.get(key) else { return };
@@ -348,7 +398,7 @@
         Some(conn)
     }
     /// Asks the poller for what a stream can make use of now.
-    fn watch(&mut self, key: usize) {
+    fn attend(&mut self, key: usize) {
         let Some(Source::Stream(s)) = self.sources.get_mut(key) else { return };
         let frozen = self.hosts.get(s.host.0).is_some_and(|h| h.as_ref().is_some_and(|h| h.frozen));
         let interest = Ready {
@@ -377,11 +427,11 @@
                     return self.end(host, conn, Closed::Refused);
                 }
                 (s.connecting, s.wants_write) = (false, false);
-                self.watch(event.key);
+                self.attend(event.key);
                 self.call(host, |core, now, io| core.event(now, Event::Connected { conn }, io));
             } else {
                 s.wants_write = false;
-                self.watch(event.key);
+                self.attend(event.key);
                 self.call(host, |core, now, io| core.event(now, Event::Writable { conn }, io));
             }
         }
@@ -438,7 +488,7 @@
         match self.sources.try_remove(key) {
             Some(Source::Listener { listener, .. }) => drop(self.poller.delete(&listener)),
             Some(Source::Stream(s)) => drop(self.poller.delete(&s.socket)),
-            Some(Source::Signals(pipe)) => drop(self.poller.delete(&pipe)),
+            Some(Source::Signals(pipe) | Source::Reload(pipe)) => drop(self.poller.delete(&pipe)),
             None => {}
         }
     }
@@ -528,7 +578,7 @@
         }
         if wrote < bytes.len() {
             s.wants_write = true;
-            self.driver.watch(key);
+            self.driver.attend(key);
         }
         let (now, host) = (self.driver.now(), self.host);
         self.driver.tap.went(now, host, conn, &bytes[..wrote]);
@@ -547,15 +597,18 @@
     fn pause(&mut self, conn: Conn, paused: bool) {
         if let Some((key, s)) = self.stream(conn) {
             s.paused = paused;
-            self.driver.watch(key);
+            self.driver.attend(key);
         }
     }
     fn save(&mut self, state: &[u8]) {
         let Some(file) = self.driver.host(self.host).and_then(|h| h.state_file.clone()) else { return };
-        let beside = file.with_extension("new");
-        let kept = std::fs::write(&beside, state).and_then(|()| std::fs::rename(&beside, &file));
-        if let Err(e) = kept {
+        if let Err(e) = crate::files::replace(&file, state) {
             tracing::warn!(reason = "state-file", file = %file.display(), error = %e, "state was not kept; look at the disk");
         }
     }
+    fn audit(&mut self, line: &str) {
+        if let Some(audit) = self.driver.hosts[self.host.0].as_mut().and_then(|h| h.audit.as_mut()) {
+            audit.add(line);
+        }
+    }
 }
--- a/crates/sanddrum-net/src/lib.rs
+++ b/crates/sanddrum-net/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod chance;
 mod event_loop;
+mod files;
 mod outbox;
 mod tap;
 mod virtual_net;
@@ -79,6 +80,8 @@
     fn pause(&mut self, conn: Conn, paused: bool);
     /// Has this core's state kept, in place of what was kept before, whole or not at all.
     fn save(&mut self, state: &[u8]);
+    /// Has a line added to this core's audit; what is kept of it is bounded.
+    fn audit(&mut self, _line: &str) {}
 }
 
 pub trait Core {
@@ -88,6 +91,8 @@
     fn turn(&mut self, now: Micros, io: &mut dyn Io);
     /// When to be called again at the latest.
     fn wake(&self) -> Option<Micros>;
+    /// A file that the driver watches for this core is there, has changed, or can't be read.
+    fn file(&mut self, _now: Micros, _name: &str, _content: Result<&[u8], &str>, _io: &mut dyn Io) {}
     /// Asked to end: takes nothing new and gets `done` once it owes nothing.
     fn stop(&mut self, _now: Micros, _io: &mut dyn Io) {}
     fn done(&self) -> bool {
--- a/crates/sanddrum-net/src/virtual_net.rs
+++ b/crates/sanddrum-net/src/virtual_net.rs
@@ -47,6 +47,7 @@
     zone: usize,
     doors: Vec<String>,
     kept: Option<Vec<u8>>,
+    audit: Vec<String>,
     frozen: bool,
     wake: Option<Micros>,
     conns: BTreeSet<Conn>,
@@ -127,6 +128,7 @@
             zone,
             doors,
             kept: None,
+            audit: Vec::new(),
             frozen: false,
             wake: None,
             conns: BTreeSet::new(),
@@ -138,6 +140,15 @@
     pub fn kept(&self, host: HostId) -> Option<Vec<u8>> {
         self.hosts.get(host.0).and_then(|h| h.kept.clone())
     }
+    /// The lines of a core's audit; they outlive the core.
+    pub fn audit(&self, host: HostId) -> &[String] {
+        self.hosts.get(host.0).map_or(&[], |h| &h.audit)
+    }
+    /// Tells a core of a file that it watches.
+    pub fn give_file(&mut self, host: HostId, name: &str, content: Result<&[u8], &str>) {
+        self.call(host, |core, now, io| core.file(now, name, content, io));
+        self.turn_touched();
+    }
     /// A core takes the place of a dead one.
     pub fn replace(&mut self, host: HostId, core: Box<dyn Core>) {
         self.kill(host);
@@ -451,4 +462,7 @@
     fn save(&mut self, state: &[u8]) {
         self.net.hosts[self.host.0].kept = Some(state.to_vec());
     }
+    fn audit(&mut self, line: &str) {
+        self.net.hosts[self.host.0].audit.push(line.to_string());
+    }
 }
--- a/crates/sanddrum-settings/src/checks.rs
+++ b/crates/sanddrum-settings/src/checks.rs
@@ -63,6 +63,30 @@
             "they count from 0",
         ));
     }
+    if l.text("identity.tokens") != "off" && !l.has("identity.keys-file") {
+        let what = "tokens can't be checked without keys";
+        return Err(l.problem_at(
+            "identity.tokens",
+            what,
+            "add (keys-file \"keys.json\"), made with sanddrum keys new",
+        ));
+    }
+    for kind in ["allow", "deny"] {
+        for (n, customer) in l.names(kind).iter().enumerate() {
+            let mut patterns = l.names(&format!("{kind}.{n}.functions"));
+            patterns.extend(l.names(&format!("{kind}.{n}.workloads")));
+            patterns.push(customer.clone());
+            if let Some(bad) = patterns.iter().find(|p| p.is_empty() || p.trim_end_matches('*').contains('*'))
+            {
+                let what = format!("{bad:?} is no pattern");
+                return Err(l.problem_at(
+                    &format!("{kind}.{n}.name"),
+                    what,
+                    "a * may stand at the end only, as \"pick-*\"",
+                ));
+            }
+        }
+    }
     let (least, most) = (l.span("limits.list-retry-least-us"), l.span("limits.list-retry-most-us"));
     if least > most || least == 0 {
         let what = "list-retry-least must be above 0 and no more than list-retry-most";
