--- a/crates/sanddrum-edge/src/jobs.rs
+++ b/crates/sanddrum-edge/src/jobs.rs
@@ -151,9 +151,11 @@
             None => Warmth::Unknown,
         };
         let report = done.report.as_ref().map(report_of);
-        if let (Some(e), Some(pace)) = (self.jobs.executions.get(&done.id), done.customer_pace) {
+        if let (Some(e), Some(of), Some(all)) =
+            (self.jobs.executions.get(&done.id), done.customer_pace, done.all_pace)
+        {
             if let Some(job) = self.jobs.jobs.get(&e.job) {
-                self.admission.news.told.push((job.customer_id, e.worker, pace));
+                self.admission.news.told.push((job.customer_id, of, all));
             }
         }
         if end == End::Finished {
--- a/crates/sanddrum-edge/tests/host/mod.rs
+++ b/crates/sanddrum-edge/tests/host/mod.rs
@@ -247,6 +247,7 @@
             report: None,
             body: b"out".to_vec(),
             customer_pace: None,
+            all_pace: None,
         };
         self.worker_says(conn, &FromWorker::Done(done));
     }
--- a/crates/sanddrum-lab/src/limits_size.rs
+++ b/crates/sanddrum-lab/src/limits_size.rs
@@ -18,6 +18,8 @@
 const S: Micros = 1_000_000;
 const STEP: Micros = 10_000;
 const WORKERS: u64 = 20;
+/// Stands for all customers at a worker.
+const ALL: usize = usize::MAX;
 
 /// One kind of calls: whose, at which edge (none: at all, by chance), and how many a second.
 #[derive(Clone, Copy, Debug)]
@@ -128,7 +130,10 @@
                     news.sent.push((CustomerId(customer), WorkerId(worker)));
                     let pace = self.workers.entry((worker, customer)).or_default();
                     pace.count(self.now, S);
-                    news.told.push((CustomerId(customer), WorkerId(worker), pace.now(self.now, S)));
+                    let of = pace.now(self.now, S);
+                    let all = self.workers.entry((worker, ALL)).or_default();
+                    all.count(self.now, S);
+                    news.told.push((CustomerId(customer), of, all.now(self.now, S)));
                 }
             }
         }
--- a/crates/sanddrum-lab/src/measure.rs
+++ b/crates/sanddrum-lab/src/measure.rs
@@ -52,6 +52,7 @@
                             report,
                             body: b"done".to_vec(),
                             customer_pace: None,
+                            all_pace: None,
                         }),
                         ToWorker::Hold(h) => FromWorker::Held(Held {
                             id: h.id,
--- a/crates/sanddrum-limits/src/lib.rs
+++ b/crates/sanddrum-limits/src/lib.rs
@@ -3,35 +3,40 @@
 //! All news is recorded first; only then is decided.
 //!
 //! Three limits, each for a customer over all edges together: a rate, jobs in flight, and, while the fleet is pressed,
-//! a share of what it does. Edges never talk to each other. Each one's part of a limit follows what workers tell with
-//! their answers: at which rate this customer's jobs came there from all edges, beside the rate that this edge itself
-//! sent. The parts of all edges add up to one, however the customer moves, but for a floor that lets it begin anywhere.
+//! a share of what it does. Edges never talk to each other. Workers tell with their answers at which pace this
+//! customer's jobs, and all jobs, come there from all edges. From that each edge estimates the customer's pace over the
+//! whole fleet, and steers what it lets through of its own demand: a little less while the whole is over the limit, a
+//! little more while it is under. All edges see the same whole, so the sum stays near the limit wherever the customer
+//! calls, and nobody needs to know how many edges it calls at.
 //!
-//! Whether the fleet is pressed is not decided here: it is where the decision module pushes jobs back. What is over a
-//! share is then pushed back first, so that what is within is not.
+//! Whether the fleet is pressed is not decided here: it is where the decision module pushes jobs back. A customer over
+//! its share is then let through less, until nothing more is pushed back; what is within its share is not touched.
+//! While nothing is pressed there are no shares: what others leave is lent to whoever asks.
 
-mod fill;
 mod pace;
+mod sight;
 
-pub use fill::water_fill;
 pub use pace::{Bucket, Pace};
+pub use sight::Sight;
 
 use sanddrum::{CustomerId, JobId, Micros, Settings, WorkerId};
-use std::collections::BTreeMap;
 
-/// The part of a limit that is split evenly over all edges, so that a customer can begin at any of them. What an edge
-/// holds of it for customers that call elsewhere is unused, so limits may be undershot by so much.
+/// However far over, an edge lets through this part of an even split, so that it goes on seeing the whole.
 const FLOOR: f64 = 0.1;
-/// Parts are worked out anew so often in a window.
+/// What is let through is steered so often in a window.
 const LOOKS_A_WINDOW: Micros = 10;
-/// What a worker told is forgotten after so many windows.
+/// How strongly: the whole is seen about a window late, so an error is mended over several.
+const GAIN: f64 = 0.08;
+/// At most so much more or less at a look. A customer that moves to one edge of hundreds gets there in some windows.
+const STEP: f64 = 1.2;
+/// What workers told is not steered by any more after so many windows.
 const TOLD_HOLDS: Micros = 3;
-/// The fleet is pressed from the first job that the decision module pushes back on for so many windows.
-const PRESSED_FOR: Micros = 2;
-/// While pressed, what is admitted follows what was finished, with so much room to find out whether there is more.
-const ROOM: f64 = 1.1;
-/// A burst of so many windows' worth of a rate is taken at once.
-const BURST: f64 = 0.5;
+/// The fleet is pressed while more than this part of the jobs let in is pushed back by the decision module.
+const PRESSED: f64 = 0.01;
+/// What is lent more at each look; while so much of what is let in is pushed back, lending stands still.
+const LENDS: f64 = 1.03;
+/// What is let through is saved up for no more than this part of a window.
+const BURST: f64 = 0.3;
 
 /// What came in since the last round.
 #[derive(Clone, Debug, Default)]
@@ -44,8 +49,8 @@
     pub pressed: u32,
     /// Executions sent.
     pub sent: Vec<(CustomerId, WorkerId)>,
-    /// At which rate, a second, this customer's jobs came to a worker from all edges.
-    pub told: Vec<(CustomerId, WorkerId, f64)>,
+    /// How many jobs a second of this customer, and of all, came to a worker from all edges.
+    pub told: Vec<(CustomerId, f64, f64)>,
 }
 
 /// Why a job is pushed back here.
@@ -80,19 +85,14 @@
     share: f64,
     held: f64,
     asked: Pace,
-    taken: Bucket,
-    shared: Bucket,
-    /// This edge's part of the customer's jobs.
-    part: f64,
-    /// What it may have a second while the fleet is pressed, at this edge.
-    allotted: f64,
-}
-
-/// Two rates at one worker at one instant.
-struct Told {
-    ours: f64,
-    all: f64,
-    at: Micros,
+    sent: Pace,
+    sight: Sight,
+    /// What is let through here a second, while something limits it.
+    lets: f64,
+    permits: Bucket,
+    limited: Option<Over>,
+    /// Jobs that asked since the last look.
+    asks: u32,
 }
 
 pub struct Sharing {
@@ -101,12 +101,10 @@
     shares: bool,
     any: bool,
     customers: Vec<Customer>,
-    sent: BTreeMap<(CustomerId, WorkerId), Pace>,
-    told: BTreeMap<(CustomerId, WorkerId), Told>,
-    finished: Pace,
-    last_pressed: Option<Micros>,
+    /// Jobs let in since the last look, and jobs that the decision module pushed back, at this edge.
+    let_in: u32,
+    pushed: u32,
     next_look: Micros,
-    begun: Option<Micros>,
 }
 
 impl Sharing {
@@ -128,20 +126,7 @@
         let any = shares || customers.iter().any(|c| c.rate.is_some() || c.in_flight.is_some());
         let window = settings.number("sharing.window-us").unwrap_or(1e6) as Micros;
         let edges = settings.number("routers").unwrap_or(1.0).max(1.0);
-        customers.iter_mut().for_each(|c| c.part = 1.0 / edges);
-        Sharing {
-            edges,
-            window: window.max(1),
-            shares,
-            any,
-            customers,
-            sent: BTreeMap::new(),
-            told: BTreeMap::new(),
-            finished: Pace::default(),
-            last_pressed: None,
-            next_look: 0,
-            begun: None,
-        }
+        Sharing { edges, window: window.max(1), shares, any, customers, let_in: 0, pushed: 0, next_look: 0 }
     }
     /// Whether anything is limited at all; if not, a host need not ask.
     pub fn limits_anything(&self) -> bool {
@@ -149,37 +134,36 @@
     }
 
     pub fn round(&mut self, now: Micros, news: &News, out: &mut impl Admission) {
-        self.begun.get_or_insert(now);
-        for (customer, finished) in &news.ended {
+        let window = self.window;
+        for (customer, _) in &news.ended {
             if let Some(c) = self.customers.get_mut(customer.0) {
                 c.held = (c.held - 1.0).max(0.0);
             }
-            if *finished {
-                self.finished.count(now, self.window);
-            }
         }
         for (customer, worker) in &news.sent {
-            self.sent.entry((*customer, *worker)).or_default().count(now, self.window);
-        }
-        for (customer, worker, of_customer) in &news.told {
-            // Told with an answer, so this edge has just sent one there. That one is left out on both sides: seen from
-            // one's own jobs, one always seems to send more than one does.
-            let ours = self.sent.get(&(*customer, *worker)).map_or(0.0, |pace| pace.now(now, self.window));
-            let one = 1e6 / self.window as f64;
-            let (ours, all) = ((ours - one).max(0.0), (of_customer - one).max(0.0));
-            self.told.insert((*customer, *worker), Told { ours: ours.min(all), all, at: now });
+            if let Some(c) = self.customers.get_mut(customer.0) {
+                c.sent.count(now, window);
+                c.sight.sent_to(*worker);
+            }
         }
-        if news.pressed > 0 {
-            self.last_pressed = Some(now);
+        for (customer, of_customer, of_all) in &news.told {
+            if let Some(c) = self.customers.get_mut(customer.0) {
+                c.sight.told(now, window, *of_customer, *of_all);
+            }
         }
+        self.pushed += news.pressed;
         for (_, customer) in &news.asked {
             if let Some(c) = self.customers.get_mut(customer.0) {
-                c.asked.count(now, self.window);
+                c.asked.count(now, window);
+                c.asks += 1;
             }
         }
         if now >= self.next_look {
-            self.next_look = now + self.window / LOOKS_A_WINDOW;
-            self.look_over(now);
+            self.next_look = now + window / LOOKS_A_WINDOW;
+            let pressed = self.pressed();
+            (self.let_in, self.pushed) = (0, 0);
+            let edges = self.edges;
+            self.customers.iter_mut().for_each(|c| c.steer(now, window, edges, pressed));
         }
         for (job, customer) in &news.asked {
             match self.judge(now, *customer) {
@@ -187,6 +171,7 @@
                     if let Some(c) = self.customers.get_mut(customer.0) {
                         c.held += 1.0;
                     }
+                    self.let_in += 1;
                     out.take(*job);
                 }
                 Err((why, wait)) => out.push_back(*job, why, wait),
@@ -194,65 +179,71 @@
         }
     }
 
-    /// Pressed while the decision module pushes back, and for a while after. Guards against overload of any cause, as
-    /// that module sees it; nothing here looks at workers for it.
-    pub fn pressed(&self, now: Micros) -> bool {
-        self.shares && self.last_pressed.is_some_and(|at| now < at + PRESSED_FOR * self.window)
-    }
-
-    /// This edge's part of a customer's jobs, from what workers tell. Where nothing is told it is an even split.
-    fn part_of(&self, now: Micros, customer: CustomerId) -> f64 {
-        let range = (customer, WorkerId(0))..=(customer, WorkerId(u64::MAX));
-        let fresh = self.told.range(range).filter(|(_, t)| now < t.at + TOLD_HOLDS * self.window);
-        let (ours, all) = fresh.fold((0.0, 0.0), |(ours, all), (_, t)| (ours + t.ours, all + t.all));
-        let even = 1.0 / self.edges;
-        let seen = if all > 0.0 { (ours / all).min(1.0) } else { even };
-        (1.0 - FLOOR) * seen + FLOOR * even
-    }
-
-    fn look_over(&mut self, now: Micros) {
-        let old = now - TOLD_HOLDS * self.window;
-        self.told.retain(|_, told| told.at > old);
-        self.sent.retain(|_, pace| pace.last() > old);
-        for n in 0..self.customers.len() {
-            self.customers[n].part = self.part_of(now, CustomerId(n));
-        }
-        if !self.shares {
-            return;
+    /// The part of what was let in since the last look that the decision module pushed back. Guards against overload of
+    /// any cause, as that module sees it. No longer memory: what falls for what is over falls too far.
+    fn pressed(&self) -> f64 {
+        let part = f64::from(self.pushed) / f64::from(self.let_in.max(1));
+        if self.shares {
+            part.min(1.0)
+        } else {
+            0.0
         }
-        // What this edge gets done is dealt out by share, each share taken for the part of its customer that is here.
-        // A share nobody asks for is lent to those that ask for more, and is back as fast as a pace rises.
-        // However little was finished, one job a window is tried.
-        let room = (self.finished.now(now, self.window) * ROOM).max(1e6 / self.window as f64);
-        let wants: Vec<f64> = self.customers.iter().map(|c| c.asked.now(now, self.window)).collect();
-        let weights: Vec<f64> = self.customers.iter().map(|c| c.share * c.part).collect();
-        let allotted = water_fill(room, &wants, &weights);
-        self.customers.iter_mut().zip(allotted).for_each(|(c, a)| c.allotted = a);
     }
 
     fn judge(&mut self, now: Micros, customer: CustomerId) -> Result<(), (Over, Micros)> {
-        let pressed = self.pressed(now);
-        let window = self.window as f64;
-        // An edge that has just begun knows no pace yet; it gets a window to learn one.
-        let knows = self.begun.is_some_and(|at| now >= at + self.window);
+        let (window, even) = (self.window, 1.0 / self.edges);
         let Some(c) = self.customers.get_mut(customer.0) else { return Ok(()) };
-        if let Some(most) = c.in_flight.map(|most| (most * c.part).max(f64::from(u8::from(most > 0.0)))) {
-            if c.held + 1.0 > most {
-                // A place is free once one of those held ends; the mean of that is not known here, a window is told.
-                return Err((Over::InFlight, self.window));
+        if let Some(most) = c.in_flight {
+            let whole = c.sight.whole(now, window).filter(|whole| *whole > 0.0);
+            let part = whole.map_or(even, |whole| (c.sent.now(now, window) / whole).clamp(even * FLOOR, 1.0));
+            // One at least, unless none is allowed at all.
+            if c.held + 1.0 > (most * part).max(f64::from(u8::from(most > 0.0))) {
+                // A place is free once one of those held ends; when is not known here, a window is told.
+                return Err((Over::InFlight, window));
             }
         }
-        if let Some(rate) = c.rate.map(|rate| rate * c.part) {
-            if let Err(wait) = c.taken.take(now, rate, rate * window / 1e6 * BURST) {
-                return Err((Over::Rate, wait));
-            }
-        }
-        if pressed && knows {
-            let rate = c.allotted;
-            if let Err(wait) = c.shared.take(now, rate, rate * window / 1e6 * BURST) {
-                return Err((Over::Share, wait));
-            }
+        let Some(why) = c.limited else { return Ok(()) };
+        let burst = c.lets * window as f64 / 1e6 * BURST;
+        c.permits.take(now, c.lets, burst).map_err(|wait| (why, wait))
+    }
+}
+
+impl Customer {
+    /// What limits it now, and by how much more or less is to be let through at the next look.
+    fn limits(&self, now: Micros, window: Micros, pressed: f64) -> Option<(Over, f64)> {
+        // What this edge lets through by itself is seen at once, and the whole is no less.
+        let own = self.lets.min(self.asked.now(now, window));
+        let whole = self.sight.whole(now, window).map(|whole| whole.max(own));
+        let of_rate = self.rate.map(|rate| {
+            let off = whole.map_or(1.0, |whole| rate / whole.max(1e-9));
+            (Over::Rate, if off >= 2.0 { STEP } else { off.powf(GAIN).clamp(1.0 / STEP, STEP) })
+        });
+        let over = self.sight.part_of_all(now, window).is_some_and(|part| part > self.share);
+        let of_share = (over && pressed > PRESSED).then(|| (1.0 - pressed).max(1.0 / STEP) * LENDS);
+        // What was limited a moment ago soon is again: a share is lent step by step.
+        let lent = self.limited == Some(Over::Share) && self.lets < self.asked.now(now, window);
+        let lent = lent.then_some(LENDS);
+        let of_share = of_share.or(lent).map(|step| (Over::Share, step));
+        of_rate.into_iter().chain(of_share).min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+    /// Lets through a little more or less than before.
+    fn steer(&mut self, now: Micros, window: Micros, edges: f64, pressed: f64) {
+        let asked = self.asked.now(now, window);
+        let one = 1e6 / window as f64;
+        let just_asked = f64::from(std::mem::take(&mut self.asks)) * one * LOOKS_A_WINDOW as f64;
+        let Some((why, step)) = self.limits(now, window, pressed) else {
+            // What it asks for right now, as a pace takes a window to tell of a rise.
+            (self.limited, self.lets) = (None, asked.max(just_asked));
+            return;
+        };
+        let even = self.rate.unwrap_or(0.0) / edges;
+        if self.limited.is_none() && why == Over::Rate {
+            // It may have moved here with all it has, or call everywhere: it begins with an even part.
+            self.lets = even.max(one);
         }
-        Ok(())
+        // Never far above what is asked, so that a pause does not save up a flood.
+        let most = (asked * STEP).max(one);
+        self.lets = (self.lets * step).clamp((even * FLOOR).min(one).max(one * FLOOR), most);
+        self.limited = Some(why);
     }
 }
--- a/crates/sanddrum-limits/tests/stories.rs
+++ b/crates/sanddrum-limits/tests/stories.rs
@@ -33,6 +33,7 @@
     edges: Vec<Sharing>,
     news: Vec<News>,
     workers: BTreeMap<(WorkerId, CustomerId), Pace>,
+    all: BTreeMap<WorkerId, Pace>,
     capacity: f64,
     room: f64,
     now: Micros,
@@ -47,6 +48,7 @@
             edges: (0..edges).map(|_| Sharing::new(&settings(&set))).collect(),
             news: vec![News::default(); edges],
             workers: BTreeMap::new(),
+            all: BTreeMap::new(),
             capacity,
             room: 0.0,
             now: 1000 * S,
@@ -95,7 +97,9 @@
                         next.sent.push((customer, worker));
                         self.workers.entry((worker, customer)).or_default().count(self.now, S);
                         let of = self.workers[&(worker, customer)].now(self.now, S);
-                        next.told.push((customer, worker, of));
+                        let all = self.all.entry(worker).or_default();
+                        all.count(self.now, S);
+                        next.told.push((customer, of, all.now(self.now, S)));
                     }
                 }
             }
--- a/crates/sanddrum-wire/src/messages.rs
+++ b/crates/sanddrum-wire/src/messages.rs
@@ -217,6 +217,9 @@
     /// Jobs a second of this job's customer that came here of late, from all edges, this one included.
     #[n(6)]
     pub customer_pace: Option<f64>,
+    /// The same of all jobs.
+    #[n(7)]
+    pub all_pace: Option<f64>,
 }
 
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
--- a/crates/sanddrum-wire/tests/codecs.rs
+++ b/crates/sanddrum-wire/tests/codecs.rs
@@ -112,6 +112,7 @@
         report: Some(report),
         body: b"ok".to_vec(),
         customer_pace: None,
+        all_pace: None,
     };
     let hello = Hello { version: VERSION, name: "edge-0".into(), incarnation: 5, age_us: None };
     let sent = [
--- a/crates/sanddrum-worker/src/worker.rs
+++ b/crates/sanddrum-worker/src/worker.rs
@@ -93,6 +93,7 @@
     fetches: BTreeSet<u64>,
     /// Each customer's pace, and whose the executions here are.
     paces: BTreeMap<String, Pace>,
+    all: Pace,
     whose: BTreeMap<Ticket, String>,
     drains: bool,
     beat: Micros,
@@ -135,6 +136,7 @@
             store: Upstream::new(&spec.store),
             fetches: BTreeSet::new(),
             paces: BTreeMap::new(),
+            all: Pace::default(),
             whose: BTreeMap::new(),
             drains: false,
             beat: 0,
@@ -181,6 +183,7 @@
             }
             ToWorker::Execute(e) => {
                 let ticket = Ticket(conn.0, e.id);
+                self.all.count(now, PACE_WINDOW);
                 if let Some(customer) = &e.customer {
                     self.paces.entry(customer.clone()).or_default().count(now, PACE_WINDOW);
                     self.whose.insert(ticket, customer.clone());
@@ -234,6 +237,7 @@
                     Effect::Done { ticket, ended, copy, crowd, mark } => {
                         let customer = self.whose.remove(&ticket);
                         let pace = customer.and_then(|customer| self.paces.get(&customer));
+                        let all_pace = Some(self.all.now(now, PACE_WINDOW));
                         let customer_pace = pace.map(|pace| pace.now(now, PACE_WINDOW));
                         if let Some(mark) = mark.filter(|_| ended == Ended::Finished) {
                             self.marks.borrow_mut().ended(now, &mark);
@@ -244,7 +248,8 @@
                         let report = Some(self.current_report(now));
                         let crowd = self.spec.tells_crowd.then_some(crowd);
                         let body = if ended == Ended::Finished { b"done".to_vec() } else { Vec::new() };
-                        let done = Done { id: ticket.1, ended, copy, crowd, report, body, customer_pace };
+                        let done =
+                            Done { id: ticket.1, ended, copy, crowd, report, body, customer_pace, all_pace };
                         self.peers.send(Conn(ticket.0), &frame(&FromWorker::Done(done)));
                     }
                     Effect::Held { ticket, ended, copies } => {
