--- a/crates/sanddrum-limits/src/lib.rs
+++ b/crates/sanddrum-limits/src/lib.rs
@@ -228,12 +228,12 @@
     }
     /// Lets through a little more or less than before.
     fn steer(&mut self, now: Micros, window: Micros, edges: f64, pressed: f64) {
-        let asked = self.asked.now(now, window);
         let one = 1e6 / window as f64;
+        // What it asks for right now counts, too, as a pace takes a window to tell of a rise.
         let just_asked = f64::from(std::mem::take(&mut self.asks)) * one * LOOKS_A_WINDOW as f64;
+        let asked = self.asked.now(now, window).max(just_asked);
         let Some((why, step)) = self.limits(now, window, pressed) else {
-            // What it asks for right now, as a pace takes a window to tell of a rise.
-            (self.limited, self.lets) = (None, asked.max(just_asked));
+            (self.limited, self.lets) = (None, asked);
             return;
         };
         let even = self.rate.unwrap_or(0.0) / edges;
@@ -241,8 +241,8 @@
             // It may have moved here with all it has, or call everywhere: it begins with an even part.
             self.lets = even.max(one);
         }
-        // Never far above what is asked, so that a pause does not save up a flood.
-        let most = (asked * STEP).max(one);
+        // Never far above what is asked, or an even part, so that a pause does not save up a flood.
+        let most = (asked * STEP).max(even).max(one);
         self.lets = (self.lets * step).clamp((even * FLOOR).min(one).max(one * FLOOR), most);
         self.limited = Some(why);
     }
