TLS 1.3 as a layer around any core: names owned, foreign authorities refused

Change: sanddrum-tls wraps a core, so that it runs on both drivers; rustls with ring; certificates judged by the driver's clock; handshakes bounded in number and time; a stream without close-notify is a reset.

--- a/crates/sanddrum-net/src/lib.rs
+++ b/crates/sanddrum-net/src/lib.rs
@@ -69,6 +69,10 @@
 pub trait Io {
     /// Opens a connection; `Connected` or `Closed` follows.
     fn connect(&mut self, to: &str) -> Conn;
+    /// Opens a connection to somebody who has to own this name, where names are verified.
+    fn connect_named(&mut self, to: &str, _name: &str) -> Conn {
+        self.connect(to)
+    }
     /// Takes as many bytes as there is room for and says how many; after a short write `Writable` follows. What is
     /// taken may reach the other side; what is not taken never does.
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize;
--- /dev/null
+++ b/crates/sanddrum-tls/src/end.rs
@@ -0,0 +1,195 @@
+//! One end of one connection: ciphertext on one side, plain bytes on the other.
+
+use rustls::{ClientConnection, Connection, ServerConnection};
+use sanddrum_net::{Closed, Conn, Door, Io};
+use std::io::{Read, Write};
+
+/// What an end has for its core.
+pub(crate) enum Step {
+    /// The handshake is done; with a door where it was accepted.
+    Up(Option<Door>),
+    Bytes(Vec<u8>),
+    Room,
+    /// The last one. `tells`: the core has not ended it itself.
+    Over {
+        how: Closed,
+        tells: bool,
+        why: Option<String>,
+    },
+}
+
+pub(crate) struct End {
+    tls: Option<Connection>,
+    name: String,
+    door: Option<Door>,
+    waiting: usize,
+    /// It counts among the handshakes under way.
+    pub counts: bool,
+    connected: bool,
+    told_up: bool,
+    blocked: bool,
+    short: bool,
+    closing: bool,
+    /// The connection is gone, or to go.
+    over: Option<(Closed, Option<String>)>,
+    /// The driver told so itself; there is nothing left to end.
+    gone: bool,
+    plain: Vec<u8>,
+    out: Vec<u8>,
+}
+
+impl End {
+    fn new(tls: Option<Connection>, name: &str, door: Option<Door>, waiting: usize) -> Self {
+        End {
+            tls,
+            name: name.to_string(),
+            door,
+            waiting,
+            counts: door.is_some(),
+            connected: false,
+            told_up: false,
+            blocked: false,
+            short: false,
+            closing: false,
+            over: None,
+            gone: false,
+            plain: Vec::new(),
+            out: Vec::new(),
+        }
+    }
+    pub fn accepted(tls: ServerConnection, door: Door, waiting: usize) -> Self {
+        End::new(Some(tls.into()), "a caller", Some(door), waiting)
+    }
+    pub fn called(tls: ClientConnection, name: &str, waiting: usize) -> Self {
+        End::new(Some(tls.into()), name, None, waiting)
+    }
+    /// One that can't be begun at all.
+    pub fn never(why: String) -> Self {
+        let mut end = End::new(None, "", None, 0);
+        end.over = Some((Closed::Refused, Some(why)));
+        end
+    }
+    pub fn connected(&mut self) {
+        self.connected = true;
+    }
+    pub fn has_room(&mut self) {
+        self.blocked = false;
+    }
+    pub fn is_late(&mut self) {
+        if !self.told_up {
+            self.fail(format!("{}: the handshake was not done in time", self.name));
+        }
+    }
+    pub fn is_flushed(&self) -> bool {
+        self.out.is_empty()
+    }
+    fn fail(&mut self, why: String) {
+        let how = if self.told_up { Closed::Reset } else { Closed::Refused };
+        self.over.get_or_insert((how, Some(why)));
+    }
+    /// Ciphertext came.
+    pub fn came(&mut self, mut bytes: &[u8]) {
+        let Some(tls) = &mut self.tls else { return };
+        let mut problem = None;
+        let mut notified = false;
+        while !bytes.is_empty() && problem.is_none() {
+            match tls.read_tls(&mut bytes) {
+                Ok(0) => break,
+                Ok(_) => {}
+                Err(e) => problem = Some(e.to_string()),
+            }
+            match tls.process_new_packets() {
+                Ok(state) => {
+                    notified |= state.peer_has_closed();
+                    let mut plain = vec![0; state.plaintext_bytes_to_read()];
+                    if tls.reader().read_exact(&mut plain).is_ok() {
+                        self.plain.extend_from_slice(&plain);
+                    }
+                }
+                Err(e) => problem = Some(e.to_string()),
+            }
+        }
+        if let Some(problem) = problem {
+            let why = format!("{}: {problem}", self.name);
+            self.fail(why);
+        } else if notified {
+            self.over.get_or_insert((Closed::InOrder, None));
+        }
+    }
+    /// The connection is gone. Without a close-notify before, it was cut short.
+    pub fn closed(&mut self, how: Closed) {
+        self.gone = true;
+        let how = match (self.told_up, how) {
+            (false, _) => Closed::Refused,
+            (true, Closed::Refused) => Closed::Refused,
+            (true, _) => Closed::Reset,
+        };
+        self.over.get_or_insert((how, None));
+    }
+    pub fn close(&mut self) {
+        self.closing = true;
+        if let Some(tls) = &mut self.tls {
+            tls.send_close_notify();
+        }
+    }
+    /// Takes plain bytes as far as there is room for their ciphertext.
+    pub fn write(&mut self, conn: Conn, bytes: &[u8], io: &mut dyn Io) -> usize {
+        let room = self.waiting.saturating_sub(self.out.len());
+        let Some(tls) = self.tls.as_mut().filter(|_| self.told_up && self.over.is_none()) else { return 0 };
+        let mut taken = 0;
+        while taken < bytes.len().min(room) {
+            match tls.writer().write(&bytes[taken..bytes.len().min(room)]) {
+                Ok(n) if n > 0 => taken += n,
+                _ => break,
+            }
+            // Its own buffer is bounded, so it is emptied in between.
+            while tls.wants_write() && tls.write_tls(&mut self.out).is_ok() {}
+        }
+        self.flush(conn, io);
+        self.short = taken < bytes.len();
+        taken
+    }
+    fn flush(&mut self, conn: Conn, io: &mut dyn Io) {
+        if let Some(tls) = &mut self.tls {
+            while tls.wants_write() && tls.write_tls(&mut self.out).is_ok() {}
+        }
+        if self.connected && !self.blocked && !self.out.is_empty() && !self.gone {
+            let wrote = io.write(conn, &self.out);
+            self.out.drain(..wrote);
+            self.blocked = !self.out.is_empty();
+        }
+    }
+    /// The next thing that its core is to know.
+    pub fn step(&mut self, conn: Conn, io: &mut dyn Io) -> Option<Step> {
+        self.flush(conn, io);
+        let handshaking = self.tls.as_ref().is_none_or(|tls| tls.is_handshaking());
+        if !self.told_up && self.connected && !handshaking && !self.closing {
+            self.told_up = true;
+            return Some(Step::Up(self.door));
+        }
+        if self.told_up && !self.plain.is_empty() && !self.closing {
+            return Some(Step::Bytes(std::mem::take(&mut self.plain)));
+        }
+        if self.closing && (self.out.is_empty() || self.gone) {
+            if !self.gone {
+                io.close(conn);
+            }
+            return Some(Step::Over { how: Closed::InOrder, tells: false, why: None });
+        }
+        if let Some((how, why)) = self.over.take() {
+            match (self.gone, how) {
+                (true, _) => {}
+                (false, Closed::InOrder) => io.close(conn),
+                (false, _) => io.reset(conn),
+            }
+            // A caller whose handshake failed was never told of.
+            let tells = !self.closing && (self.told_up || self.door.is_none());
+            return Some(Step::Over { how, tells, why });
+        }
+        if self.short && self.told_up && self.out.len() * 2 <= self.waiting {
+            self.short = false;
+            return Some(Step::Room);
+        }
+        None
+    }
+}
