--- a/crates/sanddrum-cli/src/edge.rs
+++ b/crates/sanddrum-cli/src/edge.rs
@@ -4,8 +4,9 @@
 use clap::Args;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use sanddrum_edge::{state, Edge, Start, KEYS};
-use sanddrum_net::{EventLoop, NoTap, Shutdown};
+use sanddrum_net::{Core, EventLoop, NoTap, Shutdown};
 use sanddrum_settings::{Loaded, Problem};
+use sanddrum_tls::{Bounds, Layer, Terms, CHAIN, KEY, ROOTS};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -113,6 +114,31 @@
     }
 }
 
+/// The watched files of the TLS layer, and the settings that name them.
+const TLS_FILES: [(&str, &str); 3] =
+    [(ROOTS, "tls.roots-file"), (CHAIN, "tls.certificate-file"), (KEY, "tls.key-file")];
+
+/// The terms that an edge starts on; it does not start on bad ones.
+fn tls_terms(l: &Loaded) -> Result<Terms, String> {
+    let read = |key: &str| std::fs::read(l.text(key)).map_err(|e| format!("{} ({key}): {e}", l.text(key)));
+    let roots = read("tls.roots-file")?;
+    let own = match l.has("tls.key-file") {
+        true => Some((read("tls.certificate-file")?, read("tls.key-file")?)),
+        false => None,
+    };
+    let own = own.as_ref().map(|(chain, key)| (chain.as_slice(), key.as_slice()));
+    Terms::from_pem(&roots, own, false, l.size("tls.sessions")).map_err(|e| e.to_string())
+}
+
+fn tls_bounds(l: &Loaded) -> Bounds {
+    Bounds {
+        handshake_time_out: l.span("tls.handshake-time-out-us"),
+        handshakes: l.size("tls.handshakes"),
+        waiting: l.size("tls.waiting-bytes"),
+        sessions: l.size("tls.sessions"),
+    }
+}
+
 fn serve(args: &EdgeArgs, settings: Loaded) -> Result<Shutdown, String> {
     let listen = settings.text("edge.listen").to_string();
     let (door, at) = EventLoop::bind(&listen).map_err(|e| format!("{listen}: {e}; give another --listen"))?;
@@ -140,7 +166,22 @@
             "without --state-file a restart does not know which keys were revoked"
         );
     }
-    let host = driver.add(Box::new(Edge::new(start)), vec![door], state_file).map_err(|e| e.to_string())?;
+    let core: Box<dyn Core> = match settings.text("tls.workers") {
+        "verified" => Box::new(
+            Layer::new(Edge::new(start), tls_terms(&settings)?, tls_bounds(&settings)).with_plain_doors(),
+        ),
+        _ => {
+            tracing::warn!(
+                reason = "plain-text",
+                "workers are spoken to in plain text, as tls workers is set"
+            );
+            Box::new(Edge::new(start))
+        }
+    };
+    let host = driver.add(core, vec![door], state_file).map_err(|e| e.to_string())?;
+    for (name, key) in TLS_FILES.iter().filter(|(_, key)| settings.has(key)) {
+        driver.watch(host, name, PathBuf::from(settings.text(key)), settings.span("tls.watch-every-us"));
+    }
     if let Some(file) = audit_file {
         driver.audit_to(host, file, settings.size("identity.audit-most-bytes") as u64);
     }
--- a/crates/sanddrum-cli/src/lab.rs
+++ b/crates/sanddrum-cli/src/lab.rs
@@ -25,6 +25,9 @@
     pub set: Vec<String>,
 }
 
+/// The settings that have a scenario speak TLS to its workers.
+pub const TLS: [&str; 2] = ["tls.roots-file=roots.pem", "tls.workers=verified"];
+
 pub fn run(args: &RunArgs) -> ExitCode {
     let (name, text) = match &args.file {
         None => ("bad-day.sx".to_string(), BAD_DAY.to_string()),
@@ -161,6 +164,9 @@
         for set in &set {
             command.args(["--set", set]);
         }
+        if fleet.authority.is_some() {
+            command.arg("--set").arg(format!("tls.roots-file={}", home.join("roots.pem").display()));
+        }
         if fleet.wallet.is_some() {
             let file = home.join(fleet.scenario.settings.text("identity.keys-file"));
             command.arg("--set").arg(format!("identity.keys-file={}", file.display()));
--- a/crates/sanddrum-cli/src/main.rs
+++ b/crates/sanddrum-cli/src/main.rs
@@ -1,7 +1,7 @@
 //! The operators' command line.
 
 use clap::{Args, Parser, Subcommand};
-use sanddrum_cli::{call, config, edge, exit, fail, keys, lab, load, logs};
+use sanddrum_cli::{call, certs, config, edge, exit, fail, keys, lab, load, logs};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -41,6 +41,9 @@
     /// Tokens
     #[command(subcommand)]
     Token(keys::Token),
+    /// Certificates for tests
+    #[command(subcommand)]
+    Certs(certs::Certs),
     /// Who may run what
     #[command(subcommand)]
     Rights(keys::RightsCommand),
@@ -61,6 +64,9 @@
     json: bool,
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Workers prove their names: everything between edges and workers goes over TLS
+    #[arg(long)]
+    tls: bool,
 }
 
 #[derive(Subcommand)]
@@ -124,6 +130,7 @@
         What::Config(Config::Show { file, scenario }) => config::show(file, *scenario),
         What::Keys(command) => keys::keys(command),
         What::Token(command) => keys::token(command),
+        What::Certs(command) => certs::run(command),
         What::Rights(command) => keys::rights(command),
         What::Call(args) => call::run(args),
         What::Edge(args) => edge::run(args),
--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -147,7 +147,7 @@
             );
             return Err(End::Full);
         }
-        let conn = io.connect(&target.address);
+        let conn = io.connect_named(&target.address, &target.name);
         target.conns.insert(conn);
         self.owners.insert(conn, Owner::Link);
         let mut out = Outbox::new(self.limits.waiting_per_worker);
--- a/crates/sanddrum-lab/src/fleet.rs
+++ b/crates/sanddrum-lab/src/fleet.rs
@@ -1,10 +1,13 @@
 //! The cores of a scenario, made as they are needed, with the handles through which it scripts their faults.
 
 use crate::callers::{Callers, Mood};
+use crate::recorder::{Recording, Role};
 use crate::scenario::Scenario;
+use crate::tapped::{bounds, Authority, Tapped};
 use crate::wallet::Wallet;
-use sanddrum_net::{Core, Micros};
+use sanddrum_net::{Core, HostId, Micros};
 use sanddrum_settings::{Loaded, Problem};
+use sanddrum_tls::Layer;
 use sanddrum_wire::{Phase, Row};
 use sanddrum_worker::{
     ListFaults, ListService, ListSpec, Marks, Shared, Store, StoreFaults, StoreSpec, Worker, WorkerFaults,
@@ -39,6 +42,9 @@
     pub mood: Shared<Mood>,
     /// Where callers show tokens.
     pub wallet: Option<Shared<Wallet>>,
+    /// Where workers are spoken to over TLS.
+    pub authority: Option<Authority>,
+    recording: Recording,
     marks: Vec<Shared<Marks>>,
     incarnations: Vec<u64>,
     edge_starts: Vec<u64>,
@@ -50,14 +56,22 @@
 }
 
 impl Fleet {
-    pub fn new(scenario: Scenario, addresses: Addresses) -> Self {
+    /// # Errors
+    /// No certificates can be made.
+    pub fn new(scenario: Scenario, addresses: Addresses, recording: &Recording) -> std::io::Result<Self> {
+        let authority = match scenario.settings.text("tls.workers") {
+            "verified" => Some(Authority::new().map_err(std::io::Error::other)?),
+            _ => None,
+        };
         let l = &scenario.settings;
         let wallet = (l.text("identity.tokens") != "off").then(|| {
             let (lasts, renewed) = (l.span("gateways.token-lasts-us"), l.span("gateways.renewed-every-us"));
             shared(Wallet::new(l.text("identity.audience"), lasts, renewed, scenario.seed))
         });
         let window = scenario.calls.iter().map(|c| c.repeat_window).max().unwrap_or(0);
-        Fleet {
+        Ok(Fleet {
+            authority,
+            recording: recording.clone(),
             workers: (0..scenario.workers).map(|_| shared(WorkerFaults::default())).collect(),
             store: shared(StoreFaults::default()),
             list: shared(ListFaults::default()),
@@ -69,7 +83,7 @@
             list_runs: 0,
             scenario,
             addresses,
-        }
+        })
     }
     /// Workers of one group know each other's marks.
     fn marks_of(&self, n: usize) -> Shared<Marks> {
@@ -84,7 +98,10 @@
         self.marks[group].clone()
     }
     /// A worker that has run for long, or one that starts now, empty and cold.
-    pub fn worker(&mut self, n: usize, now: Micros, cold: bool) -> Box<dyn Core> {
+    ///
+    /// # Errors
+    /// No certificate can be made for it.
+    pub fn worker(&mut self, n: usize, now: Micros, cold: bool) -> std::io::Result<Box<dyn Core>> {
         if cold {
             self.incarnations[n] += 1;
             let mut faults = self.workers[n].borrow_mut();
@@ -94,14 +111,26 @@
         let spec = self.scenario.worker(n, &a.workers[n], &a.list, &a.store);
         let started = if cold { now } else { 0 };
         let seed = self.scenario.seed.wrapping_mul(31).wrapping_add(n as u64);
-        Box::new(Worker::new(
-            spec,
-            seed,
-            started,
-            self.incarnations[n],
-            self.workers[n].clone(),
-            self.marks_of(n),
-        ))
+        let worker =
+            Worker::new(spec, seed, started, self.incarnations[n], self.workers[n].clone(), self.marks_of(n));
+        let Some(authority) = &self.authority else { return Ok(Box::new(worker)) };
+        // Recorded within its TLS, under a host beyond those of any driver.
+        let l = &self.scenario.settings;
+        let host = HostId(usize::MAX - n);
+        self.recording.0.borrow_mut().role(host, Role::Worker(n));
+        let terms = authority.for_worker(&Scenario::worker_name(n), l.size("tls.sessions"));
+        let tapped = Tapped::new(worker, host, self.recording.clone());
+        Ok(Box::new(Layer::new(tapped, terms.map_err(std::io::Error::other)?, bounds(l))))
+    }
+    /// An edge's core, within the TLS that it speaks to workers.
+    ///
+    /// # Errors
+    /// The authority's certificate can't be read back.
+    pub fn within_tls(&self, edge: Box<dyn Core>) -> std::io::Result<Box<dyn Core>> {
+        let Some(authority) = &self.authority else { return Ok(edge) };
+        let l = &self.scenario.settings;
+        let terms = authority.for_edge(l.size("tls.sessions")).map_err(std::io::Error::other)?;
+        Ok(Box::new(Layer::new(edge, terms, bounds(l)).with_plain_doors()))
     }
     pub fn store(&self) -> Box<dyn Core> {
         let l = &self.scenario.settings;
--- a/crates/sanddrum-lab/src/lib.rs
+++ b/crates/sanddrum-lab/src/lib.rs
@@ -12,6 +12,7 @@
 mod scenario;
 mod schema;
 mod stage;
+mod tapped;
 mod wallet;
 
 pub use callers::{Callers, Mood};
--- a/crates/sanddrum-lab/src/stage.rs
+++ b/crates/sanddrum-lab/src/stage.rs
@@ -63,7 +63,7 @@
         let slack = 4 * links.cross_zone + 2 * links.again;
         let seed = scenario.seed;
         let net = VirtualNet::new(seed, BEGIN, links, Box::new(recording.clone()));
-        let fleet = Fleet::new(scenario, addresses);
+        let fleet = Fleet::new(scenario, addresses, recording)?;
         let mut stage = VirtualStage { net, fleet, hosts: BTreeMap::new(), make_edge, slack };
         let (workers, edges) = (stage.fleet.scenario.workers, stage.fleet.scenario.edges);
         let all = (0..workers).map(Who::Worker).chain((0..edges).map(Who::Edge));
@@ -75,14 +75,15 @@
     fn core(&mut self, who: Who, cold: bool) -> io::Result<Box<dyn Core>> {
         let now = self.net.now();
         Ok(match who {
-            Who::Worker(n) => self.fleet.worker(n, now, cold),
+            Who::Worker(n) => self.fleet.worker(n, now, cold)?,
             Who::List => self.fleet.list(now),
             Who::Store => self.fleet.store(),
             Who::Callers => self.fleet.callers(),
             Who::Edge(n) => {
                 let (settings, seed, incarnation) = self.fleet.edge(n).map_err(io::Error::other)?;
                 let kept = self.hosts.get(&who).and_then(|host| self.net.kept(*host));
-                (self.make_edge)(Start { settings, seed, kept, incarnation, metrics_page: None })
+                let start = Start { settings, seed, kept, incarnation, metrics_page: None };
+                self.fleet.within_tls((self.make_edge)(start))?
             }
         })
     }
@@ -96,6 +97,8 @@
             Who::Callers => (0, None),
         };
         let role = match who {
+            // Under TLS it is recorded within.
+            Who::Worker(_) if self.fleet.authority.is_some() => Role::Other,
             Who::Worker(n) => Role::Worker(n),
             Who::List => Role::List,
             Who::Callers => Role::Callers,
@@ -234,7 +237,7 @@
             list: bind(Who::List)?,
             store: bind(Who::Store)?,
         };
-        let fleet = Fleet::new(scenario, addresses);
+        let fleet = Fleet::new(scenario, addresses, recording)?;
         let mut stage = SocketStage {
             driver,
             fleet,
@@ -244,6 +247,9 @@
             folder,
         };
         stage.spread_keys()?;
+        if let Some(authority) = &stage.fleet.authority {
+            std::fs::write(stage.folder.join("roots.pem"), authority.roots())?;
+        }
         let all = (0..workers).map(Who::Worker).chain((0..edges).map(Who::Edge));
         for who in [Who::List, Who::Store].into_iter().chain(all) {
             let listener = bound.remove(&who);
@@ -268,6 +274,8 @@
             }
         }
         let role = match who {
+            // Under TLS it is recorded within.
+            Who::Worker(_) if self.fleet.authority.is_some() => Role::Other,
             Who::Worker(n) => Role::Worker(n),
             Who::List => Role::List,
             Who::Callers => Role::Callers,
@@ -323,7 +331,7 @@
     fn core(&mut self, who: Who, cold: bool) -> io::Result<Box<dyn Core>> {
         let now = self.driver.now();
         Ok(match who {
-            Who::Worker(n) => self.fleet.worker(n, now, cold),
+            Who::Worker(n) => self.fleet.worker(n, now, cold)?,
             Who::List => self.fleet.list(now),
             Who::Store => self.fleet.store(),
             Who::Callers => self.fleet.callers(),
@@ -331,10 +339,11 @@
                 let (settings, seed, incarnation) = self.fleet.edge(n).map_err(io::Error::other)?;
                 let kept = self.state_file(who).and_then(|file| std::fs::read(file).ok());
                 let start = Start { settings, seed, kept, incarnation, metrics_page: None };
-                match &self.edges_as {
+                let edge: Box<dyn Core> = match &self.edges_as {
                     EdgesAs::Cores(make) => make(start),
                     EdgesAs::Processes(_) => Box::new(Edge::new(start)),
-                }
+                };
+                self.fleet.within_tls(edge)?
             }
         })
     }
--- /dev/null
+++ b/crates/sanddrum-lab/src/tapped.rs
@@ -0,0 +1,133 @@
+//! A core whose plain bytes are recorded inside its TLS layer, as the driver's tap sees only ciphertext there.
+
+use crate::recorder::Recording;
+use rcgen::{date_time_ymd, BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
+use sanddrum_net::{Conn, Core, Event, HostId, Io, Micros, Side, Tap};
+use sanddrum_settings::Loaded;
+use sanddrum_tls::{Bounds, Terms};
+
+pub struct Tapped<C> {
+    core: C,
+    host: HostId,
+    recording: Recording,
+}
+
+impl<C: Core> Tapped<C> {
+    /// Recorded under a host of its own, which the recorder knows the role of.
+    pub fn new(core: C, host: HostId, recording: Recording) -> Self {
+        Tapped { core, host, recording }
+    }
+}
+
+struct Through<'a> {
+    io: &'a mut dyn Io,
+    host: HostId,
+    recording: &'a mut Recording,
+    now: Micros,
+}
+
+impl Io for Through<'_> {
+    fn connect(&mut self, to: &str) -> Conn {
+        self.io.connect(to)
+    }
+    fn connect_named(&mut self, to: &str, name: &str) -> Conn {
+        self.io.connect_named(to, name)
+    }
+    fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        let taken = self.io.write(conn, bytes);
+        self.recording.went(self.now, self.host, conn, &bytes[..taken]);
+        taken
+    }
+    fn close(&mut self, conn: Conn) {
+        self.recording.ended(self.now, self.host, conn);
+        self.io.close(conn);
+    }
+    fn reset(&mut self, conn: Conn) {
+        self.recording.ended(self.now, self.host, conn);
+        self.io.reset(conn);
+    }
+    fn pause(&mut self, conn: Conn, paused: bool) {
+        self.io.pause(conn, paused);
+    }
+    fn save(&mut self, state: &[u8]) {
+        self.io.save(state);
+    }
+}
+
+impl<C: Core> Core for Tapped<C> {
+    fn start(&mut self, now: Micros, io: &mut dyn Io) {
+        let (host, recording) = (self.host, &mut self.recording);
+        self.core.start(now, &mut Through { io, host, recording, now });
+    }
+    fn event(&mut self, now: Micros, event: Event<'_>, io: &mut dyn Io) {
+        let (host, recording) = (self.host, &mut self.recording);
+        match &event {
+            Event::Accepted { conn, .. } => recording.opened(now, host, *conn, Side::Accepted, ""),
+            Event::Bytes { conn, bytes } => recording.came(now, host, *conn, bytes),
+            Event::Closed { conn, .. } => recording.ended(now, host, *conn),
+            Event::Connected { .. } | Event::Writable { .. } => {}
+        }
+        self.core.event(now, event, &mut Through { io, host, recording, now });
+    }
+    fn turn(&mut self, now: Micros, io: &mut dyn Io) {
+        let (host, recording) = (self.host, &mut self.recording);
+        self.core.turn(now, &mut Through { io, host, recording, now });
+    }
+    fn wake(&self) -> Option<Micros> {
+        self.core.wake()
+    }
+    fn done(&self) -> bool {
+        self.core.done()
+    }
+}
+
+/// A scenario's own authority. Its keys are new each time, so timelines under TLS are not equal to the byte.
+pub struct Authority(CertifiedIssuer<'static, KeyPair>);
+
+impl Authority {
+    /// # Errors
+    /// The library has no randomness.
+    pub fn new() -> Result<Self, rcgen::Error> {
+        let mut params = Self::params(vec![])?;
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        Ok(Authority(CertifiedIssuer::self_signed(params, KeyPair::generate()?)?))
+    }
+    /// Virtual time begins soon after 1970, and certificates know no time before it.
+    fn params(names: Vec<String>) -> Result<CertificateParams, rcgen::Error> {
+        let mut params = CertificateParams::new(names)?;
+        (params.not_before, params.not_after) = (date_time_ymd(1970, 1, 1), date_time_ymd(2090, 1, 1));
+        Ok(params)
+    }
+    pub fn roots(&self) -> String {
+        self.0.pem()
+    }
+    /// Terms for an edge: it trusts the authority and shows nothing.
+    ///
+    /// # Errors
+    /// The authority's certificate can't be read back.
+    pub fn for_edge(&self, sessions: usize) -> Result<Terms, String> {
+        Terms::from_pem(self.roots().as_bytes(), None, false, sessions).map_err(|e| e.to_string())
+    }
+    /// Terms for a worker of this name.
+    ///
+    /// # Errors
+    /// The name can't stand in a certificate.
+    pub fn for_worker(&self, name: &str, sessions: usize) -> Result<Terms, String> {
+        let leaf = || -> Result<(String, String), rcgen::Error> {
+            let key = KeyPair::generate()?;
+            Ok((Self::params(vec![name.to_string()])?.signed_by(&key, &self.0)?.pem(), key.serialize_pem()))
+        };
+        let (chain, key) = leaf().map_err(|e| e.to_string())?;
+        let own = Some((chain.as_bytes(), key.as_bytes()));
+        Terms::from_pem(self.roots().as_bytes(), own, false, sessions).map_err(|e| e.to_string())
+    }
+}
+
+pub fn bounds(l: &Loaded) -> Bounds {
+    Bounds {
+        handshake_time_out: l.span("tls.handshake-time-out-us"),
+        handshakes: l.size("tls.handshakes"),
+        waiting: l.size("tls.waiting-bytes"),
+        sessions: l.size("tls.sessions"),
+    }
+}
--- a/crates/sanddrum-lab/tests/stories.rs
+++ b/crates/sanddrum-lab/tests/stories.rs
@@ -53,3 +53,12 @@
     assert!(outcome.is_good(), "{}", outcome.text());
     assert!(outcome.verdict.finished > 1000 && outcome.verdict.pushed_back > 50, "{}", outcome.text());
 }
+
+/// The bad day again with every worker behind TLS: connections cut in mid-frame, a zone back cold and all.
+#[rstest]
+fn the_bad_day_ends_well_over_tls(#[values(1, 2)] seed: u64) {
+    let tls = r#"(tls (workers verified) (roots-file "roots.pem"))"#;
+    let scenario = Scenario::read("bad-day.sx", &format!("{BAD_DAY}{tls}"), seed).unwrap();
+    let outcome = play_virtually(scenario, product_edge()).unwrap();
+    assert!(outcome.is_good() && outcome.runs > 4000, "{}", outcome.text());
+}
--- a/crates/sanddrum-net/src/lib.rs
+++ b/crates/sanddrum-net/src/lib.rs
@@ -103,3 +103,27 @@
         false
     }
 }
+
+impl<C: Core + ?Sized> Core for Box<C> {
+    fn start(&mut self, now: Micros, io: &mut dyn Io) {
+        (**self).start(now, io);
+    }
+    fn event(&mut self, now: Micros, event: Event<'_>, io: &mut dyn Io) {
+        (**self).event(now, event, io);
+    }
+    fn turn(&mut self, now: Micros, io: &mut dyn Io) {
+        (**self).turn(now, io);
+    }
+    fn wake(&self) -> Option<Micros> {
+        (**self).wake()
+    }
+    fn file(&mut self, now: Micros, name: &str, content: Result<&[u8], &str>, io: &mut dyn Io) {
+        (**self).file(now, name, content, io);
+    }
+    fn stop(&mut self, now: Micros, io: &mut dyn Io) {
+        (**self).stop(now, io);
+    }
+    fn done(&self) -> bool {
+        (**self).done()
+    }
+}
--- a/crates/sanddrum-settings/src/checks.rs
+++ b/crates/sanddrum-settings/src/checks.rs
@@ -63,6 +63,22 @@
             "they count from 0",
         ));
     }
+    if l.text("tls.workers") == "verified" && !l.has("tls.roots-file") {
+        let what = "workers' names can't be verified without roots";
+        return Err(l.problem_at(
+            "tls.workers",
+            what,
+            "add (roots-file \"roots.pem\"), as sanddrum certs make does",
+        ));
+    }
+    if l.has("tls.certificate-file") != l.has("tls.key-file") {
+        let what = "a certificate and its key go together";
+        return Err(l.problem_at(
+            "tls.certificate-file",
+            what,
+            "set both certificate-file and key-file, or neither",
+        ));
+    }
     if l.text("identity.tokens") != "off" && !l.has("identity.keys-file") {
         let what = "tokens can't be checked without keys";
         return Err(l.problem_at(
--- a/crates/sanddrum-tls/src/lib.rs
+++ b/crates/sanddrum-tls/src/lib.rs
@@ -23,12 +23,29 @@
     pub handshakes: usize,
     /// Ciphertext that waits for one socket before its core has to.
     pub waiting: usize,
+    /// Sessions that are remembered to be taken up again, in all.
+    pub sessions: usize,
 }
 
 /// A core with TLS on its doors and on the connections that it opens by name.
 pub struct Layer<C> {
     core: C,
     inner: Inner,
+    files: Files,
+}
+
+/// The files that a driver may watch for a layer, by the names under which they are told: PEM texts of the trusted
+/// roots, of this side's certificate chain, and of its key.
+pub const ROOTS: &str = "tls-roots";
+pub const CHAIN: &str = "tls-certificate";
+pub const KEY: &str = "tls-key";
+
+/// What was last read of each.
+#[derive(Default)]
+struct Files {
+    roots: Option<Vec<u8>>,
+    chain: Option<Vec<u8>>,
+    key: Option<Vec<u8>>,
 }
 
 struct Inner {
@@ -39,12 +56,58 @@
     /// Ends that may have news for the core, looked at once it is not being called.
     news: BTreeSet<Conn>,
     handshakes: usize,
+    plain_doors: bool,
+    callers: bool,
 }
 
 impl<C: Core> Layer<C> {
     pub fn new(core: C, terms: Terms, bounds: Bounds) -> Self {
         let (ends, due, news) = (BTreeMap::new(), BTreeSet::new(), BTreeSet::new());
-        Layer { core, inner: Inner { terms, bounds, ends, due, news, handshakes: 0 } }
+        let (handshakes, plain_doors, callers) = (0, false, false);
+        let inner = Inner { terms, bounds, ends, due, news, handshakes, plain_doors, callers };
+        Layer { core, inner, files: Files::default() }
+    }
+    /// Doors stay plain: TLS is for what the core calls by name.
+    pub fn with_plain_doors(mut self) -> Self {
+        self.inner.plain_doors = true;
+        self
+    }
+    /// Terms that are made of watched files want callers to show certificates.
+    pub fn with_verified_callers(mut self) -> Self {
+        self.inner.callers = true;
+        self
+    }
+    /// A watched file came. Files are replaced one after the other, so what does not go together, is torn or can't be
+    /// read leaves the last good terms in force; the next file may make it whole.
+    fn take_file(&mut self, name: &str, content: Result<&[u8], &str>) {
+        let place = match name {
+            ROOTS => &mut self.files.roots,
+            CHAIN => &mut self.files.chain,
+            _ => &mut self.files.key,
+        };
+        match content {
+            Ok(bytes) => *place = Some(bytes.to_vec()),
+            Err(why) => {
+                return tracing::error!(reason = "tls-file", name, why, "the last good terms stay in force")
+            }
+        }
+        let Some(roots) = &self.files.roots else { return };
+        let own = self.files.chain.as_deref().zip(self.files.key.as_deref());
+        // A side that shows a certificate does not go on without one.
+        let shows =
+            self.inner.terms.shows_certificate() || self.files.chain.is_some() || self.files.key.is_some();
+        if own.is_none() && shows {
+            return;
+        }
+        match Terms::from_pem(roots, own, self.inner.callers, self.inner.bounds.sessions) {
+            Ok(terms) => {
+                tracing::info!(name, "new connections are made on new terms; those that are up go on");
+                self.inner.terms = terms;
+            }
+            Err(e) => {
+                tracing::error!(reason = "tls-terms", error = %e, name, "the last good terms stay in force")
+            }
+        }
     }
     /// New connections are made on these terms; those that are up go on as they are.
     pub fn set_terms(&mut self, terms: Terms) {
@@ -128,6 +191,7 @@
     fn event(&mut self, now: Micros, event: Event<'_>, io: &mut dyn Io) {
         self.inner.terms.set_time(now);
         let conn = match event {
+            Event::Accepted { .. } if self.inner.plain_doors => return self.tell(now, event, io),
             Event::Accepted { conn, door } => {
                 self.inner.accept(now, conn, door, io);
                 conn
@@ -139,7 +203,10 @@
         };
         let Some(end) = self.inner.ends.get_mut(&conn) else {
             // A connection without TLS, opened without a name.
-            return if matches!(event, Event::Accepted { .. }) { () } else { self.tell(now, event, io) };
+            if !matches!(event, Event::Accepted { .. }) {
+                self.tell(now, event, io);
+            }
+            return;
         };
         match event {
             Event::Accepted { .. } | Event::Connected { .. } => end.connected(),
@@ -166,6 +233,9 @@
         self.core.wake().into_iter().chain(self.inner.due.first().map(|(at, _)| *at)).min()
     }
     fn file(&mut self, now: Micros, name: &str, content: Result<&[u8], &str>, io: &mut dyn Io) {
+        if [ROOTS, CHAIN, KEY].contains(&name) {
+            return self.take_file(name, content);
+        }
         self.core.file(now, name, content, &mut Inside { inner: &mut self.inner, io, now });
         self.settle(now, io);
     }
--- a/crates/sanddrum-tls/src/terms.rs
+++ b/crates/sanddrum-tls/src/terms.rs
@@ -2,6 +2,7 @@
 
 use rustls::client::Resumption;
 use rustls::crypto::ring::default_provider;
+use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
 use rustls::server::WebPkiClientVerifier;
 use rustls::time_provider::TimeProvider;
@@ -91,6 +92,39 @@
         });
         Ok(Terms { clock, client: Arc::new(client), server: server.transpose()? })
     }
+    /// The same from PEM texts (RFC 7468): roots, and a chain with its key.
+    ///
+    /// # Errors
+    /// As [`Terms::new`]; also where a text holds nothing of its kind, as a file that is half written does.
+    pub fn from_pem(
+        roots: &[u8],
+        own: Option<(&[u8], &[u8])>,
+        callers: bool,
+        sessions: usize,
+    ) -> Result<Self, TermsError> {
+        let certificates = |pem: &[u8], what: &str| -> Result<Vec<CertificateDer<'static>>, TermsError> {
+            let read: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(pem).collect();
+            let read = read.map_err(|e| TermsError(format!("{what}: {e}")))?;
+            if read.is_empty() {
+                return Err(TermsError(format!("{what}: no certificate is in it")));
+            }
+            Ok(read)
+        };
+        let roots = certificates(roots, "roots")?;
+        let own = match own {
+            None => None,
+            Some((chain, key)) => {
+                // What is wrong with a key is told without any of its content.
+                let key =
+                    PrivateKeyDer::from_pem_slice(key).map_err(|_| error("key: no private key is in it"))?;
+                Some((certificates(chain, "certificate")?, key))
+            }
+        };
+        Terms::new(&roots, own, callers, sessions)
+    }
+    pub(crate) fn shows_certificate(&self) -> bool {
+        self.server.is_some()
+    }
     pub(crate) fn set_time(&self, now: Micros) {
         self.clock.0.store(now, Ordering::Relaxed);
     }
--- a/crates/sanddrum-tls/tests/stories.rs
+++ b/crates/sanddrum-tls/tests/stories.rs
@@ -111,8 +111,23 @@
 
 const NAME: &str = "worker7.bat-a.example.org";
 
+fn pem(leaf: &Own) -> (Vec<u8>, Vec<u8>) {
+    let text = |tag: &str, der: &[u8]| {
+        let digits: Vec<String> = der.chunks(3).map(base64).collect();
+        format!("-----BEGIN {tag}-----\n{}\n-----END {tag}-----\n", digits.concat()).into_bytes()
+    };
+    (text("CERTIFICATE", &leaf.0[0]), text("PRIVATE KEY", leaf.1.secret_der()))
+}
+/// RFC 4648, section 4, three bytes at a time.
+fn base64(three: &[u8]) -> String {
+    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let bits = three.iter().fold(0u32, |bits, byte| bits << 8 | u32::from(*byte)) << (8 * (3 - three.len()));
+    let digit = |n: usize| char::from(DIGITS[(bits >> (18 - 6 * n)) as usize & 63]);
+    (0..4).map(|n| if n <= three.len() { digit(n) } else { '=' }).collect()
+}
+
 fn bounds() -> Bounds {
-    Bounds { handshake_time_out: 2_000_000, handshakes: 3, waiting: 20_000 }
+    Bounds { handshake_time_out: 2_000_000, handshakes: 3, waiting: 20_000, sessions: 16 }
 }
 fn net(seed: u64) -> VirtualNet {
     let links = Links { split: 0.5, window: 30_000, ..Links::default() };
@@ -126,7 +141,7 @@
 #[rstest]
 fn bytes_go_both_ways_whole(#[values(1, 2, 3)] seed: u64) {
     let authority = Authority::new();
-    let says: Vec<u8> = (0..200_000u32).map(|n| (n * 31 >> 3) as u8).collect();
+    let says: Vec<u8> = (0..200_000u32).map(|n| ((n * 31) >> 3) as u8).collect();
     let (server, heard) = Talker::listens();
     let (client, seen) = Talker::calls("a:1", NAME, &says);
     let mut net = net(seed);
@@ -242,3 +257,38 @@
     let ((chain, _), (_, other)) = (authority.leaf(NAME, 2040), authority.leaf(NAME, 2040));
     assert!(Terms::new(&[authority.root()], Some((chain, other)), false, 16).is_err());
 }
+
+/// The certificate and its key are replaced one file after the other while a connection is up.
+#[rstest]
+fn a_certificate_is_swapped_while_a_connection_is_up() {
+    let (old, new) = (Authority::new(), Authority::new());
+    let (server, heard) = Talker::listens();
+    let (client, seen) = Talker::calls("a:1", NAME, b"one");
+    let mut net = net(1);
+    let served = old.terms(Some(old.leaf(NAME, 2040)), false);
+    let host = net.add(0, &["a:1"], Box::new(Layer::new(server, served, bounds())));
+    net.add(0, &[], Box::new(Layer::new(client, old.terms(None, false), bounds())));
+    run(&mut net, 1);
+    let roots: String = format!("{}{}", old.0.pem(), new.0.pem());
+    let (chain, key) = pem(&new.leaf(NAME, 2040));
+    let (torn, _) = chain.split_at(chain.len() / 2);
+    net.give_file(host, sanddrum_tls::ROOTS, Ok(roots.as_bytes()));
+    net.give_file(host, sanddrum_tls::CHAIN, Ok(torn));
+    net.give_file(host, sanddrum_tls::KEY, Ok(&key));
+    let late = |net: &mut VirtualNet, authority: &Authority| {
+        let (client, seen) = Talker::calls("a:1", NAME, b"two");
+        net.add(0, &[], Box::new(Layer::new(client, authority.terms(None, false), bounds())));
+        run(net, 1);
+        let came = seen.borrow().came.clone();
+        came
+    };
+    assert_eq!(late(&mut net, &old), b"two", "the last good one, as the new one is torn");
+    net.give_file(host, sanddrum_tls::CHAIN, Err("unreadable"));
+    assert_eq!(late(&mut net, &old), b"two");
+    net.give_file(host, sanddrum_tls::CHAIN, Ok(&chain));
+    assert_eq!(late(&mut net, &new), b"two", "new connections are met with the new one");
+    assert_eq!(late(&mut net, &old), b"", "and who trusts only the old root finds nobody");
+    assert!(seen.borrow().closed.is_empty(), "what was up is still up");
+    assert_eq!(seen.borrow().came, b"one");
+    assert!(heard.borrow().came.len() >= 12);
+}
