--- a/crates/sanddrum-cli/src/load.rs
+++ b/crates/sanddrum-cli/src/load.rs
@@ -103,7 +103,7 @@
     /// Runs of each kind, taken in turn
     #[arg(long, default_value_t = 5)]
     pub runs: usize,
-    /// Only this part: rate, fleet, idle, limits
+    /// Only this part: rate, tls, fleet, idle, limits
     #[arg(long)]
     pub part: Option<String>,
 }
@@ -114,6 +114,9 @@
         if wanted("rate") {
             rate(args)?;
         }
+        if wanted("tls") {
+            tls(args)?;
+        }
         if wanted("fleet") {
             fleet(args)?;
         }
@@ -142,6 +145,7 @@
         rate: 0.0,
         length,
         warm_up: length / 4,
+        tls: false,
     }
 }
 
@@ -249,3 +253,31 @@
         }
     }
 }
+
+/// The same edge over TLS and in plain text, saturated and then at half the rate over TLS.
+fn tls(args: &MeasureArgs) -> Result<(), String> {
+    let pairs = |rate: f64| -> Result<Vec<(Measured, Measured)>, String> {
+        let one = |tls| measure(&MeasureSpec { tls, rate, ..spec(args, Decides::Module) });
+        (0..args.runs).map(|_| Ok((one(true)?, one(false)?))).collect()
+    };
+    let saturated = pairs(0.0)?;
+    let of = |figure: &dyn Fn(&(Measured, Measured)) -> f64| spread(saturated.iter().map(figure).collect());
+    println!("TLS toward 10 workers beside plain text, {} runs in turn:", args.runs);
+    println!("  calls a second over plain      {}", told(of(&|(t, p)| t.load.rate() / p.load.rate())));
+    println!(
+        "  edge CPU a call over plain     {}",
+        told(of(&|(t, p)| t.cpu_us_per_call / p.cpu_us_per_call))
+    );
+    let half = of(&|(t, _)| t.load.rate()).1 / 2.0;
+    let open = pairs(half)?;
+    for (name, q) in [("p50", 0.5), ("p99", 0.99)] {
+        let of =
+            |figure: &dyn Fn(&(Measured, Measured)) -> f64| told(spread(open.iter().map(figure).collect()));
+        let (over, plain) = (
+            of(&|(t, _)| t.load.quantile_us(q) as f64 / 1000.0),
+            of(&|(_, p)| p.load.quantile_us(q) as f64 / 1000.0),
+        );
+        println!("  {name} at {half:.0} calls a second: TLS {over} ms, plain {plain} ms");
+    }
+    Ok(())
+}
--- a/crates/sanddrum-cli/src/main.rs
+++ b/crates/sanddrum-cli/src/main.rs
@@ -118,7 +118,7 @@
                 in_virtual_time: false,
                 seed: args.seed,
                 json: args.json,
-                set: Vec::new(),
+                set: if args.tls { lab::TLS.map(String::from).to_vec() } else { Vec::new() },
             };
             lab::run(&args)
         }
--- a/crates/sanddrum-lab/src/measure.rs
+++ b/crates/sanddrum-lab/src/measure.rs
@@ -2,10 +2,12 @@
 //! answer at once, so that what is left is the edge.
 
 use crate::hammer::{Hammer, HammerSpec, Hammered};
+use crate::tapped::Authority;
 use sanddrum::{Decisions, Micros, Round, Router, WorkerId, WorkerState};
 use sanddrum_edge::{Edge, Module, Start};
 use sanddrum_net::{Conn, Core, Event, EventLoop, Io, NoTap};
 use sanddrum_settings::Loaded;
+use sanddrum_tls::{Bounds, Layer};
 use sanddrum_wire::frame::frame;
 use sanddrum_wire::{
     Copy, Done, Ended, Frames, FromWorker, Held, Hello, LoadReport, Phase, Probed, Row, ToWorker, VERSION,
@@ -19,9 +21,14 @@
     Arc,
 };
 
+const TLS_BOUNDS: Bounds =
+    Bounds { handshake_time_out: 2_000_000, handshakes: 256, waiting: 256 * 1024, sessions: 4096 };
+
 /// Workers that answer at once and hold every function; one for each door.
 #[derive(Default)]
 struct Instant {
+    /// The number of the first door's worker.
+    first: usize,
     peers: BTreeMap<Conn, (usize, Frames, Vec<u8>)>,
     dirty: BTreeSet<Conn>,
 }
@@ -31,7 +38,7 @@
     fn event(&mut self, _: Micros, event: Event<'_>, _: &mut dyn Io) {
         match event {
             Event::Accepted { conn, door } => {
-                self.peers.insert(conn, (door.0, Frames::new(1 << 24), Vec::new()));
+                self.peers.insert(conn, (self.first + door.0, Frames::new(1 << 24), Vec::new()));
             }
             Event::Bytes { conn, bytes } => {
                 let Some((n, frames, out)) = self.peers.get_mut(&conn) else { return };
@@ -127,6 +134,8 @@
     pub rate: f64,
     pub length: Micros,
     pub warm_up: Micros,
+    /// Workers are spoken to over TLS.
+    pub tls: bool,
 }
 
 pub struct Measured {
@@ -223,11 +232,27 @@
     };
     let rows: Vec<Row> = bound.iter().enumerate().map(row).collect();
     let doors: Vec<TcpListener> = bound.into_iter().map(|(listener, _)| listener).collect();
+    let authority = Authority::new().map_err(|e| e.to_string())?;
+    let worker_terms = match spec.tls {
+        true => {
+            let terms = |n| authority.for_worker(&format!("worker-{n}"), TLS_BOUNDS.sessions);
+            Some((0..spec.workers).map(terms).collect::<Result<Vec<_>, _>>()?)
+        }
+        false => None,
+    };
+    let edge_terms = spec.tls.then(|| authority.for_edge(TLS_BOUNDS.sessions)).transpose()?;
     let workers = in_thread(stop.clone(), move |driver| {
         let spec = ListSpec { notice: (0, 0), silent_after: Micros::MAX / 4, changes_kept: 16 };
         let list = ListService::new(spec, 1, 1, Default::default()).with_rows(driver.now(), &rows);
         driver.add(Box::new(list), vec![list_door], None)?;
-        driver.add(Box::new(Instant::default()), doors, None).map(drop)
+        let Some(terms) = worker_terms else {
+            return driver.add(Box::new(Instant::default()), doors, None).map(drop);
+        };
+        for (first, (door, terms)) in doors.into_iter().zip(terms).enumerate() {
+            let core = Layer::new(Instant { first, ..Instant::default() }, terms, TLS_BOUNDS);
+            driver.add(Box::new(core), vec![door], None)?;
+        }
+        Ok(())
     });
     // The edge's thread tells its processor time every slice; nobody waits for it.
     let cpu_us = Arc::new(AtomicU64::new(0));
@@ -247,6 +272,10 @@
                 }
                 Decides::Forwarder => Box::new(Edge::with_module(start, Forwarder::default())),
             };
+            let core: Box<dyn Core> = match edge_terms {
+                Some(terms) => Box::new(Layer::new(core, terms, TLS_BOUNDS).with_plain_doors()),
+                None => core,
+            };
             driver.add(core, vec![edge_door], None)?;
             while !edge_stop.load(Ordering::Relaxed) {
                 let until = driver.now() + 50_000;
