--- a/crates/sanddrum-cli/src/load.rs
+++ b/crates/sanddrum-cli/src/load.rs
@@ -45,6 +45,7 @@
         length: i64::from(args.length) * 1_000_000,
         warm_up: 0,
         body: args.body.clone(),
+        tokens: Vec::new(),
         seed: args.seed,
     };
     match hammer(spec) {
@@ -103,7 +104,7 @@
     /// Runs of each kind, taken in turn
     #[arg(long, default_value_t = 5)]
     pub runs: usize,
-    /// Only this part: rate, tls, fleet, idle, limits
+    /// Only this part: rate, tokens, tls, fleet, idle, limits
     #[arg(long)]
     pub part: Option<String>,
 }
@@ -114,6 +115,9 @@
         if wanted("rate") {
             rate(args)?;
         }
+        if wanted("tokens") {
+            tokens(args)?;
+        }
         if wanted("tls") {
             tls(args)?;
         }
@@ -146,6 +150,7 @@
         length,
         warm_up: length / 4,
         tls: false,
+        tokens: 0,
     }
 }
 
@@ -281,3 +286,26 @@
     }
     Ok(())
 }
+
+/// Calls without a token, with one that is remembered, and with a new one each time.
+fn tokens(args: &MeasureArgs) -> Result<(), String> {
+    // More new tokens than calls can be made in a run.
+    let new = args.length as usize * 80_000;
+    let one = |tokens| measure(&MeasureSpec { tokens, ..spec(args, Decides::Module) });
+    let runs: Vec<[Measured; 3]> =
+        (0..args.runs).map(|_| Ok([one(0)?, one(1)?, one(new)?])).collect::<Result<_, String>>()?;
+    println!("tokens, saturated, {} runs in turn, over calls without one:", args.runs);
+    for (n, name) in [(1, "a remembered token"), (2, "a new token each call")] {
+        let rate = spread(runs.iter().map(|r| r[n].load.rate() / r[0].load.rate()).collect());
+        let cpu = spread(runs.iter().map(|r| r[n].cpu_us_per_call - r[0].cpu_us_per_call).collect());
+        println!("  {name:22} calls a second {}, edge CPU a call {} us more", told(rate), told(cpu));
+    }
+    for (n, name) in ["no token", "a remembered token", "a new token each call"].iter().enumerate() {
+        let mut others: std::collections::BTreeMap<u16, u64> = std::collections::BTreeMap::new();
+        let each = runs.iter().flat_map(|r| &r[n].load.others);
+        each.for_each(|(status, count)| *others.entry(*status).or_default() += count);
+        let finished: u64 = runs.iter().map(|r| r[n].load.finished).sum();
+        println!("  {name}: finished {finished}, others by status {others:?}");
+    }
+    Ok(())
+}
--- a/crates/sanddrum-lab/src/hammer.rs
+++ b/crates/sanddrum-lab/src/hammer.rs
@@ -22,6 +22,8 @@
     /// Calls begun in this first part are not counted.
     pub warm_up: Micros,
     pub body: String,
+    /// Tokens that calls show, in turn; none where there are none.
+    pub tokens: Vec<String>,
     pub seed: u64,
 }
 
@@ -62,6 +64,7 @@
 pub struct Hammer {
     spec: HammerSpec,
     requests: Vec<Vec<u8>>,
+    turn: usize,
     chance: Chance,
     begun: Micros,
     ends: Micros,
@@ -78,12 +81,16 @@
 
 impl Hammer {
     pub fn new(spec: HammerSpec) -> Self {
-        let request = |n| {
-            let path = format!("/v1/calls/{}/{}{n}", spec.workload, spec.function);
-            http::write_request("POST", &path, &[], spec.body.as_bytes())
+        let request = |n: usize, token: Option<&String>| {
+            let path = format!("/v1/calls/{}/{}{}", spec.workload, spec.function, n % spec.functions.max(1));
+            let token = token.map(|token| format!("Bearer {token}"));
+            let field = token.as_ref().map(|token| ("authorization", token.as_str()));
+            http::write_request("POST", &path, field.as_slice(), spec.body.as_bytes())
         };
+        let (count, tokens) = (spec.functions.max(1).max(spec.tokens.len()), spec.tokens.len().max(1));
         Hammer {
-            requests: (0..spec.functions.max(1)).map(request).collect(),
+            requests: (0..count).map(|n| request(n, spec.tokens.get(n % tokens))).collect(),
+            turn: 0,
             chance: Chance::new(spec.seed),
             begun: 0,
             ends: 0,
@@ -97,7 +104,12 @@
         }
     }
     fn send(&mut self, conn: Conn, meant: Micros, io: &mut dyn Io) {
-        let n = self.chance.below(self.requests.len());
+        self.turn += 1;
+        // Tokens go in turn, so that each new one is seen once; functions by chance.
+        let n = match self.spec.tokens.len() {
+            0 => self.chance.below(self.requests.len()),
+            _ => self.turn % self.requests.len(),
+        };
         let Some(line) = self.lines.get_mut(&conn) else { return };
         line.meant = Some(meant);
         self.out += 1;
--- a/crates/sanddrum-lab/src/measure.rs
+++ b/crates/sanddrum-lab/src/measure.rs
@@ -4,7 +4,8 @@
 use crate::hammer::{Hammer, HammerSpec, Hammered};
 use crate::tapped::Authority;
 use sanddrum::{Decisions, Micros, Round, Router, WorkerId, WorkerState};
-use sanddrum_edge::{Edge, Module, Start};
+use sanddrum_edge::{Edge, Module, Start, KEYS};
+use sanddrum_identity::{token, Claims, KeySet, SecretKey};
 use sanddrum_net::{Conn, Core, Event, EventLoop, Io, NoTap};
 use sanddrum_settings::Loaded;
 use sanddrum_tls::{Bounds, Layer};
@@ -136,6 +137,8 @@
     pub warm_up: Micros,
     /// Workers are spoken to over TLS.
     pub tls: bool,
+    /// Callers show so many different tokens; nought: none are asked for.
+    pub tokens: usize,
 }
 
 pub struct Measured {
@@ -193,6 +196,42 @@
     Ok(settings)
 }
 
+/// So many tokens, and the key set that verifies them.
+fn tokens(count: usize) -> Result<(Vec<String>, Vec<u8>), String> {
+    let secret = SecretKey::from_seed("measure", [5; 32]);
+    let mut set = KeySet::default();
+    set.add("measure", secret.x()?)?;
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let exp = now.as_secs() as i64 + 3600;
+    let sign = |n: usize| {
+        let (sub, aud) = ("measure".to_string(), "sanddrum".to_string());
+        token::issue(&Claims { sub, aud, exp, nbf: None, iat: None, jti: n.to_string() }, &secret)
+    };
+    Ok(((0..count).map(sign).collect::<Result<_, _>>()?, set.write()))
+}
+
+/// An edge that has its key set from the start.
+struct Keyed {
+    core: Box<dyn Core>,
+    keys: Vec<u8>,
+}
+
+impl Core for Keyed {
+    fn start(&mut self, now: Micros, io: &mut dyn Io) {
+        self.core.start(now, io);
+        self.core.file(now, KEYS, Ok(&self.keys), io);
+    }
+    fn event(&mut self, now: Micros, event: Event<'_>, io: &mut dyn Io) {
+        self.core.event(now, event, io);
+    }
+    fn turn(&mut self, now: Micros, io: &mut dyn Io) {
+        self.core.turn(now, io);
+    }
+    fn wake(&self) -> Option<Micros> {
+        self.core.wake()
+    }
+}
+
 /// Runs a loop in a thread of its own until told to stop; gives the processor time that it took.
 fn in_thread(
     stop: Arc<AtomicBool>,
@@ -257,7 +296,17 @@
     // The edge's thread tells its processor time every slice; nobody waits for it.
     let cpu_us = Arc::new(AtomicU64::new(0));
     let telling = cpu_us.clone();
-    let settings = settings(&edge_at, &list_at)?;
+    let mut settings = settings(&edge_at, &list_at)?;
+    let (tokens, keys) = tokens(spec.tokens)?;
+    if spec.tokens > 0 {
+        for (name, value) in [
+            ("identity.keys-file", "keys"),
+            ("identity.tokens", "required"),
+            ("identity.token-checks", "10000000"),
+        ] {
+            settings.give(name, value, "measure").map_err(|e| e.to_string())?;
+        }
+    }
     let decides = spec.decides;
     let edge_stop = stop.clone();
     // Named, so that a profiler can tell it from the rest.
@@ -276,7 +325,8 @@
                 Some(terms) => Box::new(Layer::new(core, terms, TLS_BOUNDS).with_plain_doors()),
                 None => core,
             };
-            driver.add(core, vec![edge_door], None)?;
+            let core = Keyed { core, keys };
+            driver.add(Box::new(core), vec![edge_door], None)?;
             while !edge_stop.load(Ordering::Relaxed) {
                 let until = driver.now() + 50_000;
                 driver.run_until(until)?;
@@ -307,6 +357,7 @@
         length: spec.length,
         warm_up: spec.warm_up,
         body: String::new(),
+        tokens,
         seed: 1,
     });
     let seen = hammer.seen.clone();
