The time to return is told as it was decided; news that nobody read is out

Cause: the edge's core cut the time to return at a figure of its own, which is a decision outside a decision module; the limits were told whether a job finished and no longer used it. Change: both are out.

--- a/crates/sanddrum-edge/src/admission.rs
+++ b/crates/sanddrum-edge/src/admission.rs
@@ -36,9 +36,9 @@
         !self.asking.is_empty()
     }
     /// A job has its final answer, or its client left.
-    pub fn ended(&mut self, job: &Job, finished: bool) {
+    pub fn ended(&mut self, job: &Job) {
         if job.admitted {
-            self.news.ended.push((job.customer_id, finished));
+            self.news.ended.push(job.customer_id);
         }
     }
 }
@@ -78,7 +78,7 @@
                 end: "pushed-back",
                 reason: why.reason(),
                 detail: "this customer has what it may have for now; the job has not run, come back after the stated time",
-                retry_after: Some(wait.min(self.limits.max_retry_after.max(LONGEST_WAIT))),
+                retry_after: Some(wait),
                 job: Some(id),
             };
             self.refuse(id, &refusal);
@@ -86,6 +86,3 @@
         self.admission.asking.clear();
     }
 }
-
-/// No client is sent away for longer than this, whatever its limit.
-const LONGEST_WAIT: Micros = 60_000_000;
--- a/crates/sanddrum-edge/src/clients.rs
+++ b/crates/sanddrum-edge/src/clients.rs
@@ -126,7 +126,7 @@
         for place in client.places {
             let Place::Open { job, .. } = place else { continue };
             if let Some(closed) = self.jobs.close(job) {
-                self.admission.ended(closed, false);
+                self.admission.ended(closed);
                 tracing::debug!(job = job.0, reason = "client-left", "its client has left");
                 self.figures.left.increment(1);
                 self.round.left.push(job);
--- a/crates/sanddrum-edge/src/jobs.rs
+++ b/crates/sanddrum-edge/src/jobs.rs
@@ -170,7 +170,7 @@
         let worker = self.jobs.executions.get(&execution).map(|e| e.worker);
         let worker = worker.and_then(|w| self.links.name(w)).unwrap_or_default().to_string();
         let Some(job) = self.jobs.close(id) else { return };
-        self.admission.ended(job, true);
+        self.admission.ended(job);
         let (client, place, due) = (job.client, job.place, job.due);
         let copy = match warmth {
             Warmth::BeganLoad => "loaded",
@@ -242,7 +242,7 @@
     /// The final answer of a job that did not finish.
     pub(crate) fn refuse(&mut self, id: JobId, refusal: &Refusal<'_>) {
         let Some(job) = self.jobs.close(id) else { return };
-        self.admission.ended(job, false);
+        self.admission.ended(job);
         let (client, place) = (job.client, job.place);
         tracing::debug!(job = id.0, status = refusal.status, reason = refusal.reason, "{}", refusal.end);
         self.figures.refused(refusal.end, refusal.reason);
--- a/crates/sanddrum-lab/src/limits_size.rs
+++ b/crates/sanddrum-lab/src/limits_size.rs
@@ -123,7 +123,7 @@
                 let finished = self.room >= 1.0;
                 self.room -= f64::from(u8::from(finished));
                 let news = &mut self.news[edge];
-                news.ended.push((CustomerId(customer), finished));
+                news.ended.push(CustomerId(customer));
                 news.pressed += u32::from(!finished);
                 if finished {
                     done.entry(customer).or_default().1 += 1.0;
--- a/crates/sanddrum-limits/src/lib.rs
+++ b/crates/sanddrum-limits/src/lib.rs
@@ -43,8 +43,8 @@
 pub struct News {
     /// Jobs that ask to be taken, with their customers.
     pub asked: Vec<(JobId, CustomerId)>,
-    /// Jobs that were taken and now have their final answer, or whose client left; true where they finished.
-    pub ended: Vec<(CustomerId, bool)>,
+    /// Jobs that were taken and now have their final answer, or whose client left.
+    pub ended: Vec<CustomerId>,
     /// Jobs that the decision module pushed back.
     pub pressed: u32,
     /// Executions sent.
@@ -135,7 +135,7 @@
 
     pub fn round(&mut self, now: Micros, news: &News, out: &mut impl Admission) {
         let window = self.window;
-        for (customer, _) in &news.ended {
+        for customer in &news.ended {
             if let Some(c) = self.customers.get_mut(customer.0) {
                 c.held = (c.held - 1.0).max(0.0);
             }
--- a/crates/sanddrum-limits/tests/stories.rs
+++ b/crates/sanddrum-limits/tests/stories.rs
@@ -90,7 +90,7 @@
                     let finished = self.room >= 1.0;
                     self.room -= f64::from(u8::from(finished));
                     let next = &mut self.news[n];
-                    next.ended.push((customer, finished));
+                    next.ended.push(customer);
                     next.pressed += u32::from(!finished);
                     if finished {
                         *done.entry(customer.0).or_default() += 1.0;
@@ -169,7 +169,7 @@
     sharing.round(S, &news, &mut log);
     assert_eq!((log.taken.len(), log.back.len()), (3, 2));
     assert!(log.back.iter().all(|(_, why, wait)| *why == Over::InFlight && *wait > 0));
-    let ended = News { ended: vec![(CustomerId(0), true)], asked: news.asked.clone(), ..News::default() };
+    let ended = News { ended: vec![CustomerId(0)], asked: news.asked.clone(), ..News::default() };
     let mut log = Log::default();
     sharing.round(S, &ended, &mut log);
     assert_eq!(log.taken.len(), 1);
