--- a/crates/sanddrum-cli/src/call.rs
+++ b/crates/sanddrum-cli/src/call.rs
@@ -2,11 +2,14 @@
 
 use crate::{exit, fail};
 use clap::Args;
+use rustls::{ClientConnection, Stream};
+use sanddrum_tls::{Papers, Rules, Terms};
 use sanddrum_wire::http;
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 #[derive(Args, Clone, Debug)]
 pub struct CallArgs {
@@ -22,7 +25,18 @@
     pub customer: Option<String>,
     /// A file with a token to show
     #[arg(long, value_name = "FILE")]
-    pub token: Option<std::path::PathBuf>,
+    pub token: Option<PathBuf>,
+    /// Speak TLS: the authorities that the edge's certificate is believed from
+    #[arg(long, value_name = "FILE")]
+    pub roots: Option<PathBuf>,
+    /// The name that the edge has to own; its address where not said
+    #[arg(long, requires = "roots")]
+    pub name: Option<String>,
+    /// A client certificate to show, and its key
+    #[arg(long, value_name = "FILE", requires = "roots", requires = "key")]
+    pub certificate: Option<PathBuf>,
+    #[arg(long, value_name = "FILE", requires = "certificate")]
+    pub key: Option<PathBuf>,
     /// Given up after so many milliseconds
     #[arg(long, value_name = "MS")]
     pub time_limit: Option<u64>,
@@ -64,14 +78,37 @@
     let mut socket = TcpStream::connect(&args.edge).map_err(|e| e.to_string())?;
     let patience = Duration::from_millis(args.time_limit.unwrap_or(60_000) + 1000);
     socket.set_read_timeout(Some(patience)).map_err(|e| e.to_string())?;
-    socket.write_all(&request).map_err(|e| e.to_string())?;
+    match &args.roots {
+        None => exchange(&mut socket, &request),
+        Some(roots) => {
+            let mut tls = secured(args, roots)?;
+            exchange(&mut Stream::new(&mut tls, &mut socket), &request)
+        }
+    }
+}
+
+fn secured(args: &CallArgs, roots: &Path) -> Result<ClientConnection, String> {
+    let read = |file: &Path| std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()));
+    let own = match (&args.certificate, &args.key) {
+        (Some(chain), Some(key)) => Some((read(chain)?, read(key)?)),
+        _ => None,
+    };
+    let papers = Papers { roots: read(roots)?, own, ..Papers::default() };
+    let terms = Terms::new(&papers, &Rules::default()).map_err(|e| e.to_string())?;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as i64;
+    let host = args.edge.rsplit_once(':').map_or(args.edge.as_str(), |(host, _)| host);
+    terms.call(now, args.name.as_deref().unwrap_or(host)).map_err(|e| e.to_string())
+}
+
+fn exchange(stream: &mut (impl Read + Write), request: &[u8]) -> Result<http::Answer, String> {
+    stream.write_all(request).map_err(|e| e.to_string())?;
     let mut bytes = Vec::new();
     let mut piece = [0; 16 * 1024];
     loop {
         if let Some((answer, _)) = http::answer(&bytes).map_err(|_| "the answer is no HTTP")? {
             return Ok(answer);
         }
-        match socket.read(&mut piece).map_err(|e| e.to_string())? {
+        match stream.read(&mut piece).map_err(|e| e.to_string())? {
             0 => return Err("the edge closed without an answer".into()),
             n => bytes.extend_from_slice(&piece[..n]),
         }
--- a/crates/sanddrum-cli/src/edge.rs
+++ b/crates/sanddrum-cli/src/edge.rs
@@ -3,10 +3,11 @@
 use crate::{exit, fail};
 use clap::Args;
 use metrics_exporter_prometheus::PrometheusBuilder;
+use sanddrum::Router;
 use sanddrum_edge::{state, Edge, Start, KEYS};
 use sanddrum_net::{Core, EventLoop, NoTap, Shutdown};
 use sanddrum_settings::{Loaded, Problem};
-use sanddrum_tls::{Bounds, Layer, Terms, CHAIN, KEY, ROOTS};
+use sanddrum_tls::{Asks, Layer, Limited, Papers, Rules, Side, CALL_FILES, DOOR_FILES};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -114,29 +115,64 @@
     }
 }
 
-/// The watched files of the TLS layer, and the settings that name them.
-const TLS_FILES: [(&str, &str); 3] =
-    [(ROOTS, "tls.roots-file"), (CHAIN, "tls.certificate-file"), (KEY, "tls.key-file")];
+/// The settings that name the watched files of the TLS layer, in its order.
+const CALL_KEYS: [&str; 5] =
+    ["tls.roots-file", "tls.certificate-file", "tls.key-file", "tls.revoked-file", "tls.denied-file"];
+const DOOR_KEYS: [&str; 5] =
+    ["door.roots-file", "door.certificate-file", "door.key-file", "door.revoked-file", "door.denied-file"];
 
-/// The terms that an edge starts on; it does not start on bad ones.
-fn tls_terms(l: &Loaded) -> Result<Terms, String> {
-    let read = |key: &str| std::fs::read(l.text(key)).map_err(|e| format!("{} ({key}): {e}", l.text(key)));
-    let roots = read("tls.roots-file")?;
-    let own = match l.has("tls.key-file") {
-        true => Some((read("tls.certificate-file")?, read("tls.key-file")?)),
+/// What an edge starts on; it does not start on papers that are not good.
+fn side(l: &Loaded, keys: [&str; 5], rules: Rules) -> Result<Side, String> {
+    let read = |key: &str| -> Result<Vec<u8>, String> {
+        match l.has(key) {
+            true => std::fs::read(l.text(key)).map_err(|e| format!("{} ({key}): {e}", l.text(key))),
+            false => Ok(Vec::new()),
+        }
+    };
+    let own = match l.has(keys[2]) {
+        true => Some((read(keys[1])?, read(keys[2])?)),
         false => None,
     };
-    let own = own.as_ref().map(|(chain, key)| (chain.as_slice(), key.as_slice()));
-    Terms::from_pem(&roots, own, false, l.size("tls.sessions")).map_err(|e| e.to_string())
+    let papers = Papers { roots: read(keys[0])?, own, revoked: read(keys[3])?, denied: read(keys[4])? };
+    let side = Side::new(papers, rules).map_err(|e| e.to_string())?;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as i64;
+    side.terms().hold(now).map_err(|e| format!("{} ({}): {e}", l.text(keys[1]), keys[1]))?;
+    Ok(side)
+}
+fn limited(l: &Loaded) -> Vec<Limited> {
+    let authorities = l.names("authorities").into_iter().enumerate();
+    authorities
+        .map(|(n, authority)| Limited { authority, names: l.names(&format!("authorities.{n}.names")) })
+        .collect()
 }
 
-fn tls_bounds(l: &Loaded) -> Bounds {
-    Bounds {
-        handshake_time_out: l.span("tls.handshake-time-out-us"),
-        handshakes: l.size("tls.handshakes"),
-        waiting: l.size("tls.waiting-bytes"),
-        sessions: l.size("tls.sessions"),
+/// The edge within the TLS that it speaks to workers and clients, where it does.
+fn within_tls(l: &Loaded, edge: Edge<Router>) -> Result<Box<dyn Core>, String> {
+    let (workers, clients) = (l.text("tls.workers") == "verified", l.text("door.speaks") == "tls");
+    if !workers {
+        tracing::warn!(reason = "plain-text", "workers are spoken to in plain text, as tls workers is set");
+    }
+    if !clients {
+        tracing::warn!(reason = "plain-text", "clients are spoken to in plain text, as door speaks is set");
+    }
+    if !workers && !clients {
+        return Ok(Box::new(edge));
     }
+    let mut layer = Layer::new(edge, sanddrum_lab::tls_bounds(l));
+    let sessions = l.size("tls.sessions");
+    if workers {
+        let rules = Rules { sessions, limited: limited(l), ..Rules::default() };
+        layer = layer.with_calls(side(l, CALL_KEYS, rules)?);
+    }
+    if clients {
+        let callers = match l.text("door.certificates") {
+            "required" => Asks::Must,
+            "optional" => Asks::May,
+            _ => Asks::No,
+        };
+        layer = layer.with_doors(side(l, DOOR_KEYS, Rules { callers, sessions, ..Rules::default() })?);
+    }
+    Ok(Box::new(layer))
 }
 
 fn serve(args: &EdgeArgs, settings: Loaded) -> Result<Shutdown, String> {
@@ -166,20 +202,10 @@
             "without --state-file a restart does not know which keys were revoked"
         );
     }
-    let core: Box<dyn Core> = match settings.text("tls.workers") {
-        "verified" => Box::new(
-            Layer::new(Edge::new(start), tls_terms(&settings)?, tls_bounds(&settings)).with_plain_doors(),
-        ),
-        _ => {
-            tracing::warn!(
-                reason = "plain-text",
-                "workers are spoken to in plain text, as tls workers is set"
-            );
-            Box::new(Edge::new(start))
-        }
-    };
+    let core = within_tls(&settings, Edge::new(start))?;
     let host = driver.add(core, vec![door], state_file).map_err(|e| e.to_string())?;
-    for (name, key) in TLS_FILES.iter().filter(|(_, key)| settings.has(key)) {
+    let files = CALL_FILES.into_iter().zip(CALL_KEYS).chain(DOOR_FILES.into_iter().zip(DOOR_KEYS));
+    for (name, key) in files.filter(|(_, key)| settings.has(key)) {
         driver.watch(host, name, PathBuf::from(settings.text(key)), settings.span("tls.watch-every-us"));
     }
     if let Some(file) = audit_file {
--- a/crates/sanddrum-cli/tests/processes.rs
+++ b/crates/sanddrum-cli/tests/processes.rs
@@ -229,3 +229,41 @@
     let loose = run(&["token", "issue", "--secret", &secret, "--customer", "obs-brest"]);
     assert!(loose.status.code() == Some(1) && text(&loose).contains("chmod 600"), "{}", text(&loose));
 }
+
+/// Clients of a TLS door show certificates; the key of one is denied in service, and a foreign one never gets in.
+#[rstest]
+fn client_certificates_say_who_calls_until_their_key_is_denied() {
+    let folder = Folder::new("certificates");
+    let file = |name: &str| folder.0.join(name).to_str().unwrap().to_string();
+    let certs = |args: &[&str]| text(&sanddrum(&[&["certs"], args].concat()).output().unwrap());
+    certs(&["make", &file("ours"), "localhost", "gw-1"]);
+    certs(&["make", &file("theirs"), "gw-1"]);
+    std::fs::write(folder.0.join("denied"), "").unwrap();
+    let f = |name: &str| format!("{:?}", file(name));
+    let door = format!(
+        r#"(door (speaks tls) (certificate-file {}) (key-file {}) (certificates required) (roots-file {})
+            (denied-file {})) (tls (watch-every 10ms)) (customer "school" (certificates "gw-*"))"#,
+        f("ours/localhost.pem"),
+        f("ours/localhost.key"),
+        f("ours/roots.pem"),
+        f("denied")
+    );
+    std::fs::write(folder.0.join("settings.sx"), format!("{SETTINGS}{door}")).unwrap();
+    let edge = Edge::start(&folder, "127.0.0.1:0");
+    let call = |whose: &str| {
+        let (roots, chain, key) =
+            (file("ours/roots.pem"), file(&format!("{whose}/gw-1.pem")), file(&format!("{whose}/gw-1.key")));
+        let args = ["call", "--edge", &edge.at, "--name", "localhost", "--roots", &roots];
+        let shown = ["--certificate", &chain, "--key", &key, "--time-limit", "200", "job", "f1"];
+        text(&sanddrum(&[&args[..], &shown[..]].concat()).output().unwrap())
+    };
+    assert!(call("ours").contains("(503)"), "taken, and no worker is there: {}", call("ours"));
+    assert!(!call("theirs").contains("(503)"));
+    certs(&["deny", &file("denied"), &file("ours/gw-1.pem"), "--remark", "stolen"]);
+    let until = Instant::now() + Duration::from_secs(10);
+    while call("ours").contains("(503)") {
+        assert!(Instant::now() < until, "a denied key is believed on");
+    }
+    certs(&["make", &file("ours"), "gw-1"]);
+    assert!(call("ours").contains("(503)"), "with a new key it is believed again");
+}
--- a/crates/sanddrum-edge/src/clients.rs
+++ b/crates/sanddrum-edge/src/clients.rs
@@ -75,6 +75,7 @@
             return io.reset(conn);
         }
         self.owners.insert(conn, Owner::Client);
+        self.identity.client_came(conn, io);
         let client = Client {
             bytes: Vec::new(),
             out: Outbox::new(self.limits.waiting_per_client),
--- a/crates/sanddrum-edge/src/identity.rs
+++ b/crates/sanddrum-edge/src/identity.rs
@@ -2,6 +2,7 @@
 
 use crate::state::Kept;
 use crate::Inner;
+use sanddrum_identity::certificates::{self, Doubt, Owners, Shown};
 use sanddrum_identity::gate::Standing;
 use sanddrum_identity::rights::{Line, Pattern};
 use sanddrum_identity::token::{self, Terms};
@@ -25,8 +26,13 @@
     keys: Option<KeySet>,
     floor: Floor,
     rights: Rights,
-    /// What each client's connection has shown.
+    /// How each client's connection stands with its tokens.
     standings: BTreeMap<Conn, Standing>,
+    owners: Owners,
+    asks_certificates: bool,
+    needs_certificates: bool,
+    /// What each client's connection has proved.
+    shown: BTreeMap<Conn, Shown>,
     audit: AuditRate,
 }
 
@@ -44,8 +50,8 @@
     Token(Refused),
     /// No key set has ever been in force here.
     NoKeys,
-    /// The token is of one customer and the call names another.
-    Mismatch,
+    /// The certificate, or how it goes with the rest.
+    Certificate(Doubt),
     /// This customer may not run it.
     Rights,
 }
@@ -54,15 +60,15 @@
     pub fn status(self) -> u16 {
         match self {
             NotTaken::Token(Refused::Busy) | NotTaken::NoKeys => 503,
-            NotTaken::Token(_) => 401,
-            NotTaken::Mismatch | NotTaken::Rights => 403,
+            NotTaken::Token(_) | NotTaken::Certificate(Doubt::Missing | Doubt::Denied) => 401,
+            NotTaken::Certificate(_) | NotTaken::Rights => 403,
         }
     }
     pub fn reason(self) -> &'static str {
         match self {
             NotTaken::Token(refused) => refused.reason(),
             NotTaken::NoKeys => "keys-missing",
-            NotTaken::Mismatch => "customer-mismatch",
+            NotTaken::Certificate(doubt) => doubt.reason(),
             NotTaken::Rights => "not-allowed",
         }
     }
@@ -70,7 +76,7 @@
         match self {
             NotTaken::Token(refused) => refused.detail(),
             NotTaken::NoKeys => "this edge has no keys to check tokens with yet; ask another one",
-            NotTaken::Mismatch => "the token is of another customer than the call names",
+            NotTaken::Certificate(doubt) => doubt.detail(),
             NotTaken::Rights => "this customer may not run this function",
         }
     }
@@ -99,6 +105,16 @@
     Rights { lines, allows_by_default: l.text("rights.default") != "deny" }
 }
 
+/// The names in certificates, and whose they are.
+fn owners_of(l: &Loaded) -> Owners {
+    let customers = l.names("customers").into_iter().enumerate();
+    Owners::new(customers.flat_map(|(n, customer)| {
+        let names = l.names(&format!("customers.{n}.certificates")).into_iter();
+        let of = move |name: String| Some((Pattern::new(&name.to_ascii_lowercase()).ok()?, customer.clone()));
+        names.filter_map(of).collect::<Vec<_>>()
+    }))
+}
+
 impl Identity {
     pub fn of(l: &Loaded) -> Self {
         let seconds = |name: &str| l.span(name) / 1_000_000;
@@ -125,6 +141,10 @@
             floor: Floor::default(),
             rights: rights_of(l),
             standings: BTreeMap::new(),
+            owners: owners_of(l),
+            asks_certificates: l.text("door.certificates") != "off",
+            needs_certificates: l.text("door.certificates") == "required",
+            shown: BTreeMap::new(),
             audit: AuditRate { per_s, left: per_s, at: 0, omitted: 0 },
         }
     }
@@ -135,31 +155,47 @@
     pub fn floor(&self) -> (u64, Vec<String>) {
         (self.floor.version, self.floor.revoked.iter().cloned().collect())
     }
+    pub fn client_came(&mut self, conn: Conn, io: &dyn Io) {
+        if let Some(peer) = io.peer(conn).filter(|_| self.asks_certificates) {
+            self.shown.insert(conn, Shown { names: peer.names, key: peer.key, denied: false });
+        }
+    }
+    /// What a connection has proved is not believed any more.
+    pub fn client_denied(&mut self, conn: Conn) {
+        self.shown.entry(conn).or_default().denied = true;
+    }
     pub fn client_gone(&mut self, conn: Conn) {
         self.standings.remove(&conn);
+        self.shown.remove(&conn);
     }
-    /// Whether a connection has sent so many bad tokens that it is closed.
+    /// Whether a connection has sent so many bad tokens, or has become so doubtful, that it is closed.
     pub fn is_out(&self, conn: Conn) -> bool {
-        self.standings.get(&conn).is_some_and(|standing| self.gate.is_out(*standing))
+        self.shown.get(&conn).is_some_and(|shown| shown.denied)
+            || self.standings.get(&conn).is_some_and(|standing| self.gate.is_out(*standing))
     }
 
     /// The customer that calls, if any is known.
     fn who(&mut self, now: Micros, conn: Conn, request: &Request) -> Result<Option<String>, NotTaken> {
-        let named = request.field("sanddrum-customer").map(String::from);
-        if self.tokens == Tokens::Off {
-            return Ok(named);
+        let named = request.field("sanddrum-customer");
+        let shown = self.shown.get(&conn).cloned().unwrap_or_default();
+        let certificate = self.owners.who(&shown).map_err(NotTaken::Certificate)?;
+        if certificate.is_none() && self.needs_certificates {
+            return Err(NotTaken::Certificate(Doubt::Missing));
         }
-        let Some(token) = bearer(request) else {
-            let missing = Err(NotTaken::Token(Refused::Missing));
-            return if self.tokens == Tokens::Optional { Ok(None) } else { missing };
+        let token = match bearer(request).filter(|_| self.tokens != Tokens::Off) {
+            Some(token) => {
+                let keys = self.keys.as_ref().ok_or(NotTaken::NoKeys)?;
+                let standing = self.standings.entry(conn).or_default();
+                let (claims, _) = self.gate.judge(now, token, keys, standing).map_err(NotTaken::Token)?;
+                Some(claims.sub)
+            }
+            None if self.tokens == Tokens::Required => return Err(NotTaken::Token(Refused::Missing)),
+            None => None,
         };
-        let keys = self.keys.as_ref().ok_or(NotTaken::NoKeys)?;
-        let standing = self.standings.entry(conn).or_default();
-        let (claims, _) = self.gate.judge(now, token, keys, standing).map_err(NotTaken::Token)?;
-        if named.is_some_and(|named| named != claims.sub) {
-            return Err(NotTaken::Mismatch);
-        }
-        Ok(Some(claims.sub))
+        // A name that nothing proves counts only where nothing is ever to be proved.
+        let names_count = self.tokens == Tokens::Off && !self.asks_certificates;
+        certificates::agreed(named, token.as_deref(), certificate.as_deref(), names_count)
+            .map_err(NotTaken::Certificate)
     }
 }
 
@@ -194,12 +230,30 @@
             let claimed = claimed.or_else(|| request.field("sanddrum-customer").map(token::tame));
             let call = format!("{}/{}", token::tame(workload), token::tame(function));
             let key = bearer(request).and_then(token::named_key);
-            tracing::info!(reason = why.reason(), claimed, key, call, "a call is refused");
-            self.audit(now, &json!({"what": "refused", "reason": why.reason(), "claimed": claimed, "key": key, "call": call}), io);
+            let shown = self.identity.shown.get(&conn).filter(|shown| !shown.key.is_empty());
+            let certificate = shown.map(|shown| shown.key.clone());
+            tracing::info!(reason = why.reason(), claimed, key, certificate, call, "a call is refused");
+            let line = json!({
+                "what": "refused", "reason": why.reason(), "claimed": claimed, "key": key,
+                "certificate": certificate, "call": call,
+            });
+            self.audit(now, &line, io);
         }
         judged
     }
 
+    /// A client's connection was made on terms that are past; denied, nothing new is taken on it.
+    pub(crate) fn client_doubted(&mut self, now: Micros, conn: Conn, io: &mut dyn Io) {
+        let shown = self.identity.shown.get(&conn).cloned().unwrap_or_default();
+        self.identity.client_denied(conn);
+        tracing::warn!(reason = "certificate-denied", key = shown.key, "a client is not believed any more");
+        self.audit(
+            now,
+            &json!({"what": "certificate-denied", "certificate": shown.key, "names": shown.names}),
+            io,
+        );
+    }
+
     fn audit(&mut self, now: Micros, line: &serde_json::Value, io: &mut dyn Io) {
         let rate = &mut self.identity.audit;
         let passed = (now - rate.at).max(0) as f64 / 1e6;
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -236,6 +236,13 @@
         }
     }
 
+    fn stale(&mut self, now: Micros, conn: Conn, denied: bool, io: &mut dyn Io) {
+        match self.inner.owners.get(&conn) {
+            Some(Owner::Client) if denied => self.inner.client_doubted(now, conn, io),
+            _ => {}
+        }
+    }
+
     fn stop(&mut self, now: Micros, _: &mut dyn Io) {
         if !self.inner.stopping {
             tracing::info!(open = self.inner.jobs.open(), "asked to end: no new jobs are taken");
--- a/crates/sanddrum-edge/tests/host/mod.rs
+++ b/crates/sanddrum-edge/tests/host/mod.rs
@@ -3,7 +3,7 @@
 
 use sanddrum::*;
 use sanddrum_edge::{Edge, Module, Start};
-use sanddrum_net::{Closed, Conn, Core, Door, Event, Io};
+use sanddrum_net::{Closed, Conn, Core, Door, Event, Io, Peer};
 use sanddrum_wire::frame::frame;
 use sanddrum_wire::{http, Done, Ended, Frames, FromList, FromWorker, Hello, Phase, Row, Rows, ToWorker};
 use std::cell::RefCell;
@@ -71,6 +71,8 @@
     pub room: BTreeMap<Conn, usize>,
     pub saved: Option<Vec<u8>>,
     pub audit: Vec<String>,
+    /// What the next client has proved.
+    pub peer_of_next: Option<Peer>,
     next: u64,
 }
 
@@ -80,6 +82,9 @@
         self.connects.push((Conn(self.next), to.to_string()));
         Conn(self.next)
     }
+    fn peer(&self, _: Conn) -> Option<Peer> {
+        self.peer_of_next.clone()
+    }
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let room = self.room.entry(conn).or_insert(usize::MAX / 2);
         let n = bytes.len().min(*room);
@@ -149,6 +154,7 @@
             room: BTreeMap::new(),
             saved: None,
             audit: Vec::new(),
+            peer_of_next: None,
             next: 1000,
         };
         let mut host = Host { edge, io, now: 1000 * S, strings, list: Conn(0), came: 0 };
--- a/crates/sanddrum-edge/tests/identity.rs
+++ b/crates/sanddrum-edge/tests/identity.rs
@@ -7,7 +7,7 @@
 use sanddrum_edge::KEYS;
 use sanddrum_identity::token;
 use sanddrum_identity::{Claims, KeySet, SecretKey};
-use sanddrum_net::{Closed, Conn, Core};
+use sanddrum_net::{Closed, Conn, Core, Peer};
 use sanddrum_wire::{http, Ended};
 
 fn key(kid: &str) -> SecretKey {
@@ -171,3 +171,80 @@
     calls(&mut h, client, "Bearer x.y.z");
     assert!(h.io.audit.last().unwrap().contains("omitted_before"));
 }
+
+// ---- Client certificates
+
+const SCHOOL: &str = r#"
+    (customer "school" (share 50%) (certificates "gw-*"))
+    (customer "obs" (share 50%) (certificates "obs.example"))"#;
+
+/// An edge whose clients may show certificates beside tokens.
+fn asking(certificates: &str) -> Host {
+    let mut h = Host::with(
+        &[
+            ("door.speaks", "tls"),
+            ("door.certificate-file", "door.pem"),
+            ("door.key-file", "door.key"),
+            ("door.roots-file", "clients.pem"),
+            ("door.certificates", certificates),
+            ("identity.tokens", "optional"),
+            ("identity.keys-file", "keys.json"),
+        ],
+        SCHOOL,
+    );
+    gives(&mut h, Ok(&set().write()));
+    h
+}
+fn shows(h: &mut Host, name: &str) -> Conn {
+    let names = vec![name.to_string()];
+    h.io.peer_of_next = Some(Peer { names, key: "sha256:ab".into(), resumed: false });
+    h.client()
+}
+
+#[rstest]
+fn a_certificate_says_who_calls_and_agrees_with_the_token() {
+    let mut h = asking("optional");
+    let gateway = shows(&mut h, "gw-7");
+    h.calls(gateway, &[]);
+    assert_eq!(h.strings.borrow().jobs.last().unwrap().customer.0, 0);
+    h.calls(gateway, &[("authorization", &signed("k1", "school"))]);
+    assert_eq!(h.strings.borrow().jobs.len(), 2);
+    let observatory = shows(&mut h, "obs.example");
+    assert_eq!(calls(&mut h, observatory, &signed("k1", "school")), Some(403), "a school's token");
+    h.calls(observatory, &[("sanddrum-customer", "school")]);
+    assert_eq!(h.statuses(observatory).last(), Some(&403), "the call names another");
+    let laptop = shows(&mut h, "laptop");
+    h.calls(laptop, &[]);
+    assert_eq!(h.statuses(laptop), [403]);
+    assert!(h.io.audit.iter().any(|line| line.contains("certificate-unknown") && line.contains("sha256:ab")));
+    assert_eq!(h.strings.borrow().jobs.len(), 2);
+}
+
+#[rstest]
+fn where_one_is_required_no_token_stands_in_for_it() {
+    let mut h = asking("required");
+    let client = h.client();
+    assert_eq!(calls(&mut h, client, &signed("k1", "school")), Some(401));
+    let gateway = shows(&mut h, "gw-7");
+    assert_eq!(calls(&mut h, gateway, &signed("k1", "school")), None, "taken");
+}
+
+/// Its key is denied while its job is out: the answer still comes, once; nothing new is taken, and the connection ends.
+#[rstest]
+fn a_certificate_is_denied_while_its_job_is_out() {
+    let mut h = asking("optional");
+    let gateway = shows(&mut h, "gw-7");
+    h.strings.borrow_mut().deeds.push(Do::Execute(0, 5 * S));
+    h.calls(gateway, &[]);
+    let worker = h.io.connects.last().unwrap().0;
+    h.up(worker);
+    let id = h.executions_read(worker)[0];
+    let now = h.now;
+    h.edge.stale(now, gateway, true, &mut h.io);
+    h.calls(gateway, &[]);
+    h.done(worker, id, Ended::Finished);
+    assert_eq!(h.statuses(gateway), [200, 401]);
+    assert!(h.io.closed.iter().any(|(conn, how)| *conn == gateway && *how == Some(Closed::InOrder)));
+    assert_eq!(h.strings.borrow().jobs.len(), 1);
+    assert!(h.io.audit.iter().any(|line| line.contains("certificate-denied")));
+}
--- a/crates/sanddrum-identity/src/lib.rs
+++ b/crates/sanddrum-identity/src/lib.rs
@@ -4,13 +4,16 @@
 //! - [`keys`]: the set of verifying keys, which of its versions may follow which, and what a restart must remember.
 //! - [`token`]: a token checked against the set.
 //! - [`gate`]: how much work is spent on checking, and for whom.
+//! - [`certificates`]: whose a client certificate is, and whether it agrees with the rest.
 //! - [`rights`]: which customer may run what, and which line says so.
 
+pub mod certificates;
 pub mod gate;
 pub mod keys;
 pub mod rights;
 pub mod token;
 
+pub use certificates::{Doubt, Owners, Shown};
 pub use gate::{Gate, GateLimits};
 pub use keys::{Floor, KeySet, KeyState, SecretKey};
 pub use rights::{Rights, Ruling};
--- a/crates/sanddrum-identity/src/rights.rs
+++ b/crates/sanddrum-identity/src/rights.rs
@@ -16,6 +16,10 @@
             false => Ok(Pattern(text.to_string())),
         }
     }
+    /// The longer one of two that fit says more.
+    pub fn length(&self) -> usize {
+        self.0.len()
+    }
     pub fn fits(&self, name: &str) -> bool {
         match self.0.strip_suffix('*') {
             Some(begins) => name.starts_with(begins),
--- a/crates/sanddrum-identity/tests/stories.rs
+++ b/crates/sanddrum-identity/tests/stories.rs
@@ -223,3 +223,49 @@
         prop_assert!(same || judge(&mut gate(), &changed, &set(), NOW).is_err());
     }
 }
+
+// ---- Client certificates
+
+fn owners() -> certificates::Owners {
+    let of = |name: &str, customer: &str| (Pattern::new(name).unwrap(), customer.to_string());
+    certificates::Owners::new([
+        of("gw-*", "schools"),
+        of("gw-brest*", "obs-brest"),
+        of("obs.example", "obs-brest"),
+    ])
+}
+fn shown(names: &[&str]) -> Shown {
+    Shown { names: names.iter().map(|n| n.to_string()).collect(), key: "sha256:1".into(), denied: false }
+}
+
+#[rstest]
+#[case::the_longest_pattern_counts(&["gw-brest-3"], Ok(Some("obs-brest")))]
+#[case::two_names_of_one_customer(&["gw-brest-3", "obs.example"], Ok(Some("obs-brest")))]
+#[case::two_customers(&["gw-1", "obs.example"], Err(Doubt::Ambiguous))]
+#[case::nobody(&["laptop"], Err(Doubt::Unknown))]
+#[case::no_name_at_all(&[], Err(Doubt::Unknown))]
+fn a_certificate_is_one_customers(#[case] names: &[&str], #[case] is: Result<Option<&str>, Doubt>) {
+    assert_eq!(owners().who(&shown(names)), is.map(|who| who.map(String::from)));
+}
+
+#[rstest]
+fn nothing_shown_is_nobody_and_a_denied_one_is_refused() {
+    assert_eq!(owners().who(&Shown::default()), Ok(None));
+    assert_eq!(owners().who(&Shown { denied: true, ..shown(&["gw-1"]) }), Err(Doubt::Denied));
+}
+
+#[rstest]
+#[case::both(None, Some("a"), Some("a"), Ok(Some("a")))]
+#[case::they_differ(None, Some("a"), Some("b"), Err(Doubt::Disagrees))]
+#[case::the_call_names_another(Some("b"), None, Some("a"), Err(Doubt::Disagrees))]
+#[case::it_names_the_same(Some("a"), Some("a"), None, Ok(Some("a")))]
+#[case::only_named(Some("a"), None, None, Ok(None))]
+fn all_that_a_call_says_of_its_customer_agrees(
+    #[case] named: Option<&str>,
+    #[case] token: Option<&str>,
+    #[case] certificate: Option<&str>,
+    #[case] is: Result<Option<&str>, Doubt>,
+) {
+    let agreed = certificates::agreed(named, token, certificate, false);
+    assert_eq!(agreed, is.map(|who| who.map(String::from)));
+}
--- a/crates/sanddrum-lab/src/fleet.rs
+++ b/crates/sanddrum-lab/src/fleet.rs
@@ -7,7 +7,7 @@
 use crate::wallet::Wallet;
 use sanddrum_net::{Core, HostId, Micros};
 use sanddrum_settings::{Loaded, Problem};
-use sanddrum_tls::Layer;
+use sanddrum_tls::{Asks, Layer};
 use sanddrum_wire::{Phase, Row};
 use sanddrum_worker::{
     ListFaults, ListService, ListSpec, Marks, Shared, Store, StoreFaults, StoreSpec, Worker, WorkerFaults,
@@ -118,9 +118,9 @@
         let l = &self.scenario.settings;
         let host = HostId(usize::MAX - n);
         self.recording.0.borrow_mut().role(host, Role::Worker(n));
-        let terms = authority.for_worker(&Scenario::worker_name(n), l.size("tls.sessions"));
+        let door = authority.for_door(&Scenario::worker_name(n), Asks::No, l.size("tls.sessions"));
         let tapped = Tapped::new(worker, host, self.recording.clone());
-        Ok(Box::new(Layer::new(tapped, terms.map_err(std::io::Error::other)?, bounds(l))))
+        Ok(Box::new(Layer::new(tapped, bounds(l)).with_doors(door.map_err(std::io::Error::other)?)))
     }
     /// An edge's core, within the TLS that it speaks to workers.
     ///
@@ -129,8 +129,8 @@
     pub fn within_tls(&self, edge: Box<dyn Core>) -> std::io::Result<Box<dyn Core>> {
         let Some(authority) = &self.authority else { return Ok(edge) };
         let l = &self.scenario.settings;
-        let terms = authority.for_edge(l.size("tls.sessions")).map_err(std::io::Error::other)?;
-        Ok(Box::new(Layer::new(edge, terms, bounds(l)).with_plain_doors()))
+        let calls = authority.for_edge(l.size("tls.sessions")).map_err(std::io::Error::other)?;
+        Ok(Box::new(Layer::new(edge, bounds(l)).with_calls(calls)))
     }
     pub fn store(&self) -> Box<dyn Core> {
         let l = &self.scenario.settings;
--- a/crates/sanddrum-lab/src/lib.rs
+++ b/crates/sanddrum-lab/src/lib.rs
@@ -13,6 +13,7 @@
 mod schema;
 mod stage;
 mod tapped;
+pub use tapped::bounds as tls_bounds;
 mod wallet;
 
 pub use callers::{Callers, Mood};
--- a/crates/sanddrum-lab/src/measure.rs
+++ b/crates/sanddrum-lab/src/measure.rs
@@ -8,7 +8,7 @@
 use sanddrum_identity::{token, Claims, KeySet, SecretKey};
 use sanddrum_net::{Conn, Core, Event, EventLoop, Io, NoTap};
 use sanddrum_settings::Loaded;
-use sanddrum_tls::{Bounds, Layer};
+use sanddrum_tls::{Asks, Bounds, Layer};
 use sanddrum_wire::frame::frame;
 use sanddrum_wire::{
     Copy, Done, Ended, Frames, FromWorker, Held, Hello, LoadReport, Phase, Probed, Row, ToWorker, VERSION,
@@ -23,7 +23,8 @@
 };
 
 const TLS_BOUNDS: Bounds =
-    Bounds { handshake_time_out: 2_000_000, handshakes: 256, waiting: 256 * 1024, sessions: 4096 };
+    Bounds { handshake_time_out: 2_000_000, handshakes: 256, waiting: 256 * 1024, warn_ahead: 0 };
+const TLS_SESSIONS: usize = 4096;
 
 /// Workers that answer at once and hold every function; one for each door.
 #[derive(Default)]
@@ -274,12 +275,12 @@
     let authority = Authority::new().map_err(|e| e.to_string())?;
     let worker_terms = match spec.tls {
         true => {
-            let terms = |n| authority.for_worker(&format!("worker-{n}"), TLS_BOUNDS.sessions);
+            let terms = |n| authority.for_door(&format!("worker-{n}"), Asks::No, TLS_SESSIONS);
             Some((0..spec.workers).map(terms).collect::<Result<Vec<_>, _>>()?)
         }
         false => None,
     };
-    let edge_terms = spec.tls.then(|| authority.for_edge(TLS_BOUNDS.sessions)).transpose()?;
+    let edge_terms = spec.tls.then(|| authority.for_edge(TLS_SESSIONS)).transpose()?;
     let workers = in_thread(stop.clone(), move |driver| {
         let spec = ListSpec { notice: (0, 0), silent_after: Micros::MAX / 4, changes_kept: 16 };
         let list = ListService::new(spec, 1, 1, Default::default()).with_rows(driver.now(), &rows);
@@ -288,7 +289,7 @@
             return driver.add(Box::new(Instant::default()), doors, None).map(drop);
         };
         for (first, (door, terms)) in doors.into_iter().zip(terms).enumerate() {
-            let core = Layer::new(Instant { first, ..Instant::default() }, terms, TLS_BOUNDS);
+            let core = Layer::new(Instant { first, ..Instant::default() }, TLS_BOUNDS).with_doors(terms);
             driver.add(Box::new(core), vec![door], None)?;
         }
         Ok(())
@@ -322,7 +323,7 @@
                 Decides::Forwarder => Box::new(Edge::with_module(start, Forwarder::default())),
             };
             let core: Box<dyn Core> = match edge_terms {
-                Some(terms) => Box::new(Layer::new(core, terms, TLS_BOUNDS).with_plain_doors()),
+                Some(terms) => Box::new(Layer::new(core, TLS_BOUNDS).with_calls(terms)),
                 None => core,
             };
             let core = Keyed { core, keys };
--- a/crates/sanddrum-lab/src/tapped.rs
+++ b/crates/sanddrum-lab/src/tapped.rs
@@ -2,9 +2,9 @@
 
 use crate::recorder::Recording;
 use rcgen::{date_time_ymd, BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
-use sanddrum_net::{Conn, Core, Event, HostId, Io, Micros, Side, Tap};
+use sanddrum_net::{Conn, Core, Event, HostId, Io, Micros, Peer, Side as TapSide, Tap};
 use sanddrum_settings::Loaded;
-use sanddrum_tls::{Bounds, Terms};
+use sanddrum_tls::{Asks, Bounds, Papers, Rules, Side};
 
 pub struct Tapped<C> {
     core: C,
@@ -33,6 +33,9 @@
     fn connect_named(&mut self, to: &str, name: &str) -> Conn {
         self.io.connect_named(to, name)
     }
+    fn peer(&self, conn: Conn) -> Option<Peer> {
+        self.io.peer(conn)
+    }
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let taken = self.io.write(conn, bytes);
         self.recording.went(self.now, self.host, conn, &bytes[..taken]);
@@ -62,7 +65,7 @@
     fn event(&mut self, now: Micros, event: Event<'_>, io: &mut dyn Io) {
         let (host, recording) = (self.host, &mut self.recording);
         match &event {
-            Event::Accepted { conn, .. } => recording.opened(now, host, *conn, Side::Accepted, ""),
+            Event::Accepted { conn, .. } => recording.opened(now, host, *conn, TapSide::Accepted, ""),
             Event::Bytes { conn, bytes } => recording.came(now, host, *conn, bytes),
             Event::Closed { conn, .. } => recording.ended(now, host, *conn),
             Event::Connected { .. } | Event::Writable { .. } => {}
@@ -76,6 +79,10 @@
     fn wake(&self) -> Option<Micros> {
         self.core.wake()
     }
+    fn stale(&mut self, now: Micros, conn: Conn, denied: bool, io: &mut dyn Io) {
+        let (host, recording) = (self.host, &mut self.recording);
+        self.core.stale(now, conn, denied, &mut Through { io, host, recording, now });
+    }
     fn done(&self) -> bool {
         self.core.done()
     }
@@ -101,25 +108,40 @@
     pub fn roots(&self) -> String {
         self.0.pem()
     }
-    /// Terms for an edge: it trusts the authority and shows nothing.
+    /// What an edge calls workers with: it trusts the authority and shows nothing.
     ///
     /// # Errors
     /// The authority's certificate can't be read back.
-    pub fn for_edge(&self, sessions: usize) -> Result<Terms, String> {
-        Terms::from_pem(self.roots().as_bytes(), None, false, sessions).map_err(|e| e.to_string())
+    pub fn for_edge(&self, sessions: usize) -> Result<Side, String> {
+        let papers = Papers { roots: self.roots().into_bytes(), ..Papers::default() };
+        Side::new(papers, Rules { sessions, ..Rules::default() }).map_err(|e| e.to_string())
     }
-    /// Terms for a worker of this name.
+    /// A certificate for this name, and its key.
     ///
     /// # Errors
     /// The name can't stand in a certificate.
-    pub fn for_worker(&self, name: &str, sessions: usize) -> Result<Terms, String> {
+    pub fn leaf(&self, name: &str) -> Result<(Vec<u8>, Vec<u8>), String> {
         let leaf = || -> Result<(String, String), rcgen::Error> {
             let key = KeyPair::generate()?;
             Ok((Self::params(vec![name.to_string()])?.signed_by(&key, &self.0)?.pem(), key.serialize_pem()))
         };
         let (chain, key) = leaf().map_err(|e| e.to_string())?;
-        let own = Some((chain.as_bytes(), key.as_bytes()));
-        Terms::from_pem(self.roots().as_bytes(), own, false, sessions).map_err(|e| e.to_string())
+        Ok((chain.into_bytes(), key.into_bytes()))
+    }
+    /// What somebody of this name shows, and whom it trusts.
+    ///
+    /// # Errors
+    /// The name can't stand in a certificate.
+    pub fn papers(&self, name: &str) -> Result<Papers, String> {
+        Ok(Papers { roots: self.roots().into_bytes(), own: Some(self.leaf(name)?), ..Papers::default() })
+    }
+    /// What callers of this name's doors are met with.
+    ///
+    /// # Errors
+    /// The name can't stand in a certificate.
+    pub fn for_door(&self, name: &str, callers: Asks, sessions: usize) -> Result<Side, String> {
+        let rules = Rules { callers, sessions, ..Rules::default() };
+        Side::new(self.papers(name)?, rules).map_err(|e| e.to_string())
     }
 }
 
@@ -128,6 +150,6 @@
         handshake_time_out: l.span("tls.handshake-time-out-us"),
         handshakes: l.size("tls.handshakes"),
         waiting: l.size("tls.waiting-bytes"),
-        sessions: l.size("tls.sessions"),
+        warn_ahead: l.span("tls.warn-ahead-us"),
     }
 }
--- a/crates/sanddrum-net/src/lib.rs
+++ b/crates/sanddrum-net/src/lib.rs
@@ -65,6 +65,17 @@
     },
 }
 
+/// What the other side of a connection has proved about itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Peer {
+    /// The names that it owns.
+    pub names: Vec<String>,
+    /// The print of its key; empty where it showed none.
+    pub key: String,
+    /// It was known from before, and its handshake was short.
+    pub resumed: bool,
+}
+
 /// What a core may ask of its driver.
 pub trait Io {
     /// Opens a connection; `Connected` or `Closed` follows.
@@ -73,6 +84,10 @@
     fn connect_named(&mut self, to: &str, _name: &str) -> Conn {
         self.connect(to)
     }
+    /// What the other side of a connection that is up has proved, where anything is proved.
+    fn peer(&self, _conn: Conn) -> Option<Peer> {
+        None
+    }
     /// Takes as many bytes as there is room for and says how many; after a short write `Writable` follows. What is
     /// taken may reach the other side; what is not taken never does.
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize;
@@ -97,6 +112,9 @@
     fn wake(&self) -> Option<Micros>;
     /// A file that the driver watches for this core is there, has changed, or can't be read.
     fn file(&mut self, _now: Micros, _name: &str, _content: Result<&[u8], &str>, _io: &mut dyn Io) {}
+    /// A connection that is up was made on terms that are in force no more: it is to be replaced when that does no
+    /// harm, and at once where the other side is not believed any more (`denied`).
+    fn stale(&mut self, _now: Micros, _conn: Conn, _denied: bool, _io: &mut dyn Io) {}
     /// Asked to end: takes nothing new and gets `done` once it owes nothing.
     fn stop(&mut self, _now: Micros, _io: &mut dyn Io) {}
     fn done(&self) -> bool {
@@ -120,6 +138,9 @@
     fn file(&mut self, now: Micros, name: &str, content: Result<&[u8], &str>, io: &mut dyn Io) {
         (**self).file(now, name, content, io);
     }
+    fn stale(&mut self, now: Micros, conn: Conn, denied: bool, io: &mut dyn Io) {
+        (**self).stale(now, conn, denied, io);
+    }
     fn stop(&mut self, now: Micros, io: &mut dyn Io) {
         (**self).stop(now, io);
     }
--- a/crates/sanddrum-settings/src/checks.rs
+++ b/crates/sanddrum-settings/src/checks.rs
@@ -2,6 +2,7 @@
 
 use crate::forms::Problem;
 use crate::values::Loaded;
+use std::collections::BTreeMap;
 
 pub(crate) fn check(l: &Loaded) -> Result<(), Problem> {
     let zones = l.names("zones");
@@ -79,6 +80,7 @@
             "set both certificate-file and key-file, or neither",
         ));
     }
+    door(l)?;
     if l.text("identity.tokens") != "off" && !l.has("identity.keys-file") {
         let what = "tokens can't be checked without keys";
         return Err(l.problem_at(
@@ -115,6 +117,41 @@
     Ok(())
 }
 
+fn door(l: &Loaded) -> Result<(), Problem> {
+    let tls = l.text("door.speaks") == "tls";
+    if tls && !(l.has("door.certificate-file") && l.has("door.key-file")) {
+        let what = "the client door can't speak TLS without a certificate and its key";
+        return Err(l.problem_at(
+            "door.speaks",
+            what,
+            "add (certificate-file \"door.pem\") (key-file \"door.key\")",
+        ));
+    }
+    if l.text("door.certificates") != "off" && !(tls && l.has("door.roots-file")) {
+        let what = "clients' certificates can't be verified without TLS and roots";
+        return Err(l.problem_at(
+            "door.certificates",
+            what,
+            "add (speaks tls) and (roots-file \"clients.pem\")",
+        ));
+    }
+    let mut owners: BTreeMap<String, usize> = BTreeMap::new();
+    for n in 0..l.count("customers") {
+        let at = format!("customers.{n}.certificates");
+        for name in l.names(&at) {
+            if name.is_empty() || name.trim_end_matches('*').contains('*') || name == "*" {
+                let what = format!("{name:?} is no certificate's name");
+                return Err(l.problem_at(&at, what, "a * may stand at the end of a beginning only"));
+            }
+            if owners.insert(name.clone(), n).is_some_and(|other| other != n) {
+                let what = format!("{name:?} would be two customers'");
+                return Err(l.problem_at(&at, what, "take it out of one of them"));
+            }
+        }
+    }
+    Ok(())
+}
+
 fn workload(l: &Loaded, at: &str) -> Result<(), Problem> {
     let name = |key: &str| format!("{at}.{key}");
     let (target, limit) = (l.span(&name("start-target-us")), l.span(&name("time-limit-us")));
--- a/crates/sanddrum-tls/src/end.rs
+++ b/crates/sanddrum-tls/src/end.rs
@@ -1,7 +1,9 @@
 //! One end of one connection: ciphertext on one side, plain bytes on the other.
 
-use rustls::{ClientConnection, Connection, ServerConnection};
-use sanddrum_net::{Closed, Conn, Door, Io};
+use crate::papers::{self, KeyPrint, TermsError};
+use crate::terms::Terms;
+use rustls::{ClientConnection, Connection, HandshakeKind, ServerConnection};
+use sanddrum_net::{Closed, Conn, Door, Io, Micros, Peer};
 use std::io::{Read, Write};
 
 /// What an end has for its core.
@@ -83,6 +85,30 @@
     pub fn is_flushed(&self) -> bool {
         self.out.is_empty()
     }
+    pub fn is_up(&self) -> bool {
+        self.told_up
+    }
+    pub fn is_accepted(&self) -> bool {
+        self.door.is_some()
+    }
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+    pub fn is_resumed(&self) -> bool {
+        self.tls.as_ref().and_then(|tls| tls.handshake_kind()) == Some(HandshakeKind::Resumed)
+    }
+    /// What the other side has proved.
+    pub fn peer(&self) -> Peer {
+        let chain = self.tls.as_ref().and_then(|tls| tls.peer_certificates()).unwrap_or_default();
+        let Some(leaf) = chain.first() else { return Peer { resumed: self.is_resumed(), ..Peer::default() } };
+        let key = KeyPrint::of_certificate(leaf).map(|print| print.to_string()).unwrap_or_default();
+        Peer { names: papers::names(leaf), key, resumed: self.is_resumed() }
+    }
+    /// Judges the other side anew.
+    pub fn judge(&self, now: Micros, terms: &Terms) -> Result<(), TermsError> {
+        let chain = self.tls.as_ref().and_then(|tls| tls.peer_certificates()).unwrap_or_default();
+        terms.judge(now, self.door.is_none().then_some(self.name.as_str()), chain)
+    }
     fn fail(&mut self, why: String) {
         let how = if self.told_up { Closed::Reset } else { Closed::Refused };
         self.over.get_or_insert((how, Some(why)));
--- a/crates/sanddrum-tls/src/lib.rs
+++ b/crates/sanddrum-tls/src/lib.rs
@@ -6,12 +6,19 @@
 //! hears *reset*, whatever the socket said (RFC 8446, section 6.1).
 
 mod end;
+mod papers;
+mod side;
 mod terms;
+mod verify;
 
 use end::{End, Step};
-pub use terms::{Terms, TermsError};
+pub use papers::{describe, read_denied, serial, Described, KeyPrint, Papers, TermsError};
+use side::Took;
+pub use side::{Side, CALL_FILES, DOOR_FILES};
+pub use terms::{Asks, Expiry, Rules, Terms};
+pub use verify::Limited;
 
-use sanddrum_net::{Conn, Core, Door, Event, Io, Micros};
+use sanddrum_net::{Conn, Core, Door, Event, Io, Micros, Peer};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Bounds on handshakes and on what waits for a socket.
@@ -23,99 +30,124 @@
     pub handshakes: usize,
     /// Ciphertext that waits for one socket before its core has to.
     pub waiting: usize,
-    /// Sessions that are remembered to be taken up again, in all.
-    pub sessions: usize,
+    /// From so long before something ends on there are warnings.
+    pub warn_ahead: Micros,
 }
 
-/// A core with TLS on its doors and on the connections that it opens by name.
+/// A core with TLS on its doors, on the connections that it opens by name, or on both.
 pub struct Layer<C> {
     core: C,
     inner: Inner,
-    files: Files,
-}
-
-/// The files that a driver may watch for a layer, by the names under which they are told: PEM texts of the trusted
-/// roots, of this side's certificate chain, and of its key.
-pub const ROOTS: &str = "tls-roots";
-pub const CHAIN: &str = "tls-certificate";
-pub const KEY: &str = "tls-key";
-
-/// What was last read of each.
-#[derive(Default)]
-struct Files {
-    roots: Option<Vec<u8>>,
-    chain: Option<Vec<u8>>,
-    key: Option<Vec<u8>>,
 }
 
 struct Inner {
-    terms: Terms,
+    calls: Option<Side>,
+    doors: Option<Side>,
     bounds: Bounds,
     ends: BTreeMap<Conn, End>,
     due: BTreeSet<(Micros, Conn)>,
     /// Ends that may have news for the core, looked at once it is not being called.
     news: BTreeSet<Conn>,
+    /// Made on terms that are not in force any more, and not judged by the new ones yet.
+    stale: BTreeSet<Conn>,
     handshakes: usize,
-    plain_doors: bool,
-    callers: bool,
+    look_at_ends: Micros,
 }
 
+/// Connections that are judged anew in one turn after a change of terms, so that sockets are served in between.
+const JUDGED_A_TURN: usize = 64;
+/// How often it is looked what ends soon.
+const LOOK_EVERY: Micros = 3_600_000_000;
+
 impl<C: Core> Layer<C> {
-    pub fn new(core: C, terms: Terms, bounds: Bounds) -> Self {
-        let (ends, due, news) = (BTreeMap::new(), BTreeSet::new(), BTreeSet::new());
-        let (handshakes, plain_doors, callers) = (0, false, false);
-        let inner = Inner { terms, bounds, ends, due, news, handshakes, plain_doors, callers };
-        Layer { core, inner, files: Files::default() }
+    pub fn new(core: C, bounds: Bounds) -> Self {
+        let (ends, due, news, stale) = (BTreeMap::new(), BTreeSet::new(), BTreeSet::new(), BTreeSet::new());
+        let (calls, doors) = (None, None);
+        let inner = Inner { calls, doors, bounds, ends, due, news, stale, handshakes: 0, look_at_ends: 0 };
+        Layer { core, inner }
     }
-    /// Doors stay plain: TLS is for what the core calls by name.
-    pub fn with_plain_doors(mut self) -> Self {
-        self.inner.plain_doors = true;
+    /// Speaks TLS to whom the core calls by name.
+    pub fn with_calls(mut self, side: Side) -> Self {
+        self.inner.calls = Some(side);
         self
     }
-    /// Terms that are made of watched files want callers to show certificates.
-    pub fn with_verified_callers(mut self) -> Self {
-        self.inner.callers = true;
+    /// Speaks TLS with whom the core's doors accept.
+    pub fn with_doors(mut self, side: Side) -> Self {
+        self.inner.doors = Some(side);
         self
     }
-    /// A watched file came. Files are replaced one after the other, so what does not go together, is torn or can't be
-    /// read leaves the last good terms in force; the next file may make it whole.
-    fn take_file(&mut self, name: &str, content: Result<&[u8], &str>) {
-        let place = match name {
-            ROOTS => &mut self.files.roots,
-            CHAIN => &mut self.files.chain,
-            _ => &mut self.files.key,
+    /// Handshakes with callers that are under way.
+    pub fn handshakes(&self) -> usize {
+        self.inner.handshakes
+    }
+
+    /// A watched file came. What is not good leaves the last good terms in force; the next file may make it whole.
+    fn take_file(&mut self, now: Micros, name: &str, content: Result<&[u8], &str>) -> bool {
+        let inner = &mut self.inner;
+        let place = |names: [&str; 5]| names.iter().position(|n| *n == name);
+        let (side, file, accepted) = match (place(CALL_FILES), place(DOOR_FILES)) {
+            (Some(file), _) => (&mut inner.calls, file, false),
+            (_, Some(file)) => (&mut inner.doors, file, true),
+            _ => return false,
         };
-        match content {
-            Ok(bytes) => *place = Some(bytes.to_vec()),
-            Err(why) => {
-                return tracing::error!(reason = "tls-file", name, why, "the last good terms stay in force")
-            }
-        }
-        let Some(roots) = &self.files.roots else { return };
-        let own = self.files.chain.as_deref().zip(self.files.key.as_deref());
-        // A side that shows a certificate does not go on without one.
-        let shows =
-            self.inner.terms.shows_certificate() || self.files.chain.is_some() || self.files.key.is_some();
-        if own.is_none() && shows {
-            return;
-        }
-        match Terms::from_pem(roots, own, self.inner.callers, self.inner.bounds.sessions) {
-            Ok(terms) => {
-                tracing::info!(name, "new connections are made on new terms; those that are up go on");
-                self.inner.terms = terms;
+        let Some(side) = side else { return true };
+        match side.take(now, file, content) {
+            Ok(Took::Nothing) => {}
+            Ok(Took::New) => {
+                tracing::info!(name, "new connections are made on new terms; jobs on old ones end there");
+                let old = inner.ends.iter().filter(|(_, end)| end.is_up() && end.is_accepted() == accepted);
+                inner.stale.extend(old.map(|(conn, _)| *conn));
+                inner.look_at_ends = 0;
             }
             Err(e) => {
-                tracing::error!(reason = "tls-terms", error = %e, name, "the last good terms stay in force")
+                metrics::counter!("sanddrum_tls_files_refused_total", "file" => name.to_string())
+                    .increment(1);
+                tracing::error!(reason = "tls-terms", error = %e, name, "the last good terms stay in force");
             }
         }
+        true
     }
-    /// New connections are made on these terms; those that are up go on as they are.
-    pub fn set_terms(&mut self, terms: Terms) {
-        self.inner.terms = terms;
+
+    /// Tells the core which connections were made on terms that are past, and whether it would be made on the new ones.
+    fn judge_stale(&mut self, now: Micros, io: &mut dyn Io) {
+        for _ in 0..JUDGED_A_TURN {
+            let Some(conn) = self.inner.stale.pop_first() else { return };
+            let Some(end) = self.inner.ends.get(&conn).filter(|end| end.is_up()) else { continue };
+            let side = if end.is_accepted() { &self.inner.doors } else { &self.inner.calls };
+            let judged = side.as_ref().map(|side| end.judge(now, side.terms()));
+            let denied = match judged {
+                Some(Err(why)) => {
+                    tracing::warn!(reason = "tls-denied", name = end.name(), %why, "a peer is not believed any more");
+                    true
+                }
+                _ => false,
+            };
+            self.core.stale(now, conn, denied, &mut Inside { inner: &mut self.inner, io, now });
+        }
     }
-    /// Handshakes with callers that are under way.
-    pub fn handshakes(&self) -> usize {
-        self.inner.handshakes
+
+    fn look_at_ends(&mut self, now: Micros) {
+        if now < self.inner.look_at_ends {
+            return;
+        }
+        self.inner.look_at_ends = now + LOOK_EVERY;
+        for (side, what) in [(&self.inner.calls, "calls"), (&self.inner.doors, "door")] {
+            let Some(side) = side else { continue };
+            for Expiry { what: of, at } in side.terms().expiries() {
+                let left = (at - now) / 1_000_000;
+                metrics::gauge!("sanddrum_tls_ends_in_seconds", "side" => what, "of" => of.clone())
+                    .set(left as f64);
+                if at - now < self.inner.bounds.warn_ahead {
+                    tracing::warn!(
+                        reason = "tls-ends",
+                        side = what,
+                        of,
+                        hours = left / 3600,
+                        "this ends soon, or has"
+                    );
+                }
+            }
+        }
     }
 
     fn tell(&mut self, now: Micros, event: Event<'_>, io: &mut dyn Io) {
@@ -128,6 +160,11 @@
                 match step {
                     Step::Up(door) => {
                         self.inner.handshake_over(conn);
+                        let resumed = self.inner.ends.get(&conn).is_some_and(End::is_resumed);
+                        let kind = if resumed { "resumed" } else { "full" };
+                        let with = if door.is_some() { "callers" } else { "workers" };
+                        metrics::counter!("sanddrum_handshakes_total", "with" => with, "kind" => kind)
+                            .increment(1);
                         match door {
                             Some(door) => self.tell(now, Event::Accepted { conn, door }, io),
                             None => self.tell(now, Event::Connected { conn }, io),
@@ -138,6 +175,7 @@
                     Step::Over { how, tells, why } => {
                         self.inner.handshake_over(conn);
                         if let Some(why) = why {
+                            metrics::counter!("sanddrum_tls_ended_total").increment(1);
                             tracing::warn!(reason = "tls", why, "a connection is ended");
                         }
                         self.inner.ends.remove(&conn);
@@ -170,7 +208,8 @@
             );
             return io.reset(conn);
         }
-        match self.terms.serve(now) {
+        let Some(side) = &self.doors else { return };
+        match side.terms().serve(now) {
             Ok(tls) => {
                 self.handshakes += 1;
                 self.begin(now, conn, End::accepted(tls, door, self.bounds.waiting));
@@ -189,9 +228,11 @@
         self.settle(now, io);
     }
     fn event(&mut self, now: Micros, event: Event<'_>, io: &mut dyn Io) {
-        self.inner.terms.set_time(now);
+        for side in self.inner.calls.iter().chain(&self.inner.doors) {
+            side.terms().set_time(now);
+        }
         let conn = match event {
-            Event::Accepted { .. } if self.inner.plain_doors => return self.tell(now, event, io),
+            Event::Accepted { .. } if self.inner.doors.is_none() => return self.tell(now, event, io),
             Event::Accepted { conn, door } => {
                 self.inner.accept(now, conn, door, io);
                 conn
@@ -226,19 +267,28 @@
             }
         }
         self.settle(now, io);
+        self.judge_stale(now, io);
+        self.look_at_ends(now);
+        self.settle(now, io);
         self.core.turn(now, &mut Inside { inner: &mut self.inner, io, now });
         self.settle(now, io);
     }
     fn wake(&self) -> Option<Micros> {
-        self.core.wake().into_iter().chain(self.inner.due.first().map(|(at, _)| *at)).min()
+        let due = self.inner.due.first().map(|(at, _)| *at);
+        let stale = (!self.inner.stale.is_empty()).then_some(0);
+        self.core.wake().into_iter().chain(due).chain(stale).chain([self.inner.look_at_ends]).min()
     }
     fn file(&mut self, now: Micros, name: &str, content: Result<&[u8], &str>, io: &mut dyn Io) {
-        if [ROOTS, CHAIN, KEY].contains(&name) {
-            return self.take_file(name, content);
+        if self.take_file(now, name, content) {
+            return;
         }
         self.core.file(now, name, content, &mut Inside { inner: &mut self.inner, io, now });
         self.settle(now, io);
     }
+    fn stale(&mut self, now: Micros, conn: Conn, denied: bool, io: &mut dyn Io) {
+        self.core.stale(now, conn, denied, &mut Inside { inner: &mut self.inner, io, now });
+        self.settle(now, io);
+    }
     fn stop(&mut self, now: Micros, io: &mut dyn Io) {
         self.core.stop(now, &mut Inside { inner: &mut self.inner, io, now });
         self.settle(now, io);
@@ -260,8 +310,9 @@
         self.io.connect(to)
     }
     fn connect_named(&mut self, to: &str, name: &str) -> Conn {
+        let Some(side) = &self.inner.calls else { return self.io.connect_named(to, name) };
         let conn = self.io.connect(to);
-        let end = match self.inner.terms.call(self.now, name) {
+        let end = match side.terms().call(self.now, name) {
             Ok(tls) => End::called(tls, name, self.inner.bounds.waiting),
             Err(e) => End::never(format!("{name}: {e}")),
         };
@@ -269,6 +320,12 @@
         self.inner.news.insert(conn);
         conn
     }
+    fn peer(&self, conn: Conn) -> Option<Peer> {
+        match self.inner.ends.get(&conn) {
+            Some(end) => Some(end.peer()),
+            None => self.io.peer(conn),
+        }
+    }
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         match self.inner.ends.get_mut(&conn) {
             Some(end) => end.write(conn, bytes, self.io),
--- a/crates/sanddrum-tls/src/terms.rs
+++ b/crates/sanddrum-tls/src/terms.rs
@@ -1,14 +1,16 @@
 //! On which terms connections are made: what this side shows, whom it trusts, and what time it is.
 
+use crate::papers::{self, error, Papers, TermsError};
+use crate::verify::{Belief, Callers, Limited, Workers};
+use rustls::client::danger::ServerCertVerifier;
 use rustls::client::Resumption;
 use rustls::crypto::ring::default_provider;
-use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
-use rustls::server::WebPkiClientVerifier;
+use rustls::pki_types::{CertificateDer, ServerName, UnixTime};
+use rustls::server::danger::ClientCertVerifier;
+use rustls::server::ServerSessionMemoryCache;
 use rustls::time_provider::TimeProvider;
-use rustls::{version::TLS13, ClientConfig, ClientConnection, RootCertStore, ServerConfig, ServerConnection};
+use rustls::{version::TLS13, ClientConfig, ClientConnection, ServerConfig, ServerConnection};
 use sanddrum_net::Micros;
-use std::fmt;
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,111 +21,137 @@
 
 impl TimeProvider for Clock {
     fn current_time(&self) -> Option<UnixTime> {
-        let us = self.0.load(Ordering::Relaxed).max(0) as u64;
-        Some(UnixTime::since_unix_epoch(Duration::from_micros(us)))
+        Some(instant(self.0.load(Ordering::Relaxed)))
     }
 }
+fn instant(now: Micros) -> UnixTime {
+    UnixTime::since_unix_epoch(Duration::from_micros(now.max(0) as u64))
+}
 
-/// Why terms can't be had: a certificate, a key or a root is not good, or a name is none.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct TermsError(String);
-
-impl fmt::Display for TermsError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
+/// Whether callers are asked for a certificate.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Asks {
+    #[default]
+    No,
+    /// They may show one.
+    May,
+    /// Without one there is no connection.
+    Must,
 }
 
-impl std::error::Error for TermsError {}
+/// What terms are to be, besides the papers.
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    pub callers: Asks,
+    /// Sessions that are remembered to be taken up again, in all.
+    pub sessions: usize,
+    /// Authorities that may speak for some names only.
+    pub limited: Vec<Limited>,
+}
 
-fn error(e: impl fmt::Display) -> TermsError {
-    TermsError(e.to_string())
+/// Something with an end, and when that is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Expiry {
+    pub what: String,
+    pub at: Micros,
 }
 
-/// TLS 1.3 only; both ends may show certificates.
+/// TLS 1.3 only; both ends may show certificates. Sessions are remembered within one set of terms only, so what was
+/// believed before a change of roots, lists or denied keys is asked for anew.
 #[derive(Clone)]
 pub struct Terms {
     clock: Arc<Clock>,
     client: Arc<ClientConfig>,
     server: Option<Arc<ServerConfig>>,
+    workers: Arc<Workers>,
+    callers: Option<Arc<Callers>>,
+    own: Option<(Micros, Micros)>,
+    expiries: Vec<Expiry>,
 }
 
 impl Terms {
-    /// Trusts what these roots signed. With a chain and its key this side shows them, and can serve callers; with
-    /// `callers` on, callers have to show one that these roots signed.
+    /// Trusts what these roots signed. With a chain and its key this side shows them, and can serve callers.
     ///
     /// # Errors
-    /// A root can't be read, or the chain and the key do not go together.
-    pub fn new(
-        roots: &[CertificateDer<'static>],
-        own: Option<(Vec<CertificateDer<'static>>, PrivateKeyDer<'static>)>,
-        callers: bool,
-        sessions: usize,
-    ) -> Result<Self, TermsError> {
+    /// A paper can't be read or holds nothing of its kind, as a file that is half written does, or the chain and the
+    /// key do not go together.
+    pub fn new(papers: &Papers, rules: &Rules) -> Result<Self, TermsError> {
         let clock = Arc::new(Clock(AtomicI64::new(0)));
         let provider = Arc::new(default_provider());
-        let mut store = RootCertStore::empty();
-        for root in roots {
-            store.add(root.clone()).map_err(error)?;
+        let denied = papers::read_denied(&papers.denied)?;
+        let mut roots = papers::certificates(&papers.roots, "roots")?;
+        // A denied authority signs for nobody.
+        roots.retain(|root| {
+            papers::KeyPrint::of_certificate(root).is_ok_and(|print| !denied.contains(&print))
+        });
+        let lists = papers::lists(&papers.revoked)?;
+        let own = papers.own.as_ref().map(|(chain, key)| -> Result<_, TermsError> {
+            Ok((papers::certificates(chain, "certificate")?, papers::key(key)?))
+        });
+        let own = own.transpose()?;
+        let mut expiries = Vec::new();
+        for root in &roots {
+            let (what, (_, at)) = (papers::authority_name(root)?, papers::holds(root)?);
+            expiries.push(Expiry { what: format!("authority {what}"), at });
+        }
+        for (issuer, (_, next)) in papers::list_ages(&papers.revoked)? {
+            expiries.extend(next.map(|at| Expiry { what: format!("revocation list of {issuer}"), at }));
         }
-        let store = Arc::new(store);
+        let holds = own.as_ref().map(|(chain, _)| papers::holds(&chain[0])).transpose()?;
+        expiries.extend(holds.map(|(_, at)| Expiry { what: "certificate".into(), at }));
+
+        let belief = Belief { provider: provider.clone(), roots, lists, denied };
+        let workers = Arc::new(belief.of_workers(&rules.limited)?);
         let client = ClientConfig::builder_with_details(provider.clone(), clock.clone());
-        let client =
-            client.with_protocol_versions(&[&TLS13]).map_err(error)?.with_root_certificates(store.clone());
+        let client = client.with_protocol_versions(&[&TLS13]).map_err(error)?;
+        let client = client.dangerous().with_custom_certificate_verifier(workers.clone());
         let mut client = match &own {
             Some((chain, key)) => {
                 client.with_client_auth_cert(chain.clone(), key.clone_key()).map_err(error)?
             }
             None => client.with_no_client_auth(),
         };
-        client.resumption = Resumption::in_memory_sessions(sessions);
+        client.resumption = match rules.sessions {
+            0 => Resumption::disabled(),
+            most => Resumption::in_memory_sessions(most),
+        };
+        let mut callers = None;
         let server = own.map(|(chain, key)| -> Result<Arc<ServerConfig>, TermsError> {
             let server = ServerConfig::builder_with_details(provider.clone(), clock.clone());
             let server = server.with_protocol_versions(&[&TLS13]).map_err(error)?;
-            let server = match callers {
-                true => {
-                    let verifier =
-                        WebPkiClientVerifier::builder_with_provider(store.clone(), provider.clone());
-                    server.with_client_cert_verifier(verifier.build().map_err(error)?)
+            let server = match rules.callers {
+                Asks::No => server.with_no_client_auth(),
+                asks => {
+                    let verifier = Arc::new(belief.of_callers(asks == Asks::Must)?);
+                    callers = Some(verifier.clone());
+                    server.with_client_cert_verifier(verifier)
                 }
-                false => server.with_no_client_auth(),
             };
-            server.with_single_cert(chain, key).map(Arc::new).map_err(error)
+            let mut server = server.with_single_cert(chain, key).map_err(error)?;
+            match rules.sessions {
+                0 => server.send_tls13_tickets = 0,
+                most => server.session_storage = ServerSessionMemoryCache::new(most),
+            }
+            Ok(Arc::new(server))
         });
-        Ok(Terms { clock, client: Arc::new(client), server: server.transpose()? })
+        let server = server.transpose()?;
+        Ok(Terms { clock, client: Arc::new(client), server, workers, callers, own: holds, expiries })
     }
-    /// The same from PEM texts (RFC 7468): roots, and a chain with its key.
+
+    /// Whether what this side shows holds now.
     ///
     /// # Errors
-    /// As [`Terms::new`]; also where a text holds nothing of its kind, as a file that is half written does.
-    pub fn from_pem(
-        roots: &[u8],
-        own: Option<(&[u8], &[u8])>,
-        callers: bool,
-        sessions: usize,
-    ) -> Result<Self, TermsError> {
-        let certificates = |pem: &[u8], what: &str| -> Result<Vec<CertificateDer<'static>>, TermsError> {
-            let read: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(pem).collect();
-            let read = read.map_err(|e| TermsError(format!("{what}: {e}")))?;
-            if read.is_empty() {
-                return Err(TermsError(format!("{what}: no certificate is in it")));
-            }
-            Ok(read)
-        };
-        let roots = certificates(roots, "roots")?;
-        let own = match own {
-            None => None,
-            Some((chain, key)) => {
-                // What is wrong with a key is told without any of its content.
-                let key =
-                    PrivateKeyDer::from_pem_slice(key).map_err(|_| error("key: no private key is in it"))?;
-                Some((certificates(chain, "certificate")?, key))
-            }
-        };
-        Terms::new(&roots, own, callers, sessions)
+    /// It has expired, or does not hold yet.
+    pub fn hold(&self, now: Micros) -> Result<(), TermsError> {
+        match self.own {
+            Some((from, _)) if now < from => Err(error("certificate: it does not hold yet")),
+            Some((_, until)) if now > until => Err(error("certificate: it has expired")),
+            _ => Ok(()),
+        }
     }
-    pub(crate) fn shows_certificate(&self) -> bool {
-        self.server.is_some()
+    /// What ends, and when.
+    pub fn expiries(&self) -> &[Expiry] {
+        &self.expiries
     }
     pub(crate) fn set_time(&self, now: Micros) {
         self.clock.0.store(now, Ordering::Relaxed);
@@ -134,9 +162,32 @@
         ServerConnection::new(server).map_err(error)
     }
     /// The other side has to own this name.
-    pub(crate) fn call(&self, now: Micros, name: &str) -> Result<ClientConnection, TermsError> {
+    ///
+    /// # Errors
+    /// It is no name.
+    pub fn call(&self, now: Micros, name: &str) -> Result<ClientConnection, TermsError> {
         self.set_time(now);
         let name = ServerName::try_from(name.to_string()).map_err(error)?;
         ClientConnection::new(self.client.clone(), name).map_err(error)
     }
+    /// Judges anew what a peer has shown before: a worker by its name, a caller without.
+    pub(crate) fn judge(
+        &self,
+        now: Micros,
+        name: Option<&str>,
+        chain: &[CertificateDer<'_>],
+    ) -> Result<(), TermsError> {
+        let Some((leaf, others)) = chain.split_first() else { return Ok(()) };
+        let judged = match name {
+            Some(name) => {
+                let name = ServerName::try_from(name.to_string()).map_err(error)?;
+                self.workers.verify_server_cert(leaf, others, &name, &[], instant(now)).map(|_| ())
+            }
+            None => match &self.callers {
+                Some(callers) => callers.verify_client_cert(leaf, others, instant(now)).map(|_| ()),
+                None => return Err(error("callers' certificates are not asked for any more")),
+            },
+        };
+        judged.map_err(error)
+    }
 }
