--- /dev/null
+++ b/crates/sanddrum-connect/src/lib.rs
@@ -0,0 +1,438 @@
+//! Which connections to workers are opened, kept, left alone and retired, and when. The host makes one [`Connections`]
+//! an edge and calls `round` once a round with all that came in ([`News`]) and a writer ([`Decisions`]). All news is
+//! recorded first; only then is decided. It chooses no worker: that is the decision module's matter. Here is decided
+//! what becomes of the connections that its choices need.
+//!
+//! A handshake is work, at the edge and at the worker, and what it takes is learned. So only some are under way at a
+//! time; a worker that has just started gets no more of them than a part of what it can do yet, all edges together, with
+//! no word between them: each keeps a distance between its own, and begins at a moment drawn by chance. A worker that
+//! can't be reached is left alone for a while that grows, and all tries at such workers share one budget, so that a
+//! dead zone costs little. Connections made on past terms are replaced a few at a time within a stated time.
+
+mod budget;
+mod cost;
+mod retiring;
+mod worker;
+
+pub use budget::{Again, Backoff};
+pub use cost::Costs;
+use retiring::Retiring;
+use worker::Worker;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use sanddrum::{Micros, Settings, WorkerId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A connection to a worker, or one that is to be; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LinkId(pub u64);
+
+/// A client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ClientId(pub u64);
+
+/// What a connection is wanted for; the first is served first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Need {
+    Job,
+    /// An order or a probe.
+    Errand,
+    Ahead,
+}
+
+/// A worker as the list has it.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub worker: WorkerId,
+    pub size: f64,
+    /// When its process started; nought: long ago.
+    pub started: Micros,
+    pub ready: bool,
+}
+
+/// What waits for a connection that is not up.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted {
+    pub link: LinkId,
+    pub worker: WorkerId,
+    pub need: Need,
+    /// Of no use later than this.
+    pub due: Micros,
+}
+
+/// A connection made on terms that are past.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Old {
+    Link(LinkId),
+    Client(ClientId),
+}
+
+/// What came in since the last round.
+#[derive(Clone, Debug, Default)]
+pub struct News {
+    pub listed: Vec<Listed>,
+    /// Listed no more.
+    pub gone: Vec<WorkerId>,
+    pub wanted: Vec<Wanted>,
+    /// Up now; whether its handshake was a short one.
+    pub up: Vec<(LinkId, bool)>,
+    /// It never came to be, or what answered there was not who is listed.
+    pub failed: Vec<LinkId>,
+    /// Gone after it was up, or not wanted any more before.
+    pub ended: Vec<LinkId>,
+    /// Something was sent there.
+    pub used: Vec<WorkerId>,
+    /// What it holds and what waits there, as it told.
+    pub loads: Vec<(WorkerId, f64)>,
+    /// All connections there are nearly full.
+    pub tight: Vec<WorkerId>,
+    /// Made on past terms, with what it carries.
+    pub old: Vec<(Old, usize)>,
+    /// With somebody who is not believed any more.
+    pub denied: Vec<Old>,
+}
+
+impl News {
+    pub fn is_empty(&self) -> bool {
+        self.listed.is_empty()
+            && self.wanted.is_empty()
+            && self.up.is_empty()
+            && self.failed.is_empty()
+            && self.ended.is_empty()
+            && self.tight.is_empty()
+            && self.old.is_empty()
+            && self.denied.is_empty()
+            && self.gone.is_empty()
+            && self.used.is_empty()
+            && self.loads.is_empty()
+    }
+}
+
+/// Why what waits for a connection is told to go elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// It could not be reached a moment ago and is left alone.
+    Failing,
+    /// It could not be reached, and the tries at such workers are used up.
+    Again,
+    /// It has just started and has its handshakes for now.
+    Cold,
+}
+
+impl Why {
+    pub fn reason(self) -> &'static str {
+        match self {
+            Why::Failing => "left-alone",
+            Why::Again => "connect-again",
+            Why::Cold => "cold-handshakes",
+        }
+    }
+}
+
+/// Where decisions are written.
+pub trait Decisions {
+    /// Begin this connection now.
+    fn open(&mut self, link: LinkId);
+    /// Begin one that nothing waits for yet.
+    fn open_ahead(&mut self, worker: WorkerId);
+    /// What waits for it is to be told at once.
+    fn give_up(&mut self, link: LinkId, why: Why);
+    /// Give it nothing new; it ends once it carries nothing.
+    fn retire(&mut self, old: Old);
+    /// Call again then, if not before.
+    fn wake_at(&mut self, at: Micros);
+}
+
+/// The part of what a worker can do that handshakes may take there, all edges together, while it is cold. Its other
+/// work is budgeted by the decision module with some caution; this part is what that leaves.
+const HANDSHAKE_PART: f64 = 0.25;
+/// What waits for a cold worker's connection is told to go elsewhere where the wait would take more than this part of
+/// the time that it has left.
+const PATIENCE: f64 = 0.25;
+/// Connections that nothing waits for leave this part of the handshakes to those that something does.
+const AHEAD_PART: f64 = 0.5;
+
+struct Waiting {
+    worker: WorkerId,
+    need: Need,
+    due: Micros,
+}
+struct Begun {
+    worker: WorkerId,
+    at: Micros,
+}
+
+pub struct Connections {
+    handshakes: usize,
+    per_worker: usize,
+    ahead: usize,
+    routers: f64,
+    cold: Micros,
+    cold_from: f64,
+    idle: Micros,
+    chance: Pcg64Mcg,
+    workers: BTreeMap<WorkerId, Worker>,
+    waiting: BTreeMap<LinkId, Waiting>,
+    begun: BTreeMap<LinkId, Begun>,
+    up: BTreeMap<LinkId, WorkerId>,
+    tight: BTreeSet<WorkerId>,
+    /// Something has changed by which a connection ahead of need may be missing.
+    look_ahead: bool,
+    costs: Costs,
+    again: Again,
+    retiring: Retiring,
+    backoff: (Micros, Micros),
+}
+
+impl Connections {
+    pub fn new(seed: u64, settings: &Settings) -> Self {
+        let number = |name: &str, otherwise: f64| settings.number(name).unwrap_or(otherwise);
+        let span = |name: &str, otherwise: f64| number(name, otherwise) as Micros;
+        let time_out = span("limits.connect-time-out-us", 1e6);
+        Connections {
+            handshakes: number("limits.handshakes-out", 32.0) as usize,
+            per_worker: number("limits.handshakes-per-worker", 2.0) as usize,
+            ahead: number("limits.connections-ahead", 0.0) as usize,
+            routers: number("routers", 1.0).max(1.0),
+            cold: span("rules.cold-us", 0.0),
+            cold_from: number("rules.cold-from", 1.0),
+            idle: span("limits.idle-close-us", 60e6),
+            chance: Pcg64Mcg::seed_from_u64(seed),
+            workers: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            begun: BTreeMap::new(),
+            up: BTreeMap::new(),
+            tight: BTreeSet::new(),
+            look_ahead: false,
+            costs: Costs::new(time_out),
+            again: Again::new(number("limits.connect-again", 20.0)),
+            retiring: Retiring::new(
+                span("limits.retire-within-us", 30e6),
+                number("limits.retire-at-once", 4.0),
+            ),
+            backoff: (span("limits.left-alone-least-us", 1e5), span("limits.left-alone-most-us", 1e7)),
+        }
+    }
+    /// What handshakes take, as learned.
+    pub fn costs(&self) -> &Costs {
+        &self.costs
+    }
+    pub fn handshakes_out(&self) -> usize {
+        self.begun.len()
+    }
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+    pub fn round(&mut self, now: Micros, news: &News, out: &mut impl Decisions) {
+        self.record(now, news);
+        self.retire(now, out);
+        self.serve(now, out);
+        self.open_ahead(now, out);
+    }
+
+    // ---- What is known
+
+    fn part(&mut self) -> f64 {
+        (self.chance.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn record(&mut self, now: Micros, news: &News) {
+        for row in &news.listed {
+            let worker = self.workers.entry(row.worker).or_insert_with(|| Worker::new(self.backoff));
+            if worker.started != row.started {
+                // A new process: what the old one did to us says nothing of it.
+                worker.backoff.good();
+                worker.next_cold = None;
+            }
+            (worker.size, worker.started, worker.ready) =
+                (row.size.max(f64::MIN_POSITIVE), row.started, row.ready);
+        }
+        for id in &news.gone {
+            self.workers.entry(*id).and_modify(|w| w.ready = false);
+        }
+        for wanted in &news.wanted {
+            let Wanted { link, worker, need, due } = *wanted;
+            if self.begun.contains_key(&link) || self.up.contains_key(&link) {
+                continue;
+            }
+            let waiting = self.waiting.entry(link).or_insert(Waiting { worker, need, due });
+            (waiting.need, waiting.due) = (waiting.need.min(need), waiting.due.max(due));
+        }
+        for (link, short) in &news.up {
+            let Some(begun) = self.begun.remove(link) else { continue };
+            self.costs.took(now - begun.at, *short);
+            self.again.good();
+            self.up.insert(*link, begun.worker);
+            self.retiring.replaced(begun.worker);
+            if let Some(worker) = self.workers.get_mut(&begun.worker) {
+                worker.under_way -= 1;
+                worker.open += 1;
+                worker.backoff.good();
+            }
+        }
+        for link in &news.failed {
+            let part = self.part();
+            let (begun, up) = (self.begun.remove(link), self.up.remove(link));
+            let id = begun.as_ref().map(|begun| begun.worker).or(up);
+            let Some(worker) = id.and_then(|id| self.workers.get_mut(&id)) else { continue };
+            worker.under_way -= usize::from(begun.is_some());
+            worker.open -= usize::from(up.is_some());
+            // What took long to fail is left alone for at least as long, or it would be tried all the time.
+            worker.backoff.failed(now, begun.map_or(0, |begun| now - begun.at), part);
+            self.retiring.ended(Old::Link(*link));
+        }
+        for link in &news.ended {
+            self.waiting.remove(link);
+            self.retiring.ended(Old::Link(*link));
+            if let Some(begun) = self.begun.remove(link) {
+                self.workers.entry(begun.worker).and_modify(|w| w.under_way -= 1);
+            }
+            if let Some(worker) = self.up.remove(link) {
+                self.workers.entry(worker).and_modify(|w| w.open -= 1);
+            }
+        }
+        for worker in &news.used {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.used(now, self.idle);
+            }
+        }
+        for (worker, load) in &news.loads {
+            self.workers.entry(*worker).and_modify(|w| w.load = *load);
+        }
+        self.tight.extend(&news.tight);
+        self.retiring.add(now, &news.old);
+        self.retiring.at_once(&news.denied);
+        self.look_ahead |= !(news.listed.is_empty() && news.up.is_empty() && news.ended.is_empty());
+        if !news.gone.is_empty() {
+            let waited: BTreeSet<WorkerId> = self.waiting.values().map(|w| w.worker).collect();
+            self.workers.retain(|id, w| w.ready || w.open + w.under_way > 0 || waited.contains(id));
+        }
+    }
+
+    /// When a cold worker may have its next handshake from here; `None` where it is not cold.
+    fn next_cold(&mut self, now: Micros, id: WorkerId) -> Option<Micros> {
+        let part = self.part();
+        let worker = self.workers.get_mut(&id).filter(|w| w.started > 0 && now < w.started + self.cold)?;
+        let gap = Self::cold_gap(worker, now, self.cold, self.cold_from, self.routers, self.costs.full());
+        // Alone there is nobody to keep a distance from.
+        let others = 1.0 - 1.0 / self.routers;
+        Some(*worker.next_cold.get_or_insert(now + (part * others * gap as f64) as Micros))
+    }
+    /// The distance between two handshakes from here to a cold worker: with all edges keeping it, all handshakes
+    /// together take their part of what it can do by now.
+    fn cold_gap(worker: &Worker, now: Micros, cold: Micros, from: f64, routers: f64, cost: Micros) -> Micros {
+        let age = (now - worker.started).max(0) as f64 / cold.max(1) as f64;
+        let does = worker.size * (from + (1.0 - from) * age.min(1.0));
+        (cost as f64 * routers / (does * HANDSHAKE_PART)) as Micros
+    }
+
+    /// How many handshakes may be under way to a worker: one where its own work already waits or nobody knows whether
+    /// it can be reached.
+    fn bound(&self, worker: &Worker) -> usize {
+        match worker.load >= worker.size || worker.backoff.is_doubtful() {
+            true => 1,
+            false => self.per_worker,
+        }
+    }
+
+    // ---- What is decided
+
+    /// Begins what waits, in the order of needs and then of times, as far as there is room; tells the rest whether to
+    /// wait or to go elsewhere.
+    fn serve(&mut self, now: Micros, out: &mut impl Decisions) {
+        let mut order: Vec<(Need, Micros, LinkId)> =
+            self.waiting.iter().map(|(link, w)| (w.need, w.due, *link)).collect();
+        order.sort_unstable();
+        for (need, due, link) in order {
+            let Some(id) = self.waiting.get(&link).map(|w| w.worker) else { continue };
+            let cold = self.next_cold(now, id);
+            let Some(worker) = self.workers.get(&id) else { continue };
+            if worker.backoff.is_left_alone(now) {
+                self.give_up(link, Why::Failing, out);
+                continue;
+            }
+            if let Some(at) = cold.filter(|at| *at > now) {
+                match need < Need::Ahead && (at - now) as f64 > PATIENCE * (due - now).max(0) as f64 {
+                    true => self.give_up(link, Why::Cold, out),
+                    false => out.wake_at(at),
+                }
+                continue;
+            }
+            if worker.under_way >= self.bound(worker) || self.begun.len() >= self.handshakes {
+                continue;
+            }
+            if worker.backoff.is_doubtful() && !self.again.take(now) {
+                self.give_up(link, Why::Again, out);
+                continue;
+            }
+            self.waiting.remove(&link);
+            self.begin(now, link, id);
+            out.open(link);
+        }
+    }
+    fn give_up(&mut self, link: LinkId, why: Why, out: &mut impl Decisions) {
+        self.waiting.remove(&link);
+        out.give_up(link, why);
+    }
+    fn begin(&mut self, now: Micros, link: LinkId, id: WorkerId) {
+        self.begun.insert(link, Begun { worker: id, at: now });
+        let (cold, from, routers, cost) = (self.cold, self.cold_from, self.routers, self.costs.full());
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.under_way += 1;
+            if worker.next_cold.is_some() {
+                worker.next_cold = Some(now + Self::cold_gap(worker, now, cold, from, routers, cost));
+            }
+        }
+    }
+
+    /// Keeps a connection to each of the workers that were used most of late, and a further one where those that there
+    /// are fill up. The host begins them as any other: they come back as wanted.
+    fn open_ahead(&mut self, now: Micros, out: &mut impl Decisions) {
+        if !self.look_ahead && self.tight.is_empty() {
+            return;
+        }
+        let room = (self.handshakes as f64 * AHEAD_PART) as usize;
+        let ready = |w: &Worker| w.ready && !w.backoff.is_doubtful() && w.load < w.size && w.under_way == 0;
+        let waited: BTreeSet<WorkerId> = self.waiting.values().map(|w| w.worker).collect();
+        let tight = std::mem::take(&mut self.tight);
+        let tight = tight.into_iter().filter(|id| self.workers.get(id).is_some_and(ready));
+        let mut wanted: Vec<WorkerId> = tight.filter(|id| !waited.contains(id)).collect();
+        if self.ahead > 0 && self.look_ahead {
+            self.look_ahead = false;
+            let used = self.workers.iter().filter(|(_, w)| w.use_now(now, self.idle) >= 1.0);
+            let mut used: Vec<(f64, WorkerId)> =
+                used.map(|(id, w)| (-w.use_now(now, self.idle), *id)).collect();
+            used.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            let missing = used.iter().take(self.ahead).filter(|(_, id)| {
+                !waited.contains(id) && self.workers.get(id).is_some_and(|w| w.open == 0 && ready(w))
+            });
+            wanted.extend(missing.map(|(_, id)| *id));
+        }
+        let room = room.saturating_sub(self.begun.len() + self.waiting.len());
+        wanted.into_iter().take(room).for_each(|id| out.open_ahead(id));
+    }
+
+    /// Replaces connections made on past terms: where one is in use, its successor is made first.
+    fn retire(&mut self, now: Micros, out: &mut impl Decisions) {
+        self.retiring.take_denied().into_iter().for_each(|old| out.retire(old));
+        for old in self.retiring.due(now) {
+            let in_use = match old {
+                Old::Link(link) => self.up.get(&link).copied().filter(|id| {
+                    self.workers.get(id).is_some_and(|w| w.ready && w.use_now(now, self.idle) >= 1.0)
+                }),
+                Old::Client(_) => None,
+            };
+            match in_use {
+                Some(worker) if self.retiring.waits_for(old, worker, now) => out.open_ahead(worker),
+                _ => out.retire(old),
+            }
+        }
+        for old in self.retiring.succeeded(now) {
+            out.retire(old);
+        }
+        if let Some(at) = self.retiring.next() {
+            out.wake_at(at);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-connect/src/retiring.rs
@@ -0,0 +1,88 @@
+//! In which order and when connections made on past terms are replaced.
+
+use crate::Old;
+use sanddrum::{Micros, WorkerId};
+use std::collections::{BTreeMap, BTreeSet};
+
+pub(crate) struct Retiring {
+    within: Micros,
+    at_once: usize,
+    /// Those told of lately, idle ones first, not yet given a time.
+    told: Vec<(usize, Old)>,
+    due: BTreeSet<(Micros, Old)>,
+    /// In use, with a successor under way; retired once it is up, and then at the latest.
+    followed: BTreeMap<Old, (WorkerId, Micros)>,
+    up: BTreeSet<WorkerId>,
+    denied: Vec<Old>,
+}
+
+/// A successor is waited for no longer than this part of the stated time.
+const SUCCESSOR_PART: Micros = 10;
+
+impl Retiring {
+    pub fn new(within: Micros, at_once: f64) -> Self {
+        let at_once = (at_once as usize).max(1);
+        let (due, followed, up) = (BTreeSet::new(), BTreeMap::new(), BTreeSet::new());
+        Retiring { within, at_once, told: Vec::new(), due, followed, up, denied: Vec::new() }
+    }
+    /// Spreads those told of over the stated time, a few at a time: first what carries nothing, then what carries the
+    /// least. Successors have their part of the time at its end.
+    pub fn add(&mut self, now: Micros, old: &[(Old, usize)]) {
+        if old.is_empty() {
+            return;
+        }
+        self.told.extend(old.iter().map(|(old, carries)| (*carries, *old)));
+        self.told.sort_unstable();
+        let pending: Vec<Old> = self.due.iter().map(|(_, old)| *old).collect();
+        let all: Vec<Old> = pending
+            .into_iter()
+            .chain(std::mem::take(&mut self.told).into_iter().map(|(_, old)| old))
+            .collect();
+        self.due.clear();
+        let steps = all.len().div_ceil(self.at_once) as Micros;
+        let within = self.within - self.within / SUCCESSOR_PART;
+        for (n, old) in all.into_iter().enumerate() {
+            let step = (n / self.at_once) as Micros;
+            self.due.insert((now + within * step / steps.max(1), old));
+        }
+    }
+    /// These have no time left, and no successor with the same somebody.
+    pub fn at_once(&mut self, old: &[Old]) {
+        old.iter().for_each(|old| self.ended(*old));
+        self.denied.extend(old);
+    }
+    pub fn take_denied(&mut self) -> Vec<Old> {
+        std::mem::take(&mut self.denied)
+    }
+    pub fn ended(&mut self, old: Old) {
+        self.due.retain(|(_, other)| *other != old);
+        self.followed.remove(&old);
+    }
+    /// Those whose time has come.
+    pub fn due(&mut self, now: Micros) -> Vec<Old> {
+        let later = self.due.split_off(&(now + 1, Old::Link(crate::LinkId(0))));
+        std::mem::replace(&mut self.due, later).into_iter().map(|(_, old)| old).collect()
+    }
+    /// Waits for a successor; `true` where one has to be begun.
+    pub fn waits_for(&mut self, old: Old, worker: WorkerId, now: Micros) -> bool {
+        self.up.remove(&worker);
+        self.followed.insert(old, (worker, now + self.within / SUCCESSOR_PART));
+        true
+    }
+    /// A new connection to this worker is up.
+    pub fn replaced(&mut self, worker: WorkerId) {
+        self.up.insert(worker);
+    }
+    /// Those with a successor by now, or that have waited for it long enough.
+    pub fn succeeded(&mut self, now: Micros) -> Vec<Old> {
+        let up = std::mem::take(&mut self.up);
+        let over = |(worker, at): &(WorkerId, Micros)| up.contains(worker) || *at <= now;
+        let done: Vec<Old> = self.followed.iter().filter(|(_, of)| over(of)).map(|(old, _)| *old).collect();
+        self.followed.retain(|old, _| !done.contains(old));
+        done
+    }
+    pub fn next(&self) -> Option<Micros> {
+        let followed = self.followed.values().map(|(_, at)| *at).min();
+        self.due.first().map(|(at, _)| *at).into_iter().chain(followed).min()
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-connect/tests/stories.rs
@@ -0,0 +1,260 @@
+//! Connections to workers, decided on.
+
+use rstest::rstest;
+use sanddrum::{Micros, Settings, Value, WorkerId};
+use sanddrum_connect::*;
+
+const MS: Micros = 1_000;
+const S: Micros = 1_000_000;
+
+#[derive(Default, Debug)]
+struct Seen {
+    opened: Vec<u64>,
+    ahead: Vec<u64>,
+    given_up: Vec<(u64, Why)>,
+    retired: Vec<Old>,
+    wake: Option<Micros>,
+}
+
+impl Decisions for Seen {
+    fn open(&mut self, link: LinkId) {
+        self.opened.push(link.0);
+    }
+    fn open_ahead(&mut self, worker: WorkerId) {
+        self.ahead.push(worker.0);
+    }
+    fn give_up(&mut self, link: LinkId, why: Why) {
+        self.given_up.push((link.0, why));
+    }
+    fn retire(&mut self, old: Old) {
+        self.retired.push(old);
+    }
+    fn wake_at(&mut self, at: Micros) {
+        self.wake = Some(self.wake.map_or(at, |set| set.min(at)));
+    }
+}
+
+struct Story {
+    now: Micros,
+    connections: Connections,
+}
+
+impl Story {
+    fn new(set: &[(&str, f64)]) -> Story {
+        Story::of_edge(1, set)
+    }
+    fn of_edge(seed: u64, set: &[(&str, f64)]) -> Story {
+        let mut settings = Settings::default();
+        let usual = [("rules.cold-us", 10e6), ("rules.cold-from", 0.2), ("limits.left-alone-most-us", 2e6)];
+        for (name, value) in usual.iter().chain(set) {
+            settings.0.insert(name.to_string(), Value::Number(*value));
+        }
+        Story { now: 1000 * S, connections: Connections::new(seed, &settings) }
+    }
+    fn hears(&mut self, news: &News) -> Seen {
+        let mut seen = Seen::default();
+        self.connections.round(self.now, news, &mut seen);
+        seen
+    }
+    fn lists(&mut self, workers: u64, started: Micros) -> Seen {
+        let listed = |n| Listed { worker: WorkerId(n), size: 4.0, started, ready: true };
+        self.hears(&News { listed: (0..workers).map(listed).collect(), ..News::default() })
+    }
+    fn wants(&mut self, link: u64, worker: u64, need: Need) -> Seen {
+        let due = self.now + 5 * S;
+        let wanted = Wanted { link: LinkId(link), worker: WorkerId(worker), need, due };
+        self.hears(&News { wanted: vec![wanted], ..News::default() })
+    }
+    fn up(&mut self, link: u64) -> Seen {
+        self.hears(&News { up: vec![(LinkId(link), false)], ..News::default() })
+    }
+    fn fails(&mut self, link: u64) -> Seen {
+        self.hears(&News { failed: vec![LinkId(link)], ..News::default() })
+    }
+    fn ends(&mut self, link: u64) -> Seen {
+        self.hears(&News { ended: vec![LinkId(link)], ..News::default() })
+    }
+    fn uses(&mut self, worker: u64) {
+        self.hears(&News { used: vec![WorkerId(worker)], ..News::default() });
+    }
+}
+
+#[rstest]
+fn jobs_come_first_and_only_so_many_handshakes_are_under_way() {
+    let mut s = Story::new(&[("limits.handshakes-out", 2.0)]);
+    s.lists(9, 0);
+    assert_eq!(s.wants(1, 1, Need::Job).opened, [1]);
+    assert_eq!(s.wants(2, 2, Need::Job).opened, [2]);
+    assert!(s.wants(3, 3, Need::Errand).opened.is_empty());
+    assert!(s.wants(4, 4, Need::Job).opened.is_empty());
+    assert_eq!(s.up(1).opened, [4], "the job, although the errand came before");
+    assert_eq!(s.ends(2).opened, [3]);
+}
+
+#[rstest]
+fn a_pressed_worker_has_one_handshake_at_a_time() {
+    let mut s = Story::new(&[]);
+    s.lists(2, 0);
+    s.hears(&News { loads: vec![(WorkerId(0), 9.0)], ..News::default() });
+    assert_eq!(s.wants(1, 0, Need::Job).opened, [1]);
+    assert!(s.wants(2, 0, Need::Job).opened.is_empty());
+    assert_eq!(s.wants(3, 1, Need::Job).opened, [3]);
+    assert_eq!(s.wants(4, 1, Need::Job).opened, [4]);
+    assert_eq!(s.up(1).opened, [2]);
+}
+
+#[rstest]
+fn what_fails_is_left_alone_longer_each_time_and_what_took_long_for_as_long() {
+    let mut s = Story::new(&[]);
+    s.lists(2, 0);
+    let mut waits = Vec::new();
+    for n in 0..4 {
+        assert_eq!(s.wants(n, 0, Need::Job).opened, [n]);
+        s.fails(n);
+        let began = s.now;
+        while s.wants(100 + n, 0, Need::Job).given_up == [(100 + n, Why::Failing)] {
+            s.now += 10 * MS;
+        }
+        waits.push(s.now - began);
+        // What came through the wait was begun: it ends here.
+        s.ends(100 + n);
+    }
+    assert!(waits[3] > 2 * waits[0] && waits[3] <= 820 * MS, "{waits:?}");
+    assert_eq!(s.wants(50, 1, Need::Job).opened, [50]);
+    s.now += S;
+    s.fails(50);
+    s.now += 400 * MS;
+    assert_eq!(s.wants(51, 1, Need::Job).given_up, [(51, Why::Failing)], "it took a second to fail");
+}
+
+#[rstest]
+fn a_new_process_is_not_left_alone_for_what_the_old_one_did() {
+    let mut s = Story::new(&[]);
+    s.lists(1, 0);
+    s.wants(1, 0, Need::Job);
+    s.fails(1);
+    assert_eq!(s.wants(2, 0, Need::Job).given_up, [(2, Why::Failing)]);
+    s.lists(1, s.now);
+    assert_eq!(s.wants(3, 0, Need::Job).opened, [3]);
+}
+
+#[rstest]
+fn all_tries_at_what_failed_share_one_budget() {
+    let mut s = Story::new(&[("limits.connect-again", 5.0), ("limits.handshakes-out", 1000.0)]);
+    s.lists(100, 0);
+    for n in 0..100 {
+        s.wants(n, n, Need::Job);
+        s.fails(n);
+    }
+    let (mut tried, mut link) = (0, 1000);
+    for _ in 0..100 {
+        s.now += 100 * MS;
+        for worker in 0..100 {
+            link += 1;
+            let seen = s.wants(link, worker, Need::Job);
+            tried += seen.opened.len();
+            if !seen.opened.is_empty() {
+                s.fails(link);
+            }
+        }
+    }
+    assert!((45..=60).contains(&tried), "{tried} tries in ten seconds");
+}
+
+/// A zone is back cold, and every edge wants every worker of it in the same moment.
+#[rstest]
+fn edges_that_know_nothing_of_each_other_spare_a_cold_worker(#[values(40, 150, 300)] edges: u64) {
+    let begun: Micros = 1000 * S;
+    let set = [("routers", edges as f64), ("limits.connect-time-out-us", 2e6)];
+    let mut stories: Vec<Story> = (0..edges).map(|n| Story::of_edge(n, &set)).collect();
+    let mut at: Vec<Micros> = Vec::new();
+    for s in &mut stories {
+        s.now = begun;
+        s.lists(1, begun);
+        // Nothing hurries: it is kept ahead of need.
+        let mut seen = s.wants(1, 0, Need::Ahead);
+        while seen.opened.is_empty() {
+            s.now = seen.wake.unwrap();
+            seen = s.hears(&News::default());
+        }
+        at.push(s.now - begun);
+    }
+    // Handshakes are thought to take 4 ms at first; a worker of size 4 at a fifth does 800 ms a second, and a quarter
+    // of that goes to handshakes: 50 a second.
+    at.sort_unstable();
+    let busiest = at.iter().map(|from| at.iter().filter(|t| (*from..from + S).contains(*t)).count()).max();
+    assert!(busiest.unwrap() <= 75, "{busiest:?}");
+    assert!(*at.last().unwrap() <= edges as Micros * S / 50);
+}
+
+#[rstest]
+fn a_job_that_can_not_wait_for_a_cold_worker_goes_elsewhere() {
+    let mut s = Story::new(&[("routers", 3000.0), ("limits.connect-time-out-us", 2e6)]);
+    s.lists(1, s.now);
+    let seen = s.wants(1, 0, Need::Job);
+    assert_eq!(seen.given_up, [(1, Why::Cold)]);
+}
+
+#[rstest]
+fn connections_are_kept_to_what_is_used_most_and_added_where_they_fill_up() {
+    let mut s = Story::new(&[("limits.connections-ahead", 2.0)]);
+    s.lists(5, 0);
+    for (worker, times) in [(1, 3), (2, 1), (3, 2)] {
+        (0..times).for_each(|_| s.uses(worker));
+    }
+    assert_eq!(s.lists(5, 0).ahead, [1, 3]);
+    s.wants(7, 1, Need::Ahead);
+    s.up(7);
+    assert_eq!(s.ends(7).ahead, [1, 3], "it is missed again");
+    let tight = s.hears(&News { tight: vec![WorkerId(2)], ..News::default() });
+    assert_eq!(tight.ahead, [2]);
+    s.now += 100 * S;
+    assert!(s.lists(5, 0).ahead.is_empty(), "nothing was used for long");
+}
+
+#[rstest]
+fn connections_of_past_terms_go_a_few_at_a_time_and_idle_ones_first() {
+    let mut s = Story::new(&[("limits.retire-at-once", 2.0), ("limits.retire-within-us", 10e6)]);
+    s.lists(8, 0);
+    for n in 0..8 {
+        s.wants(n, n, Need::Job);
+        s.up(n);
+    }
+    let old = (0..8).map(|n| (Old::Link(LinkId(n)), if n < 6 { 1 } else { 0 })).collect();
+    let mut retired = vec![];
+    let mut seen = s.hears(&News { old, ..News::default() });
+    let begun = s.now;
+    loop {
+        retired.extend(seen.retired.iter().map(|old| (s.now - begun, *old)));
+        let Some(at) = seen.wake else { break };
+        s.now = at;
+        seen = s.hears(&News::default());
+    }
+    assert_eq!(retired.len(), 8);
+    assert_eq!(
+        retired[..2].iter().map(|(_, old)| *old).collect::<Vec<_>>(),
+        [Old::Link(LinkId(6)), Old::Link(LinkId(7))]
+    );
+    assert!(retired.last().unwrap().0 <= 10 * S && retired[2].0 > S);
+    for (at, _) in &retired {
+        assert!(retired.iter().filter(|(t, _)| t == at).count() <= 2);
+    }
+}
+
+#[rstest]
+fn one_in_use_has_its_successor_first_and_a_denied_one_waits_for_nothing() {
+    let mut s = Story::new(&[]);
+    s.lists(2, 0);
+    for n in 0..2 {
+        s.wants(n, n, Need::Job);
+        s.up(n);
+        s.uses(n);
+    }
+    let seen = s.hears(&News { old: vec![(Old::Link(LinkId(0)), 1)], ..News::default() });
+    assert_eq!((seen.ahead, seen.retired.len()), (vec![0], 0));
+    s.wants(10, 0, Need::Ahead);
+    assert_eq!(s.up(10).retired, [Old::Link(LinkId(0))]);
+    let seen = s.hears(&News { denied: vec![Old::Link(LinkId(1))], ..News::default() });
+    assert_eq!(seen.retired, [Old::Link(LinkId(1))]);
+    assert_eq!(seen.ahead, []);
+}
--- a/crates/sanddrum-edge/src/carry.rs
+++ b/crates/sanddrum-edge/src/carry.rs
@@ -3,12 +3,11 @@
 use crate::jobs::{Execution, Refusal};
 use crate::{Due, Inner};
 use sanddrum::{Decisions, End, FunctionId, JobId, Micros, PeerId, Warmth, WorkerId};
-use sanddrum_net::Io;
+use sanddrum_connect::LinkId;
 use sanddrum_wire::{self as wire, frame::frame, ToWorker};
 
 pub(crate) struct Carry<'a> {
     pub inner: &'a mut Inner,
-    pub io: &'a mut dyn Io,
     pub now: Micros,
 }
 
@@ -36,14 +35,11 @@
         });
         let closed = job.closed;
         let customer = job.customer_id;
-        let sent = if closed {
-            Err(End::Moot)
-        } else {
-            inner.send(now, worker, execution, &frame(&message), self.io)
-        };
         let due = now + limit;
-        let conn = sent.unwrap_or(sanddrum_net::Conn(u64::MAX));
-        inner.jobs.executions.insert(execution, Execution { job: id, number, worker, conn, sent: now, due });
+        let sent =
+            if closed { Err(End::Moot) } else { inner.send(now, worker, execution, &frame(&message), due) };
+        let link = sent.unwrap_or(LinkId(u64::MAX));
+        inner.jobs.executions.insert(execution, Execution { job: id, number, worker, link, sent: now, due });
         tracing::debug!(job = id.0, execution = number, worker = inner.links.name(worker), limit, "executed");
         match sent {
             Ok(_) => {
@@ -58,11 +54,11 @@
         let inner = &mut *self.inner;
         let Some(job) = inner.jobs.jobs.get(&id) else { return };
         let Some(execution) = job.executions.get(number).copied() else { return };
-        let Some(conn) = inner.jobs.executions.get(&execution).map(|e| e.conn) else { return };
-        if inner.links.take_back(conn, execution) {
+        let Some(link) = inner.jobs.executions.get(&execution).map(|e| e.link) else { return };
+        if inner.links.take_back(link, execution) {
             return inner.execution_ended(self.now, execution, End::Moot, Warmth::Unknown, None, None);
         }
-        inner.tell(conn, &frame(&ToWorker::Cancel(wire::Cancel { id: execution })));
+        inner.tell(link, &frame(&ToWorker::Cancel(wire::Cancel { id: execution })));
         inner.execution_ended(self.now, execution, End::Cancelled, Warmth::Unknown, None, None);
     }
 
@@ -92,18 +88,19 @@
     }
 
     fn hold(&mut self, worker: WorkerId, function: FunctionId, copies: u32) {
-        self.inner.order(self.now, worker, function, copies, self.io);
+        self.inner.order(self.now, worker, function, copies);
     }
 
     fn unload(&mut self, worker: WorkerId, function: FunctionId) {
         let Some(name) = self.inner.functions.get(function).map(|f| f.name.clone()) else { return };
         let bytes = frame(&ToWorker::Unload(wire::Unload { function: name }));
         // Nothing is owed for it: where it can't be sent the copies lapse by themselves.
-        let _ = self.inner.send(self.now, worker, 0, &bytes, self.io);
+        let due = self.now + self.inner.limits.order_time_out;
+        let _ = self.inner.send(self.now, worker, 0, &bytes, due);
     }
 
     fn probe(&mut self, worker: WorkerId) {
-        self.inner.probe(self.now, worker, self.io);
+        self.inner.probe(self.now, worker);
     }
 
     fn tell(&mut self, _: Option<PeerId>, _: &[u8]) {
--- a/crates/sanddrum-edge/src/clients.rs
+++ b/crates/sanddrum-edge/src/clients.rs
@@ -4,6 +4,7 @@
 use crate::jobs::{Job, Refusal};
 use crate::{Due, Inner, Owner};
 use sanddrum::{CustomerId, JobId, Micros};
+use sanddrum_connect::{ClientId, Old};
 use sanddrum_net::{Conn, Event, Io, Outbox};
 use sanddrum_wire::http::{self, Parsed, Request};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -34,6 +35,8 @@
     ending: Ending,
     paused: bool,
     told_to_go_on: bool,
+    /// It ends with its next answer, or at once where it asks nothing.
+    retired: bool,
 }
 
 #[derive(Default)]
@@ -86,6 +89,7 @@
             ending: Ending::No,
             paused: false,
             told_to_go_on: false,
+            retired: false,
         };
         self.clients.clients.insert(conn, client);
         self.figures.clients_open.increment(1.0);
@@ -136,6 +140,23 @@
         }
     }
 
+    /// A client's connection was made on terms that are past.
+    pub(crate) fn client_is_old(&mut self, now: Micros, conn: Conn, denied: bool, io: &mut dyn Io) {
+        if denied {
+            self.client_doubted(now, conn, io);
+            return self.links.news.denied.push(Old::Client(ClientId(conn.0)));
+        }
+        let carries = self.clients.clients.get(&conn).map_or(0, |client| client.places.len());
+        self.links.news.old.push((Old::Client(ClientId(conn.0)), carries));
+    }
+    pub(crate) fn retire_client(&mut self, conn: Conn, io: &mut dyn Io) {
+        let Some(client) = self.clients.clients.get_mut(&conn) else { return };
+        client.retired = true;
+        if client.places.is_empty() && client.bytes.is_empty() && client.out.waiting() == 0 {
+            self.drop_client(conn, io, true);
+        }
+    }
+
     fn read_requests(&mut self, now: Micros, conn: Conn, io: &mut dyn Io) {
         loop {
             let Some(client) = self.clients.clients.get_mut(&conn) else { return };
@@ -195,7 +216,8 @@
     }
 
     fn take_request(&mut self, now: Micros, conn: Conn, request: Request, io: &mut dyn Io) {
-        let mut keep = request.keep_alive && !self.stopping;
+        let retired = self.clients.clients.get(&conn).is_some_and(|client| client.retired);
+        let mut keep = request.keep_alive && !self.stopping && !retired;
         let path = request.path.split('?').next().unwrap_or_default().to_string();
         let answer = match (request.method.as_str(), path.as_str()) {
             ("GET", "/metrics") => {
@@ -333,6 +355,7 @@
         let n = place.checked_sub(client.first).map(|n| n as usize);
         let Some(place) = n.and_then(|n| client.places.get_mut(n)) else { return };
         if let Place::Open { keep, .. } = *place {
+            let keep = keep && !client.retired;
             *place = Place::Ready { answer: answer(keep), keep };
             self.clients.dirty.insert(conn);
         }
--- a/crates/sanddrum-edge/src/figures.rs
+++ b/crates/sanddrum-edge/src/figures.rs
@@ -2,6 +2,7 @@
 
 use metrics::{counter, gauge, Counter, Gauge};
 use sanddrum::End;
+use sanddrum_connect::Connections;
 
 pub struct Figures {
     pub taken: Counter,
@@ -15,6 +16,9 @@
     pub links_open: Gauge,
     pub clients_open: Gauge,
     pub workers_listed: Gauge,
+    handshakes_out: Gauge,
+    links_waiting: Gauge,
+    handshake_us: Gauge,
     ends: Vec<Counter>,
 }
 
@@ -44,6 +48,9 @@
             links_open: gauge!("sanddrum_worker_connections"),
             clients_open: gauge!("sanddrum_client_connections"),
             workers_listed: gauge!("sanddrum_workers_listed"),
+            handshakes_out: gauge!("sanddrum_handshakes_out"),
+            links_waiting: gauge!("sanddrum_worker_connections_waiting"),
+            handshake_us: gauge!("sanddrum_handshake_microseconds"),
             ends: ENDS.iter().map(|(_, end)| counter!("sanddrum_executions_total", "end" => *end)).collect(),
         }
     }
@@ -53,6 +60,11 @@
     pub fn refused(&self, end: &'static str, reason: &str) {
         counter!("sanddrum_answers_total", "end" => end, "reason" => reason.to_string()).increment(1);
     }
+    pub fn connecting(&self, connections: &Connections) {
+        self.handshakes_out.set(connections.handshakes_out() as f64);
+        self.links_waiting.set(connections.waiting() as f64);
+        self.handshake_us.set(connections.costs().full() as f64);
+    }
     /// A named limit was reached.
     pub fn limit_hit(&self, limit: &'static str) {
         counter!("sanddrum_limit_hits_total", "limit" => limit).increment(1);
--- a/crates/sanddrum-edge/src/jobs.rs
+++ b/crates/sanddrum-edge/src/jobs.rs
@@ -1,7 +1,9 @@
 //! The jobs that this edge holds, their executions, and which final answer each got. One answer, exactly.
 
+use crate::links::Mark;
 use crate::{Due, Inner};
 use sanddrum::{CustomerId, End, ExecutionEnd, FunctionId, JobId, Report, Warmth, WorkerId, WorkloadId};
+use sanddrum_connect::LinkId;
 use sanddrum_net::{Conn, Micros};
 use sanddrum_wire::{http, Copy, Done, Ended, LoadReport};
 use serde_json::json;
@@ -32,7 +34,7 @@
     pub job: JobId,
     pub number: usize,
     pub worker: WorkerId,
-    pub conn: Conn,
+    pub link: LinkId,
     pub sent: Micros,
     pub due: Micros,
 }
@@ -127,8 +129,8 @@
 
 impl Inner {
     /// A worker's answer to an execution.
-    pub(crate) fn execution_answered(&mut self, now: Micros, conn: Conn, done: Done) {
-        let ours = self.jobs.executions.get(&done.id).is_some_and(|e| e.conn == conn);
+    pub(crate) fn execution_answered(&mut self, now: Micros, link: LinkId, done: Done) {
+        let ours = self.jobs.executions.get(&done.id).is_some_and(|e| e.link == link);
         if !ours {
             // Answered after a time-out or a cancel, twice, or never asked for: it changes nothing any more.
             self.figures.stray_answers.increment(1);
@@ -202,7 +204,8 @@
     ) {
         let Some(e) = self.jobs.executions.remove(&id) else { return };
         self.due.remove(&(e.due, Due::Execution(id)));
-        self.links.release(e.conn, id, now);
+        self.release(e.link, Mark::Execution(id), now);
+        report.iter().for_each(|report| self.links.reported(e.worker, report));
         self.figures.execution_ended(end);
         let settled = match self.jobs.jobs.get_mut(&e.job) {
             Some(job) => {
@@ -234,8 +237,8 @@
 
     /// No answer within its limit. What was never written has never run and is taken back.
     pub(crate) fn execution_is_late(&mut self, now: Micros, id: u64) {
-        let Some(conn) = self.jobs.executions.get(&id).map(|e| e.conn) else { return };
-        let end = if self.links.take_back(conn, id) { End::NoConnection } else { End::TimedOut };
+        let Some(link) = self.jobs.executions.get(&id).map(|e| e.link) else { return };
+        let end = if self.links.take_back(link, id) { End::NoConnection } else { End::TimedOut };
         self.execution_ended(now, id, end, Warmth::Unknown, None, None);
     }
 
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod carry;
 mod clients;
+mod connect;
 mod figures;
 mod functions;
 mod identity;
@@ -26,6 +27,7 @@
 use links::Links;
 use list::List;
 use sanddrum::{Decisions, Round, Router};
+use sanddrum_connect::{Connections, LinkId};
 use sanddrum_net::{Chance, Conn, Core, Event, Io, Micros};
 use sanddrum_settings::Loaded;
 use std::collections::{BTreeMap, BTreeSet};
@@ -47,7 +49,7 @@
     Execution(u64),
     Order(u64),
     Probe(u64),
-    Link(Conn),
+    Link(LinkId),
     Client(Conn),
     List,
     Save,
@@ -58,7 +60,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Owner {
     Client,
-    Link,
+    Link(LinkId),
     List,
 }
 
@@ -79,6 +81,7 @@
 
 pub struct Edge<M> {
     module: M,
+    connections: Connections,
     inner: Inner,
 }
 
@@ -98,6 +101,7 @@
     identity: Identity,
     admission: Admission,
     links: Links,
+    connect_wake: Option<Micros>,
     list: List,
     due: BTreeSet<(Micros, Due)>,
     module_wake: Option<Micros>,
@@ -120,6 +124,8 @@
         let list = List::of(&start.settings);
         let identity = Identity::of(&start.settings);
         let admission = Admission::of(&start.settings);
+        // A seed of its own, so that one module's draws do not move the other's.
+        let connections = Connections::new(start.seed ^ 0xc0, &start.settings.values);
         let inner = Inner {
             limits,
             chance: Chance::new(start.seed),
@@ -134,6 +140,7 @@
             identity,
             admission,
             links: Links::default(),
+            connect_wake: None,
             list,
             due: BTreeSet::new(),
             module_wake: None,
@@ -141,10 +148,21 @@
             kept: start.kept,
             settings: start.settings,
         };
-        Edge { module, inner }
+        Edge { module, connections, inner }
     }
 
-    fn rounds(&mut self, now: Micros, io: &mut dyn Io) {
+    fn connect(&mut self, now: Micros, io: &mut dyn Io) {
+        let due = self.inner.connect_wake.is_some_and(|at| at <= now);
+        if !due && self.inner.links.news.is_empty() {
+            return;
+        }
+        self.inner.connect_wake = None;
+        let news = std::mem::take(&mut self.inner.links.news);
+        self.connections.round(now, &news, &mut connect::Connect { inner: &mut self.inner, io, now });
+        self.inner.figures.connecting(&self.connections);
+    }
+
+    fn rounds(&mut self, now: Micros) {
         // What carrying out a decision brings at once (a full connection, an ended job) is news of its own.
         for _ in 0..limits::ROUNDS_A_TURN {
             let due = self.inner.module_wake.is_some_and(|at| at <= now);
@@ -156,7 +174,7 @@
                 round.timer = true;
                 self.inner.module_wake = None;
             }
-            self.module.round(now, &round, &mut carry::Carry { inner: &mut self.inner, io, now });
+            self.module.round(now, &round, &mut carry::Carry { inner: &mut self.inner, now });
         }
     }
 }
@@ -180,7 +198,7 @@
                 Due::Execution(id) => self.execution_is_late(now, id),
                 Due::Order(id) => self.order_is_late(now, id),
                 Due::Probe(id) => self.probe_is_late(now, id),
-                Due::Link(conn) => self.look_at_link(now, conn, io),
+                Due::Link(link) => self.look_at_link(now, link, io),
                 Due::Client(conn) => self.look_at_client(now, conn, io),
                 Due::List => self.call_list(now, io),
                 Due::Save => self.save_list(now, io),
@@ -211,7 +229,7 @@
         }
         match owner {
             Owner::Client => inner.client_event(now, conn, event, io),
-            Owner::Link => inner.link_event(now, conn, event, io),
+            Owner::Link(link) => inner.link_event(now, link, event, io),
             Owner::List => inner.list_event(now, conn, event, io),
         }
     }
@@ -219,15 +237,16 @@
     fn turn(&mut self, now: Micros, io: &mut dyn Io) {
         self.inner.fall_due(now, io);
         self.inner.admit(now);
-        self.rounds(now, io);
+        self.rounds(now);
+        self.connect(now, io);
         self.inner.flush_links(now, io);
         self.inner.flush_clients(now, io);
     }
 
     fn wake(&self) -> Option<Micros> {
-        let news = self.inner.has_news().then_some(0);
+        let news = (self.inner.has_news() || !self.inner.links.news.is_empty()).then_some(0);
         let due = self.inner.due.first().map(|(at, _)| *at);
-        due.into_iter().chain(self.inner.module_wake).chain(news).min()
+        due.into_iter().chain(self.inner.module_wake).chain(self.inner.connect_wake).chain(news).min()
     }
 
     fn file(&mut self, now: Micros, name: &str, content: Result<&[u8], &str>, io: &mut dyn Io) {
@@ -238,7 +257,8 @@
 
     fn stale(&mut self, now: Micros, conn: Conn, denied: bool, io: &mut dyn Io) {
         match self.inner.owners.get(&conn) {
-            Some(Owner::Client) if denied => self.inner.client_doubted(now, conn, io),
+            Some(Owner::Client) => self.inner.client_is_old(now, conn, denied, io),
+            Some(Owner::Link(link)) => self.inner.link_is_old(*link, denied),
             _ => {}
         }
     }
--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -2,7 +2,10 @@
 
 use crate::jobs::report_of;
 use crate::{Due, Inner, Owner};
-use sanddrum::{End, FunctionId, Micros, OrderEnd, ProbeEnd, Warmth, WorkerId};
+use sanddrum::{
+    End, FunctionId, Micros, OrderEnd, ProbeEnd, Report, Warmth, WorkerId, WorkerRow, WorkerState,
+};
+use sanddrum_connect::{LinkId, Listed, Need, News, Old, Wanted, Why};
 use sanddrum_net::{Closed, Conn, Event, Io, Outbox};
 use sanddrum_wire::{self as wire, frame::frame, Frames, FromWorker, Hello, ToWorker, VERSION};
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,11 +21,15 @@
 
 struct Link {
     worker: WorkerId,
+    /// None while it waits to be begun.
+    conn: Option<Conn>,
     out: Outbox<Mark>,
     frames: Frames,
     /// What is out on it and wants an answer.
     carries: BTreeSet<Mark>,
     up: bool,
+    /// It gets nothing new, and ends once it carries nothing.
+    retired: bool,
     quiet_since: Micros,
 }
 
@@ -31,25 +38,28 @@
 pub(crate) struct Target {
     pub name: String,
     pub address: String,
-    conns: BTreeSet<Conn>,
+    links: BTreeSet<LinkId>,
 }
 
 struct Asked {
     worker: WorkerId,
     function: FunctionId,
-    conn: Conn,
+    link: LinkId,
     sent: Micros,
     due: Micros,
 }
 
 #[derive(Default)]
 pub(crate) struct Links {
-    links: BTreeMap<Conn, Link>,
+    links: BTreeMap<LinkId, Link>,
     targets: BTreeMap<WorkerId, Target>,
     orders: BTreeMap<u64, Asked>,
     probes: BTreeMap<u64, Asked>,
     asked: u64,
-    dirty: BTreeSet<Conn>,
+    made: u64,
+    dirty: BTreeSet<LinkId>,
+    /// What the connection module is to hear in its next round.
+    pub news: News,
 }
 
 impl Links {
@@ -57,35 +67,58 @@
         self.targets.get(&worker).map(|t| t.name.as_str())
     }
     /// A worker as listed; at a new address the old connections are of no further use and end when idle.
-    pub fn set_target(&mut self, worker: WorkerId, name: &str, address: &str) {
+    pub fn set_target(&mut self, row: &WorkerRow, name: &str, address: &str) {
+        let WorkerRow { worker, size, state, started, .. } = *row;
+        if state == WorkerState::Gone {
+            self.news.gone.push(worker);
+        }
+        self.news.listed.push(Listed { worker, size, started, ready: state != WorkerState::Gone });
         let target = self.targets.entry(worker).or_default();
         if target.address != address {
-            target.conns.clear();
+            for link in std::mem::take(&mut target.links) {
+                self.links.entry(link).and_modify(|link| link.retired = true);
+            }
         }
         (target.name, target.address) = (name.to_string(), address.to_string());
     }
     /// Takes an execution back of which nothing was written.
-    pub fn take_back(&mut self, conn: Conn, execution: u64) -> bool {
-        self.links.get_mut(&conn).is_some_and(|link| link.out.retract(&Mark::Execution(execution)))
+    pub fn take_back(&mut self, link: LinkId, execution: u64) -> bool {
+        self.links.get_mut(&link).is_some_and(|link| link.out.retract(&Mark::Execution(execution)))
+    }
+    /// What a link carried has ended; `true` where a retired one has nothing more to wait for.
+    fn carried_ends(&mut self, id: LinkId, mark: Mark, now: Micros) -> bool {
+        let Some(link) = self.links.get_mut(&id) else { return false };
+        link.carries.remove(&mark);
+        link.quiet_since = now;
+        link.retired && link.carries.is_empty()
     }
-    pub fn release(&mut self, conn: Conn, execution: u64, now: Micros) {
-        self.carried_ends(conn, Mark::Execution(execution), now);
+    /// The connection to a worker that carries the least, if one has room.
+    fn roomy(&self, worker: WorkerId, streams: usize) -> Option<LinkId> {
+        let links = self.targets.get(&worker)?.links.iter();
+        let load = links.filter_map(|id| self.links.get(id).map(|link| (link.carries.len(), *id)));
+        load.min().filter(|(n, _)| *n < streams).map(|(_, id)| id)
+    }
+    fn has_one_to_come(&self, worker: WorkerId) -> bool {
+        let links = self.targets.get(&worker).into_iter().flat_map(|target| &target.links);
+        links.filter_map(|id| self.links.get(id)).any(|link| !link.up)
     }
-    fn carried_ends(&mut self, conn: Conn, mark: Mark, now: Micros) {
-        if let Some(link) = self.links.get_mut(&conn) {
-            link.carries.remove(&mark);
-            link.quiet_since = now;
+    /// What the worker told of itself.
+    pub fn reported(&mut self, worker: WorkerId, report: &Report) {
+        if let (Some(held), Some(queued)) = (report.held, report.queued) {
+            self.news.loads.push((worker, held + queued));
         }
     }
-    /// The connection to a worker that carries the least, if one has room.
-    fn roomy(&self, worker: WorkerId, streams: usize) -> Option<Conn> {
-        let conns = self.targets.get(&worker)?.conns.iter();
-        let load = conns.filter_map(|conn| self.links.get(conn).map(|link| (link.carries.len(), *conn)));
-        load.min().filter(|(n, _)| *n < streams).map(|(_, conn)| conn)
+    pub fn count(&self, worker: WorkerId) -> usize {
+        self.targets.get(&worker).map_or(0, |target| target.links.len())
     }
 }
 
 impl Inner {
+    pub(crate) fn release(&mut self, link: LinkId, mark: Mark, now: Micros) {
+        if self.links.carried_ends(link, mark, now) {
+            self.due.insert((now, Due::Link(link)));
+        }
+    }
     /// Sends to a worker, or says how that ended: nothing was sent then.
     fn send_marked(
         &mut self,
@@ -93,13 +126,13 @@
         worker: WorkerId,
         mark: Mark,
         bytes: &[u8],
-        io: &mut dyn Io,
-    ) -> Result<Conn, End> {
-        let conn = match self.links.roomy(worker, self.limits.streams) {
-            Some(conn) => conn,
-            None => self.open_link(now, worker, io)?,
+        due: Micros,
+    ) -> Result<LinkId, End> {
+        let id = match self.links.roomy(worker, self.limits.streams) {
+            Some(id) => id,
+            None => self.new_link(now, worker)?,
         };
-        let link = self.links.links.get_mut(&conn).ok_or(End::NoConnection)?;
+        let link = self.links.links.get_mut(&id).ok_or(End::NoConnection)?;
         if link.out.push(mark, bytes).is_err() {
             // It does not read: as good as unreachable.
             self.figures.limit_hit("waiting-per-worker");
@@ -113,8 +146,18 @@
         if mark != Mark::Other {
             link.carries.insert(mark);
         }
-        self.links.dirty.insert(conn);
-        Ok(conn)
+        let need = if matches!(mark, Mark::Execution(_)) { Need::Job } else { Need::Errand };
+        let (carries, waits) = (link.carries.len(), link.conn.is_none());
+        let news = &mut self.links.news;
+        if waits {
+            news.wanted.push(Wanted { link: id, worker, need, due });
+        }
+        news.used.push(worker);
+        if carries * 4 >= self.limits.streams * 3 && !self.links.has_one_to_come(worker) {
+            self.links.news.tight.push(worker);
+        }
+        self.links.dirty.insert(id);
+        Ok(id)
     }
     /// Sends an execution; with nought for its number, something that no answer is owed for.
     pub(crate) fn send(
@@ -123,22 +166,23 @@
         worker: WorkerId,
         execution: u64,
         bytes: &[u8],
-        io: &mut dyn Io,
-    ) -> Result<Conn, End> {
+        due: Micros,
+    ) -> Result<LinkId, End> {
         let mark = if execution == 0 { Mark::Other } else { Mark::Execution(execution) };
-        self.send_marked(now, worker, mark, bytes, io)
+        self.send_marked(now, worker, mark, bytes, due)
     }
     /// Writes behind what is already on this connection, if it still stands.
-    pub(crate) fn tell(&mut self, conn: Conn, bytes: &[u8]) {
-        if let Some(link) = self.links.links.get_mut(&conn) {
+    pub(crate) fn tell(&mut self, id: LinkId, bytes: &[u8]) {
+        if let Some(link) = self.links.links.get_mut(&id) {
             if link.out.push(Mark::Other, bytes).is_ok() {
-                self.links.dirty.insert(conn);
+                self.links.dirty.insert(id);
             }
         }
     }
-    fn open_link(&mut self, now: Micros, worker: WorkerId, io: &mut dyn Io) -> Result<Conn, End> {
+    /// A connection that is to be; the connection module says when it is begun.
+    fn new_link(&mut self, now: Micros, worker: WorkerId) -> Result<LinkId, End> {
         let target = self.links.targets.get_mut(&worker).ok_or(End::NoConnection)?;
-        if target.conns.len() >= self.limits.connections {
+        if target.links.len() >= self.limits.connections {
             self.figures.limit_hit("connections");
             tracing::warn!(
                 worker = target.name,
@@ -147,50 +191,95 @@
             );
             return Err(End::Full);
         }
-        let conn = io.connect_named(&target.address, &target.name);
-        target.conns.insert(conn);
-        self.owners.insert(conn, Owner::Link);
+        self.links.made += 1;
+        let id = LinkId(self.links.made);
+        target.links.insert(id);
         let mut out = Outbox::new(self.limits.waiting_per_worker);
         let name = self.settings.text("edge.name").to_string();
         let hello = Hello { version: VERSION, name, incarnation: self.incarnation, age_us: None };
         let _ = out.push(Mark::Other, &frame(&ToWorker::Hello(hello)));
         let frames = Frames::new(self.limits.largest_frame);
-        let link = Link { worker, out, frames, carries: BTreeSet::new(), up: false, quiet_since: now };
-        self.links.links.insert(conn, link);
-        self.due.insert((now + self.limits.connect_time_out, Due::Link(conn)));
+        let (carries, quiet_since) = (BTreeSet::new(), now);
+        let link = Link { worker, conn: None, out, frames, carries, up: false, retired: false, quiet_since };
+        self.links.links.insert(id, link);
         self.figures.links_open.increment(1.0);
-        Ok(conn)
+        Ok(id)
+    }
+    /// Begins a connection that has waited.
+    pub(crate) fn begin_link(&mut self, now: Micros, id: LinkId, io: &mut dyn Io) {
+        let Some(link) = self.links.links.get_mut(&id).filter(|link| link.conn.is_none()) else { return };
+        let Some(target) = self.links.targets.get(&link.worker) else { return };
+        let conn = io.connect_named(&target.address, &target.name);
+        link.conn = Some(conn);
+        self.owners.insert(conn, Owner::Link(id));
+        self.due.insert((now + self.limits.connect_time_out, Due::Link(id)));
+    }
+    /// One that nothing waits for yet.
+    pub(crate) fn link_ahead(&mut self, now: Micros, worker: WorkerId) {
+        if self.links.has_one_to_come(worker) || self.links.count(worker) >= self.limits.connections {
+            return;
+        }
+        if let Ok(link) = self.new_link(now, worker) {
+            let due = now + self.limits.connect_time_out;
+            self.links.news.wanted.push(Wanted { link, worker, need: Need::Ahead, due });
+        }
+    }
+    /// What waits for a connection is told that it does not come.
+    pub(crate) fn give_link_up(&mut self, now: Micros, id: LinkId, why: Why) {
+        self.figures.limit_hit(why.reason());
+        let end = if why == Why::Cold { End::Full } else { End::NoConnection };
+        self.end_link(now, id, |_| end, false);
+    }
+    pub(crate) fn retire_link(&mut self, now: Micros, id: LinkId) {
+        let Some(link) = self.links.links.get_mut(&id) else { return };
+        link.retired = true;
+        let worker = link.worker;
+        if let Some(target) = self.links.targets.get_mut(&worker) {
+            target.links.remove(&id);
+        }
+        self.due.insert((now, Due::Link(id)));
+    }
+    /// A connection was made on terms that are past.
+    pub(crate) fn link_is_old(&mut self, id: LinkId, denied: bool) {
+        let Some(link) = self.links.links.get(&id) else { return };
+        let carries = link.carries.len();
+        match denied {
+            true => self.links.news.denied.push(Old::Link(id)),
+            false => self.links.news.old.push((Old::Link(id), carries)),
+        }
     }
 
-    pub(crate) fn link_event(&mut self, now: Micros, conn: Conn, event: Event<'_>, io: &mut dyn Io) {
+    pub(crate) fn link_event(&mut self, now: Micros, id: LinkId, event: Event<'_>, io: &mut dyn Io) {
         match event {
-            Event::Connected { .. } => {
-                if let Some(link) = self.links.links.get_mut(&conn) {
+            Event::Connected { conn } => {
+                if let Some(link) = self.links.links.get_mut(&id) {
                     (link.up, link.quiet_since) = (true, now);
-                    self.links.dirty.insert(conn);
+                    let resumed = io.peer(conn).is_some_and(|peer| peer.resumed);
+                    self.links.news.up.push((id, resumed));
+                    self.links.dirty.insert(id);
                 }
             }
             Event::Writable { .. } => {
-                if let Some(link) = self.links.links.get_mut(&conn) {
+                if let Some(link) = self.links.links.get_mut(&id) {
                     link.out.unblock();
-                    self.links.dirty.insert(conn);
+                    self.links.dirty.insert(id);
                 }
             }
-            Event::Bytes { bytes, .. } => self.link_bytes(now, conn, bytes, io),
-            Event::Closed { how, .. } => self.link_ended(now, conn, how),
+            Event::Bytes { bytes, .. } => self.link_bytes(now, id, bytes, io),
+            Event::Closed { how, .. } => self.link_ended(now, id, how, false),
             Event::Accepted { .. } => {}
         }
     }
 
-    fn link_bytes(&mut self, now: Micros, conn: Conn, bytes: &[u8], io: &mut dyn Io) {
-        let Some(link) = self.links.links.get_mut(&conn) else { return };
+    fn link_bytes(&mut self, now: Micros, id: LinkId, bytes: &[u8], io: &mut dyn Io) {
+        let Some(link) = self.links.links.get_mut(&id) else { return };
         let worker = link.worker;
         let mut frames = std::mem::take(&mut link.frames);
         frames.take_in(bytes);
         loop {
             let problem = match frames.next_message::<FromWorker>() {
                 Ok(None) => break,
-                Ok(Some(message)) => match self.worker_says(now, conn, worker, message) {
+                Ok(Some(message)) => match self.worker_says(now, id, worker, message) {
                     Ok(()) => continue,
                     Err(problem) => problem,
                 },
@@ -199,19 +288,24 @@
             self.figures.garbled_links.increment(1);
             let name = self.links.name(worker).unwrap_or_default();
             tracing::warn!(worker = name, reason = "garbled-worker", problem, "the connection is ended");
-            self.owners.remove(&conn);
-            io.reset(conn);
-            return self.link_ended(now, conn, Closed::Reset);
+            self.reset_link(id, io);
+            return self.link_ended(now, id, Closed::Reset, true);
         }
-        if let Some(link) = self.links.links.get_mut(&conn) {
+        if let Some(link) = self.links.links.get_mut(&id) {
             link.frames = frames;
         }
     }
+    fn reset_link(&mut self, id: LinkId, io: &mut dyn Io) {
+        if let Some(conn) = self.links.links.get(&id).and_then(|link| link.conn) {
+            self.owners.remove(&conn);
+            io.reset(conn);
+        }
+    }
 
     fn worker_says(
         &mut self,
         now: Micros,
-        conn: Conn,
+        link: LinkId,
         worker: WorkerId,
         says: FromWorker,
     ) -> Result<(), String> {
@@ -226,7 +320,7 @@
                 }
                 self.worker_started(now, worker, hello.incarnation, hello.age_us);
             }
-            FromWorker::Done(done) => self.execution_answered(now, conn, done),
+            FromWorker::Done(done) => self.execution_answered(now, link, done),
             FromWorker::Held(held) => {
                 let end = match held.ended {
                     wire::Ended::Finished => End::Finished,
@@ -238,6 +332,7 @@
             FromWorker::Probed(probed) => {
                 let report = probed.report.as_ref().map(report_of);
                 if let Some(asked) = self.probe_over(now, probed.id) {
+                    report.iter().for_each(|report| self.links.reported(asked.worker, report));
                     let latency = now - asked.sent;
                     self.round.probes.push(ProbeEnd {
                         worker: asked.worker,
@@ -252,13 +347,8 @@
     }
 
     /// A connection is gone. What was not written to its last byte cannot have been read; what was may have run.
-    fn link_ended(&mut self, now: Micros, conn: Conn, how: Closed) {
-        let Some(link) = self.links.links.remove(&conn) else { return };
-        self.figures.links_open.decrement(1.0);
-        self.links.dirty.remove(&conn);
-        if let Some(target) = self.links.targets.get_mut(&link.worker) {
-            target.conns.remove(&conn);
-        }
+    fn link_ended(&mut self, now: Micros, id: LinkId, how: Closed, lied: bool) {
+        let Some(link) = self.links.links.get(&id) else { return };
         if !link.carries.is_empty() {
             let name = self.links.name(link.worker);
             tracing::info!(
@@ -269,9 +359,24 @@
                 "a connection ended"
             );
         }
+        let unread = |link: &Link, mark: &Mark| !link.up || how == Closed::Refused || link.out.holds(mark);
+        let each: BTreeMap<Mark, bool> =
+            link.carries.iter().map(|mark| (*mark, unread(link, mark))).collect();
+        let end = |mark: &Mark| if each.get(mark) == Some(&true) { End::NoConnection } else { End::Reset };
+        self.end_link(now, id, end, lied);
+    }
+    fn end_link(&mut self, now: Micros, id: LinkId, end: impl Fn(&Mark) -> End, lied: bool) {
+        let Some(link) = self.links.links.remove(&id) else { return };
+        self.figures.links_open.decrement(1.0);
+        self.links.dirty.remove(&id);
+        if let Some(target) = self.links.targets.get_mut(&link.worker) {
+            target.links.remove(&id);
+        }
+        let failed = lied || (link.conn.is_some() && !link.up);
+        let news = &mut self.links.news;
+        if failed { &mut news.failed } else { &mut news.ended }.push(id);
         for mark in &link.carries {
-            let unread = !link.up || how == Closed::Refused || link.out.holds(mark);
-            let end = if unread { End::NoConnection } else { End::Reset };
+            let end = end(mark);
             match mark {
                 Mark::Execution(id) => self.execution_ended(now, *id, end, Warmth::Unknown, None, None),
                 Mark::Order(id) => self.order_ended(now, *id, end, 0),
@@ -281,42 +386,42 @@
         }
     }
 
-    /// Its connection is not up in time, or carries nothing for long.
-    pub(crate) fn look_at_link(&mut self, now: Micros, conn: Conn, io: &mut dyn Io) {
-        let Some(link) = self.links.links.get(&conn) else { return };
-        if !link.up {
-            self.owners.remove(&conn);
-            io.reset(conn);
-            return self.link_ended(now, conn, Closed::Refused);
-        }
+    /// Its connection is not up in time, or carries nothing for long, or nothing more.
+    pub(crate) fn look_at_link(&mut self, now: Micros, id: LinkId, io: &mut dyn Io) {
+        let Some(link) = self.links.links.get(&id) else { return };
         let idle = link.quiet_since + self.limits.idle_close;
-        if link.carries.is_empty() && link.out.waiting() == 0 && idle <= now {
-            self.owners.remove(&conn);
-            io.close(conn);
-            return self.link_ended(now, conn, Closed::InOrder);
+        let empty = link.carries.is_empty() && link.out.waiting() == 0;
+        if !link.up && link.conn.is_some() && !link.retired {
+            self.reset_link(id, io);
+            return self.link_ended(now, id, Closed::Refused, false);
+        }
+        if link.carries.is_empty() && (link.retired || (empty && idle <= now)) {
+            if let Some(conn) = link.conn {
+                self.owners.remove(&conn);
+                io.close(conn);
+            }
+            return self.link_ended(now, id, Closed::InOrder, false);
+        }
+        if link.retired {
+            return;
         }
         let again = if link.carries.is_empty() { idle } else { now + self.limits.idle_close };
-        self.due.insert((again.max(now + 1), Due::Link(conn)));
+        self.due.insert((again.max(now + 1), Due::Link(id)));
     }
 
     pub(crate) fn flush_links(&mut self, _now: Micros, io: &mut dyn Io) {
-        for conn in std::mem::take(&mut self.links.dirty) {
-            if let Some(link) = self.links.links.get_mut(&conn).filter(|link| link.up) {
-                link.out.flush(conn, io);
+        for id in std::mem::take(&mut self.links.dirty) {
+            if let Some(link) = self.links.links.get_mut(&id).filter(|link| link.up) {
+                if let Some(conn) = link.conn {
+                    link.out.flush(conn, io);
+                }
             }
         }
     }
 
     // ---- Orders and probes
 
-    pub(crate) fn order(
-        &mut self,
-        now: Micros,
-        worker: WorkerId,
-        function: FunctionId,
-        copies: u32,
-        io: &mut dyn Io,
-    ) {
+    pub(crate) fn order(&mut self, now: Micros, worker: WorkerId, function: FunctionId, copies: u32) {
         self.links.asked += 1;
         let id = self.links.asked;
         let Some(known) = self.functions.get(function) else {
@@ -333,11 +438,11 @@
         if copies > 0 {
             self.figures.orders.increment(1);
         }
-        let sent = self.send_marked(now, worker, Mark::Order(id), &frame(&ToWorker::Hold(hold)), io);
         let due = now + self.limits.order_time_out;
+        let sent = self.send_marked(now, worker, Mark::Order(id), &frame(&ToWorker::Hold(hold)), due);
         match sent {
-            Ok(conn) => {
-                self.links.orders.insert(id, Asked { worker, function, conn, sent: now, due });
+            Ok(link) => {
+                self.links.orders.insert(id, Asked { worker, function, link, sent: now, due });
                 self.due.insert((due, Due::Order(id)));
             }
             Err(end) => self.round.orders.push(OrderEnd { worker, function, end, latency: 0, copies: 0 }),
@@ -346,7 +451,7 @@
     fn order_ended(&mut self, now: Micros, id: u64, end: End, copies: u32) {
         let Some(asked) = self.links.orders.remove(&id) else { return };
         self.due.remove(&(asked.due, Due::Order(id)));
-        self.links.carried_ends(asked.conn, Mark::Order(id), now);
+        self.release(asked.link, Mark::Order(id), now);
         let (worker, function, latency) = (asked.worker, asked.function, now - asked.sent);
         self.round.orders.push(OrderEnd { worker, function, end, latency, copies });
     }
@@ -354,16 +459,16 @@
         self.order_ended(now, id, End::TimedOut, 0);
     }
 
-    pub(crate) fn probe(&mut self, now: Micros, worker: WorkerId, io: &mut dyn Io) {
+    pub(crate) fn probe(&mut self, now: Micros, worker: WorkerId) {
         self.links.asked += 1;
         let id = self.links.asked;
         self.figures.probes.increment(1);
         let bytes = frame(&ToWorker::Probe(wire::Probe { id }));
         let due = now + self.limits.probe_time_out;
-        match self.send_marked(now, worker, Mark::Probe(id), &bytes, io) {
-            Ok(conn) => {
+        match self.send_marked(now, worker, Mark::Probe(id), &bytes, due) {
+            Ok(link) => {
                 let function = FunctionId::default();
-                self.links.probes.insert(id, Asked { worker, function, conn, sent: now, due });
+                self.links.probes.insert(id, Asked { worker, function, link, sent: now, due });
                 self.due.insert((due, Due::Probe(id)));
             }
             Err(end) => self.round.probes.push(ProbeEnd { worker, end, latency: 0, report: None }),
@@ -372,7 +477,7 @@
     fn probe_over(&mut self, now: Micros, id: u64) -> Option<Asked> {
         let asked = self.links.probes.remove(&id)?;
         self.due.remove(&(asked.due, Due::Probe(id)));
-        self.links.carried_ends(asked.conn, Mark::Probe(id), now);
+        self.release(asked.link, Mark::Probe(id), now);
         Some(asked)
     }
     fn probe_failed(&mut self, now: Micros, id: u64, end: End) {
--- a/crates/sanddrum-edge/src/list.rs
+++ b/crates/sanddrum-edge/src/list.rs
@@ -3,12 +3,12 @@
 use crate::state::{self, Kept};
 use crate::{Due, Inner, Owner};
 use sanddrum::{CellId, KindId, ListKind, Micros, WorkerId, WorkerList, WorkerRow, WorkerState, ZoneId};
+use sanddrum_connect::Backoff;
 use sanddrum_net::{Conn, Event, Io, Outbox};
 use sanddrum_settings::Loaded;
 use sanddrum_wire::{frame::frame, id_of, Frames, FromList, Hello, Phase, Row, Rows, ToList, Watch, VERSION};
 use std::collections::{BTreeMap, BTreeSet};
 
-#[derive(Default)]
 pub(crate) struct List {
     zones: Vec<String>,
     conn: Option<Conn>,
@@ -19,7 +19,7 @@
     version: u64,
     /// The list as it stands, and when each worker's process started (nought: long ago).
     rows: BTreeMap<WorkerId, (Row, Micros)>,
-    wait: Micros,
+    backoff: Backoff,
     /// When to look whether it is up, or to call again; what fell due before is of an earlier call.
     next: Micros,
     saving: bool,
@@ -27,7 +27,20 @@
 
 impl List {
     pub fn of(l: &Loaded) -> Self {
-        List { zones: l.names("zones"), ..List::default() }
+        let span = |name: &str| l.span(&format!("limits.list-retry-{name}-us"));
+        List {
+            zones: l.names("zones"),
+            conn: None,
+            up: false,
+            frames: Frames::default(),
+            out: None,
+            run: 0,
+            version: 0,
+            rows: BTreeMap::new(),
+            backoff: Backoff::new(span("least"), span("most")),
+            next: 0,
+            saving: false,
+        }
     }
     /// Zones that the settings do not name count as further ones.
     fn zone(&self, name: &str) -> ZoneId {
@@ -88,8 +101,9 @@
         for row in rows {
             let worker = WorkerId(id_of(&row.name));
             let (incarnation, started) = self.list.started(worker, row, now);
-            self.links.set_target(worker, &row.name, &row.address);
-            told.rows.push(self.list.worker_row(worker, row, started));
+            let listed = self.list.worker_row(worker, row, started);
+            self.links.set_target(&listed, &row.name, &row.address);
+            told.rows.push(listed);
             self.list.rows.insert(worker, (Row { incarnation, ..row.clone() }, started));
         }
         self.figures.workers_listed.set(self.list.rows.len() as f64);
@@ -148,16 +162,15 @@
             io.reset(conn);
         }
         self.list.up = false;
-        let (least, most) = self.limits.list_retry;
-        self.list.wait = (self.list.wait * 2).clamp(least, most);
-        let wait = (self.list.wait as f64 * (1.0 - self.chance.part() / 2.0)) as Micros;
+        let until = self.list.backoff.failed(now, 0, self.chance.part());
+        let wait = until - now;
         tracing::info!(
             reason = "list-away",
             wait_us = wait,
             "the list service does not answer; the last list holds"
         );
         self.figures.list_losses.increment(1);
-        self.look_at_list_at(now + wait);
+        self.look_at_list_at(until);
     }
 
     pub(crate) fn list_event(&mut self, now: Micros, conn: Conn, event: Event<'_>, io: &mut dyn Io) {
@@ -199,7 +212,7 @@
     }
 
     fn list_rows(&mut self, now: Micros, conn: Conn, rows: &Rows, io: &mut dyn Io) {
-        self.list.wait = 0;
+        self.list.backoff.good();
         let follows = rows.run == self.list.run && rows.after == self.list.version;
         if !rows.whole && !follows {
             // A change was missed: only a whole list can tell.
--- a/crates/sanddrum-settings/src/checks.rs
+++ b/crates/sanddrum-settings/src/checks.rs
@@ -110,6 +110,11 @@
         let what = "list-retry-least must be above 0 and no more than list-retry-most";
         return Err(l.problem_at("limits.list-retry-least-us", what, "as 100ms and 5s"));
     }
+    let (least, most) = (l.span("limits.left-alone-least-us"), l.span("limits.left-alone-most-us"));
+    if least > most || least == 0 {
+        let what = "left-alone-least must be above 0 and no more than left-alone-most";
+        return Err(l.problem_at("limits.left-alone-least-us", what, "as 100ms and 2s"));
+    }
     if l.number("limits.largest-body-bytes") >= l.number("limits.largest-frame-bytes") + 1.0 {
         let what = "a body may be larger than a frame, so it could reach no worker";
         return Err(l.problem_at("limits.largest-body-bytes", what, "set largest-frame above largest-body"));
