--- a/crates/sanddrum-cli/src/load.rs
+++ b/crates/sanddrum-cli/src/load.rs
@@ -3,7 +3,8 @@
 use crate::{exit, fail};
 use clap::Args;
 use sanddrum_lab::{
-    limits_at, measure, AtSize, Decides, Hammer, HammerSpec, Hammered, MeasureSpec, Measured, Policy,
+    limits_at, lines, measure, storm, AtSize, Decides, Hammer, HammerSpec, Hammered, Line, MeasureSpec,
+    Measured, Policy, Speaks, Storm, StormSpec,
 };
 use sanddrum_net::{EventLoop, NoTap};
 use serde_json::{json, Value};
@@ -46,6 +47,9 @@
         warm_up: 0,
         body: args.body.clone(),
         tokens: Vec::new(),
+        name: None,
+        fresh: false,
+        reopens: false,
         seed: args.seed,
     };
     match hammer(spec) {
@@ -104,9 +108,21 @@
     /// Runs of each kind, taken in turn
     #[arg(long, default_value_t = 5)]
     pub runs: usize,
-    /// Only this part: rate, tokens, tls, fleet, idle, limits
+    /// Only this part: rate, tokens, flood, tls, door, fleet, idle, limits, storm
     #[arg(long)]
     pub part: Option<String>,
+    /// Edges in the storm
+    #[arg(long, value_delimiter = ',', default_values_t = [40, 150, 300])]
+    pub edges: Vec<usize>,
+    /// Calls a second in the storm
+    #[arg(long, default_value_t = 1500, value_name = "CALLS")]
+    pub storm_rate: usize,
+    /// What a handshake takes a worker in the storm
+    #[arg(long, default_value_t = 2, value_name = "MS")]
+    pub handshake_ms: usize,
+    /// Pictures go into this folder
+    #[arg(long, value_name = "FOLDER")]
+    pub plots: Option<std::path::PathBuf>,
 }
 
 pub fn run(args: &MeasureArgs) -> ExitCode {
@@ -121,6 +137,15 @@
         if wanted("tls") {
             tls(args)?;
         }
+        if wanted("flood") {
+            flood(args)?;
+        }
+        if wanted("door") {
+            door(args)?;
+        }
+        if wanted("storm") {
+            reconnecting(args)?;
+        }
         if wanted("fleet") {
             fleet(args)?;
         }
@@ -128,7 +153,7 @@
             idle(args)?;
         }
         if wanted("limits") {
-            limits(args);
+            limits(args)?;
         }
         Ok(())
     };
@@ -151,6 +176,11 @@
         warm_up: length / 4,
         tls: false,
         tokens: 0,
+        door: Speaks::Plain,
+        fresh: false,
+        resumes: true,
+        body_bytes: 0,
+        flood: 0,
     }
 }
 
@@ -237,12 +267,13 @@
 }
 
 /// Customers' limits at many edges, decided by the product's module beside an even split and none, over several seeds.
-fn limits(args: &MeasureArgs) {
+fn limits(args: &MeasureArgs) -> Result<(), String> {
     println!(
         "customers' limits, {} seeds; parts are of what the customer asked or is limited to:",
         args.runs
     );
     for edges in [10, 100, 300] {
+        let mut plotted = Vec::new();
         for policy in [Policy::Seen, Policy::Even, Policy::None] {
             let runs: Vec<AtSize> =
                 (0..args.runs as u64).map(|seed| limits_at(edges, policy, seed)).collect();
@@ -255,8 +286,27 @@
                 "  {edges:3} edges, {policy:?}: honest beside a flood {}; limit spread {}, at one edge {}; moved, each second {}; lent share back after {back} s",
                 of(&|r| r.honest), of(&|r| r.spread), of(&|r| r.at_one), moved.join(" ")
             );
+            let name = match policy {
+                Policy::Seen => "as decided",
+                Policy::Even => "an even split",
+                Policy::None => continue,
+            };
+            let middle = |n: usize| spread(runs.iter().map(|r| r.moved[n]).collect()).1;
+            let points = (0..8).map(|n| (n as f64 + 1.0, (middle(n) - 1.0).abs())).collect();
+            plotted.push(Line { name: name.into(), points });
+        }
+        if let Some(folder) = &args.plots {
+            let title =
+                format!("Error of a summed rate limit after its customer moved to another of {edges} edges");
+            lines(
+                &folder.join(format!("limits-{edges}.svg")),
+                &title,
+                ("second", "part of the limit"),
+                &plotted,
+            )?;
         }
     }
+    Ok(())
 }
 
 /// The same edge over TLS and in plain text, saturated and then at half the rate over TLS.
@@ -309,3 +359,116 @@
     }
     Ok(())
 }
+
+/// What a call costs by what its client speaks and whether the connection, or its session, is kept.
+fn door(args: &MeasureArgs) -> Result<(), String> {
+    use Speaks::{Certificate, Plain, Tls};
+    let kinds = [
+        ("plain, kept", Plain, false, true),
+        ("plain, a connection a call", Plain, true, true),
+        ("TLS, kept", Tls, false, true),
+        ("TLS, a full handshake a call", Tls, true, false),
+        ("TLS, a resumed one a call", Tls, true, true),
+        ("certificate, kept", Certificate, false, true),
+        ("certificate, full a call", Certificate, true, false),
+        ("certificate, resumed a call", Certificate, true, true),
+    ];
+    let one = |(_, door, fresh, resumes): (&str, Speaks, bool, bool)| {
+        measure(&MeasureSpec { door, fresh, resumes, connections: 16, ..spec(args, Decides::Module) })
+    };
+    let runs: Vec<Vec<Measured>> = (0..args.runs)
+        .map(|_| kinds.iter().map(|kind| one(*kind)).collect())
+        .collect::<Result<_, String>>()?;
+    println!("the client door, saturated, 16 connections, {} runs in turn, over plain and kept:", args.runs);
+    for (n, (name, ..)) in kinds.iter().enumerate() {
+        let rate = told(spread(runs.iter().map(|r| r[n].load.rate() / r[0].load.rate()).collect()));
+        let cpu = told(spread(runs.iter().map(|r| r[n].cpu_us_per_call - r[0].cpu_us_per_call).collect()));
+        let p50 = told(spread(runs.iter().map(|r| r[n].load.quantile_us(0.5) as f64 / 1000.0).collect()));
+        let others: u64 = runs.iter().flat_map(|r| r[n].load.others.values()).sum();
+        println!(
+            "  {name:30} calls a second {rate}, edge CPU a call {cpu} us more, p50 {p50} ms, others {others}"
+        );
+    }
+    let body_bytes = 1 << 20;
+    let large = |door, tls| {
+        measure(&MeasureSpec { door, tls, body_bytes, connections: 4, ..spec(args, Decides::Module) })
+    };
+    let runs: Vec<[Measured; 2]> = (0..args.runs)
+        .map(|_| Ok([large(Plain, false)?, large(Tls, true)?]))
+        .collect::<Result<_, String>>()?;
+    for (n, name) in ["plain on both sides", "TLS on both sides"].iter().enumerate() {
+        let each = told(spread(
+            runs.iter().map(|r| r[n].cpu_us_per_call * 1000.0 / f64::from(body_bytes as u32)).collect(),
+        ));
+        println!("  1 MB bodies, {name:20} edge CPU {each} ns a byte");
+    }
+    Ok(())
+}
+
+/// Honest callers beside somebody who sends tokens with bad signatures as fast as they are refused.
+fn flood(args: &MeasureArgs) -> Result<(), String> {
+    let one =
+        |flood| measure(&MeasureSpec { flood, rate: 2000.0, tokens: 20, ..spec(args, Decides::Module) });
+    let runs: Vec<[Measured; 3]> =
+        (0..args.runs).map(|_| Ok([one(0)?, one(8)?, one(64)?])).collect::<Result<_, String>>()?;
+    println!("2,000 honest calls a second with 20 tokens, {} runs in turn:", args.runs);
+    for (n, name) in
+        ["no flood", "8 connections of bad tokens", "64 connections of bad tokens"].iter().enumerate()
+    {
+        let q =
+            |q: f64| told(spread(runs.iter().map(|r| r[n].load.quantile_us(q) as f64 / 1000.0).collect()));
+        let part = told(spread(
+            runs.iter()
+                .map(|r| {
+                    r[n].load.finished as f64
+                        / (r[n].load.finished + r[n].load.others.values().sum::<u64>()) as f64
+                })
+                .collect(),
+        ));
+        println!("  {name:30} finished {part}, p50 {} ms, p99 {} ms", q(0.5), q(0.99));
+    }
+    Ok(())
+}
+
+/// A zone back cold with every edge reconnecting, as decided and on demand.
+fn reconnecting(args: &MeasureArgs) -> Result<(), String> {
+    println!(
+        "a third of 100 workers back cold and all else torn at once, TLS, {} calls a second, handshakes of {} ms, virtual, {} seeds:",
+        args.storm_rate, args.handshake_ms, args.runs
+    );
+    for edges in args.edges.iter().copied() {
+        let mut plotted = Vec::new();
+        for on_demand in [false, true] {
+            let spec = StormSpec {
+                edges,
+                workers: 100,
+                rate: args.storm_rate,
+                handshake_ms: args.handshake_ms,
+                on_demand,
+                seed: 0,
+            };
+            let specs = (1..=args.runs as u64).map(|seed| StormSpec { seed, ..spec });
+            // Each in a thread of its own, as many as there are processors.
+            let threads: Vec<_> = specs.map(|spec| std::thread::spawn(move || storm(&spec))).collect();
+            let mut runs: Vec<Storm> = Vec::new();
+            for thread in threads {
+                runs.push(thread.join().map_err(|_| "a thread panicked")?.map_err(|e| e.to_string())?);
+            }
+            let of = |figure: &dyn Fn(&Storm) -> f64| told(spread(runs.iter().map(figure).collect()));
+            let name = if on_demand { "on demand" } else { "as decided" };
+            println!(
+                "  {edges:3} edges, {name:10}: service {}, calm after {} s, worst worker {} handshakes a second, all {}, p99 {} ms, rules broken {}",
+                of(&|r| r.service), of(&|r| r.calm), of(&|r| f64::from(r.worst)), of(&|r| f64::from(r.handshakes)), of(&|r| r.p99_ms), of(&|r| r.broken as f64)
+            );
+            let mean = |n: usize| {
+                runs.iter().map(|r| r.seconds.get(n).copied().unwrap_or(0.0)).sum::<f64>() / runs.len() as f64
+            };
+            plotted.push(Line { name: name.into(), points: (0..24).map(|n| (n as f64, mean(n))).collect() });
+        }
+        if let Some(folder) = &args.plots {
+            let title = format!("Service a second, {edges} edges; a zone lost at 6 s, back cold at 9 s");
+            lines(&folder.join(format!("storm-{edges}.svg")), &title, ("second", "calls in time"), &plotted)?;
+        }
+    }
+    Ok(())
+}
--- a/crates/sanddrum-connect/src/lib.rs
+++ b/crates/sanddrum-connect/src/lib.rs
@@ -144,9 +144,6 @@
     fn wake_at(&mut self, at: Micros);
 }
 
-/// The part of what a worker can do that handshakes may take there, all edges together, while it is cold. Its other
-/// work is budgeted by the decision module with some caution; this part is what that leaves.
-const HANDSHAKE_PART: f64 = 0.25;
 /// What waits for a cold worker's connection is told to go elsewhere where the wait would take more than this part of
 /// the time that it has left.
 const PATIENCE: f64 = 0.25;
@@ -170,6 +167,8 @@
     routers: f64,
     cold: Micros,
     cold_from: f64,
+    /// The part of what a cold worker can do that handshakes may take there, all edges together; nought: any.
+    cold_handshakes: f64,
     idle: Micros,
     chance: Pcg64Mcg,
     workers: BTreeMap<WorkerId, Worker>,
@@ -197,6 +196,7 @@
             routers: number("routers", 1.0).max(1.0),
             cold: span("rules.cold-us", 0.0),
             cold_from: number("rules.cold-from", 1.0),
+            cold_handshakes: number("limits.cold-handshakes", 0.25),
             idle: span("limits.idle-close-us", 60e6),
             chance: Pcg64Mcg::seed_from_u64(seed),
             workers: BTreeMap::new(),
@@ -313,18 +313,21 @@
     /// When a cold worker may have its next handshake from here; `None` where it is not cold.
     fn next_cold(&mut self, now: Micros, id: WorkerId) -> Option<Micros> {
         let part = self.part();
+        if self.cold_handshakes <= 0.0 {
+            return None;
+        }
+        let gap = self.workers.get(&id).map(|worker| self.cold_gap(now, worker))?;
         let worker = self.workers.get_mut(&id).filter(|w| w.started > 0 && now < w.started + self.cold)?;
-        let gap = Self::cold_gap(worker, now, self.cold, self.cold_from, self.routers, self.costs.full());
         // Alone there is nobody to keep a distance from.
         let others = 1.0 - 1.0 / self.routers;
         Some(*worker.next_cold.get_or_insert(now + (part * others * gap as f64) as Micros))
     }
     /// The distance between two handshakes from here to a cold worker: with all edges keeping it, all handshakes
     /// together take their part of what it can do by now.
-    fn cold_gap(worker: &Worker, now: Micros, cold: Micros, from: f64, routers: f64, cost: Micros) -> Micros {
-        let age = (now - worker.started).max(0) as f64 / cold.max(1) as f64;
-        let does = worker.size * (from + (1.0 - from) * age.min(1.0));
-        (cost as f64 * routers / (does * HANDSHAKE_PART)) as Micros
+    fn cold_gap(&self, now: Micros, worker: &Worker) -> Micros {
+        let age = (now - worker.started).max(0) as f64 / self.cold.max(1) as f64;
+        let does = worker.size * (self.cold_from + (1.0 - self.cold_from) * age.min(1.0));
+        (self.costs.full() as f64 * self.routers / (does * self.cold_handshakes)) as Micros
     }
 
     /// How many handshakes may be under way to a worker: one where its own work already waits or nobody knows whether
@@ -377,12 +380,10 @@
     }
     fn begin(&mut self, now: Micros, link: LinkId, id: WorkerId) {
         self.begun.insert(link, Begun { worker: id, at: now });
-        let (cold, from, routers, cost) = (self.cold, self.cold_from, self.routers, self.costs.full());
+        let gap = self.workers.get(&id).map_or(0, |worker| self.cold_gap(now, worker));
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.under_way += 1;
-            if worker.next_cold.is_some() {
-                worker.next_cold = Some(now + Self::cold_gap(worker, now, cold, from, routers, cost));
-            }
+            worker.next_cold = worker.next_cold.map(|_| now + gap);
         }
     }
 
--- a/crates/sanddrum-edge/tests/workers.rs
+++ b/crates/sanddrum-edge/tests/workers.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use sanddrum::{End, ListKind, WorkerState};
 use sanddrum_edge::state;
-use sanddrum_net::{Closed, Event};
+use sanddrum_net::{Closed, Core, Event};
 use sanddrum_wire::{Ended, FromWorker, Held, Phase, Probed};
 
 #[rstest]
@@ -258,3 +258,76 @@
     }
     assert!(calls[0] <= 110_000 && calls[5] >= 500_000 && calls[5] <= 1_010_000, "{calls:?}");
 }
+
+// ---- Connections, as the connection module decides them
+
+/// The certificates have changed while a job is out: it ends where it is, a successor takes what is new, and the old
+/// connection goes once nothing is out on it.
+#[rstest]
+fn a_connection_of_past_terms_is_replaced_and_what_is_out_on_it_ends_there() {
+    let mut h = Host::new(&[("limits.retire-within", "1s")]);
+    let (client, old) = h.call_out(5 * S);
+    h.up(old);
+    let first = h.executions_read(old)[0];
+    let now = h.now;
+    h.edge.stale(now, old, false, &mut h.io);
+    h.turn();
+    h.turn();
+    let new = h.io.connects.last().unwrap().0;
+    assert_ne!(new, old, "its successor is begun");
+    h.up(new);
+    let (other, _) = h.call_out(5 * S);
+    assert_eq!((h.executions_read(old).len(), h.executions_read(new).len()), (1, 1));
+    h.wait(2 * S);
+    assert!(!h.io.closed.iter().any(|(conn, _)| *conn == old), "a job is out on it");
+    h.done(old, first, Ended::Finished);
+    h.wait(S);
+    assert!(h.io.closed.contains(&(old, Some(Closed::InOrder))));
+    let second = h.executions_read(new)[0];
+    h.done(new, second, Ended::Finished);
+    assert_eq!((h.statuses(client), h.statuses(other)), (vec![200], vec![200]));
+}
+
+#[rstest]
+fn a_worker_that_is_not_believed_any_more_gets_nothing_new() {
+    let mut h = Host::new(&[]);
+    let (_, old) = h.call_out(5 * S);
+    h.up(old);
+    let now = h.now;
+    h.edge.stale(now, old, true, &mut h.io);
+    h.turn();
+    h.call_out(5 * S);
+    assert_eq!(h.executions_read(old).len(), 1);
+}
+
+/// It refused a moment ago: what is sent there ends at once, and nobody knocks again before its time.
+#[rstest]
+fn a_worker_that_can_not_be_reached_is_left_alone_for_a_while() {
+    let mut h = Host::new(&[("limits.left-alone-least", "400ms")]);
+    let (_, conn) = h.call_out(5 * S);
+    h.event(Event::Closed { conn, how: Closed::Refused });
+    let tried = h.io.connects.len();
+    for _ in 0..3 {
+        h.strings.borrow_mut().deeds.push(Do::Probe);
+        h.call_out(5 * S);
+        h.turn();
+    }
+    assert_eq!(h.io.connects.len(), tried);
+    assert!(h.ends().iter().all(|end| *end == End::NoConnection) && h.ends().len() == 4, "{:?}", h.ends());
+    h.wait(S);
+    h.call_out(5 * S);
+    assert_eq!(h.io.connects.len(), tried + 1);
+}
+
+#[rstest]
+fn a_worker_under_a_name_that_is_not_its_own_is_left_alone_too() {
+    let mut h = Host::new(&[]);
+    let (_, conn) = h.call_out(5 * S);
+    h.up(conn);
+    h.greets(conn, "somebody", 1, None);
+    let tried = h.io.connects.len();
+    h.call_out(5 * S);
+    h.turn();
+    assert_eq!(h.io.connects.len(), tried);
+    assert_eq!(h.ends(), [End::Reset, End::NoConnection]);
+}
--- a/crates/sanddrum-lab/src/fleet.rs
+++ b/crates/sanddrum-lab/src/fleet.rs
@@ -7,12 +7,14 @@
 use crate::wallet::Wallet;
 use sanddrum_net::{Core, HostId, Micros};
 use sanddrum_settings::{Loaded, Problem};
-use sanddrum_tls::{Asks, Layer};
+use sanddrum_tls::{Layer, Papers, Rules, Side};
 use sanddrum_wire::{Phase, Row};
 use sanddrum_worker::{
-    ListFaults, ListService, ListSpec, Marks, Shared, Store, StoreFaults, StoreSpec, Worker, WorkerFaults,
+    HandshakeWork, ListFaults, ListService, ListSpec, Marks, Shared, Slowed, Store, StoreFaults, StoreSpec,
+    Worker, WorkerFaults,
 };
 use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// A part of the scene that can be struck.
@@ -42,8 +44,14 @@
     pub mood: Shared<Mood>,
     /// Where callers show tokens.
     pub wallet: Option<Shared<Wallet>>,
-    /// Where workers are spoken to over TLS.
+    /// Where workers are spoken to over TLS: who signs for them, and who did before while both are believed.
     pub authority: Option<Authority>,
+    former: Option<Authority>,
+    /// What each worker shows.
+    leaves: BTreeMap<usize, (Vec<u8>, Vec<u8>)>,
+    /// Workers that show what somebody else signed.
+    pub impostors: BTreeSet<usize>,
+    pub handshakes: Vec<Shared<HandshakeWork>>,
     recording: Recording,
     marks: Vec<Shared<Marks>>,
     incarnations: Vec<u64>,
@@ -71,6 +79,15 @@
         let window = scenario.calls.iter().map(|c| c.repeat_window).max().unwrap_or(0);
         Ok(Fleet {
             authority,
+            former: None,
+            leaves: BTreeMap::new(),
+            impostors: BTreeSet::new(),
+            handshakes: (0..scenario.workers)
+                .map(|_| {
+                    let takes = l.span("fleet.handshake-us");
+                    shared(HandshakeWork { takes, ..HandshakeWork::default() })
+                })
+                .collect(),
             recording: recording.clone(),
             workers: (0..scenario.workers).map(|_| shared(WorkerFaults::default())).collect(),
             store: shared(StoreFaults::default()),
@@ -113,23 +130,72 @@
         let seed = self.scenario.seed.wrapping_mul(31).wrapping_add(n as u64);
         let worker =
             Worker::new(spec, seed, started, self.incarnations[n], self.workers[n].clone(), self.marks_of(n));
-        let Some(authority) = &self.authority else { return Ok(Box::new(worker)) };
+        let work = self.handshakes[n].clone();
+        let costs = work.borrow().takes > 0;
+        let worker = if costs { worker.with_handshakes(work.clone()) } else { worker };
+        if self.authority.is_none() {
+            return Ok(Box::new(worker));
+        }
+        let papers = self.worker_papers(n)?;
         // Recorded within its TLS, under a host beyond those of any driver.
         let l = &self.scenario.settings;
         let host = HostId(usize::MAX - n);
         self.recording.0.borrow_mut().role(host, Role::Worker(n));
-        let door = authority.for_door(&Scenario::worker_name(n), Asks::No, l.size("tls.sessions"));
+        let rules = Rules { sessions: l.size("tls.sessions"), ..Rules::default() };
+        let door = Side::new(papers, rules).map_err(std::io::Error::other)?;
         let tapped = Tapped::new(worker, host, self.recording.clone());
-        Ok(Box::new(Layer::new(tapped, bounds(l)).with_doors(door.map_err(std::io::Error::other)?)))
+        let layer = Layer::new(tapped, bounds(l)).with_doors(door);
+        let (cold, from) = (l.span("rules.cold-us"), l.number("rules.cold-from"));
+        Ok(if costs { Box::new(Slowed::new(layer, work, started, cold, from)) } else { Box::new(layer) })
+    }
+    /// What a worker shows, and whom it trusts.
+    ///
+    /// # Errors
+    /// No certificate can be made for it.
+    pub fn worker_papers(&mut self, n: usize) -> std::io::Result<Papers> {
+        let Some(authority) = &self.authority else { return Ok(Papers::default()) };
+        let name = Scenario::worker_name(n);
+        if self.impostors.contains(&n) {
+            let foreign = Authority::new().map_err(std::io::Error::other)?;
+            return foreign.papers(&name).map_err(std::io::Error::other);
+        }
+        if let std::collections::btree_map::Entry::Vacant(leaf) = self.leaves.entry(n) {
+            leaf.insert(authority.leaf(&name).map_err(std::io::Error::other)?);
+        }
+        Ok(Papers { roots: self.roots(), own: self.leaves.get(&n).cloned(), ..Papers::default() })
+    }
+    /// Whose word edges believe now.
+    pub fn roots(&self) -> Vec<u8> {
+        self.authority.iter().chain(&self.former).map(Authority::roots).collect::<String>().into_bytes()
+    }
+    /// Workers get new certificates, from the authority as it is now.
+    pub fn renew_leaves(&mut self) {
+        self.leaves.clear();
+    }
+    /// A new authority takes over; the old one is believed as long as it is kept.
+    ///
+    /// # Errors
+    /// No authority can be made.
+    pub fn change_authority(&mut self, keeps_old: bool) -> std::io::Result<()> {
+        if keeps_old && self.authority.is_some() {
+            self.former = self.authority.replace(Authority::new().map_err(std::io::Error::other)?);
+        } else {
+            self.former = None;
+        }
+        Ok(())
     }
     /// An edge's core, within the TLS that it speaks to workers.
     ///
     /// # Errors
     /// The authority's certificate can't be read back.
     pub fn within_tls(&self, edge: Box<dyn Core>) -> std::io::Result<Box<dyn Core>> {
-        let Some(authority) = &self.authority else { return Ok(edge) };
+        if self.authority.is_none() {
+            return Ok(edge);
+        }
         let l = &self.scenario.settings;
-        let calls = authority.for_edge(l.size("tls.sessions")).map_err(std::io::Error::other)?;
+        let papers = Papers { roots: self.roots(), ..Papers::default() };
+        let rules = Rules { sessions: l.size("tls.sessions"), ..Rules::default() };
+        let calls = Side::new(papers, rules).map_err(std::io::Error::other)?;
         Ok(Box::new(Layer::new(edge, bounds(l)).with_calls(calls)))
     }
     pub fn store(&self) -> Box<dyn Core> {
--- a/crates/sanddrum-lab/src/hammer.rs
+++ b/crates/sanddrum-lab/src/hammer.rs
@@ -24,6 +24,12 @@
     pub body: String,
     /// Tokens that calls show, in turn; none where there are none.
     pub tokens: Vec<String>,
+    /// The name that the edge has to own, where it is spoken to over TLS.
+    pub name: Option<String>,
+    /// Each call on a connection of its own.
+    pub fresh: bool,
+    /// A connection that the edge ends is opened again.
+    pub reopens: bool,
     pub seed: u64,
 }
 
@@ -119,7 +125,10 @@
         }
     }
     fn open(&mut self, io: &mut dyn Io) {
-        let conn = io.connect(&self.spec.edge);
+        let conn = match &self.spec.name {
+            Some(name) => io.connect_named(&self.spec.edge, name),
+            None => io.connect(&self.spec.edge),
+        };
         let line = Line { up: false, meant: None, out: Outbox::new(1 << 20), bytes: Vec::new() };
         self.lines.insert(conn, line);
     }
@@ -137,6 +146,15 @@
             }
         }
         drop(seen);
+        if self.spec.fresh && status != 0 {
+            io.close(conn);
+            self.lines.remove(&conn);
+            self.free.retain(|free| *free != conn);
+            if now < self.ends {
+                self.open(io);
+            }
+            return;
+        }
         if self.spec.rate <= 0.0 {
             if now < self.ends && status != 0 {
                 self.send(conn, now, io);
@@ -184,6 +202,9 @@
                 self.answered(now, conn, 0, io);
                 self.lines.remove(&conn);
                 self.free.retain(|free| *free != conn);
+                if self.spec.reopens && now < self.ends {
+                    self.open(io);
+                }
             }
             Event::Accepted { .. } => {}
         }
--- a/crates/sanddrum-lab/src/measure.rs
+++ b/crates/sanddrum-lab/src/measure.rs
@@ -8,7 +8,7 @@
 use sanddrum_identity::{token, Claims, KeySet, SecretKey};
 use sanddrum_net::{Conn, Core, Event, EventLoop, Io, NoTap};
 use sanddrum_settings::Loaded;
-use sanddrum_tls::{Asks, Bounds, Layer};
+use sanddrum_tls::{Asks, Bounds, Layer, Rules, Side};
 use sanddrum_wire::frame::frame;
 use sanddrum_wire::{
     Copy, Done, Ended, Frames, FromWorker, Held, Hello, LoadReport, Phase, Probed, Row, ToWorker, VERSION,
@@ -25,6 +25,8 @@
 const TLS_BOUNDS: Bounds =
     Bounds { handshake_time_out: 2_000_000, handshakes: 256, waiting: 256 * 1024, warn_ahead: 0 };
 const TLS_SESSIONS: usize = 4096;
+/// The name of the client door.
+const DOOR_NAME: &str = "edge.example.org";
 
 /// Workers that answer at once and hold every function; one for each door.
 #[derive(Default)]
@@ -140,6 +142,24 @@
     pub tls: bool,
     /// Callers show so many different tokens; nought: none are asked for.
     pub tokens: usize,
+    /// What clients speak.
+    pub door: Speaks,
+    /// Each call on a connection of its own.
+    pub fresh: bool,
+    /// Clients take sessions up again.
+    pub resumes: bool,
+    pub body_bytes: usize,
+    /// Connections of somebody who sends tokens with bad signatures as fast as they are refused.
+    pub flood: usize,
+}
+
+/// What clients of the edge speak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Speaks {
+    Plain,
+    Tls,
+    /// And they show a certificate.
+    Certificate,
 }
 
 pub struct Measured {
@@ -188,7 +208,9 @@
 const SETTINGS: &str = r#"
     (workload "job" (start-target 1s) (time-limit 5s) (effect restartable))
     (function "f*" (workload "job") (memory 100MB) (lanes 64))
-    (limits (max-clients 100000) (client-idle 10min))"#;
+    (customer "measure" (certificates "gw-*"))
+    (limits (max-clients 100000) (client-idle 10min) (largest-body 16MB) (largest-frame 32MB)
+            (waiting-per-worker 64MB))"#;
 
 fn settings(listen: &str, list: &str) -> Result<Loaded, String> {
     let mut settings = sanddrum_settings::read("measure", SETTINGS).map_err(|e| e.to_string())?;
@@ -281,6 +303,18 @@
         false => None,
     };
     let edge_terms = spec.tls.then(|| authority.for_edge(TLS_SESSIONS)).transpose()?;
+    let (door_side, client_side) = match spec.door {
+        Speaks::Plain => (None, None),
+        speaks => {
+            let asks = if speaks == Speaks::Certificate { Asks::Must } else { Asks::No };
+            let mut papers = authority.papers("gw-1")?;
+            papers.own = papers.own.filter(|_| speaks == Speaks::Certificate);
+            let sessions = if spec.resumes { TLS_SESSIONS } else { 0 };
+            let client =
+                Side::new(papers, Rules { sessions, ..Rules::default() }).map_err(|e| e.to_string())?;
+            (Some(authority.for_door(DOOR_NAME, asks, TLS_SESSIONS)?), Some(client))
+        }
+    };
     let workers = in_thread(stop.clone(), move |driver| {
         let spec = ListSpec { notice: (0, 0), silent_after: Micros::MAX / 4, changes_kept: 16 };
         let list = ListService::new(spec, 1, 1, Default::default()).with_rows(driver.now(), &rows);
@@ -299,6 +333,17 @@
     let telling = cpu_us.clone();
     let mut settings = settings(&edge_at, &list_at)?;
     let (tokens, keys) = tokens(spec.tokens)?;
+    if spec.door == Speaks::Certificate {
+        for (name, value) in [
+            ("door.certificate-file", "door.pem"),
+            ("door.key-file", "door.key"),
+            ("door.roots-file", "roots.pem"),
+            ("door.speaks", "tls"),
+            ("door.certificates", "required"),
+        ] {
+            settings.give(name, value, "measure").map_err(|e| e.to_string())?;
+        }
+    }
     if spec.tokens > 0 {
         for (name, value) in [
             ("identity.keys-file", "keys"),
@@ -322,9 +367,12 @@
                 }
                 Decides::Forwarder => Box::new(Edge::with_module(start, Forwarder::default())),
             };
-            let core: Box<dyn Core> = match edge_terms {
-                Some(terms) => Box::new(Layer::new(core, TLS_BOUNDS).with_calls(terms)),
-                None => core,
+            let core: Box<dyn Core> = match (edge_terms, door_side) {
+                (None, None) => core,
+                (calls, doors) => {
+                    let layer = calls.into_iter().fold(Layer::new(core, TLS_BOUNDS), Layer::with_calls);
+                    Box::new(doors.into_iter().fold(layer, Layer::with_doors))
+                }
             };
             let core = Keyed { core, keys };
             driver.add(Box::new(core), vec![edge_door], None)?;
@@ -348,8 +396,8 @@
         wait(&mut driver, 200_000 + spec.idle_clients as Micros * 100)?;
     }
     wait(&mut driver, 300_000)?;
-    let hammer = Hammer::new(HammerSpec {
-        edge: edge_at,
+    let spec_of = |tokens: Vec<String>| HammerSpec {
+        edge: edge_at.clone(),
         workload: "job".into(),
         function: "f".into(),
         functions: spec.functions,
@@ -357,12 +405,25 @@
         rate: spec.rate,
         length: spec.length,
         warm_up: spec.warm_up,
-        body: String::new(),
+        body: "x".repeat(spec.body_bytes),
         tokens,
+        name: (spec.door != Speaks::Plain).then(|| DOOR_NAME.to_string()),
+        fresh: spec.fresh,
+        reopens: false,
         seed: 1,
-    });
+    };
+    if spec.flood > 0 {
+        let bad = tokens.iter().chain([&String::new()]).take(1).map(|token| format!("{token}AAAA")).collect();
+        let spec = HammerSpec { connections: spec.flood, rate: 0.0, reopens: true, ..spec_of(bad) };
+        driver.add(Box::new(Hammer::new(spec)), vec![], None).map_err(text)?;
+    }
+    let hammer = Hammer::new(spec_of(tokens));
     let seen = hammer.seen.clone();
-    let host = driver.add(Box::new(hammer), vec![], None).map_err(text)?;
+    let host = match client_side {
+        Some(side) => driver.add(Box::new(Layer::new(hammer, TLS_BOUNDS).with_calls(side)), vec![], None),
+        None => driver.add(Box::new(hammer), vec![], None),
+    };
+    let host = host.map_err(text)?;
     wait(&mut driver, spec.warm_up)?;
     let before = cpu();
     wait(&mut driver, spec.length - spec.warm_up)?;
--- a/crates/sanddrum-lab/src/player.rs
+++ b/crates/sanddrum-lab/src/player.rs
@@ -46,6 +46,8 @@
     "key-new",
     "key-rotate",
     "key-revoke",
+    "certificates",
+    "roots",
 ];
 const AT_ONCE: &[&str] = &["flush", "tear", "garble"];
 
@@ -97,9 +99,11 @@
                 if trouble.kind.starts_with("key-") {
                     self.change_keys(&trouble)?;
                 }
+                self.change_papers(&trouble, &targets[n], true)?;
             } else {
                 let whom = std::mem::take(&mut targets[n]);
                 self.end(&trouble, &whom)?;
+                self.change_papers(&trouble, &whom, false)?;
                 self.struck.retain(|who| !whom.contains(who));
             }
         }
@@ -182,6 +186,29 @@
         Ok(())
     }
 
+    /// Certificates and roots change; impostors come and go as workers that start anew.
+    fn change_papers(&mut self, t: &Trouble, whom: &[Who], begins: bool) -> io::Result<()> {
+        match (t.kind.as_str(), begins) {
+            ("certificates", true) => self.stage.fleet().renew_leaves(),
+            ("roots", _) => self.stage.fleet().change_authority(begins)?,
+            ("impostor", _) => {
+                for who in whom {
+                    if let Who::Worker(n) = who {
+                        let impostors = &mut self.stage.fleet().impostors;
+                        if begins {
+                            impostors.insert(*n)
+                        } else {
+                            impostors.remove(n)
+                        };
+                    }
+                }
+                return self.bring_back(whom);
+            }
+            _ => return Ok(()),
+        }
+        self.stage.spread_papers()
+    }
+
     fn change_keys(&mut self, t: &Trouble) -> io::Result<()> {
         let now = self.stage.now();
         if let Some(wallet) = self.stage.fleet().wallet.clone() {
--- a/crates/sanddrum-lab/src/schema.rs
+++ b/crates/sanddrum-lab/src/schema.rs
@@ -25,6 +25,9 @@
     "key-new",
     "key-rotate",
     "key-revoke",
+    "certificates",
+    "roots",
+    "impostor",
 ];
 
 pub const SCENARIO: &[Section] = &[
@@ -57,6 +60,7 @@
             key("loads-at-once", Kind::Whole(1.0, 100.0), Some("4"), "at a worker; twice as many wait"),
             key("start-per-mb", Kind::Span, Some("400us"), "the part of a load after its fetch"),
             key("report-every", Kind::Span, Some("250ms"), "how old a load report may be"),
+            key("handshake", Kind::Span, Some("0s"), "what a TLS handshake takes on one of its cores"),
             key("beat-every", Kind::Span, Some("200ms"), "how often a worker tells that it runs"),
             key(
                 "tells-crowd",
--- a/crates/sanddrum-lab/src/stage.rs
+++ b/crates/sanddrum-lab/src/stage.rs
@@ -5,6 +5,7 @@
 use crate::scenario::Scenario;
 use sanddrum_edge::{Edge, Start, KEYS};
 use sanddrum_net::{Core, EventLoop, HostId, Links, Micros, VirtualNet};
+use sanddrum_tls::{CALL_FILES, DOOR_FILES};
 use std::collections::BTreeMap;
 use std::io;
 use std::path::PathBuf;
@@ -21,6 +22,8 @@
     fn tear(&mut self, who: Who);
     /// The key set has changed: edges get it.
     fn spread_keys(&mut self) -> io::Result<()>;
+    /// Certificates or roots have changed: workers and edges get them, one file after the other.
+    fn spread_papers(&mut self) -> io::Result<()>;
     /// Every call has ended.
     fn calls_are_over(&self) -> bool;
     /// The longest that a message is on its way here.
@@ -155,6 +158,22 @@
         (0..self.fleet.scenario.edges).for_each(|n| self.give_keys(Who::Edge(n)));
         Ok(())
     }
+    fn spread_papers(&mut self) -> io::Result<()> {
+        let roots = self.fleet.roots();
+        for n in 0..self.fleet.scenario.edges {
+            if let Some(host) = self.hosts.get(&Who::Edge(n)) {
+                self.net.give_file(*host, CALL_FILES[0], Ok(&roots));
+            }
+        }
+        for n in 0..self.fleet.scenario.workers {
+            let (chain, key) = self.fleet.worker_papers(n)?.own.unwrap_or_default();
+            if let Some(host) = self.hosts.get(&Who::Worker(n)) {
+                self.net.give_file(*host, DOOR_FILES[1], Ok(&chain));
+                self.net.give_file(*host, DOOR_FILES[2], Ok(&key));
+            }
+        }
+        Ok(())
+    }
     fn freeze(&mut self, who: Who, frozen: bool) {
         if let Some(host) = self.hosts.get(&who) {
             self.net.freeze(*host, frozen);
@@ -247,9 +266,7 @@
             folder,
         };
         stage.spread_keys()?;
-        if let Some(authority) = &stage.fleet.authority {
-            std::fs::write(stage.folder.join("roots.pem"), authority.roots())?;
-        }
+        stage.spread_papers()?;
         let all = (0..workers).map(Who::Worker).chain((0..edges).map(Who::Edge));
         for who in [Who::List, Who::Store].into_iter().chain(all) {
             let listener = bound.remove(&who);
@@ -287,8 +304,25 @@
         let host = self.driver.add(core, listener.into_iter().collect(), state)?;
         self.hosts.insert(who, host);
         self.watch_keys(who, host);
+        self.watch_papers(who, host);
         Ok(())
     }
+    fn watch_papers(&mut self, who: Who, host: HostId) {
+        if self.fleet.authority.is_none() {
+            return;
+        }
+        let every = self.fleet.scenario.settings.span("tls.watch-every-us");
+        match who {
+            // An impostor shows what it came with.
+            Who::Worker(n) if !self.fleet.impostors.contains(&n) => {
+                let name = Scenario::worker_name(n);
+                self.driver.watch(host, DOOR_FILES[1], self.folder.join(format!("{name}.pem")), every);
+                self.driver.watch(host, DOOR_FILES[2], self.folder.join(format!("{name}.key")), every);
+            }
+            Who::Edge(_) => self.driver.watch(host, CALL_FILES[0], self.folder.join("roots.pem"), every),
+            _ => {}
+        }
+    }
     fn keys_file(&self) -> PathBuf {
         self.folder.join(self.fleet.scenario.settings.text("identity.keys-file"))
     }
@@ -448,6 +482,7 @@
             let state = self.state_file(who);
             self.driver.replace(host, core, vec![listener], state)?;
             self.watch_keys(who, host);
+            self.watch_papers(who, host);
         }
         Ok(())
     }
@@ -457,6 +492,23 @@
         std::fs::write(&beside, keys)?;
         std::fs::rename(&beside, &file)
     }
+    fn spread_papers(&mut self) -> io::Result<()> {
+        if self.fleet.authority.is_none() {
+            return Ok(());
+        }
+        let write = |name: String, content: &[u8]| {
+            let beside = self.folder.join(format!("{name}.beside"));
+            std::fs::write(&beside, content)?;
+            std::fs::rename(&beside, self.folder.join(name))
+        };
+        write("roots.pem".into(), &self.fleet.roots())?;
+        for n in 0..self.fleet.scenario.workers {
+            let (chain, key) = self.fleet.worker_papers(n)?.own.unwrap_or_default();
+            write(format!("{}.pem", Scenario::worker_name(n)), &chain)?;
+            write(format!("{}.key", Scenario::worker_name(n)), &key)?;
+        }
+        Ok(())
+    }
     fn freeze(&mut self, who: Who, frozen: bool) {
         if let Some(host) = self.hosts.get(&who) {
             self.driver.freeze(*host, frozen);
--- a/crates/sanddrum-lab/src/tapped.rs
+++ b/crates/sanddrum-lab/src/tapped.rs
@@ -83,6 +83,10 @@
         let (host, recording) = (self.host, &mut self.recording);
         self.core.stale(now, conn, denied, &mut Through { io, host, recording, now });
     }
+    fn file(&mut self, now: Micros, name: &str, content: Result<&[u8], &str>, io: &mut dyn Io) {
+        let (host, recording) = (self.host, &mut self.recording);
+        self.core.file(now, name, content, &mut Through { io, host, recording, now });
+    }
     fn done(&self) -> bool {
         self.core.done()
     }
--- a/crates/sanddrum-lab/tests/stories.rs
+++ b/crates/sanddrum-lab/tests/stories.rs
@@ -1,5 +1,9 @@
 use rstest::rstest;
-use sanddrum_lab::{play, play_virtually, product_edge, EdgesAs, Recording, Scenario, SocketStage, BAD_DAY};
+use sanddrum_lab::{
+    play, play_virtually, product_edge, EdgesAs, Recording, Scenario, SocketStage, Stage, VirtualStage,
+    BAD_DAY,
+};
+use sanddrum_net::Links;
 
 #[rstest]
 fn the_bad_day_ends_well_and_twice_alike(#[values(1, 2, 3)] seed: u64) {
@@ -62,3 +66,30 @@
     let outcome = play_virtually(scenario, product_edge()).unwrap();
     assert!(outcome.is_good() && outcome.runs > 4000, "{}", outcome.text());
 }
+
+/// Roots and all certificates change in the middle of the bad day, and one worker comes back with what a foreign
+/// authority signed: no byte of a job reaches it until it is itself again.
+#[rstest]
+fn certificates_change_in_the_middle_of_the_bad_day(#[values(1, 2, 3)] seed: u64) {
+    let more = r#"(tls (workers verified) (roots-file "roots.pem"))
+        (trouble "roots" (at 4s) (length 9s))
+        (trouble "certificates" (at 8500ms))
+        (trouble "impostor" (at 500ms) (length 3s) (count 1))"#;
+    let mut scenario = Scenario::read("bad-day.sx", &format!("{BAD_DAY}{more}"), seed).unwrap();
+    scenario.settings.give("limits.retire-within", "2s", "story").unwrap();
+    let recording = Recording::default();
+    let mut stage = VirtualStage::new(scenario, Links::default(), &recording, product_edge()).unwrap();
+    let start = stage.now();
+    let outcome = play(&mut stage, &recording).unwrap();
+    assert!(outcome.is_good() && outcome.runs > 4000, "{}", outcome.text());
+    let (at, act) = outcome.acts.iter().find(|(_, act)| act.starts_with("impostor begins")).unwrap();
+    let impostor: usize = act.split(['(', ')']).nth(1).unwrap().parse().unwrap();
+    let log = &recording.0.borrow().log;
+    let while_foreign = |run: &&sanddrum_lab::recorder::Run| {
+        run.worker == impostor && (start + at + 50_000..start + at + 3_000_000).contains(&run.came)
+    };
+    assert_eq!(log.runs.iter().filter(while_foreign).count(), 0);
+    let after =
+        |run: &&sanddrum_lab::recorder::Run| run.worker == impostor && run.came > start + at + 3_000_000;
+    assert!(log.runs.iter().any(|run| after(&run)), "and it serves again");
+}
--- a/crates/sanddrum-settings/src/schema.rs
+++ b/crates/sanddrum-settings/src/schema.rs
@@ -407,6 +407,7 @@
             key("save-least", Kind::Span, Some("500ms"), "the worker list is kept no more often than this"),
             key("handshakes-out", Kind::Whole(1.0, 1e5), Some("32"), "connections to workers that are being made at a time"),
             key("handshakes-per-worker", Kind::Whole(1.0, 1e4), Some("2"), "of them to one worker; one where it is pressed or failed before"),
+            key("cold-handshakes", Kind::Number(0.0, 1.0), Some("25%"), "of what a cold worker can do, for handshakes of all edges together; 0: any number"),
             key("connections-ahead", Kind::Whole(0.0, 1e5), Some("16"), "workers, used most of late, to which a connection is kept ahead of need"),
             key("connect-again", Kind::Whole(1.0, 1e5), Some("20"), "tries a second, in all, at workers that could not be reached when last tried"),
             key("left-alone-least", Kind::Span, Some("100ms"), "a worker that could not be reached is left alone so long, then twice as long"),
--- a/crates/sanddrum-worker/src/lib.rs
+++ b/crates/sanddrum-worker/src/lib.rs
@@ -3,6 +3,7 @@
 //! through handles that a scenario holds.
 
 mod faults;
+mod handshakes;
 mod list_service;
 mod machine;
 mod peers;
@@ -10,6 +11,7 @@
 mod worker;
 
 pub use faults::{ListFaults, Marks, Shared, StoreFaults, WorkerFaults};
+pub use handshakes::{HandshakeWork, Slowed};
 pub use list_service::{ListService, ListSpec};
 pub use machine::OnMiss;
 pub use store::{Store, StoreSpec};
--- a/crates/sanddrum-worker/src/machine.rs
+++ b/crates/sanddrum-worker/src/machine.rs
@@ -187,7 +187,7 @@
     }
 
     /// Work that reaches a cold machine counts, whatever becomes of it.
-    fn bear(&mut self, now: Micros, work: f64) {
+    pub fn bear(&mut self, now: Micros, work: f64) {
         if !self.cold(now) {
             return self.came.clear();
         }
--- a/crates/sanddrum-worker/src/worker.rs
+++ b/crates/sanddrum-worker/src/worker.rs
@@ -1,6 +1,7 @@
 //! A stand-in worker: the worker protocol on one side, the emulated machine on the other.
 
 use crate::faults::{Marks, Shared, WorkerFaults};
+use crate::handshakes::HandshakeWork;
 use crate::machine::{Effect, Machine, OnMiss, Size, Task, Ticket};
 use crate::peers::Peers;
 use sanddrum_limits::Pace;
@@ -93,6 +94,8 @@
     fetches: BTreeSet<u64>,
     /// Each customer's pace, and whose the executions here are.
     paces: BTreeMap<String, Pace>,
+    /// What its handshakes cost, where that is played.
+    handshakes: Option<Shared<HandshakeWork>>,
     all: Pace,
     whose: BTreeMap<Ticket, String>,
     drains: bool,
@@ -136,6 +139,7 @@
             store: Upstream::new(&spec.store),
             fetches: BTreeSet::new(),
             paces: BTreeMap::new(),
+            handshakes: None,
             all: Pace::default(),
             whose: BTreeMap::new(),
             drains: false,
@@ -145,6 +149,11 @@
             spec,
         }
     }
+    /// Its handshakes count among the work that it bears while cold.
+    pub fn with_handshakes(mut self, work: Shared<HandshakeWork>) -> Self {
+        self.handshakes = Some(work);
+        self
+    }
     fn age(&self, now: Micros) -> Micros {
         if self.started > 0 {
             now - self.started
@@ -343,6 +352,10 @@
             let faults = self.faults.borrow();
             (faults.drains, faults.garbles)
         };
+        if let Some(work) = &self.handshakes {
+            let came = std::mem::take(&mut work.borrow_mut().came);
+            came.into_iter().for_each(|work| self.machine.bear(now, work));
+        }
         if drains != self.drains {
             self.drains = drains;
             self.register(now);
