A budget for clients' repeats under overload; workers where handshakes queue are spared

Need: rehearsals at size showed two ways to go down and stay there. At three times the load clients' repeats took a fifth of what the fleet can do, most of it answered too late; with 300 edges and slow handshakes each that timed out was begun again before the queue at the worker was worked off. Change: while the decision module pushes back, repeats get a budget that first tries earn (sanddrum-limits, pure); the rest is pushed back before it costs anything, with a time that grows with what asks. A worker at which a handshake takes four times the usual, or times out, is spared as a cold one is: each edge keeps the distance that all together can be borne with, from the learned cost, which now counts failures too. Callers of the lab make no try that no answer could come back to.

--- a/crates/sanddrum-cli/src/load.rs
+++ b/crates/sanddrum-cli/src/load.rs
@@ -114,6 +114,9 @@
     /// Edges in the storm
     #[arg(long, value_delimiter = ',', default_values_t = [40, 150, 300])]
     pub edges: Vec<usize>,
+    /// Workers in the storm
+    #[arg(long, default_value_t = 100, value_name = "WORKERS")]
+    pub storm_workers: usize,
     /// Calls a second in the storm
     #[arg(long, default_value_t = 1500, value_name = "CALLS")]
     pub storm_rate: usize,
@@ -433,15 +436,15 @@
 /// A zone back cold with every edge reconnecting, as decided and on demand.
 fn reconnecting(args: &MeasureArgs) -> Result<(), String> {
     println!(
-        "a third of 100 workers back cold and all else torn at once, TLS, {} calls a second, handshakes of {} ms, virtual, {} seeds:",
-        args.storm_rate, args.handshake_ms, args.runs
+        "a third of {} workers back cold and all else torn at once, TLS, {} calls a second, handshakes of {} ms, virtual, {} seeds:",
+        args.storm_workers, args.storm_rate, args.handshake_ms, args.runs
     );
     for edges in args.edges.iter().copied() {
         let mut plotted = Vec::new();
         for on_demand in [false, true] {
             let spec = StormSpec {
                 edges,
-                workers: 100,
+                workers: args.storm_workers,
                 rate: args.storm_rate,
                 handshake_ms: args.handshake_ms,
                 on_demand,
--- a/crates/sanddrum-connect/src/lib.rs
+++ b/crates/sanddrum-connect/src/lib.rs
@@ -116,8 +116,8 @@
     Failing,
     /// It could not be reached, and the tries at such workers are used up.
     Again,
-    /// It has just started and has its handshakes for now.
-    Cold,
+    /// It is cold or handshakes queue there, and it has its share of them for now.
+    Spared,
 }
 
 impl Why {
@@ -125,7 +125,7 @@
         match self {
             Why::Failing => "left-alone",
             Why::Again => "connect-again",
-            Why::Cold => "cold-handshakes",
+            Why::Spared => "spared-handshakes",
         }
     }
 }
@@ -144,7 +144,11 @@
     fn wake_at(&mut self, at: Micros);
 }
 
-/// What waits for a cold worker's connection is told to go elsewhere where the wait would take more than this part of
+/// Handshakes queue at a worker where one takes so many times what it usually does.
+const QUEUES: Micros = 4;
+/// It is then spared for so many of the distances that follow from it.
+const SPARED_GAPS: Micros = 2;
+/// What waits for a spared worker's connection is told to go elsewhere where the wait would take more than this part of
 /// the time that it has left.
 const PATIENCE: f64 = 0.25;
 /// Connections that nothing waits for leave this part of the handshakes to those that something does.
@@ -167,8 +171,10 @@
     routers: f64,
     cold: Micros,
     cold_from: f64,
-    /// The part of what a cold worker can do that handshakes may take there, all edges together; nought: any.
-    cold_handshakes: f64,
+    /// The part of what a worker can do that handshakes may take there, all edges together, while it is cold or they
+    /// queue there; nought: any.
+    handshake_part: f64,
+    time_out: Micros,
     idle: Micros,
     chance: Pcg64Mcg,
     workers: BTreeMap<WorkerId, Worker>,
@@ -196,7 +202,8 @@
             routers: number("routers", 1.0).max(1.0),
             cold: span("rules.cold-us", 0.0),
             cold_from: number("rules.cold-from", 1.0),
-            cold_handshakes: number("limits.cold-handshakes", 0.25),
+            handshake_part: number("limits.handshake-part", 0.25),
+            time_out,
             idle: span("limits.idle-close-us", 60e6),
             chance: Pcg64Mcg::seed_from_u64(seed),
             workers: BTreeMap::new(),
@@ -243,7 +250,8 @@
             if worker.started != row.started {
                 // A new process: what the old one did to us says nothing of it.
                 worker.backoff.good();
-                worker.next_cold = None;
+                worker.next = None;
+                worker.spared_until = Micros::MIN;
             }
             (worker.size, worker.started, worker.ready) =
                 (row.size.max(f64::MIN_POSITIVE), row.started, row.ready);
@@ -261,7 +269,11 @@
         }
         for (link, short) in &news.up {
             let Some(begun) = self.begun.remove(link) else { continue };
-            self.costs.took(now - begun.at, *short);
+            let (span, usual) = (now - begun.at, if *short { self.costs.short() } else { self.costs.full() });
+            self.costs.took(span, *short);
+            if span > QUEUES * usual {
+                self.spare(now, begun.worker);
+            }
             self.again.good();
             self.up.insert(*link, begun.worker);
             self.retiring.replaced(begun.worker);
@@ -279,8 +291,13 @@
             worker.under_way -= usize::from(begun.is_some());
             worker.open -= usize::from(up.is_some());
             // What took long to fail is left alone for at least as long, or it would be tried all the time.
-            worker.backoff.failed(now, begun.map_or(0, |begun| now - begun.at), part);
+            let after = begun.map_or(0, |begun| now - begun.at);
+            worker.backoff.failed(now, after, part);
             self.retiring.ended(Old::Link(*link));
+            if let Some(id) = id.filter(|_| after * 2 >= self.time_out) {
+                self.costs.took(after, false);
+                self.spare(now, id);
+            }
         }
         for link in &news.ended {
             self.waiting.remove(link);
@@ -310,30 +327,44 @@
         }
     }
 
-    /// When a cold worker may have its next handshake from here; `None` where it is not cold.
-    fn next_cold(&mut self, now: Micros, id: WorkerId) -> Option<Micros> {
+    /// Handshakes queue at this worker, or it had no time for one at all: all edges together are too many there. This
+    /// guards against a queue of handshakes that is longer than anybody waits, so that all are done for nobody.
+    fn spare(&mut self, now: Micros, id: WorkerId) {
         let part = self.part();
-        if self.cold_handshakes <= 0.0 {
+        let Some(gap) = self.workers.get(&id).map(|worker| self.gap(now, worker)) else { return };
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.spared_until = now + SPARED_GAPS * gap.max(self.time_out);
+            worker.next = Some(now + (part * gap as f64) as Micros);
+        }
+    }
+    /// When a worker that is spared may have its next handshake from here; `None` for all others.
+    fn next(&mut self, now: Micros, id: WorkerId) -> Option<Micros> {
+        let (part, cold) = (self.part(), self.cold);
+        let gap = self.workers.get(&id).map(|worker| self.gap(now, worker))?;
+        let worker = self.workers.get_mut(&id)?;
+        let is_cold = worker.started > 0 && now < worker.started + cold;
+        if self.handshake_part <= 0.0 || !(is_cold || now < worker.spared_until) {
+            worker.next = None;
             return None;
         }
-        let gap = self.workers.get(&id).map(|worker| self.cold_gap(now, worker))?;
-        let worker = self.workers.get_mut(&id).filter(|w| w.started > 0 && now < w.started + self.cold)?;
         // Alone there is nobody to keep a distance from.
         let others = 1.0 - 1.0 / self.routers;
-        Some(*worker.next_cold.get_or_insert(now + (part * others * gap as f64) as Micros))
+        Some(*worker.next.get_or_insert(now + (part * others * gap as f64) as Micros))
     }
-    /// The distance between two handshakes from here to a cold worker: with all edges keeping it, all handshakes
-    /// together take their part of what it can do by now.
-    fn cold_gap(&self, now: Micros, worker: &Worker) -> Micros {
+    /// The distance between two handshakes from here to a worker that is spared: with all edges keeping it, all
+    /// handshakes together take their part of what it can do by now.
+    fn gap(&self, now: Micros, worker: &Worker) -> Micros {
         let age = (now - worker.started).max(0) as f64 / self.cold.max(1) as f64;
-        let does = worker.size * (self.cold_from + (1.0 - self.cold_from) * age.min(1.0));
-        (self.costs.full() as f64 * self.routers / (does * self.cold_handshakes)) as Micros
+        let warmth =
+            if worker.started <= 0 { 1.0 } else { self.cold_from + (1.0 - self.cold_from) * age.min(1.0) };
+        let spent = worker.size * warmth * self.handshake_part.max(f64::MIN_POSITIVE);
+        (self.costs.full() as f64 * self.routers / spent) as Micros
     }
 
-    /// How many handshakes may be under way to a worker: one where its own work already waits or nobody knows whether
-    /// it can be reached.
+    /// How many handshakes may be under way to a worker: one where its own work already waits, where it is spared, or
+    /// where nobody knows whether it can be reached.
     fn bound(&self, worker: &Worker) -> usize {
-        match worker.load >= worker.size || worker.backoff.is_doubtful() {
+        match worker.load >= worker.size || worker.backoff.is_doubtful() || worker.next.is_some() {
             true => 1,
             false => self.per_worker,
         }
@@ -349,15 +380,15 @@
         order.sort_unstable();
         for (need, due, link) in order {
             let Some(id) = self.waiting.get(&link).map(|w| w.worker) else { continue };
-            let cold = self.next_cold(now, id);
+            let spared = self.next(now, id);
             let Some(worker) = self.workers.get(&id) else { continue };
             if worker.backoff.is_left_alone(now) {
                 self.give_up(link, Why::Failing, out);
                 continue;
             }
-            if let Some(at) = cold.filter(|at| *at > now) {
+            if let Some(at) = spared.filter(|at| *at > now) {
                 match need < Need::Ahead && (at - now) as f64 > PATIENCE * (due - now).max(0) as f64 {
-                    true => self.give_up(link, Why::Cold, out),
+                    true => self.give_up(link, Why::Spared, out),
                     false => out.wake_at(at),
                 }
                 continue;
@@ -380,10 +411,10 @@
     }
     fn begin(&mut self, now: Micros, link: LinkId, id: WorkerId) {
         self.begun.insert(link, Begun { worker: id, at: now });
-        let gap = self.workers.get(&id).map_or(0, |worker| self.cold_gap(now, worker));
+        let gap = self.workers.get(&id).map_or(0, |worker| self.gap(now, worker));
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.under_way += 1;
-            worker.next_cold = worker.next_cold.map(|_| now + gap);
+            worker.next = worker.next.map(|_| now + gap);
         }
     }
 
--- a/crates/sanddrum-connect/src/worker.rs
+++ b/crates/sanddrum-connect/src/worker.rs
@@ -10,8 +10,9 @@
     pub open: usize,
     pub load: f64,
     pub backoff: Backoff,
-    /// While it is cold: when it may have its next handshake from here.
-    pub next_cold: Option<Micros>,
+    /// While it is spared: when it may have its next handshake from here.
+    pub next: Option<Micros>,
+    pub spared_until: Micros,
     uses: f64,
     used_at: Micros,
 }
@@ -26,7 +27,8 @@
             open: 0,
             load: 0.0,
             backoff: Backoff::new(least, most),
-            next_cold: None,
+            next: None,
+            spared_until: Micros::MIN,
             uses: 0.0,
             used_at: 0,
         }
--- a/crates/sanddrum-connect/tests/stories.rs
+++ b/crates/sanddrum-connect/tests/stories.rs
@@ -192,7 +192,7 @@
     let mut s = Story::new(&[("routers", 3000.0), ("limits.connect-time-out-us", 2e6)]);
     s.lists(1, s.now);
     let seen = s.wants(1, 0, Need::Job);
-    assert_eq!(seen.given_up, [(1, Why::Cold)]);
+    assert_eq!(seen.given_up, [(1, Why::Spared)]);
 }
 
 #[rstest]
@@ -258,3 +258,42 @@
     assert_eq!(seen.retired, [Old::Link(LinkId(1))]);
     assert_eq!(seen.ahead, []);
 }
+
+/// Handshakes queue at a warm worker, so that one takes far longer than usual, or none is done in time: every edge keeps
+/// its distance there until the queue is gone.
+#[rstest]
+#[case::slow(false)]
+#[case::none_in_time(true)]
+fn a_worker_where_handshakes_queue_is_spared(#[case] times_out: bool) {
+    let mut s = Story::new(&[
+        ("routers", 300.0),
+        ("limits.left-alone-most-us", 1e5),
+        ("limits.left-alone-least-us", 1e5),
+    ]);
+    s.lists(2, 0);
+    for n in 0..40 {
+        assert_eq!(s.wants(n, 1, Need::Job).opened, [n], "usual ones need no distance");
+        s.now += MS;
+        s.up(n);
+    }
+    s.wants(100, 0, Need::Job);
+    s.now += S;
+    if times_out {
+        s.fails(100)
+    } else {
+        s.up(100)
+    };
+    // Everybody wants one for ten seconds; 300 edges with handshakes of a few ms leave each one now and then.
+    let mut opened = 0;
+    for n in 0..1000 {
+        s.now += 10 * MS;
+        let seen = s.wants(1000 + n, 0, Need::Job);
+        opened += seen.opened.len();
+        for link in seen.opened {
+            s.now += 5 * MS;
+            s.up(link);
+        }
+    }
+    assert!((1..200).contains(&opened), "{opened}");
+    assert_eq!(s.wants(5000, 1, Need::Job).opened, [5000], "the other worker is as before");
+}
--- a/crates/sanddrum-edge/src/admission.rs
+++ b/crates/sanddrum-edge/src/admission.rs
@@ -3,12 +3,14 @@
 use crate::jobs::{Job, Refusal};
 use crate::Inner;
 use sanddrum::{JobId, Micros};
-use sanddrum_limits::{Admission as Decisions, News, Over, Sharing};
+use sanddrum_limits::{Admission as Decisions, Asked, News, Over, Repeats, Sharing};
 use sanddrum_settings::Loaded;
 use std::collections::BTreeMap;
 
 pub(crate) struct Admission {
     sharing: Sharing,
+    repeats: Repeats,
+    asked: Asked,
     pub news: News,
     /// Jobs that ask to be taken, as the decision module will have them.
     asking: BTreeMap<JobId, sanddrum::Job>,
@@ -29,8 +31,10 @@
 
 impl Admission {
     pub fn of(l: &Loaded) -> Self {
-        let sharing = Sharing::new(&l.values_for_module());
-        Admission { sharing, news: News::default(), asking: BTreeMap::new() }
+        let settings = l.values_for_module();
+        let (sharing, repeats) = (Sharing::new(&settings), Repeats::new(&settings));
+        let (asked, news) = (Asked::default(), News::default());
+        Admission { sharing, repeats, asked, news, asking: BTreeMap::new() }
     }
     pub fn is_waiting(&self) -> bool {
         !self.asking.is_empty()
@@ -46,38 +50,48 @@
 impl Inner {
     /// A job at the door.
     pub(crate) fn ask(&mut self, job: sanddrum::Job) {
-        if self.admission.sharing.limits_anything() {
-            self.admission.news.asked.push((job.id, job.customer));
-            self.admission.asking.insert(job.id, job);
-        } else {
-            self.round.jobs.push(job);
-        }
+        self.admission.asked.jobs.push((job.id, job.repeat));
+        self.admission.asking.insert(job.id, job);
     }
 
-    /// Lets through what the limits allow, and pushes the rest back with an honest time to return.
+    /// Lets through what the limits allow, and pushes the rest back with an honest time to return: repeats first, as
+    /// what is refused there must not count for its customer.
     pub(crate) fn admit(&mut self, now: Micros) {
-        if !self.admission.sharing.limits_anything() {
-            self.admission.news = News::default();
-            return;
-        }
-        let mut news = std::mem::take(&mut self.admission.news);
+        let mut asked = std::mem::take(&mut self.admission.asked);
+        asked.pressed = self.admission.news.pressed;
         // Who has left meanwhile asks for nothing.
         let jobs = &self.jobs.jobs;
-        news.asked.retain(|(job, _)| jobs.get(job).is_some_and(|job| !job.closed));
+        asked.jobs.retain(|(job, _)| jobs.get(job).is_some_and(|job| !job.closed));
         let mut ruled = Ruled::default();
-        self.admission.sharing.round(now, &news, &mut ruled);
+        self.admission.repeats.round(now, &asked, &mut |job, judged| ruled.0.push((job, judged.err())));
+        let limits = self.admission.sharing.limits_anything();
+        let mut news = std::mem::take(&mut self.admission.news);
+        for (id, over) in std::mem::take(&mut ruled.0) {
+            let Some(job) = self.admission.asking.get(&id) else { continue };
+            match over {
+                None if limits => news.asked.push((id, job.customer)),
+                over => ruled.0.push((id, over)),
+            }
+        }
+        if limits {
+            self.admission.sharing.round(now, &news, &mut ruled);
+        }
         for (id, over) in ruled.0 {
             let Some(job) = self.admission.asking.remove(&id) else { continue };
             let Some((why, wait)) = over else {
-                self.jobs.jobs.entry(id).and_modify(|job| job.admitted = true);
+                self.jobs.jobs.entry(id).and_modify(|job| job.admitted = limits);
                 self.round.jobs.push(job);
                 continue;
             };
+            let detail = match why {
+                Over::Repeats => "the fleet is pressed and repeats wait; the job has not run, come back after the stated time",
+                _ => "this customer has what it may have for now; the job has not run, come back after the stated time",
+            };
             let refusal = Refusal {
                 status: 503,
                 end: "pushed-back",
                 reason: why.reason(),
-                detail: "this customer has what it may have for now; the job has not run, come back after the stated time",
+                detail,
                 retry_after: Some(wait),
                 job: Some(id),
             };
--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -227,7 +227,7 @@
     /// What waits for a connection is told that it does not come.
     pub(crate) fn give_link_up(&mut self, now: Micros, id: LinkId, why: Why) {
         self.figures.limit_hit(why.reason());
-        let end = if why == Why::Cold { End::Full } else { End::NoConnection };
+        let end = if why == Why::Spared { End::Full } else { End::NoConnection };
         self.end_link(now, id, |_| end, false);
     }
     pub(crate) fn retire_link(&mut self, now: Micros, id: LinkId) {
--- a/crates/sanddrum-lab/src/callers.rs
+++ b/crates/sanddrum-lab/src/callers.rs
@@ -223,7 +223,10 @@
         let retries = self.scenario.settings.size("traffic.retries");
         let Some((call, at)) = self.calls.get_mut(&id) else { return };
         *at = None;
-        if call.tries > retries || now + wait >= call.began + self.scenario.calls[call.of].time_limit {
+        // No answer could be back in time: nobody asks for one.
+        let last =
+            self.scenario.calls[call.of].time_limit - self.scenario.settings.span("limits.answer-ahead-us");
+        if call.tries > retries || now + wait >= call.began + last {
             return self.over(id);
         }
         self.due.insert((now + wait, Due::Again(id)));
--- a/crates/sanddrum-lab/src/storm.rs
+++ b/crates/sanddrum-lab/src/storm.rs
@@ -42,7 +42,7 @@
 
 fn scenario(spec: &StormSpec) -> String {
     let on_demand = "(handshakes-out 100000) (handshakes-per-worker 10000) (connections-ahead 0)
-        (connect-again 100000) (left-alone-least 1ms) (left-alone-most 1ms) (cold-handshakes 0)";
+        (connect-again 100000) (left-alone-least 1ms) (left-alone-most 1ms) (handshake-part 0)";
     let StormSpec { edges, workers, rate, handshake_ms, .. } = spec;
     let limits = if spec.on_demand { on_demand } else { "" };
     format!(
--- a/crates/sanddrum-limits/src/lib.rs
+++ b/crates/sanddrum-limits/src/lib.rs
@@ -14,9 +14,11 @@
 //! While nothing is pressed there are no shares: what others leave is lent to whoever asks.
 
 mod pace;
+mod repeats;
 mod sight;
 
 pub use pace::{Bucket, Pace};
+pub use repeats::{Asked, Repeats};
 pub use sight::Sight;
 
 use sanddrum::{CustomerId, JobId, Micros, Settings, WorkerId};
@@ -59,6 +61,8 @@
     Rate,
     InFlight,
     Share,
+    /// A client's repeat while the fleet is pressed, beyond what first tries earn.
+    Repeats,
 }
 
 impl Over {
@@ -67,6 +71,7 @@
             Over::Rate => "over-rate",
             Over::InFlight => "over-in-flight",
             Over::Share => "over-share",
+            Over::Repeats => "over-repeats",
         }
     }
 }
--- /dev/null
+++ b/crates/sanddrum-limits/src/repeats.rs
@@ -0,0 +1,87 @@
+//! How many of clients' repeats are taken while the fleet is pressed.
+//!
+//! Under overload every job that is pushed back comes again, and again: at three times what the fleet can do most of
+//! what asks are repeats, each with less time left than a first try has and most of its start target gone, and what is
+//! done for them is done too late. So while the decision module pushes back, repeats get a budget that first tries earn;
+//! the rest is pushed back before it costs anything. While nothing is pushed back there is no budget: after a crash or a
+//! lost zone repeats are what has to be served.
+
+use crate::{Bucket, Over, Pace};
+use sanddrum::{JobId, Micros, Settings};
+
+/// What came in since the last round.
+#[derive(Clone, Debug, Default)]
+pub struct Asked {
+    /// Jobs that ask to be taken, and whether each is a client's repeat.
+    pub jobs: Vec<(JobId, bool)>,
+    /// Jobs that the decision module pushed back.
+    pub pressed: u32,
+}
+
+/// Each first try earns this part of a repeat, unless set otherwise.
+const PART: f64 = 0.1;
+/// The fleet is pressed while more than this part of what is let in is pushed back by the decision module.
+const PRESSED: f64 = 0.02;
+/// Permits are saved up for no more than this part of a window.
+const BURST: f64 = 0.3;
+
+pub struct Repeats {
+    part: f64,
+    window: Micros,
+    longest: Micros,
+    firsts: Pace,
+    repeats: Pace,
+    let_in: Pace,
+    pushed: Pace,
+    permits: Bucket,
+}
+
+impl Repeats {
+    pub fn new(settings: &Settings) -> Self {
+        let number = |name: &str, otherwise: f64| settings.number(name).unwrap_or(otherwise);
+        Repeats {
+            part: number("limits.repeats", PART),
+            window: (number("sharing.window-us", 1e6) as Micros).max(1),
+            longest: number("limits.max-retry-after-us", 2e6) as Micros,
+            firsts: Pace::default(),
+            repeats: Pace::default(),
+            let_in: Pace::default(),
+            pushed: Pace::default(),
+            permits: Bucket::default(),
+        }
+    }
+
+    /// Says of each job, in order, whether it goes on, or why not and when to come back.
+    pub fn round(
+        &mut self,
+        now: Micros,
+        asked: &Asked,
+        out: &mut impl FnMut(JobId, Result<(), (Over, Micros)>),
+    ) {
+        let window = self.window;
+        (0..asked.pressed).for_each(|_| self.pushed.count(now, window));
+        for (_, repeat) in &asked.jobs {
+            if *repeat { &mut self.repeats } else { &mut self.firsts }.count(now, window);
+        }
+        // A part of all is a budget without bound.
+        let pressed =
+            self.part < 1.0 && self.pushed.now(now, window) > PRESSED * self.let_in.now(now, window);
+        for (id, repeat) in &asked.jobs {
+            let judged = if pressed && *repeat { self.judge(now) } else { Ok(()) };
+            if judged.is_ok() {
+                self.let_in.count(now, window);
+            }
+            out(*id, judged);
+        }
+    }
+    fn judge(&mut self, now: Micros) -> Result<(), (Over, Micros)> {
+        let rate = self.firsts.now(now, self.window) * self.part;
+        let burst = rate * self.window as f64 / 1e6 * BURST;
+        self.permits.take(now, rate, burst).map_err(|wait| {
+            // All that asked in the last window are ahead of it, as far as can be told.
+            let queue = self.repeats.now(now, self.window) * self.window as f64 / 1e6;
+            let wait = (wait as f64).max(queue * 1e6 / rate.max(1e-6));
+            (Over::Repeats, (wait as Micros).min(self.longest))
+        })
+    }
+}
