Nothing is sent after a final answer, also from a link still being made; lab experiment

Change: with the final answer, or its client gone, what is not written of a job is taken back. lab experiment runs variants of a scenario (settings, or a baseline in the module's place: random, round robin, least in flight, two choices, bounded hashing, an oracle that sees the workers' true state) on paired seeds and tells differences with bootstrap intervals, as text and as one HTML page.

--- a/crates/sanddrum-cli/src/lab.rs
+++ b/crates/sanddrum-cli/src/lab.rs
@@ -3,7 +3,8 @@
 use crate::{exit, fail};
 use clap::Args;
 use sanddrum_lab::{
-    play, play_virtually, product_edge, EdgesAs, Outcome, Recording, Scenario, SocketStage, Stage, BAD_DAY,
+    play, play_virtually, product_edge, report, EdgesAs, Experiment, Outcome, Recording, Scenario,
+    SocketStage, Stage, BAD_DAY,
 };
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode, Stdio};
@@ -190,3 +191,50 @@
     }
     Ok(outcome)
 }
+
+#[derive(Args, Clone, Debug)]
+pub struct ExperimentArgs {
+    /// The scenario with its variants
+    pub file: PathBuf,
+    /// Each variant is run on so many seeds; what the scenario says where none is given
+    #[arg(long)]
+    pub seeds: Option<u64>,
+    /// Runs at a time; as many as there are processors where none is given
+    #[arg(long)]
+    pub threads: Option<usize>,
+    /// One HTML page with all figures goes here
+    #[arg(long, value_name = "FILE")]
+    pub report: Option<PathBuf>,
+}
+
+pub fn experiment(args: &ExperimentArgs) -> ExitCode {
+    let text = match std::fs::read_to_string(&args.file) {
+        Ok(text) => text,
+        Err(e) => return fail(exit::USAGE, format!("{}: {e}", args.file.display())),
+    };
+    let experiment = match Experiment::read(&args.file.display().to_string(), &text, args.seeds) {
+        Ok(experiment) => experiment,
+        Err(problem) => return fail(exit::USAGE, problem),
+    };
+    let all = experiment.seeds as usize * experiment.variants.len();
+    let threads = args.threads.or(std::thread::available_parallelism().map(usize::from).ok()).unwrap_or(1);
+    let told = |done: usize| {
+        if done.is_multiple_of(threads) || done == all {
+            eprint!("\r{done} of {all} runs ");
+        }
+    };
+    let figures = match experiment.run_all(threads, told) {
+        Ok(figures) => figures,
+        Err(e) => return fail(exit::TROUBLE, e),
+    };
+    eprintln!();
+    print!("{}", report::text(&experiment, &figures));
+    if let Some(file) = &args.report {
+        let written = report::html(&experiment, &figures)
+            .and_then(|page| std::fs::write(file, page).map_err(|e| format!("{}: {e}", file.display())));
+        if let Err(problem) = written {
+            return fail(exit::TROUBLE, problem);
+        }
+    }
+    ExitCode::from(exit::GOOD)
+}
--- a/crates/sanddrum-cli/src/main.rs
+++ b/crates/sanddrum-cli/src/main.rs
@@ -84,6 +84,13 @@
         after_help = "Example:\n  sanddrum lab load trace-pass trace- --functions 8 --rate 200 --body work-us=5000"
     )]
     Load(load::LoadArgs),
+    /// Run variants of a scenario on the same seeds, and tell what their differences are worth
+    #[command(
+        after_help = "Example:\n  sanddrum lab experiment overload.sx --seeds 20 --report overload.html\n\n\
+                            The scenario names its variants: (variant \"no budget\" (set \"limits.repeats=100%\")),\n\
+                            (variant \"random\" (decides random))."
+    )]
+    Experiment(lab::ExperimentArgs),
     /// Measure what an edge costs on this machine, beside a bare forwarder
     Measure(load::MeasureArgs),
 }
@@ -125,6 +132,7 @@
         What::Lab(Lab::Run(args)) => lab::run(args),
         What::Lab(Lab::Stand(args)) => lab::stand(args),
         What::Lab(Lab::Load(args)) => load::load(args),
+        What::Lab(Lab::Experiment(args)) => lab::experiment(args),
         What::Lab(Lab::Measure(args)) => load::run(args),
         What::Config(Config::Check { file, scenario }) => config::check(file, *scenario),
         What::Config(Config::Show { file, scenario }) => config::show(file, *scenario),
--- a/crates/sanddrum-edge/src/admission.rs
+++ b/crates/sanddrum-edge/src/admission.rs
@@ -95,7 +95,7 @@
                 retry_after: Some(wait),
                 job: Some(id),
             };
-            self.refuse(id, &refusal);
+            self.refuse(now, id, &refusal);
         }
         self.admission.asking.clear();
     }
--- a/crates/sanddrum-edge/src/carry.rs
+++ b/crates/sanddrum-edge/src/carry.rs
@@ -73,7 +73,7 @@
             job: Some(id),
         };
         self.inner.admission.news.pressed += 1;
-        self.inner.refuse(id, &refusal);
+        self.inner.refuse(self.now, id, &refusal);
     }
 
     fn kill(&mut self, id: JobId) {
@@ -84,7 +84,7 @@
             (502, "failed", "the job failed and may have run; nothing is promised")
         };
         let refusal = Refusal { status, end: "killed", reason, detail, retry_after: None, job: Some(id) };
-        self.inner.refuse(id, &refusal);
+        self.inner.refuse(self.now, id, &refusal);
     }
 
     fn hold(&mut self, worker: WorkerId, function: FunctionId, copies: u32) {
--- a/crates/sanddrum-edge/src/clients.rs
+++ b/crates/sanddrum-edge/src/clients.rs
@@ -117,13 +117,13 @@
                     self.clients.dirty.insert(conn);
                 }
             }
-            Event::Closed { .. } => self.client_left(conn),
+            Event::Closed { .. } => self.client_left(now, conn),
             Event::Accepted { .. } | Event::Connected { .. } => {}
         }
     }
 
     /// A client that closes has left; what it had asked for needs no answer any more.
-    fn client_left(&mut self, conn: Conn) {
+    fn client_left(&mut self, now: Micros, conn: Conn) {
         let Some(client) = self.clients.clients.remove(&conn) else { return };
         self.clients.dirty.remove(&conn);
         self.figures.clients_open.decrement(1.0);
@@ -135,6 +135,7 @@
                 tracing::debug!(job = job.0, reason = "client-left", "its client has left");
                 self.figures.left.increment(1);
                 self.round.left.push(job);
+                self.recall(now, job);
                 self.jobs.forget_if_done(job);
             }
         }
@@ -149,11 +150,11 @@
         let carries = self.clients.clients.get(&conn).map_or(0, |client| client.places.len());
         self.links.news.old.push((Old::Client(ClientId(conn.0)), carries));
     }
-    pub(crate) fn retire_client(&mut self, conn: Conn, io: &mut dyn Io) {
+    pub(crate) fn retire_client(&mut self, now: Micros, conn: Conn, io: &mut dyn Io) {
         let Some(client) = self.clients.clients.get_mut(&conn) else { return };
         client.retired = true;
         if client.places.is_empty() && client.bytes.is_empty() && client.out.waiting() == 0 {
-            self.drop_client(conn, io, true);
+            self.drop_client(now, conn, io, true);
         }
     }
 
@@ -384,9 +385,9 @@
             if slow {
                 self.figures.limit_hit("waiting-per-client");
                 tracing::warn!(reason = "waiting-per-client", "a client that reads too slowly is closed");
-                self.drop_client(conn, io, false);
+                self.drop_client(now, conn, io, false);
             } else if client.ending == Ending::WhenWritten && client.out.waiting() == 0 {
-                self.drop_client(conn, io, true);
+                self.drop_client(now, conn, io, true);
             } else if client.paused && client.places.len() < self.limits.pipelined {
                 client.paused = false;
                 io.pause(conn, false);
@@ -395,14 +396,14 @@
         }
     }
 
-    fn drop_client(&mut self, conn: Conn, io: &mut dyn Io, in_order: bool) {
+    fn drop_client(&mut self, now: Micros, conn: Conn, io: &mut dyn Io, in_order: bool) {
         self.owners.remove(&conn);
         if in_order {
             io.close(conn);
         } else {
             io.reset(conn);
         }
-        self.client_left(conn);
+        self.client_left(now, conn);
     }
 
     /// Looks whether a client lingers, is slow with its request, asks nothing or does not read.
@@ -412,7 +413,7 @@
         let quiet = client.places.is_empty() || client.out.waiting() > 0;
         let idle = client.active + self.limits.client_idle;
         match client.ending {
-            Ending::Lingers(until) if until <= now => return self.drop_client(conn, io, true),
+            Ending::Lingers(until) if until <= now => return self.drop_client(now, conn, io, true),
             Ending::Lingers(_) => return,
             _ => {}
         }
@@ -427,7 +428,7 @@
             );
         }
         if quiet && idle <= now {
-            return self.drop_client(conn, io, client.out.waiting() == 0);
+            return self.drop_client(now, conn, io, client.out.waiting() == 0);
         }
         let idle = if quiet { idle } else { now + self.limits.client_idle };
         let next = head.into_iter().chain([idle, now + self.limits.head_time_out]).min().unwrap_or(idle);
--- a/crates/sanddrum-edge/src/connect.rs
+++ b/crates/sanddrum-edge/src/connect.rs
@@ -24,7 +24,7 @@
     fn retire(&mut self, old: Old) {
         match old {
             Old::Link(link) => self.inner.retire_link(self.now, link),
-            Old::Client(ClientId(conn)) => self.inner.retire_client(Conn(conn), self.io),
+            Old::Client(ClientId(conn)) => self.inner.retire_client(self.now, Conn(conn), self.io),
         }
     }
     fn wake_at(&mut self, at: Micros) {
--- a/crates/sanddrum-edge/src/jobs.rs
+++ b/crates/sanddrum-edge/src/jobs.rs
@@ -190,6 +190,19 @@
         tracing::debug!(job = id.0, worker, left_us = due - now, "finished");
         self.figures.finished.increment(1);
         self.answer(client, place, |keep| http::response(200, &fields, body, keep));
+        self.recall(now, id);
+    }
+
+    /// A job has its final answer: what still waits to be written for it is not sent any more. Guards against a link
+    /// whose connection takes long, which would carry it all once it is up.
+    pub(crate) fn recall(&mut self, now: Micros, id: JobId) {
+        let all = self.jobs.jobs.get(&id).map(|job| job.executions.clone()).unwrap_or_default();
+        for execution in all {
+            let Some(link) = self.jobs.executions.get(&execution).map(|e| e.link) else { continue };
+            if self.links.take_back(link, execution) {
+                self.execution_ended(now, execution, End::Moot, Warmth::Unknown, None, None);
+            }
+        }
     }
 
     /// The end of an execution, whatever it was, told to the module once.
@@ -243,18 +256,19 @@
     }
 
     /// The final answer of a job that did not finish.
-    pub(crate) fn refuse(&mut self, id: JobId, refusal: &Refusal<'_>) {
+    pub(crate) fn refuse(&mut self, now: Micros, id: JobId, refusal: &Refusal<'_>) {
         let Some(job) = self.jobs.close(id) else { return };
         self.admission.ended(job);
         let (client, place) = (job.client, job.place);
         tracing::debug!(job = id.0, status = refusal.status, reason = refusal.reason, "{}", refusal.end);
         self.figures.refused(refusal.end, refusal.reason);
         self.answer(client, place, |keep| refusal.response(keep));
+        self.recall(now, id);
         self.jobs.forget_if_done(id);
     }
 
     /// The bound on ending is reached: whatever is still held gets its final answer now.
-    pub(crate) fn end_all(&mut self, _now: Micros) {
+    pub(crate) fn end_all(&mut self, now: Micros) {
         let open: Vec<JobId> = self.jobs.jobs.iter().filter(|(_, j)| !j.closed).map(|(id, _)| *id).collect();
         for id in open {
             let refusal = Refusal {
@@ -265,7 +279,7 @@
                 retry_after: None,
                 job: Some(id),
             };
-            self.refuse(id, &refusal);
+            self.refuse(now, id, &refusal);
             self.round.left.push(id);
         }
     }
--- a/crates/sanddrum-edge/tests/workers.rs
+++ b/crates/sanddrum-edge/tests/workers.rs
@@ -331,3 +331,22 @@
     assert_eq!(h.io.connects.len(), tried);
     assert_eq!(h.ends(), [End::Reset, End::NoConnection]);
 }
+
+/// Its connection is long in coming, and meanwhile another execution finishes, or the client leaves: nothing of the job
+/// is sent once the connection is up.
+#[rstest]
+fn what_waits_for_a_connection_is_not_sent_after_the_final_answer(#[values(true, false)] leaves: bool) {
+    let mut h = Host::new(&[("limits.connect-time-out", "4s")]);
+    let (client, slow) = h.call_out(5 * S);
+    h.wait(S);
+    if leaves {
+        h.event(Event::Closed { conn: client, how: Closed::InOrder });
+    } else {
+        h.decide(Do::PushBack(0));
+        assert_eq!(h.statuses(client), [503]);
+    }
+    h.up(slow);
+    h.wait(S);
+    assert_eq!(h.executions_read(slow).len(), 0);
+    assert_eq!(h.ends(), [End::Moot]);
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/experiment.rs
@@ -0,0 +1,206 @@
+//! Variants of one scenario on the same seeds, and what their differences are worth.
+
+use crate::baselines::{Baseline, Choice};
+use crate::recorder::Recording;
+use crate::scenario::Scenario;
+use crate::stage::{product_edge, MakeEdge, VirtualStage};
+use crate::{play, Outcome};
+use sanddrum_edge::Edge;
+use sanddrum_net::{Chance, Links};
+use sanddrum_settings::Problem;
+use sanddrum_worker::Truth;
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// One way to run the scenario.
+#[derive(Clone, Debug)]
+pub struct Variant {
+    pub name: String,
+    /// Settings over the scenario's, as `limits.repeats=100%`.
+    pub set: Vec<String>,
+    /// A baseline in the module's place.
+    pub decides: Option<Choice>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Experiment {
+    pub file: String,
+    pub text: String,
+    pub seeds: u64,
+    pub variants: Vec<Variant>,
+}
+
+/// What one run came to.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    pub service: f64,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+    pub finished: f64,
+    pub pushed_back: f64,
+    pub executions: f64,
+    pub loads: f64,
+    pub broken: f64,
+    /// Calls begun in each second, and answered in time.
+    pub seconds: Vec<(u32, u32)>,
+}
+
+/// Figures that are compared: their name, whether more is better, and where they are.
+pub type Measure = (&'static str, bool, fn(&Figures) -> f64);
+pub const MEASURES: [Measure; 8] = [
+    ("service", true, |f| f.service),
+    ("p50 ms", false, |f| f.p50_ms),
+    ("p99 ms", false, |f| f.p99_ms),
+    ("finished", true, |f| f.finished),
+    ("pushed back", false, |f| f.pushed_back),
+    ("executions", false, |f| f.executions),
+    ("orders to load", false, |f| f.loads),
+    ("rules broken", false, |f| f.broken),
+];
+
+/// Fewer seeds than this tell little, and that is said.
+pub const FEW_SEEDS: u64 = 10;
+const RESAMPLES: usize = 2000;
+
+impl Experiment {
+    /// Reads the variants that a scenario's text names.
+    ///
+    /// # Errors
+    /// What is wrong with it, and where.
+    pub fn read(file: &str, text: &str, seeds: Option<u64>) -> Result<Self, Problem> {
+        let scenario = Scenario::read(file, text, 1)?;
+        let l = &scenario.settings;
+        let variant = |(n, name): (usize, String)| Variant {
+            set: l.names(&format!("variants.{n}.set")),
+            decides: Choice::of(l.text(&format!("variants.{n}.decides"))),
+            name,
+        };
+        let variants: Vec<Variant> = l.names("variants").into_iter().enumerate().map(variant).collect();
+        let told = |what: String, remedy: &str| Problem {
+            file: file.into(),
+            line: 0,
+            column: 0,
+            what,
+            remedy: remedy.into(),
+        };
+        if variants.len() < 2 {
+            let remedy = "add (variant \"as built\") and (variant \"another\" (set \"limits.repeats=100%\"))";
+            return Err(told("an experiment needs two variants".into(), remedy));
+        }
+        let seeds = seeds.unwrap_or(l.size("experiment.seeds") as u64);
+        let experiment = Experiment { file: file.into(), text: text.into(), seeds, variants };
+        // Each is looked at before the first is run.
+        for variant in &experiment.variants {
+            experiment.scenario(variant, 1)?;
+        }
+        Ok(experiment)
+    }
+    fn scenario(&self, variant: &Variant, seed: u64) -> Result<Scenario, Problem> {
+        let mut scenario = Scenario::read(&self.file, &self.text, seed)?;
+        for set in &variant.set {
+            let (name, value) = set.split_once('=').unwrap_or((set, ""));
+            scenario.settings.give(name, value, &variant.name)?;
+        }
+        Ok(scenario)
+    }
+    fn run(&self, variant: &Variant, seed: u64) -> io::Result<Figures> {
+        let scenario = self.scenario(variant, seed).map_err(io::Error::other)?;
+        let truth = Rc::new(RefCell::new(Truth::default()));
+        let make: MakeEdge = match variant.decides {
+            None => product_edge(),
+            Some(choice) => {
+                let truth = truth.clone();
+                Box::new(move |start| {
+                    let values = start.settings.values_for_module();
+                    let module = Baseline::new(choice, start.seed, values, truth.clone());
+                    Box::new(Edge::with_module(start, module))
+                })
+            }
+        };
+        let recording = Recording::default();
+        let truth = (variant.decides == Some(Choice::Oracle)).then_some(truth);
+        let mut stage = VirtualStage::seen_by(scenario, Links::default(), &recording, make, truth)?;
+        Ok(Figures::of(&play(&mut stage, &recording)?))
+    }
+    /// Runs every variant on every seed, on as many threads as are given; `told` hears how many are done. The figures by
+    /// variant and seed.
+    ///
+    /// # Errors
+    /// A run could not be set up.
+    pub fn run_all(&self, threads: usize, told: impl Fn(usize) + Sync) -> io::Result<Vec<Vec<Figures>>> {
+        let all: Vec<(usize, u64)> =
+            (1..=self.seeds).flat_map(|seed| (0..self.variants.len()).map(move |v| (v, seed))).collect();
+        let (next, done) = (AtomicUsize::new(0), Arc::new(Mutex::new(Vec::new())));
+        std::thread::scope(|scope| {
+            for _ in 0..threads.max(1) {
+                scope.spawn(|| {
+                    while let Some((variant, seed)) = all.get(next.fetch_add(1, Ordering::Relaxed)) {
+                        let figures = self.run(&self.variants[*variant], *seed);
+                        let Ok(mut done) = done.lock() else { return };
+                        done.push((*variant, *seed, figures));
+                        told(done.len());
+                    }
+                });
+            }
+        });
+        let mut done = std::mem::take(&mut *done.lock().map_err(|_| io::Error::other("a thread panicked"))?);
+        done.sort_by_key(|(variant, seed, _)| (*variant, *seed));
+        let mut figures = vec![Vec::new(); self.variants.len()];
+        for (variant, _, of) in done {
+            figures[variant].push(of?);
+        }
+        Ok(figures)
+    }
+}
+
+impl Figures {
+    fn of(outcome: &Outcome) -> Figures {
+        let v = &outcome.verdict;
+        Figures {
+            service: v.service,
+            p50_ms: outcome.latency_ms(0.5),
+            p99_ms: outcome.latency_ms(0.99),
+            finished: v.finished as f64,
+            pushed_back: v.pushed_back as f64,
+            executions: outcome.runs as f64,
+            loads: outcome.orders as f64,
+            broken: v.broken.len() as f64,
+            seconds: v.seconds.clone(),
+        }
+    }
+}
+
+/// A difference of paired runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Difference {
+    pub mean: f64,
+    /// The mean lies between these with 95 in 100, by the bootstrap over seeds (percentiles of resampled means).
+    pub least: f64,
+    pub most: f64,
+}
+
+impl Difference {
+    /// Whether the interval leaves nought out.
+    pub fn is_clear(&self) -> bool {
+        self.least > 0.0 || self.most < 0.0
+    }
+}
+
+/// What `other` is more than `first`, seed by seed.
+pub fn difference(first: &[f64], other: &[f64]) -> Difference {
+    let each: Vec<f64> = first.iter().zip(other).map(|(a, b)| b - a).collect();
+    let mean = |of: &[f64]| of.iter().sum::<f64>() / of.len().max(1) as f64;
+    let mut chance = Chance::new(0xb007);
+    let mut means: Vec<f64> = (0..RESAMPLES)
+        .map(|_| {
+            let drawn: Vec<f64> = each.iter().map(|_| each[chance.below(each.len())]).collect();
+            mean(&drawn)
+        })
+        .collect();
+    means.sort_by(f64::total_cmp);
+    let at = |part: f64| means[((RESAMPLES as f64 * part) as usize).min(RESAMPLES - 1)];
+    Difference { mean: mean(&each), least: at(0.025), most: at(0.975) }
+}
--- a/crates/sanddrum-lab/src/fleet.rs
+++ b/crates/sanddrum-lab/src/fleet.rs
@@ -11,7 +11,7 @@
 use sanddrum_wire::{Phase, Row};
 use sanddrum_worker::{
     HandshakeWork, ListFaults, ListService, ListSpec, Marks, Shared, Slowed, Store, StoreFaults, StoreSpec,
-    Worker, WorkerFaults,
+    Truth, Worker, WorkerFaults,
 };
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,6 +52,8 @@
     /// Workers that show what somebody else signed.
     pub impostors: BTreeSet<usize>,
     pub handshakes: Vec<Shared<HandshakeWork>>,
+    /// Where an oracle sees what is true of the workers.
+    pub truth: Option<Shared<Truth>>,
     recording: Recording,
     marks: Vec<Shared<Marks>>,
     incarnations: Vec<u64>,
@@ -82,6 +84,7 @@
             former: None,
             leaves: BTreeMap::new(),
             impostors: BTreeSet::new(),
+            truth: None,
             handshakes: (0..scenario.workers)
                 .map(|_| {
                     let takes = l.span("fleet.handshake-us");
@@ -130,6 +133,10 @@
         let seed = self.scenario.seed.wrapping_mul(31).wrapping_add(n as u64);
         let worker =
             Worker::new(spec, seed, started, self.incarnations[n], self.workers[n].clone(), self.marks_of(n));
+        let worker = match &self.truth {
+            Some(truth) => worker.seen_by(truth.clone()),
+            None => worker,
+        };
         let work = self.handshakes[n].clone();
         let costs = work.borrow().takes > 0;
         let worker = if costs { worker.with_handshakes(work.clone()) } else { worker };
--- a/crates/sanddrum-lab/src/lib.rs
+++ b/crates/sanddrum-lab/src/lib.rs
@@ -1,8 +1,10 @@
 //! The laboratory: scenarios with scripted troubles, played through the real edge on sockets or in virtual time, and
 //! a checker that judges the users' five rules from the traffic alone.
 
+mod baselines;
 mod callers;
 pub mod checker;
+mod experiment;
 mod fleet;
 mod hammer;
 mod limits_size;
@@ -10,6 +12,7 @@
 mod player;
 mod plots;
 pub mod recorder;
+pub mod report;
 mod scenario;
 mod schema;
 mod stage;
@@ -18,7 +21,9 @@
 pub use tapped::bounds as tls_bounds;
 mod wallet;
 
+pub use baselines::{Baseline, Choice};
 pub use callers::{Callers, Mood};
+pub use experiment::{difference, Difference, Experiment, Figures, Variant, FEW_SEEDS, MEASURES};
 pub use fleet::{Addresses, Fleet, Who};
 pub use hammer::{Hammer, HammerSpec, Hammered};
 pub use limits_size::{limits_at, AtSize, Policy, Size, Stream};
--- a/crates/sanddrum-lab/src/plots.rs
+++ b/crates/sanddrum-lab/src/plots.rs
@@ -14,16 +14,27 @@
 ///
 /// # Errors
 /// The file can't be written, or there is nothing to draw.
-pub fn lines(file: &Path, title: &str, (x, y): (&str, &str), all: &[Line]) -> Result<(), String> {
+pub fn lines(file: &Path, title: &str, axes: (&str, &str), all: &[Line]) -> Result<(), String> {
     let told = |e: &dyn std::fmt::Display| format!("{}: {e}", file.display());
+    let svg = svg(title, axes, all).map_err(|e| told(&e))?;
+    std::fs::write(file, svg).map_err(|e| told(&e))
+}
+
+/// Draws lines; the text of the picture.
+///
+/// # Errors
+/// There is nothing to draw.
+pub fn svg(title: &str, (x, y): (&str, &str), all: &[Line]) -> Result<String, String> {
+    let told = |e: &dyn std::fmt::Display| e.to_string();
     let points = || all.iter().flat_map(|line| &line.points);
     let most = |of: &dyn Fn(&(f64, f64)) -> f64| points().map(of).fold(f64::MIN, f64::max);
     let least_x = points().map(|p| p.0).fold(f64::MAX, f64::min);
     let (most_x, most_y) = (most(&|p| p.0), most(&|p| p.1));
     if most_x <= least_x {
-        return Err(told(&"there are not two points to draw"));
+        return Err("there are not two points to draw".into());
     }
-    let area = SVGBackend::new(file, (760, 420)).into_drawing_area();
+    let mut text = String::new();
+    let area = SVGBackend::with_string(&mut text, (760, 420)).into_drawing_area();
     area.fill(&WHITE).map_err(|e| told(&e))?;
     let mut chart = ChartBuilder::on(&area)
         .caption(title, ("sans-serif", 18))
@@ -47,5 +58,8 @@
         .background_style(WHITE.mix(0.8))
         .draw()
         .map_err(|e| told(&e))?;
-    area.present().map_err(|e| told(&e))
+    area.present().map_err(|e| told(&e))?;
+    drop(chart);
+    drop(area);
+    Ok(text)
 }
--- /dev/null
+++ b/crates/sanddrum-lab/src/report.rs
@@ -0,0 +1,121 @@
+//! What an experiment came to, as lines for a terminal and as one HTML page that needs nothing else.
+
+use crate::experiment::{difference, Difference, Experiment, Figures, FEW_SEEDS, MEASURES};
+use crate::plots::{svg, Line};
+use std::fmt::Write;
+
+fn spread(figures: &[Figures], of: fn(&Figures) -> f64) -> (f64, f64, f64) {
+    let each: Vec<f64> = figures.iter().map(of).collect();
+    let mean = each.iter().sum::<f64>() / each.len().max(1) as f64;
+    let edge = |pick: fn(f64, f64) -> f64, from: f64| each.iter().copied().fold(from, pick);
+    (mean, edge(f64::min, f64::MAX), edge(f64::max, f64::MIN))
+}
+fn number(n: f64) -> String {
+    match n.abs() {
+        a if a >= 1000.0 => format!("{n:.0}"),
+        a if a >= 10.0 => format!("{n:.1}"),
+        _ => format!("{n:.3}"),
+    }
+}
+fn compared(all: &[Vec<Figures>], n: usize, of: fn(&Figures) -> f64) -> Option<Difference> {
+    let each = |n: usize| all.get(n).map(|f| f.iter().map(of).collect::<Vec<f64>>());
+    (n > 0).then(|| Some(difference(&each(0)?, &each(n)?))).flatten()
+}
+
+/// Warnings that whoever reads the figures has to see.
+fn warnings(experiment: &Experiment) -> Vec<String> {
+    let few = format!("only {} seeds: intervals from fewer than {FEW_SEEDS} tell little", experiment.seeds);
+    (experiment.seeds < FEW_SEEDS).then_some(few).into_iter().collect()
+}
+
+/// For a terminal.
+pub fn text(experiment: &Experiment, all: &[Vec<Figures>]) -> String {
+    let mut out = String::new();
+    let first = &experiment.variants[0].name;
+    let _ = writeln!(
+        out,
+        "{}: {} seeds, virtual; mean (least to most), and the difference from {first:?} with its 95 in 100 interval",
+        experiment.file, experiment.seeds
+    );
+    for (name, _, of) in MEASURES {
+        let _ = writeln!(out, "{name}");
+        for (n, variant) in experiment.variants.iter().enumerate() {
+            let (mean, least, most) = spread(&all[n], of);
+            let _ =
+                write!(out, "  {:24} {} ({} to {})", variant.name, number(mean), number(least), number(most));
+            if let Some(d) = compared(all, n, of) {
+                let clear = if d.is_clear() { "" } else { "  not clear" };
+                let (mean, least, most) = (number(d.mean), number(d.least), number(d.most));
+                let _ = write!(out, "   {mean} [{least}, {most}]{clear}");
+            }
+            out.push('\n');
+        }
+    }
+    for warning in warnings(experiment) {
+        let _ = writeln!(out, "warning: {warning}");
+    }
+    out
+}
+
+fn tame(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+/// The part of the calls of each second that were answered in time, over all seeds.
+fn service_over_time(figures: &[Figures]) -> Vec<(f64, f64)> {
+    let longest = figures.iter().map(|f| f.seconds.len()).max().unwrap_or(0);
+    let of_second = |n: usize| {
+        let each = figures.iter().filter_map(|f| f.seconds.get(n));
+        let (begun, in_time) = each.fold((0, 0), |sum, of| (sum.0 + of.0, sum.1 + of.1));
+        (n as f64, f64::from(in_time) / f64::from(begun.max(1)))
+    };
+    (0..longest).map(of_second).collect()
+}
+
+/// One page with tables and pictures in it.
+///
+/// # Errors
+/// A picture can't be drawn.
+pub fn html(experiment: &Experiment, all: &[Vec<Figures>]) -> Result<String, String> {
+    let mut rows = String::new();
+    for (name, more_is_better, of) in MEASURES {
+        let _ = write!(rows, "<tr><th>{name}</th>");
+        for n in 0..experiment.variants.len() {
+            let (mean, least, most) = spread(&all[n], of);
+            let _ = write!(rows, "<td>{}<small> {} to {}</small>", number(mean), number(least), number(most));
+            if let Some(d) = compared(all, n, of) {
+                let better = (d.mean > 0.0) == more_is_better;
+                let class = match (d.is_clear(), better) {
+                    (false, _) => "unclear",
+                    (true, true) => "better",
+                    (true, false) => "worse",
+                };
+                let (mean, least, most) = (number(d.mean), number(d.least), number(d.most));
+                let _ = write!(rows, "<br><span class={class}>{mean} [{least}, {most}]</span>");
+            }
+            rows.push_str("</td>");
+        }
+        rows.push_str("</tr>\n");
+    }
+    let heads: String = experiment.variants.iter().map(|v| format!("<th>{}</th>", tame(&v.name))).collect();
+    let line =
+        |(n, v): (usize, &crate::Variant)| Line { name: v.name.clone(), points: service_over_time(&all[n]) };
+    let lines: Vec<Line> = experiment.variants.iter().enumerate().map(line).collect();
+    let picture = svg("Calls answered in time", ("second", "part"), &lines)?;
+    let warned: String =
+        warnings(experiment).iter().map(|w| format!("<p class=worse>Warning: {}</p>", tame(w))).collect();
+    Ok(format!(
+        "<!doctype html><html lang=en><meta charset=utf-8><title>{file}</title>\n<style>\
+         body{{font:15px/1.5 sans-serif;max-width:60rem;margin:2rem auto;padding:0 1rem}}\
+         table{{border-collapse:collapse}}td,th{{padding:.3rem .8rem;border-bottom:1px solid #ddd;text-align:left;\
+         vertical-align:top}}small{{color:#666}}.better{{color:#176a2f}}.worse{{color:#a3211b}}.unclear{{color:#777}}\
+         pre{{background:#f6f6f6;padding:1rem;overflow:auto}}svg{{max-width:100%;height:auto}}</style>\n\
+         <h1>{file}</h1><p>{seeds} seeds in virtual time, every variant on each. Means with their least and most; below \
+         the mean of the paired differences from the first variant, with its 95 in 100 bootstrap interval; grey where the \
+         interval holds nought.</p>{warned}\n<table><tr><th></th>{heads}</tr>\n{rows}</table>\n{picture}\n\
+         <h2>The scenario</h2><pre>{text}</pre></html>\n",
+        file = tame(&experiment.file),
+        seeds = experiment.seeds,
+        text = tame(&experiment.text),
+    ))
+}
--- a/crates/sanddrum-lab/src/schema.rs
+++ b/crates/sanddrum-lab/src/schema.rs
@@ -140,6 +140,38 @@
             key("hints", Kind::Flag, Some("no"), "clients hint at the work"),
         ],
     },
+    Section {
+        name: "experiment",
+        dotted: "experiment",
+        named: false,
+        repeats: false,
+        about: "for lab experiment",
+        keys: &[key("seeds", Kind::Whole(1.0, 1e5), Some("20"), "each variant is run on all of them")],
+    },
+    Section {
+        name: "variant",
+        dotted: "variants",
+        named: true,
+        repeats: false,
+        about: "one way to run the scenario; the first is what the others are compared with",
+        keys: &[
+            key("set", Kind::Names, None, "settings over the scenario's, as \"limits.repeats=100%\""),
+            key(
+                "decides",
+                Kind::Choice(&[
+                    "module",
+                    "random",
+                    "round-robin",
+                    "least",
+                    "two-choices",
+                    "bounded-hash",
+                    "oracle",
+                ]),
+                Some("module"),
+                "what is in the decision module's place",
+            ),
+        ],
+    },
     Section {
         name: "trouble",
         dotted: "troubles",
--- a/crates/sanddrum-lab/src/stage.rs
+++ b/crates/sanddrum-lab/src/stage.rs
@@ -6,6 +6,7 @@
 use sanddrum_edge::{Edge, Start, KEYS};
 use sanddrum_net::{Core, EventLoop, HostId, Links, Micros, VirtualNet};
 use sanddrum_tls::{CALL_FILES, DOOR_FILES};
+use sanddrum_worker::{Shared, Truth};
 use std::collections::BTreeMap;
 use std::io;
 use std::path::PathBuf;
@@ -55,6 +56,19 @@
         links: Links,
         recording: &Recording,
         make_edge: MakeEdge,
+    ) -> io::Result<Self> {
+        Self::seen_by(scenario, links, recording, make_edge, None)
+    }
+    /// The same with somebody who sees what is true of the workers.
+    ///
+    /// # Errors
+    /// The scenario can't be set up.
+    pub fn seen_by(
+        scenario: Scenario,
+        links: Links,
+        recording: &Recording,
+        make_edge: MakeEdge,
+        truth: Option<Shared<Truth>>,
     ) -> io::Result<Self> {
         let address = |kind: usize, n: usize| format!("10.{kind}.{}.{}:1000", n / 250, n % 250 + 1);
         let addresses = Addresses {
@@ -66,7 +80,8 @@
         let slack = 4 * links.cross_zone + 2 * links.again;
         let seed = scenario.seed;
         let net = VirtualNet::new(seed, BEGIN, links, Box::new(recording.clone()));
-        let fleet = Fleet::new(scenario, addresses, recording)?;
+        let mut fleet = Fleet::new(scenario, addresses, recording)?;
+        fleet.truth = truth;
         let mut stage = VirtualStage { net, fleet, hosts: BTreeMap::new(), make_edge, slack };
         let (workers, edges) = (stage.fleet.scenario.workers, stage.fleet.scenario.edges);
         let all = (0..workers).map(Who::Worker).chain((0..edges).map(Who::Edge));
@@ -142,6 +157,9 @@
         Ok(())
     }
     fn kill(&mut self, who: Who) {
+        if let (Some(truth), Who::Worker(n)) = (&self.fleet.truth, who) {
+            truth.borrow_mut().0.remove(&sanddrum_wire::id_of(&Scenario::worker_name(n)));
+        }
         if let Some(host) = self.hosts.get(&who) {
             self.net.kill(*host);
         }
--- a/crates/sanddrum-lab/tests/stories.rs
+++ b/crates/sanddrum-lab/tests/stories.rs
@@ -93,3 +93,45 @@
         |run: &&sanddrum_lab::recorder::Run| run.worker == impostor && run.came > start + at + 3_000_000;
     assert!(log.runs.iter().any(|run| after(&run)), "and it serves again");
 }
+
+/// Handshakes that take long, a zone back cold and every connection cut at once: rule 1 holds for what waits for a
+/// connection, too.
+#[rstest]
+fn a_reconnecting_storm_sends_nothing_after_the_answer(#[values(1, 2)] seed: u64) {
+    let text = r#"
+        (deployment (zones "a" "b" "c"))
+        (workload "job" (start-target 1s) (time-limit 3s) (effect restartable))
+        (function "f-*" (workload "job") (memory 200MB) (lanes 2))
+        (rules (cold-from 20%) (cold 6s) (fall-multiple 3) (fall 3s))
+        (tls (workers verified) (roots-file "roots.pem"))
+        (fleet (workers 12) (edges 12) (cores 4) (memory 5GB) (handshake 60ms))
+        (list-service (notice-least 300ms) (notice-most 1200ms) (silent-after 2s))
+        (traffic (length 8s) (rate 400) (functions 40) (zipf 1.0))
+        (calls "job" (share 1) (work 30ms))
+        (trouble "zone-loss" (at 3s) (length 2s) (zone "b"))
+        (trouble "tear" (at 5s) (part 100%))"#;
+    let outcome = play_virtually(Scenario::read("storm.sx", text, seed).unwrap(), product_edge()).unwrap();
+    assert!(outcome.is_good() && outcome.verdict.finished > 1000, "{}", outcome.text());
+}
+
+/// Variants are run on the same seeds, so one beside itself differs in nothing, and a worse one clearly.
+#[rstest]
+fn an_experiment_tells_apart_what_differs() {
+    let text = r#"
+        (workload "job" (start-target 1s) (time-limit 3s) (effect restartable))
+        (function "f-*" (workload "job") (memory 200MB) (lanes 2))
+        (copies (on-miss miss))
+        (fleet (workers 4) (edges 2) (cores 4))
+        (traffic (length 3s) (rate 200) (functions 30))
+        (calls "job" (share 1) (work 30ms))
+        (experiment (seeds 4))
+        (variant "as built") (variant "the same") (variant "random" (decides random))"#;
+    let experiment = sanddrum_lab::Experiment::read("e.sx", text, None).unwrap();
+    let figures = experiment.run_all(2, |_| ()).unwrap();
+    let of = |n: usize| figures[n].iter().map(|f| f.loads).collect::<Vec<f64>>();
+    let same = sanddrum_lab::difference(&of(0), &of(1));
+    assert_eq!((same.mean, same.least, same.most, same.is_clear()), (0.0, 0.0, 0.0, false));
+    assert!(sanddrum_lab::difference(&of(0), &of(2)).is_clear());
+    let page = sanddrum_lab::report::html(&experiment, &figures).unwrap();
+    assert!(page.contains("<svg") && page.contains("random") && page.contains("Warning: only 4 seeds"));
+}
--- a/crates/sanddrum-worker/src/lib.rs
+++ b/crates/sanddrum-worker/src/lib.rs
@@ -8,6 +8,7 @@
 mod machine;
 mod peers;
 mod store;
+mod truth;
 mod worker;
 
 pub use faults::{ListFaults, Marks, Shared, StoreFaults, WorkerFaults};
@@ -15,4 +16,5 @@
 pub use list_service::{ListService, ListSpec};
 pub use machine::OnMiss;
 pub use store::{Store, StoreSpec};
+pub use truth::{TrueFunction, TrueWorker, Truth};
 pub use worker::{Worker, WorkerSpec};
--- a/crates/sanddrum-worker/src/machine.rs
+++ b/crates/sanddrum-worker/src/machine.rs
@@ -1,6 +1,7 @@
 //! What a worker's machine does, in simulated time: cores, copies, lanes, a bounded queue, loads and memory. No I/O:
 //! what the store is asked and what is answered goes to `Effects`.
 
+use crate::truth::{TrueFunction, TrueWorker};
 use sanddrum_net::{Chance, Micros};
 use sanddrum_wire::{Copy, Ended, LoadReport};
 use std::collections::{BTreeMap, VecDeque};
@@ -182,6 +183,24 @@
             loads: Some(self.loading() as f64),
         }
     }
+    /// What is true of it, for who may see it.
+    pub fn truth(&self, now: Micros, serves: bool) -> TrueWorker {
+        let mut functions: BTreeMap<u64, TrueFunction> = BTreeMap::new();
+        for copy in self.copies.values().filter(|c| !c.void) {
+            let of = functions.entry(sanddrum_wire::id_of(&copy.function)).or_default();
+            match copy.stage {
+                Stage::Stands { .. } => of.lanes += copy.lanes,
+                _ => of.loading = true,
+            }
+        }
+        let tasks = self.running.iter().map(|r| &r.task).chain(self.waiting.iter().map(|w| &w.task));
+        for task in tasks {
+            functions.entry(sanddrum_wire::id_of(&task.function)).or_default().held += 1;
+        }
+        let pace = self.size.speed * self.part(now) / self.slower.max(1.0);
+        let held = self.running.len() + self.waiting.len();
+        TrueWorker { cores: self.size.cores, pace, held, serves, functions, at: now }
+    }
     pub fn is_idle(&self) -> bool {
         self.running.is_empty() && self.waiting.is_empty()
     }
--- a/crates/sanddrum-worker/src/worker.rs
+++ b/crates/sanddrum-worker/src/worker.rs
@@ -4,6 +4,7 @@
 use crate::handshakes::HandshakeWork;
 use crate::machine::{Effect, Machine, OnMiss, Size, Task, Ticket};
 use crate::peers::Peers;
+use crate::truth::Truth;
 use sanddrum_limits::Pace;
 use sanddrum_net::{Chance, Conn, Core, Event, Io, Micros, Outbox};
 use sanddrum_wire::{
@@ -96,6 +97,7 @@
     paces: BTreeMap<String, Pace>,
     /// What its handshakes cost, where that is played.
     handshakes: Option<Shared<HandshakeWork>>,
+    truth: Option<Shared<Truth>>,
     all: Pace,
     whose: BTreeMap<Ticket, String>,
     drains: bool,
@@ -140,6 +142,7 @@
             fetches: BTreeSet::new(),
             paces: BTreeMap::new(),
             handshakes: None,
+            truth: None,
             all: Pace::default(),
             whose: BTreeMap::new(),
             drains: false,
@@ -154,6 +157,11 @@
         self.handshakes = Some(work);
         self
     }
+    /// What is true of it is told to an oracle.
+    pub fn seen_by(mut self, truth: Shared<Truth>) -> Self {
+        self.truth = Some(truth);
+        self
+    }
     fn age(&self, now: Micros) -> Micros {
         if self.started > 0 {
             now - self.started
@@ -381,6 +389,11 @@
         }
         self.machine.advance(now);
         self.carry_out(now, io);
+        if let Some(truth) = &self.truth {
+            let serves = !(self.fell || self.drains || self.faults.borrow().hangs);
+            let id = sanddrum_wire::id_of(&self.spec.name);
+            truth.borrow_mut().0.insert(id, self.machine.truth(now, serves));
+        }
         self.peers.flush(io);
         self.list.flush(io);
         self.store.flush(io);
