--- a/crates/sanddrum-cli/src/lab.rs
+++ b/crates/sanddrum-cli/src/lab.rs
@@ -3,7 +3,7 @@
 use crate::{exit, fail};
 use clap::Args;
 use sanddrum_lab::{
-    play, play_virtually, product_edge, report, EdgesAs, Experiment, Outcome, Recording, Scenario,
+    hunt::Day, play, play_virtually, product_edge, report, EdgesAs, Experiment, Outcome, Recording, Scenario,
     SocketStage, Stage, BAD_DAY,
 };
 use std::path::{Path, PathBuf};
@@ -238,3 +238,61 @@
     }
     ExitCode::from(exit::GOOD)
 }
+
+#[derive(Args, Clone, Debug)]
+pub struct HuntArgs {
+    /// No further day is begun after so long
+    #[arg(long, default_value_t = 60)]
+    pub seconds: u64,
+    /// No more days than this
+    #[arg(long, default_value_t = 100_000)]
+    pub days: u64,
+    /// The first day's seed
+    #[arg(long, default_value_t = 1)]
+    pub from: u64,
+    #[arg(long)]
+    pub threads: Option<usize>,
+    /// Finds are kept here
+    #[arg(long, value_name = "FOLDER", default_value = "finds")]
+    pub keep: PathBuf,
+}
+
+pub fn hunt(args: &HuntArgs) -> ExitCode {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    let threads = args.threads.or(std::thread::available_parallelism().map(usize::from).ok()).unwrap_or(1);
+    let began = std::time::Instant::now();
+    let (next, played, found) = (AtomicU64::new(0), AtomicU64::new(0), AtomicU64::new(0));
+    let one = |seed: u64| -> Result<(), String> {
+        let day = Day::drawn(seed);
+        let (rules, _) = day.breaks().map_err(|e| format!("day {seed}: {e}"))?;
+        played.fetch_add(1, Ordering::Relaxed);
+        if rules.is_empty() {
+            return Ok(());
+        }
+        found.fetch_add(1, Ordering::Relaxed);
+        let find = day.shrunk()?;
+        std::fs::create_dir_all(&args.keep).map_err(|e| e.to_string())?;
+        let file = args.keep.join(format!("day-{seed}.sx"));
+        std::fs::write(&file, find.text()).map_err(|e| format!("{}: {e}", file.display()))?;
+        println!("{}: {} after {} runs", file.display(), find.broken.join("; "), find.runs);
+        Ok(())
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                while began.elapsed().as_secs() < args.seconds {
+                    let n = next.fetch_add(1, Ordering::Relaxed);
+                    if n >= args.days {
+                        break;
+                    }
+                    if let Err(problem) = one(args.from + n) {
+                        eprintln!("{problem}");
+                    }
+                }
+            });
+        }
+    });
+    let (played, found) = (played.into_inner(), found.into_inner());
+    println!("{played} days played, {found} broke a rule");
+    ExitCode::from(if found == 0 { exit::GOOD } else { exit::BAD })
+}
--- a/crates/sanddrum-cli/src/main.rs
+++ b/crates/sanddrum-cli/src/main.rs
@@ -84,6 +84,9 @@
         after_help = "Example:\n  sanddrum lab load trace-pass trace- --functions 8 --rate 200 --body work-us=5000"
     )]
     Load(load::LoadArgs),
+    /// Draw random days and look for one that breaks a rule; a find is made small and kept as a scenario
+    #[command(after_help = "Example:\n  sanddrum lab hunt --seconds 600 --from 1 --keep finds/")]
+    Hunt(lab::HuntArgs),
     /// Run variants of a scenario on the same seeds, and tell what their differences are worth
     #[command(
         after_help = "Example:\n  sanddrum lab experiment overload.sx --seeds 20 --report overload.html\n\n\
@@ -133,6 +136,7 @@
         What::Lab(Lab::Stand(args)) => lab::stand(args),
         What::Lab(Lab::Load(args)) => load::load(args),
         What::Lab(Lab::Experiment(args)) => lab::experiment(args),
+        What::Lab(Lab::Hunt(args)) => lab::hunt(args),
         What::Lab(Lab::Measure(args)) => load::run(args),
         What::Config(Config::Check { file, scenario }) => config::check(file, *scenario),
         What::Config(Config::Show { file, scenario }) => config::show(file, *scenario),
--- /dev/null
+++ b/crates/sanddrum-lab/src/hunt.rs
@@ -0,0 +1,187 @@
+//! Random days, looked through for a broken rule; a day that breaks one is made as small as it goes.
+
+use crate::baselines::Choice;
+use crate::scenario::Scenario;
+use crate::{kinds, play_virtually, product_edge, Outcome};
+use sanddrum_net::Chance;
+use std::collections::BTreeSet;
+use std::fmt::Write;
+
+/// A day in parts, so that parts can be taken out.
+#[derive(Clone, Debug)]
+pub struct Day {
+    pub seed: u64,
+    pub head: Vec<String>,
+    pub troubles: Vec<String>,
+}
+
+/// A day that breaks something.
+#[derive(Clone, Debug)]
+pub struct Find {
+    pub day: Day,
+    pub broken: Vec<String>,
+    /// Runs that it took to make it small.
+    pub runs: usize,
+}
+
+/// Kinds that want something of the scenario that random days do not have, or that are over at once without it.
+const LEFT_OUT: &[&str] = &["key-new", "key-rotate", "key-revoke"];
+const OF_TLS: &[&str] = &["certificates", "roots", "impostor"];
+const NEEDS_SIZE: &[(&str, f64, f64)] = &[
+    ("slow", 2.0, 10.0),
+    ("lose-answers", 0.1, 0.9),
+    ("load-fails", 0.1, 0.9),
+    ("overload", 1.1, 4.0),
+    ("hot-functions", 0.2, 0.9),
+    ("greedy-customer", 0.2, 0.9),
+    ("list-lag", 0.5, 5.0),
+];
+
+impl Day {
+    /// A day drawn from a seed.
+    pub fn drawn(seed: u64) -> Day {
+        let mut chance = Chance::new(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+        let pick = |chance: &mut Chance, of: &[&str]| of[chance.below(of.len())].to_string();
+        let zones = 1 + chance.below(3);
+        let (workers, edges, cores) = (3 + chance.below(14), 1 + chance.below(5), 1 + chance.below(6));
+        let work_ms = 10 + chance.below(60);
+        let load = 0.2 + chance.part();
+        let rate = ((workers * cores) as f64 * 1000.0 / work_ms as f64 * load).clamp(20.0, 900.0) as usize;
+        let names: Vec<String> = ["a", "b", "c"].iter().take(zones).map(|z| format!("{z:?}")).collect();
+        let tls = chance.is_below(0.15);
+        let (share, once) = (chance.part(), chance.part());
+        let mut head = vec![
+            format!("(deployment (zones {}))", names.join(" ")),
+            "(workload \"re\" (start-target 1s) (time-limit 3s) (effect restartable))".into(),
+            format!(
+                "(workload \"fi\" (start-target 800ms) (time-limit 2500ms) (effect fingerprinted) (group {}) \
+                 (repeat-window 2s))",
+                pick(&mut chance, &["zone", "all", "cell"])
+            ),
+            "(workload \"on\" (start-target 1s) (time-limit 2s) (effect run-once))".into(),
+            format!("(function \"re-*\" (workload \"re\") (memory 200MB) (lanes {}))", 1 + chance.below(4)),
+            "(function \"fi-*\" (workload \"fi\") (memory 150MB) (lanes 2))".into(),
+            "(function \"on-*\" (workload \"on\") (memory 300MB) (lanes 1))".into(),
+            format!("(copies (on-miss {}) (keep-alive {}s))", pick(&mut chance, &["load", "miss"]), 2 + chance.below(8)),
+            format!(
+                "(rules (cold-from {}%) (cold {}s) (drain-grace 2s))",
+                10 + chance.below(50),
+                2 + chance.below(8)
+            ),
+            format!("(fleet (workers {workers}) (edges {edges}) (cores {cores}) (memory {}GB))", 1 + chance.below(5)),
+            format!("(list-service (notice-least 200ms) (notice-most {}ms) (silent-after 2s))", 400 + chance.below(1500)),
+            format!(
+                "(traffic (length 10s) (rate {rate}) (functions {}) (retries {}) (retry-wait 100ms) (heeds {}%))",
+                1 + chance.below(40),
+                chance.below(4),
+                chance.below(101)
+            ),
+            format!("(calls \"re\" (share {:.2}) (work {work_ms}ms))", 0.1 + 0.8 * share),
+            format!("(calls \"fi\" (share {:.2}) (work {work_ms}ms))", (0.9 - 0.8 * share) * once),
+            format!("(calls \"on\" (share {:.2}) (work {work_ms}ms))", (0.9 - 0.8 * share) * (1.0 - once)),
+        ];
+        if chance.is_below(0.4) {
+            head.push("(customer \"one\" (share 60%)) (customer \"two\" (share 30%))".into());
+        }
+        if chance.is_below(0.3) {
+            head.push("(sharing (shares yes))".into());
+        }
+        if tls {
+            head.push("(tls (workers verified) (roots-file \"roots.pem\"))".into());
+        }
+        let fits = |kind: &&&str| !LEFT_OUT.contains(kind) && (tls || !OF_TLS.contains(kind));
+        let fit: Vec<&str> = kinds().iter().filter(fits).copied().collect();
+        let troubles = (0..1 + chance.below(7)).map(|_| Self::trouble(&mut chance, &fit, zones)).collect();
+        Day { seed, head, troubles }
+    }
+    fn trouble(chance: &mut Chance, fit: &[&str], zones: usize) -> String {
+        let kind = fit[chance.below(fit.len())];
+        let (at, length) = (chance.below(8000), 200 + chance.below(4000));
+        let mut out = format!("(trouble {kind:?} (at {at}ms) (length {length}ms)");
+        let zone = ["a", "b", "c"][chance.below(zones)];
+        if kind == "zone-loss" || chance.is_below(0.2) {
+            let _ = write!(out, " (zone {zone:?})");
+        }
+        match chance.below(3) {
+            0 => drop(write!(out, " (count {})", 1 + chance.below(3))),
+            1 => drop(write!(out, " (part {}%)", 10 + chance.below(60))),
+            _ => {}
+        }
+        if let Some((_, least, most)) = NEEDS_SIZE.iter().find(|(of, ..)| *of == kind) {
+            let _ = write!(out, " (size {:.2})", least + (most - least) * chance.part());
+        }
+        out + ")"
+    }
+    pub fn text(&self) -> String {
+        self.head.iter().chain(&self.troubles).fold(String::new(), |text, line| text + line + "\n")
+    }
+    /// Plays it.
+    ///
+    /// # Errors
+    /// It is no scenario, or can't be set up.
+    pub fn play(&self) -> Result<Outcome, String> {
+        let scenario = Scenario::read("day", &self.text(), self.seed).map_err(|e| e.to_string())?;
+        play_virtually(scenario, product_edge()).map_err(|e| e.to_string())
+    }
+    /// Which rules it breaks; nought stands for an account that does not add up.
+    pub fn breaks(&self) -> Result<(BTreeSet<u8>, Vec<String>), String> {
+        let outcome = self.play()?;
+        let mut rules: BTreeSet<u8> = outcome.verdict.broken.iter().map(|b| b.rule).collect();
+        let mut told: Vec<String> = outcome.verdict.broken.iter().take(3).map(ToString::to_string).collect();
+        if rules.is_empty() && !outcome.is_good() {
+            rules.insert(0);
+            told.push("jobs taken and jobs answered do not add up".into());
+        }
+        Ok((rules, told))
+    }
+    /// The smallest day that still breaks one of the same rules, by taking out what it does not need.
+    pub fn shrunk(mut self) -> Result<Find, String> {
+        let (rules, mut broken) = self.breaks()?;
+        let mut runs = 1;
+        let mut gone_on = true;
+        while gone_on {
+            gone_on = false;
+            let (heads, troubles) = (self.head.len(), self.troubles.len());
+            for n in (0..heads + troubles).rev() {
+                let mut less = self.clone();
+                match n.checked_sub(heads) {
+                    Some(n) => drop(less.troubles.remove(n)),
+                    None => drop(less.head.remove(n)),
+                }
+                runs += 1;
+                // What is no scenario any more is not smaller.
+                let Ok((still, told)) = less.breaks() else { continue };
+                if still.intersection(&rules).next().is_some() {
+                    (self, broken, gone_on) = (less, told, true);
+                    break;
+                }
+            }
+        }
+        Ok(Find { day: self, broken, runs })
+    }
+}
+
+impl Find {
+    /// As a scenario file, with what it breaks in front.
+    pub fn text(&self) -> String {
+        let broken: String = self.broken.iter().map(|b| format!("; {b}\n")).collect();
+        format!(
+            "; Found by a hunt; play it with seed {}. It breaks:\n{broken}\n{}",
+            self.day.seed,
+            self.day.text()
+        )
+    }
+}
+
+/// The baselines by name, for a hunt that checks itself: a module that breaks rules has to be found out.
+pub fn careless(day: &Day, choice: Choice) -> Result<Outcome, String> {
+    use crate::Baseline;
+    use sanddrum_edge::Edge;
+    let scenario = Scenario::read("day", &day.text(), day.seed).map_err(|e| e.to_string())?;
+    let make = Box::new(move |start: sanddrum_edge::Start| -> Box<dyn sanddrum_net::Core> {
+        let values = start.settings.values_for_module();
+        let module = Baseline::new(choice, start.seed, values, Default::default());
+        Box::new(Edge::with_module(start, module))
+    });
+    play_virtually(scenario, make).map_err(|e| e.to_string())
+}
--- a/crates/sanddrum-lab/src/lib.rs
+++ b/crates/sanddrum-lab/src/lib.rs
@@ -7,6 +7,7 @@
 mod experiment;
 mod fleet;
 mod hammer;
+pub mod hunt;
 mod limits_size;
 mod measure;
 mod player;
