--- a/crates/sanddrum-edge/tests/identity.rs
+++ b/crates/sanddrum-edge/tests/identity.rs
@@ -248,3 +248,19 @@
     assert_eq!(h.strings.borrow().jobs.len(), 1);
     assert!(h.io.audit.iter().any(|line| line.contains("certificate-denied")));
 }
+
+/// A token is good at every edge within its time; bound to a certificate's customer it is of use to nobody else.
+#[rstest]
+fn a_token_replayed_at_another_edge_is_taken_there_unless_certificates_are_required() {
+    let token = signed("k1", "obs");
+    let (mut first, mut other) = (host(), host());
+    for edge in [&mut first, &mut other] {
+        let client = edge.client();
+        assert_eq!(calls(edge, client, &token), None, "taken");
+    }
+    let mut bound = asking("required");
+    let school = shows(&mut bound, "gw-7");
+    assert_eq!(calls(&mut bound, school, &token), Some(403));
+    let owner = shows(&mut bound, "obs.example");
+    assert_eq!(calls(&mut bound, owner, &token), None, "taken");
+}
--- a/crates/sanddrum-tls/tests/stories.rs
+++ b/crates/sanddrum-tls/tests/stories.rs
@@ -592,3 +592,38 @@
         prop_assert!(heard.borrow().came == b"x" && seen.borrow().came == b"x");
     }
 }
+
+#[rstest]
+fn what_ends_and_when_is_told_and_what_does_not_hold_is_not_shown() {
+    let authority = Authority::named("bat-a");
+    let papers = Papers {
+        revoked: authority.revokes(2024, &[]),
+        ..authority.papers(Some(authority.leaf(NAME, 2026)))
+    };
+    let side = side(papers, Asks::No);
+    let year = |year: i64| (year - 2025) * 365 * 86_400 * 1_000_000 + 1_735_689_600_000_000;
+    let ends: Vec<(&str, bool)> =
+        side.terms().expiries().iter().map(|e| (e.what.as_str(), e.at < year(2027))).collect();
+    assert!(ends.contains(&("certificate", true)) && ends.contains(&("authority bat-a", false)), "{ends:?}");
+    assert_eq!(ends.len(), 3, "and the list");
+    for (at, holds) in [(year(2019), false), (year(2025), true), (year(2030), false)] {
+        assert_eq!(side.terms().hold(at).is_ok(), holds);
+    }
+}
+
+/// An expired certificate is put in the good one's place: callers go on finding the good one.
+#[rstest]
+fn an_expired_certificate_does_not_take_the_good_ones_place() {
+    let authority = Authority::new();
+    let (server, heard) = Talker::listens();
+    let mut net = net(1);
+    let host =
+        net.add(0, &["a:1"], serves(server, authority.side(Some(authority.leaf(NAME, 2040)), Asks::No)));
+    let (chain, key) = authority.leaf(NAME, 2022);
+    net.give_file(host, DOOR_FILES[1], Ok(&chain));
+    net.give_file(host, DOOR_FILES[2], Ok(&key));
+    let (client, _) = Talker::calls("a:1", NAME, b"x");
+    net.add(0, &[], dials(client, authority.side(None, Asks::No)));
+    run(&mut net, 1);
+    assert_eq!(heard.borrow().came, b"x");
+}
