Frames longer than what may wait in the TLS layer get through to workers

Cause: what a core writes in its turn, beyond the layer's bound, waits for word of room; where the socket had taken all of the layer's bytes at once nobody gave it. Calls with bodies above 256 KB over TLS stood still until their time was up; the measured 20 ns a byte of edge CPU were of calls that never finished. Change: after a short write the layer looks again by itself. A story that stands still without it; bodies are a part of measure that tells what finished.

--- a/crates/sanddrum-cli/src/load.rs
+++ b/crates/sanddrum-cli/src/load.rs
@@ -108,7 +108,7 @@
     /// Runs of each kind, taken in turn
     #[arg(long, default_value_t = 5)]
     pub runs: usize,
-    /// Only this part: rate, tokens, flood, tls, door, fleet, idle, limits, storm
+    /// Only this part: rate, tokens, flood, tls, door, bodies, fleet, idle, limits, storm
     #[arg(long)]
     pub part: Option<String>,
     /// Edges in the storm
@@ -146,6 +146,9 @@
         if wanted("door") {
             door(args)?;
         }
+        if wanted("bodies") {
+            bodies(args)?;
+        }
         if wanted("storm") {
             reconnecting(args)?;
         }
@@ -392,18 +395,27 @@
             "  {name:30} calls a second {rate}, edge CPU a call {cpu} us more, p50 {p50} ms, others {others}"
         );
     }
+    Ok(())
+}
+
+/// What large bodies cost the edge, plain and over TLS on both sides.
+fn bodies(args: &MeasureArgs) -> Result<(), String> {
     let body_bytes = 1 << 20;
-    let large = |door, tls| {
+    let one = |door, tls| {
         measure(&MeasureSpec { door, tls, body_bytes, connections: 4, ..spec(args, Decides::Module) })
     };
     let runs: Vec<[Measured; 2]> = (0..args.runs)
-        .map(|_| Ok([large(Plain, false)?, large(Tls, true)?]))
+        .map(|_| Ok([one(Speaks::Plain, false)?, one(Speaks::Tls, true)?]))
         .collect::<Result<_, String>>()?;
+    println!("bodies of 1 MB, saturated, 4 connections, {} runs in turn:", args.runs);
     for (n, name) in ["plain on both sides", "TLS on both sides"].iter().enumerate() {
-        let each = told(spread(
-            runs.iter().map(|r| r[n].cpu_us_per_call * 1000.0 / f64::from(body_bytes as u32)).collect(),
-        ));
-        println!("  1 MB bodies, {name:20} edge CPU {each} ns a byte");
+        let each = |r: &[Measured; 2]| r[n].cpu_us_per_call * 1000.0 / f64::from(body_bytes as u32);
+        let each = told(spread(runs.iter().map(each).collect()));
+        let finished: u64 = runs.iter().map(|r| r[n].load.finished).sum();
+        let others: u64 = runs.iter().flat_map(|r| r[n].load.others.values()).sum();
+        println!(
+            "  {name:20} edge CPU {each} ns a byte of finished calls; finished {finished}, others {others}"
+        );
     }
     Ok(())
 }
--- a/crates/sanddrum-tls/src/lib.rs
+++ b/crates/sanddrum-tls/src/lib.rs
@@ -328,7 +328,14 @@
     }
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         match self.inner.ends.get_mut(&conn) {
-            Some(end) => end.write(conn, bytes, self.io),
+            Some(end) => {
+                let taken = end.write(conn, bytes, self.io);
+                // The socket may have taken it all already, and will then tell of no room by itself.
+                if taken < bytes.len() {
+                    self.inner.news.insert(conn);
+                }
+                taken
+            }
             None => self.io.write(conn, bytes),
         }
     }
--- a/crates/sanddrum-tls/tests/stories.rs
+++ b/crates/sanddrum-tls/tests/stories.rs
@@ -627,3 +627,49 @@
     run(&mut net, 1);
     assert_eq!(heard.borrow().came, b"x");
 }
+
+/// Writes a long message in its turns, as it has room, and not while it is told of something.
+struct InTurns {
+    conn: Option<Conn>,
+    left: usize,
+    blocked: bool,
+}
+impl Core for InTurns {
+    fn start(&mut self, _: Micros, io: &mut dyn Io) {
+        io.connect_named("a:1", NAME);
+    }
+    fn event(&mut self, _: Micros, event: Event<'_>, _: &mut dyn Io) {
+        match event {
+            Event::Connected { conn } => self.conn = Some(conn),
+            Event::Writable { .. } => self.blocked = false,
+            _ => {}
+        }
+    }
+    fn turn(&mut self, now: Micros, io: &mut dyn Io) {
+        // Later than all that a handshake brings.
+        let may = now >= NOW + 1_000_000 && !self.blocked && self.left > 0;
+        if let Some(conn) = self.conn.filter(|_| may) {
+            let took = io.write(conn, &vec![7; self.left]);
+            self.left -= took;
+            self.blocked = self.left > 0;
+        }
+    }
+    fn wake(&self) -> Option<Micros> {
+        (self.left > 0 && !self.blocked).then_some(NOW + 1_000_000)
+    }
+}
+
+/// The network takes at once all that the layer has: the core still hears that there is room again.
+#[rstest]
+#[case::the_network_has_room(10_000_000)]
+#[case::it_has_little(30_000)]
+fn a_message_longer_than_what_may_wait_goes_through(#[case] window: usize) {
+    let authority = Authority::new();
+    let (server, heard) = Talker::listens();
+    let mut net = VirtualNet::new(1, NOW, Links { window, ..Links::default() }, Box::new(NoTap));
+    net.add(0, &["a:1"], serves(server, authority.side(Some(authority.leaf(NAME, 2040)), Asks::No)));
+    let core = InTurns { conn: None, left: 3_000_000, blocked: false };
+    net.add(0, &[], dials(core, authority.side(None, Asks::No)));
+    run(&mut net, 20);
+    assert_eq!(heard.borrow().came.len(), 3_000_000);
+}
