--- a/crates/sanddrum-connect/src/budget.rs
+++ b/crates/sanddrum-connect/src/backoff.rs
@@ -1,4 +1,4 @@
-//! How long what fails is left alone, and how often such things are tried in all.
+//! How long what fails is left alone.
 
 use sanddrum::Micros;
 
@@ -33,34 +33,3 @@
         now < self.until
     }
 }
-
-/// The budget of tries at what failed when it was last tried, shared by all who want something there: so many a second,
-/// and a part of what goes well.
-#[derive(Clone, Debug)]
-pub struct Again {
-    per_s: f64,
-    left: f64,
-    at: Micros,
-}
-
-/// Each connection that came to be earns this part of a further try.
-const EARNED: f64 = 0.1;
-
-impl Again {
-    pub fn new(per_s: f64) -> Self {
-        Again { per_s, left: per_s, at: Micros::MIN / 2 }
-    }
-    pub fn good(&mut self) {
-        self.left = (self.left + EARNED).min(self.per_s.max(1.0));
-    }
-    /// A second's worth may be saved up.
-    pub fn take(&mut self, now: Micros) -> bool {
-        let earned = (now - self.at).max(0) as f64 / 1e6 * self.per_s;
-        (self.left, self.at) = ((self.left + earned).min(self.per_s.max(1.0)), now);
-        let has = self.left >= 1.0;
-        if has {
-            self.left -= 1.0;
-        }
-        has
-    }
-}
--- a/crates/sanddrum-connect/src/lib.rs
+++ b/crates/sanddrum-connect/src/lib.rs
@@ -9,19 +9,20 @@
 //! can't be reached is left alone for a while that grows, and all tries at such workers share one budget, so that a
 //! dead zone costs little. Connections made on past terms are replaced a few at a time within a stated time.
 
-mod budget;
+mod backoff;
 mod cost;
 mod retiring;
 mod worker;
 
-pub use budget::{Again, Backoff};
+pub use backoff::Backoff;
 pub use cost::Costs;
 use retiring::Retiring;
 use worker::Worker;
 
-use rand::{Rng, SeedableRng};
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use sanddrum::{Micros, Settings, WorkerId};
+use sanddrum_limits::Bucket;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A connection to a worker, or one that is to be; never used twice.
@@ -81,12 +82,10 @@
     pub failed: Vec<LinkId>,
     /// Gone after it was up, or not wanted any more before.
     pub ended: Vec<LinkId>,
-    /// Something was sent there.
-    pub used: Vec<WorkerId>,
+    /// Something was sent there, on a connection that is then full to this part.
+    pub used: Vec<(WorkerId, f64)>,
     /// What it holds and what waits there, as it told.
     pub loads: Vec<(WorkerId, f64)>,
-    /// All connections there are nearly full.
-    pub tight: Vec<WorkerId>,
     /// Made on past terms, with what it carries.
     pub old: Vec<(Old, usize)>,
     /// With somebody who is not believed any more.
@@ -100,7 +99,6 @@
             && self.up.is_empty()
             && self.failed.is_empty()
             && self.ended.is_empty()
-            && self.tight.is_empty()
             && self.old.is_empty()
             && self.denied.is_empty()
             && self.gone.is_empty()
@@ -151,6 +149,8 @@
 /// What waits for a spared worker's connection is told to go elsewhere where the wait would take more than this part of
 /// the time that it has left.
 const PATIENCE: f64 = 0.25;
+/// Where the emptiest connection to a worker is full to this part, a further one is made ahead of need.
+const NEARLY_FULL: f64 = 0.75;
 /// Connections that nothing waits for leave this part of the handshakes to those that something does.
 const AHEAD_PART: f64 = 0.5;
 
@@ -185,7 +185,10 @@
     /// Something has changed by which a connection ahead of need may be missing.
     look_ahead: bool,
     costs: Costs,
-    again: Again,
+    /// Tries at what failed when it was last tried, shared by all who want something there: so many a second, and a
+    /// second's worth may be saved up.
+    again: Bucket,
+    again_per_s: f64,
     retiring: Retiring,
     backoff: (Micros, Micros),
 }
@@ -213,7 +216,8 @@
             tight: BTreeSet::new(),
             look_ahead: false,
             costs: Costs::new(time_out),
-            again: Again::new(number("limits.connect-again", 20.0)),
+            again: Bucket::default(),
+            again_per_s: number("limits.connect-again", 20.0),
             retiring: Retiring::new(
                 span("limits.retire-within-us", 30e6),
                 number("limits.retire-at-once", 4.0),
@@ -241,7 +245,7 @@
     // ---- What is known
 
     fn part(&mut self) -> f64 {
-        (self.chance.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+        self.chance.random()
     }
 
     fn record(&mut self, now: Micros, news: &News) {
@@ -274,7 +278,6 @@
             if span > QUEUES * usual {
                 self.spare(now, begun.worker);
             }
-            self.again.good();
             self.up.insert(*link, begun.worker);
             self.retiring.replaced(begun.worker);
             if let Some(worker) = self.workers.get_mut(&begun.worker) {
@@ -309,15 +312,17 @@
                 self.workers.entry(worker).and_modify(|w| w.open -= 1);
             }
         }
-        for worker in &news.used {
-            if let Some(worker) = self.workers.get_mut(worker) {
+        for (id, full) in &news.used {
+            if let Some(worker) = self.workers.get_mut(id) {
                 worker.used(now, self.idle);
             }
+            if *full >= NEARLY_FULL {
+                self.tight.insert(*id);
+            }
         }
         for (worker, load) in &news.loads {
             self.workers.entry(*worker).and_modify(|w| w.load = *load);
         }
-        self.tight.extend(&news.tight);
         self.retiring.add(now, &news.old);
         self.retiring.at_once(&news.denied);
         self.look_ahead |= !(news.listed.is_empty() && news.up.is_empty() && news.ended.is_empty());
@@ -381,11 +386,11 @@
         for (need, due, link) in order {
             let Some(id) = self.waiting.get(&link).map(|w| w.worker) else { continue };
             let spared = self.next(now, id);
-            let Some(worker) = self.workers.get(&id) else { continue };
-            if worker.backoff.is_left_alone(now) {
+            let listed = self.workers.get(&id);
+            let Some(worker) = listed.filter(|worker| !worker.backoff.is_left_alone(now)) else {
                 self.give_up(link, Why::Failing, out);
                 continue;
-            }
+            };
             if let Some(at) = spared.filter(|at| *at > now) {
                 match need < Need::Ahead && (at - now) as f64 > PATIENCE * (due - now).max(0) as f64 {
                     true => self.give_up(link, Why::Spared, out),
@@ -396,7 +401,9 @@
             if worker.under_way >= self.bound(worker) || self.begun.len() >= self.handshakes {
                 continue;
             }
-            if worker.backoff.is_doubtful() && !self.again.take(now) {
+            if worker.backoff.is_doubtful()
+                && self.again.take(now, self.again_per_s, self.again_per_s).is_err()
+            {
                 self.give_up(link, Why::Again, out);
                 continue;
             }
@@ -456,8 +463,11 @@
                 Old::Client(_) => None,
             };
             match in_use {
-                Some(worker) if self.retiring.waits_for(old, worker, now) => out.open_ahead(worker),
-                _ => out.retire(old),
+                Some(worker) => {
+                    self.retiring.waits_for(old, worker, now);
+                    out.open_ahead(worker);
+                }
+                None => out.retire(old),
             }
         }
         for old in self.retiring.succeeded(now) {
--- a/crates/sanddrum-connect/src/retiring.rs
+++ b/crates/sanddrum-connect/src/retiring.rs
@@ -7,8 +7,6 @@
 pub(crate) struct Retiring {
     within: Micros,
     at_once: usize,
-    /// Those told of lately, idle ones first, not yet given a time.
-    told: Vec<(usize, Old)>,
     due: BTreeSet<(Micros, Old)>,
     /// In use, with a successor under way; retired once it is up, and then at the latest.
     followed: BTreeMap<Old, (WorkerId, Micros)>,
@@ -23,7 +21,7 @@
     pub fn new(within: Micros, at_once: f64) -> Self {
         let at_once = (at_once as usize).max(1);
         let (due, followed, up) = (BTreeSet::new(), BTreeMap::new(), BTreeSet::new());
-        Retiring { within, at_once, told: Vec::new(), due, followed, up, denied: Vec::new() }
+        Retiring { within, at_once, due, followed, up, denied: Vec::new() }
     }
     /// Spreads those told of over the stated time, a few at a time: first what carries nothing, then what carries the
     /// least. Successors have their part of the time at its end.
@@ -31,14 +29,11 @@
         if old.is_empty() {
             return;
         }
-        self.told.extend(old.iter().map(|(old, carries)| (*carries, *old)));
-        self.told.sort_unstable();
-        let pending: Vec<Old> = self.due.iter().map(|(_, old)| *old).collect();
-        let all: Vec<Old> = pending
-            .into_iter()
-            .chain(std::mem::take(&mut self.told).into_iter().map(|(_, old)| old))
-            .collect();
-        self.due.clear();
+        let mut told: Vec<(usize, Old)> = old.iter().map(|(old, carries)| (*carries, *old)).collect();
+        told.sort_unstable();
+        // Those that have a time already keep their order before these.
+        let pending = std::mem::take(&mut self.due).into_iter().map(|(_, old)| old);
+        let all: Vec<Old> = pending.chain(told.into_iter().map(|(_, old)| old)).collect();
         let steps = all.len().div_ceil(self.at_once) as Micros;
         let within = self.within - self.within / SUCCESSOR_PART;
         for (n, old) in all.into_iter().enumerate() {
@@ -63,11 +58,10 @@
         let later = self.due.split_off(&(now + 1, Old::Link(crate::LinkId(0))));
         std::mem::replace(&mut self.due, later).into_iter().map(|(_, old)| old).collect()
     }
-    /// Waits for a successor; `true` where one has to be begun.
-    pub fn waits_for(&mut self, old: Old, worker: WorkerId, now: Micros) -> bool {
+    /// Waits for a successor, which is to be begun.
+    pub fn waits_for(&mut self, old: Old, worker: WorkerId, now: Micros) {
         self.up.remove(&worker);
         self.followed.insert(old, (worker, now + self.within / SUCCESSOR_PART));
-        true
     }
     /// A new connection to this worker is up.
     pub fn replaced(&mut self, worker: WorkerId) {
--- a/crates/sanddrum-connect/src/worker.rs
+++ b/crates/sanddrum-connect/src/worker.rs
@@ -1,4 +1,4 @@
-use crate::budget::Backoff;
+use crate::backoff::Backoff;
 use sanddrum::Micros;
 
 /// What is known of a worker's connections.
--- a/crates/sanddrum-edge/src/admission.rs
+++ b/crates/sanddrum-edge/src/admission.rs
@@ -10,7 +10,6 @@
 pub(crate) struct Admission {
     sharing: Sharing,
     repeats: Repeats,
-    asked: Asked,
     pub news: News,
     /// Jobs that ask to be taken, as the decision module will have them.
     asking: BTreeMap<JobId, sanddrum::Job>,
@@ -33,8 +32,8 @@
     pub fn of(l: &Loaded) -> Self {
         let settings = l.values_for_module();
         let (sharing, repeats) = (Sharing::new(&settings), Repeats::new(&settings));
-        let (asked, news) = (Asked::default(), News::default());
-        Admission { sharing, repeats, asked, news, asking: BTreeMap::new() }
+        let news = News::default();
+        Admission { sharing, repeats, news, asking: BTreeMap::new() }
     }
     pub fn is_waiting(&self) -> bool {
         !self.asking.is_empty()
@@ -50,18 +49,17 @@
 impl Inner {
     /// A job at the door.
     pub(crate) fn ask(&mut self, job: sanddrum::Job) {
-        self.admission.asked.jobs.push((job.id, job.repeat));
         self.admission.asking.insert(job.id, job);
     }
 
     /// Lets through what the limits allow, and pushes the rest back with an honest time to return: repeats first, as
     /// what is refused there must not count for its customer.
     pub(crate) fn admit(&mut self, now: Micros) {
-        let mut asked = std::mem::take(&mut self.admission.asked);
-        asked.pressed = self.admission.news.pressed;
         // Who has left meanwhile asks for nothing.
         let jobs = &self.jobs.jobs;
-        asked.jobs.retain(|(job, _)| jobs.get(job).is_some_and(|job| !job.closed));
+        let stays = |job: &&sanddrum::Job| jobs.get(&job.id).is_some_and(|job| !job.closed);
+        let asking = self.admission.asking.values().filter(stays).map(|job| (job.id, job.repeat));
+        let asked = Asked { jobs: asking.collect(), pressed: self.admission.news.pressed };
         let mut ruled = Ruled::default();
         self.admission.repeats.round(now, &asked, &mut |job, judged| ruled.0.push((job, judged.err())));
         let limits = self.admission.sharing.limits_anything();
--- a/crates/sanddrum-edge/src/identity.rs
+++ b/crates/sanddrum-edge/src/identity.rs
@@ -156,7 +156,10 @@
         (self.floor.version, self.floor.revoked.iter().cloned().collect())
     }
     pub fn client_came(&mut self, conn: Conn, io: &dyn Io) {
-        if let Some(peer) = io.peer(conn).filter(|_| self.asks_certificates) {
+        if !self.asks_certificates {
+            return;
+        }
+        if let Some(peer) = io.peer(conn) {
             self.shown.insert(conn, Shown { names: peer.names, key: peer.key, denied: false });
         }
     }
--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -147,15 +147,13 @@
             link.carries.insert(mark);
         }
         let need = if matches!(mark, Mark::Execution(_)) { Need::Job } else { Need::Errand };
-        let (carries, waits) = (link.carries.len(), link.conn.is_none());
+        let full = link.carries.len() as f64 / self.limits.streams as f64;
+        let waits = link.conn.is_none();
         let news = &mut self.links.news;
         if waits {
             news.wanted.push(Wanted { link: id, worker, need, due });
         }
-        news.used.push(worker);
-        if carries * 4 >= self.limits.streams * 3 && !self.links.has_one_to_come(worker) {
-            self.links.news.tight.push(worker);
-        }
+        news.used.push((worker, full));
         self.links.dirty.insert(id);
         Ok(id)
     }
--- a/crates/sanddrum-limits/src/repeats.rs
+++ b/crates/sanddrum-limits/src/repeats.rs
@@ -2,8 +2,8 @@
 //!
 //! Under overload every job that is pushed back comes again, and again: at three times what the fleet can do most of
 //! what asks are repeats, each with less time left than a first try has and most of its start target gone, and what is
-//! done for them is done too late. So while the decision module pushes back, repeats get a budget that first tries earn;
-//! the rest is pushed back before it costs anything. While nothing is pushed back there is no budget: after a crash or a
+//! done for them is done too late. So while the decision module pushes back much, repeats get a budget that first tries earn;
+//! the rest is pushed back before it costs anything. While little is pushed back there is no budget: after a crash or a
 //! lost zone repeats are what has to be served.
 
 use crate::{Bucket, Over, Pace};
@@ -20,8 +20,9 @@
 
 /// Each first try earns this part of a repeat, unless set otherwise.
 const PART: f64 = 0.1;
-/// The fleet is pressed while more than this part of what is let in is pushed back by the decision module.
-const PRESSED: f64 = 0.02;
+/// The fleet is pressed while the decision module pushes back more than this for each job let in. Less is the trouble of
+/// a crash or a flush, which repeats are the way out of.
+const PRESSED: f64 = 0.5;
 /// Permits are saved up for no more than this part of a window.
 const BURST: f64 = 0.3;
 
--- a/crates/sanddrum-tls/src/lib.rs
+++ b/crates/sanddrum-tls/src/lib.rs
@@ -76,10 +76,6 @@
         self.inner.doors = Some(side);
         self
     }
-    /// Handshakes with callers that are under way.
-    pub fn handshakes(&self) -> usize {
-        self.inner.handshakes
-    }
 
     /// A watched file came. What is not good leaves the last good terms in force; the next file may make it whole.
     fn take_file(&mut self, now: Micros, name: &str, content: Result<&[u8], &str>) -> bool {
@@ -93,6 +89,13 @@
         let Some(side) = side else { return true };
         match side.take(now, file, content) {
             Ok(Took::Nothing) => {}
+            Ok(Took::Half) => {
+                tracing::warn!(
+                    reason = "tls-half",
+                    name,
+                    "the other file of the pair is waited for; the last good terms stay in force"
+                );
+            }
             Ok(Took::New) => {
                 tracing::info!(name, "new connections are made on new terms; jobs on old ones end there");
                 let old = inner.ends.iter().filter(|(_, end)| end.is_up() && end.is_accepted() == accepted);
--- a/crates/sanddrum-tls/src/side.rs
+++ b/crates/sanddrum-tls/src/side.rs
@@ -25,6 +25,8 @@
     Nothing,
     /// New terms are in force.
     New,
+    /// One of a chain and its key has come, and does not go with the other, which is still the old one.
+    Half,
 }
 
 impl Side {
@@ -76,7 +78,14 @@
         if self.wanted == self.good {
             return Ok(Took::Nothing);
         }
-        let terms = Terms::new(&self.wanted, &self.rules)?;
+        let half = match (&self.wanted.own, &self.good.own) {
+            (Some((chain, key)), Some((old_chain, old_key))) => (chain == old_chain) != (key == old_key),
+            _ => false,
+        };
+        let terms = match Terms::new(&self.wanted, &self.rules) {
+            Err(_) if half => return Ok(Took::Half),
+            made => made?,
+        };
         terms.hold(now)?;
         self.terms = terms;
         self.good = self.wanted.clone();
--- a/crates/sanddrum-worker/src/machine.rs
+++ b/crates/sanddrum-worker/src/machine.rs
@@ -199,7 +199,7 @@
         }
         let pace = self.size.speed * self.part(now) / self.slower.max(1.0);
         let held = self.running.len() + self.waiting.len();
-        TrueWorker { cores: self.size.cores, pace, held, serves, functions, at: now }
+        TrueWorker { cores: self.size.cores, pace, held, serves, functions }
     }
     pub fn is_idle(&self) -> bool {
         self.running.is_empty() && self.waiting.is_empty()
--- a/crates/sanddrum-worker/src/truth.rs
+++ b/crates/sanddrum-worker/src/truth.rs
@@ -1,6 +1,5 @@
 //! What is true of the stand-in workers, for an oracle that sees it: an upper bound that no router can know.
 
-use sanddrum_net::Micros;
 use std::collections::BTreeMap;
 
 /// A function at a worker as it is.
@@ -23,8 +22,6 @@
     pub serves: bool,
     /// Functions by their number.
     pub functions: BTreeMap<u64, TrueFunction>,
-    /// When this was so.
-    pub at: Micros,
 }
 
 /// All workers by their number; those that are down are missing.
