A worker that fails what it gets at once is left alone ever longer

Lines at fault: logic.rs, learn: an error only cleared the load mark.

Change: errors of more than one function bar a worker, doubling with each, halved by each finish. Exception noted in the code; a story.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -70,6 +70,8 @@
 const HOME_PART: f64 = 0.5;
 /// Homes of any function: with one, chance alone makes some workers home to far more work than others.
 const FEW_HOMES: usize = 2;
+/// Errors in a row that count, each of which doubles the time for which a worker is left alone.
+const MOST_FAILURES: u32 = 6;
 /// A function not called for this many keep-alives is forgotten.
 const FORGET_KEEPS: Micros = 4;
 
@@ -362,6 +364,7 @@
             End::Finished => {
                 (place.copies, place.until, place.loading) = (place.copies.max(1), now + keep, false);
                 function.warm_last = Some(end.worker);
+                worker.failures /= 2;
                 let took = end.latency as f64;
                 match end.warmth {
                     Warmth::BeganLoad => {
@@ -401,6 +404,17 @@
             End::Miss | End::Error if end.warmth == Warmth::LoadFailed => {
                 (place.copies, place.loading, place.barred) = (0, false, now + expected as Micros);
             }
+            // Guards against a worker that fails all it gets at once, so that it always has the fewest in flight: it
+            // is left alone ever longer. A single function that fails there may itself be at fault.
+            End::Error => {
+                (place.loading, place.barred) = (false, now + expected as Micros);
+                if worker.failures != 1 || worker.failed != job.function {
+                    worker.failures = (worker.failures + 1).min(MOST_FAILURES);
+                }
+                let alone =
+                    if worker.failures > 1 { expected * f64::from(1 << worker.failures) / 2.0 } else { 0.0 };
+                (worker.failed, worker.barred) = (job.function, worker.barred.max(now + alone as Micros));
+            }
             // Waited for a load that did not come. Guards against load queues that nothing tells of.
             End::TimedOut if place.copies == 0 => {
                 (place.loading, place.absent) = (false, now + function.load as Micros);
--- a/src/state.rs
+++ b/src/state.rs
@@ -44,6 +44,9 @@
     pub checks: u32,
     /// Silent, reset or unreachable; nothing new goes there until it is heard again.
     pub suspect: bool,
+    /// Errors of different functions, halved by each finished job, and the function of the last one.
+    pub failures: u32,
+    pub failed: FunctionId,
     /// Until when it counts as crowded for a late or a full answer.
     pub jammed: Micros,
     /// Work that may still be sent while cold.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -385,3 +385,24 @@
     host.pass(4_000_000);
     assert_eq!((host.finals(1), host.finals(2)), (1, 1));
 }
+
+#[rstest]
+#[case::of_several_functions([0, 1, 2], true)]
+#[case::of_one_function([0, 0, 2], false)]
+fn a_worker_that_fails_what_it_gets_is_left_alone(#[case] failing: [usize; 3], #[case] alone: bool) {
+    let mut host = Host::new(2, &[]);
+    let mut at_one = Vec::new();
+    for function in 1..30 {
+        host.job(function, function);
+        at_one.extend(host.sent(function).filter(|w| *w == 1).map(|_| function));
+        host.finish(function, Warmth::BeganLoad, 100_000);
+    }
+    for (n, which) in failing[..2].iter().enumerate() {
+        host.job(100 + n as u64, at_one[*which]);
+        host.now += 400_000;
+        host.answer(100 + n as u64, End::Error, Warmth::Stood, 1_000);
+        host.now += 300_000;
+    }
+    host.job(200, at_one[failing[2]]);
+    assert_eq!(host.sent(200) != Some(1), alone);
+}
