--- a/src/logic.rs
+++ b/src/logic.rs
@@ -146,6 +146,8 @@
     calls_at: Micros,
     /// What jobs earn for their work, in the mean.
     earned: f64,
+    /// What jobs of a workload take when calm, in the mean, and how many have told.
+    usual: BTreeMap<WorkloadId, (f64, f64)>,
     /// Running sums of what hinted jobs took and of their hints.
     hinted: (f64, f64),
     /// What a load takes, and loads of late as a multiple of it.
@@ -372,9 +374,19 @@
                         self.learn_load(job.function, (took - expected).max(took * GUESS_OF_TARGET));
                     }
                     Warmth::Stood | Warmth::Unknown if !execution.queued => {
-                        worker.learn_pace(now, (took / expected.max(1.0)).min(MOST_PACE));
+                        // Guards against taking the first guess for what is calm: by it all workers would
+                        // look fast at first and then, for long, crowded.
+                        let usual = self.usual.entry(job.workload).or_default();
+                        if usual.1 * NEWEST >= 1.0 {
+                            worker.learn_pace(now, (took / expected.max(1.0)).min(MOST_PACE));
+                        }
                         // What answers take beyond calm is the worker's, so the function learns the rest.
                         let calm = took / worker.crowding(now).max(1.0);
+                        usual.1 += 1.0;
+                        usual.0 += (calm - usual.0) * (1.0 / usual.1).max(NEWEST / 10.0);
+                        if !function.answered {
+                            (function.work, function.answered) = (usual.0, true);
+                        }
                         function.work += NEWEST / 2.0 * (calm - function.work);
                         if job.work.is_some_and(|hint| hint > 0) {
                             // A ratio of sums, as the mean of ratios is ruled by jobs hinted far too low.
@@ -404,8 +416,8 @@
             End::Miss | End::Error if end.warmth == Warmth::LoadFailed => {
                 (place.copies, place.loading, place.barred) = (0, false, now + expected as Micros);
             }
-            // Guards against a worker that fails all it gets at once, so that it always has the fewest in flight: it
-            // is left alone ever longer. A single function that fails there may itself be at fault.
+            // Guards against a worker that fails all it gets at once, and so always has the fewest in
+            // flight: it is left alone ever longer. A single function that fails may itself be at fault.
             End::Error => {
                 (place.loading, place.barred) = (false, now + expected as Micros);
                 if worker.failures != 1 || worker.failed != job.function {
@@ -478,14 +490,16 @@
 
     // ---- What is expected
 
-    /// What a job takes when calm: the geometric mean of what its function takes and what it is hinted to,
-    /// both being rough, scaled by what hinted jobs took.
+    /// What a job takes when calm: the geometric mean of what its function (its workload, before any answer)
+    /// takes and what it is hinted to, both being rough, scaled by what hinted jobs took.
     fn work_of(&self, job: &Job) -> f64 {
         let scale = if self.hinted.1 > 0.0 { self.hinted.0 / self.hinted.1 } else { 1.0 };
         self.unscaled_work(job) * if job.work.is_some_and(|hint| hint > 0) { scale } else { 1.0 }
     }
     fn unscaled_work(&self, job: &Job) -> f64 {
-        let learned = self.functions.get(&job.function).map_or(0.0, |f| f.work);
+        let guess = self.target(job.workload) as f64 * GUESS_OF_TARGET;
+        let usual = self.usual.get(&job.workload).map_or(guess, |(work, _)| *work);
+        let learned = self.functions.get(&job.function).filter(|f| f.answered).map_or(usual, |f| f.work);
         job.work.filter(|hint| *hint > 0).map_or(learned, |hint| (learned * hint as f64).sqrt())
     }
     fn fall_span(&self) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -73,8 +73,9 @@
 #[derive(Default)]
 pub(crate) struct Function {
     pub lanes: u32,
-    /// What a job and a load take when calm.
+    /// What a job and a load take when calm, and whether any job has told.
     pub work: f64,
+    pub answered: bool,
     pub load: f64,
     /// When it was last asked for, and until when answers are waited for.
     pub asked: Option<Micros>,
