--- a/crates/sanddrum-edge/src/clients.rs
+++ b/crates/sanddrum-edge/src/clients.rs
@@ -46,6 +46,9 @@
 }
 
 impl Clients {
+    pub fn count(&self) -> usize {
+        self.clients.len()
+    }
     pub fn nothing_to_write(&self) -> bool {
         self.clients.values().all(|c| c.places.is_empty() && c.out.waiting() == 0)
     }
--- a/crates/sanddrum-edge/src/fronts.rs
+++ b/crates/sanddrum-edge/src/fronts.rs
@@ -31,6 +31,9 @@
 }
 
 impl Fronts {
+    pub fn count(&self) -> usize {
+        self.fronts.len()
+    }
     pub fn nothing_to_write(&self) -> bool {
         self.fronts.values().all(|front| front.jobs.is_empty() && front.out.waiting() == 0)
     }
@@ -42,10 +45,6 @@
     }
 }
 
-/// What callers state may be so many times what is set for it; more is taken for nonsense. A load may take far longer
-/// than an order to load is waited for, as waiting loads count in.
-const BEYOND: f64 = 4.0;
-
 /// A parameter with a number in it: a whole one from `least` to `most`.
 fn number(request: &Request, name: &'static str, least: f64, most: f64) -> Result<f64, NoJob> {
     within(request.param(name), name, least, most)
@@ -228,13 +227,14 @@
         id(request, "HTTP_X_ENTITY")?;
         let whole = self.settings.span(&format!("workloads.{n}.time-limit-us"));
         // Callers round, and count from before the request was on its way: a little beyond what is set is still sense.
-        let patience = number(request, "HTTP_X_PATIENCE_MS", 1.0, BEYOND * whole as f64 / 1000.0)?;
+        let beyond = self.limits.figures_beyond;
+        let patience = number(request, "HTTP_X_PATIENCE_MS", 1.0, beyond * whole as f64 / 1000.0)?;
         let infos = request.param("HTTP_X_INFO").unwrap_or_default();
         let pairs: Vec<_> = infos.split(';').filter_map(|one| one.trim().split_once(':')).collect();
         let info = |name: &str| pairs.iter().find(|(n, _)| *n == name).map(|(_, value)| *value);
         let memory_mb = within(info("memory_mb"), "memory_mb", 0.0, 1e9)?;
         let lanes = within(info("lanes"), "lanes", 1.0, 1e4)?;
-        let longest = BEYOND * BEYOND * self.limits.order_time_out as f64 / 1000.0;
+        let longest = beyond * self.limits.order_time_out as f64 / 1000.0;
         let load = match info("load_ms") {
             None => None,
             told => Some((within(told, "load_ms", 0.0, longest)? * 1000.0) as Micros),
--- a/crates/sanddrum-edge/src/functions.rs
+++ b/crates/sanddrum-edge/src/functions.rs
@@ -96,6 +96,9 @@
         (known.memory_mb, known.lanes, known.load, known.last) = (memory_mb, lanes, load, now);
         Some(id)
     }
+    pub fn count(&self) -> usize {
+        self.known.len()
+    }
     pub fn get(&self, id: FunctionId) -> Option<&Function> {
         self.known.get(&id)
     }
--- a/crates/sanddrum-edge/src/jobs.rs
+++ b/crates/sanddrum-edge/src/jobs.rs
@@ -292,6 +292,10 @@
             execution = e.number,
             worker = self.links.name(e.worker),
             ?end,
+            ?warmth,
+            latency_us = now - e.sent,
+            held = report.and_then(|r| r.held),
+            queued = report.and_then(|r| r.queued),
             "ended"
         );
         self.round.ends.push(ExecutionEnd {
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -151,7 +151,29 @@
     }
 }
 
+/// How much an edge remembers of each kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    pub jobs: usize,
+    pub clients: usize,
+    pub links: usize,
+    pub workers: usize,
+    pub functions: usize,
+    pub due: usize,
+}
+
 impl<M: Module> Edge<M> {
+    pub fn held(&self) -> Held {
+        let inner = &self.inner;
+        Held {
+            jobs: inner.jobs.jobs.len(),
+            clients: inner.fronts.count() + inner.clients.count(),
+            links: inner.links.all(),
+            workers: inner.list.count(),
+            functions: inner.functions.count(),
+            due: inner.due.len(),
+        }
+    }
     pub fn with_module(start: Start, module: M) -> Self {
         let limits = Limits::of(&start.settings);
         let functions = Functions::of(&start.settings);
--- a/crates/sanddrum-edge/src/limits.rs
+++ b/crates/sanddrum-edge/src/limits.rs
@@ -20,6 +20,7 @@
     pub waiting_per_worker: usize,
     pub largest_frame: usize,
     pub streams: usize,
+    pub streams_wanted: usize,
     pub connections: usize,
     pub connect_time_out: Micros,
     pub idle_close: Micros,
@@ -30,6 +31,7 @@
     pub max_retry_after: Micros,
     pub max_functions: usize,
     pub held_bodies: usize,
+    pub figures_beyond: f64,
     pub late_arrivals: Micros,
     pub feed_wait: Micros,
     pub feed_silence: Micros,
@@ -54,6 +56,11 @@
             waiting_per_worker: bytes("waiting-per-worker"),
             largest_frame: bytes("largest-frame"),
             streams: count("streams"),
+            streams_wanted: if l.has("limits.streams-wanted") {
+                count("streams-wanted")
+            } else {
+                count("streams")
+            },
             connections: count("connections"),
             connect_time_out: span("connect-time-out"),
             idle_close: span("idle-close"),
@@ -64,6 +71,7 @@
             max_retry_after: span("max-retry-after"),
             max_functions: count("max-functions"),
             held_bodies: bytes("held-bodies"),
+            figures_beyond: l.number("limits.figures-beyond"),
             late_arrivals: span("late-arrivals"),
             feed_wait: span("feed-wait"),
             feed_silence: span("feed-silence"),
--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -78,6 +78,9 @@
 }
 
 impl Links {
+    pub fn all(&self) -> usize {
+        self.links.len()
+    }
     pub fn name(&self, worker: WorkerId) -> Option<&str> {
         self.targets.get(&worker).map(|t| t.name.as_str())
     }
@@ -202,7 +205,7 @@
             }
         }
         let need = if matches!(mark, Mark::Execution(_)) { Need::Job } else { Need::Errand };
-        let full = link.carries.len() as f64 / self.limits.streams as f64;
+        let full = link.carries.len() as f64 / self.limits.streams_wanted as f64;
         let waits = link.conn.is_none();
         let news = &mut self.links.news;
         if waits {
--- a/crates/sanddrum-edge/src/list.rs
+++ b/crates/sanddrum-edge/src/list.rs
@@ -42,6 +42,9 @@
             saving: false,
         }
     }
+    pub fn count(&self) -> usize {
+        self.rows.len()
+    }
     pub fn is_empty(&self) -> bool {
         self.rows.is_empty()
     }
--- a/crates/sanddrum-fastcgi/src/responder.rs
+++ b/crates/sanddrum-fastcgi/src/responder.rs
@@ -142,7 +142,7 @@
                 Ok(None) => Ok(None),
                 Ok(Some((record, took))) => {
                     self.read += took;
-                    self.heed(record).map(|said| Some(said))
+                    self.heed(record).map(Some)
                 }
             };
             self.bytes = bytes;
--- /dev/null
+++ b/crates/sanddrum-platform/tests/protocol.rs
@@ -0,0 +1,160 @@
+//! Stories and properties of the platform's frames, feed and start configuration.
+
+use proptest::prelude::*;
+use rstest::rstest;
+use sanddrum_platform::{feed, frames, Configuration, Frames, Garbled};
+use sanddrum_wire::{Copy, Ended, Phase};
+use serde_json::json;
+
+fn read(bytes: &[u8]) -> Result<Option<frames::Answer>, Garbled> {
+    let mut frames = Frames::new(4096);
+    frames.take_in(bytes);
+    frames.next_answer()
+}
+
+#[rstest]
+fn a_request_lies_on_the_wire_as_the_platform_describes_it() {
+    let bytes = frames::request(0x9b1f03aa5c7e2d41, "job", "7f3a9c21e0b4d655", 1_500_000, b"in");
+    let fields = b"profile=job,thing=7f3a9c21e0b4d655,max=1500";
+    assert_eq!(bytes[..2], [76, 65]);
+    assert_eq!(bytes[2..8], [0, fields.len() as u8, 0, 0, 0, 2]);
+    assert_eq!(bytes[8..16], 0x9b1f03aa5c7e2d41u64.to_be_bytes());
+    assert_eq!(bytes[16..16 + fields.len()], fields[..]);
+    let check = crc32fast::hash(&bytes[16..bytes.len() - 4]);
+    assert_eq!(bytes[bytes.len() - 4..], check.to_be_bytes());
+}
+
+#[rstest]
+#[case(97, Some(Ended::Finished))]
+#[case(99, Some(Ended::Miss))]
+#[case(100, Some(Ended::Full))]
+#[case(101, Some(Ended::Error))]
+#[case(102, Some(Ended::Dropped))]
+#[case(103, None)]
+fn an_answer_tells_its_end_its_copy_and_its_report(#[case] code: u8, #[case] ended: Option<Ended>) {
+    let fields = "remark=started,report=rif:7;q:2;x0:0.25;x1:1;new:3,copies=2";
+    let answer = read(&frames::answer(code, 5, fields, b"out")).unwrap().unwrap();
+    assert_eq!(
+        (answer.id, answer.ended, answer.copy, answer.copies),
+        (5, ended, Some(Copy::BeganLoad), Some(2))
+    );
+    let report = answer.report.unwrap();
+    assert_eq!(
+        (report.held, report.queued, report.memory_pinned, report.loads),
+        (Some(7.0), Some(2.0), Some(0.25), Some(1.0))
+    );
+    assert_eq!(answer.body, b"out");
+}
+
+#[rstest]
+#[case::noise(b"GET / HTTP/1.1".to_vec(), Garbled::Mark(b'G'))]
+#[case::a_router_answers({ let mut f = frames::answer(97, 1, "", b""); f[0] = 76; f }, Garbled::Mark(76))]
+#[case::no_such_answer(frames::answer(98, 1, "", b""), Garbled::Code(98))]
+#[case::three_gigabytes({ let mut f = frames::answer(97, 1, "", b""); f[4] = 0xc0; f }, Garbled::TooLong(0xc000_0000))]
+#[case::a_bit_turned({ let mut f = frames::answer(97, 1, "", b"out"); f[17] ^= 1; f }, Garbled::Check)]
+#[case::fields_without_values(frames::answer(97, 1, "remark", b""), Garbled::Fields)]
+fn what_can_not_be_read_ends_the_connection(#[case] bytes: Vec<u8>, #[case] why: Garbled) {
+    assert_eq!(read(&bytes), Err(why));
+}
+
+#[rstest]
+fn an_answer_that_stops_short_is_not_passed_on() {
+    let bytes = frames::answer(97, 1, "remark=hot", b"out");
+    for end in 0..bytes.len() {
+        assert_eq!(read(&bytes[..end]), Ok(None));
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_split_of_the_bytes_gives_the_same_answers(
+        bodies in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..300), 1..5),
+        cuts in prop::collection::vec(1usize..90, 1..30),
+    ) {
+        let bytes: Vec<u8> = bodies.iter().enumerate()
+            .flat_map(|(n, body)| frames::answer(97, n as u64, "remark=hot", body)).collect();
+        let (mut frames, mut rest, mut came) = (Frames::new(4096), bytes.as_slice(), Vec::new());
+        for cut in cuts.iter().cycle() {
+            let (piece, left) = rest.split_at((*cut).min(rest.len()));
+            frames.take_in(piece);
+            while let Some(answer) = frames.next_answer().unwrap() { came.push(answer.body) }
+            rest = left;
+            if rest.is_empty() { break }
+        }
+        prop_assert_eq!(came, bodies);
+    }
+
+    #[test]
+    fn garbage_never_panics(bytes in prop::collection::vec(any::<u8>(), 0..400), marked in any::<bool>()) {
+        let mut bytes = bytes;
+        if let (true, [mark, code, ..]) = (marked, &mut bytes[..]) { (*mark, *code) = (108, 97) }
+        let mut frames = Frames::new(4096);
+        frames.take_in(&bytes);
+        while let Ok(Some(_)) = frames.next_answer() {}
+    }
+}
+
+#[rstest]
+fn events_tell_who_is_there_who_drains_and_who_started_late() {
+    let member = |id: &str, phase: &str, since: i64| {
+        json!({"id": id, "host_port": "10.1.0.9:8080", "locality": "here", "flavor": "fast", "cell": 2,
+               "phase": phase, "size": 4, "up_since_ms": since})
+    };
+    let json = json!({"n": 9, "events": [
+        {"n": 8, "members": {"revision": 1, "complete": true, "members": [member("a", "in_service", 0)]}},
+        {"n": 9, "members": {"revision": 2, "complete": false,
+            "members": [member("a", "terminating", 0), member("b", "in_service", 5_000), member("c", "terminated", 0)]}},
+    ]});
+    let told = feed::told(&json, &["slow".to_string(), "fast".to_string()], 7_000_000).unwrap();
+    assert_eq!((told.last, told.changes[0].n, told.changes[1].n), (9, 8, 9));
+    let (whole, rows) = told.changes[1].rows.clone().unwrap();
+    assert!(!whole && told.changes[0].rows.as_ref().unwrap().0);
+    let phases: Vec<Phase> = rows.iter().map(|row| row.phase).collect();
+    assert_eq!(phases, [Phase::Draining, Phase::Ready, Phase::Gone]);
+    assert_eq!((rows[0].age_us, rows[1].age_us, rows[1].kind, rows[1].cell), (-1, 2_000_000, 1, 2));
+}
+
+fn configuration() -> serde_json::Value {
+    json!({
+        "name": "n3", "listen": "127.0.0.1:8080", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 300},
+        "feed": "127.0.0.1:2379", "known": {"n": 0, "events": []},
+        "settings": {
+            "azs": ["here"], "az": 0, "me": 1, "balancers": 3, "kinds": ["slow", "fast"],
+            "classes": [{"name": "job", "aim-us": 700000, "deadline-us": 2000000, "effect": "once"}],
+            "family-info": {"if-cold": "miss", "placement-calls": true, "idle-life-us": 9000000, "load-wait-us": 4000000},
+            "limits": {"streams-per-conn": 32, "keepalive-us": 30000000, "max-open": 500, "try-limit": 4},
+            "obligations": {"cold-from": 0.2, "cold-us": 9000000, "fall-multiple": 2.5, "tip-after-us": 2000000,
+                            "stop-sending-within-us": 250000},
+            "stats": {"fields": ["q", "rif"], "via": "answers"},
+        },
+    })
+}
+
+#[rstest]
+fn a_deployment_follows_from_the_start_configuration() {
+    let read = Configuration::read(&configuration().to_string()).unwrap();
+    let loaded = read.deployment().unwrap();
+    assert_eq!(loaded.names("workloads"), ["job"]);
+    assert_eq!(loaded.text("workloads.0.effect"), "run-once");
+    assert_eq!(loaded.span("workloads.0.time-limit-us"), 2_000_000);
+    assert_eq!((loaded.size("limits.max-open"), loaded.size("limits.max-clients")), (500, 150));
+    assert_eq!(loaded.span("limits.idle-close-us"), 24_000_000);
+    assert_eq!((loaded.text("edge.listen"), loaded.text("edge.list")), ("127.0.0.1:8080", "127.0.0.1:2379"));
+    assert_eq!((loaded.size("me"), loaded.size("routers")), (1, 3));
+}
+
+#[rstest]
+#[case("name", json!(""))]
+#[case("listen", json!("here:80"))]
+#[case("feed", json!(7))]
+#[case("seed", json!("none"))]
+#[case("limits", json!({"sockets": 0}))]
+#[case("settings", json!(null))]
+#[case("known", json!({"n": "x"}))]
+fn a_configuration_that_can_not_be_used_names_the_key(#[case] key: &str, #[case] value: serde_json::Value) {
+    let mut json = configuration();
+    json[key] = value;
+    let why = Configuration::read(&json.to_string()).unwrap_err();
+    assert!(why.starts_with(key), "{why}");
+}
--- a/crates/sanddrum-settings/src/schema.rs
+++ b/crates/sanddrum-settings/src/schema.rs
@@ -387,6 +387,12 @@
                 Some("64"),
                 "executions that one connection to a worker carries",
             ),
+            key(
+                "streams-wanted",
+                Kind::Whole(1.0, 1e5),
+                None,
+                "with so many on a connection another is made ahead, as one that breaks costs all on it; as streams where not said",
+            ),
             key("connections", Kind::Whole(1.0, 1e3), Some("4"), "connections to one worker"),
             key("connect-time-out", Kind::Span, Some("250ms"), "a connection not up by then is given up"),
             key(
@@ -417,6 +423,7 @@
             key("retire-at-once", Kind::Whole(1.0, 1e5), Some("4"), "so many at a time"),
             key("late-arrivals", Kind::Span, Some("0s"), "an edge asked to end goes on listening and taking jobs for so long"),
             key("held-bodies", Kind::Bytes, Some("1GB"), "bytes of the bodies of all jobs held; more are pushed back unseen"),
+            key("figures-beyond", Kind::Number(1.0, 1e6), Some("10"), "what callers state may be so many times what is set for it; more is taken for nonsense"),
             key("feed-wait", Kind::Span, Some("1s"), "how long a control feed may keep a question before it answers that nothing is new"),
             key("feed-silence", Kind::Span, Some("500ms"), "a feed that is later than that is called anew"),
             key("stop-within", Kind::Span, Some("10s"), "an edge asked to end has answered all by then"),
