A spoilt answer tells nothing against the next connection to that worker

Checked: each follows a garbled-worker line for the same worker; nothing was refused by the workers themselves. Line at fault: links.rs, end_link, which tells sanddrum-connect that a link which lied has failed, so the worker is left alone for 100 ms and more. That is meant for our protocol, where another worker answers at the address. On the platform the link has only ended.

--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -428,7 +428,8 @@
         if let Some(target) = self.links.targets.get_mut(&link.worker) {
             target.links.remove(&id);
         }
-        let failed = lied || (link.conn.is_some() && !link.up);
+        // A spoilt answer tells nothing against the next connection; another worker's name, as our own tell it, does.
+        let failed = (lied && !self.on_platform) || (link.conn.is_some() && !link.up);
         let news = &mut self.links.news;
         if failed { &mut news.failed } else { &mut news.ended }.push(id);
         for mark in &link.carries {
--- a/crates/sanddrum-edge/tests/platform.rs
+++ b/crates/sanddrum-edge/tests/platform.rs
@@ -402,3 +402,18 @@
     told(&mut host, 2, member("w", "in_service"));
     assert_eq!(answers(&host, front).len(), 40);
 }
+
+#[rstest]
+fn after_a_spoilt_answer_the_next_job_is_connected_at_once() {
+    let mut host = Host::on_platform(&[]);
+    let (front, first) = job_out(&mut host);
+    host.says(first, b"noise");
+    host.strings.borrow_mut().deeds.push(Do::Execute(0, 1_000_000));
+    told(&mut host, 2, member("w", "in_service"));
+    let second = worker(&host);
+    assert_ne!(first, second);
+    host.up(second);
+    host.says(second, &frames::answer(97, call_number(), "", b"out"));
+    assert_eq!(statuses(&host, front), [(1, "Status: 200".to_string())]);
+    assert_eq!(host.ends(), [End::Reset, End::Finished]);
+}
