Slow loads alone turn jobs away only where they wait at workers

Line at fault: place, where pressed loads narrow what is in time. That was made for workers that load by themselves, where a job that waits for a load holds a place; where they answer a miss it waits here.

A story for both.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -673,7 +673,9 @@
         let left = job.due - self.now;
         let whole = self.target(job.workload);
         let target = (came + if job.repeat { whole / 2 } else { whole } - self.now).min(left);
-        let limit = if self.pressed() || self.loads_pressed() { target } else { left };
+        // Where workers answer a miss, who waits for a load waits here and is in nobody's way.
+        let narrow = self.pressed() || (self.loads_pressed() && !self.answers_miss());
+        let limit = if narrow { target } else { left };
         let hopeless = left <= usual as Micros || tries >= self.span("limits.max-executions", 1) as usize;
         // Guards against overload that no single worker shows: where all are pressed, what part of jobs is
         // taken follows from how many answers were late; those that earn more go first.
@@ -793,8 +795,8 @@
         }
         let Some(w) = emptiest else { return self.wait_or_give_up(id, out) };
         if limit < (load + work * self.pace(w)) as Micros {
-            // Exception: what is called again gets its copy nevertheless. Guards against functions whose loads
-            // take longer than their jobs wait, which would be turned away for ever.
+            // Exception: what is called again gets its copy nevertheless. Guards against functions whose
+            // loads take longer than their jobs wait, which would be turned away for ever.
             if again {
                 self.order(w, job.function, 1, out);
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -422,3 +422,30 @@
     host.job(3, 7);
     assert!(host.sent(3).is_some());
 }
+
+#[rstest]
+#[case::where_workers_load_by_themselves("load", 1)]
+#[case::where_they_answer_a_miss("miss", 0)]
+fn slow_loads_alone_turn_jobs_away_only_where_they_wait_at_workers(
+    #[case] on_miss: &str,
+    #[case] away: usize,
+) {
+    let mut host = Host::new(
+        3,
+        &[("copies.on-miss", Value::Text(on_miss.into())), ("copies.orders", Value::Flag(true))],
+    );
+    // Loads take four times what they are told to; no job has had to wait for a core.
+    for id in 1..4 {
+        let job = Job { load: Some(300_000), ..host.draft(id, id) };
+        host.round(Round { jobs: vec![job], ..Round::default() });
+        host.answer_asks(0);
+        match on_miss {
+            "load" => host.finish(id, Warmth::BeganLoad, 1_200_000),
+            _ => drop(host.loaded_by_order(id, 1_200_000)),
+        }
+    }
+    let job = Job { load: Some(500_000), ..host.draft(9, 9) };
+    host.round(Round { jobs: vec![job], ..Round::default() });
+    host.answer_asks(0);
+    assert_eq!(host.finals(9), away);
+}
