A connection that has only just come outlasts one that asked before and stays

Line at fault: fronts.rs, least_missed: with no older silent connection left, the one that came just before the newest was dropped, its request still on its way. Change: a connection has time-to-speak (200 ms) before it counts as silent; then the longest idle goes.

--- a/crates/sanddrum-edge/src/fronts.rs
+++ b/crates/sanddrum-edge/src/fronts.rs
@@ -37,11 +37,17 @@
     pub fn nothing_to_write(&self) -> bool {
         self.fronts.values().all(|front| front.jobs.is_empty() && front.out.waiting() == 0)
     }
-    /// Who goes where there is no room for one more: first who has never spoken, then who has asked nothing for longest;
-    /// never one that has a request open. Guards against clients that connect by the hundred and say nothing.
-    fn least_missed(&self) -> Option<Conn> {
+    /// Who goes where there is no room for one more: first who has had time to speak and has not, then who has asked
+    /// nothing for longest, last who has only just come and may have its request on its way; never one that has a
+    /// request open. Guards against clients that connect by the hundred and say nothing, or ask once and stay.
+    fn least_missed(&self, now: Micros, time_to_speak: Micros) -> Option<Conn> {
         let idle = self.fronts.iter().filter(|(_, front)| front.jobs.is_empty() && front.out.waiting() == 0);
-        idle.min_by_key(|(conn, front)| (front.spoke, front.active, **conn)).map(|(conn, _)| *conn)
+        let rank = |front: &Front| match (front.spoke, now - front.came >= time_to_speak) {
+            (false, true) => 0,
+            (true, _) => 1,
+            (false, false) => 2,
+        };
+        idle.min_by_key(|(conn, front)| (rank(front), front.active, **conn)).map(|(conn, _)| *conn)
     }
 }
 
@@ -67,7 +73,7 @@
     pub(crate) fn front_came(&mut self, now: Micros, conn: Conn, io: &mut dyn Io) {
         if self.fronts.fronts.len() >= self.limits.max_clients {
             self.figures.limit_hit("max-clients");
-            match self.fronts.least_missed() {
+            match self.fronts.least_missed(now, self.limits.time_to_speak) {
                 Some(other) => self.drop_front(now, other, io, true),
                 None => return io.reset(conn),
             }
--- a/crates/sanddrum-edge/tests/platform.rs
+++ b/crates/sanddrum-edge/tests/platform.rs
@@ -203,6 +203,7 @@
     let mut host = Host::on_platform(&[("limits.max-clients", "2")]);
     let (busy, _) = job_out(&mut host);
     let silent = host.client();
+    host.wait(S / 4);
     let third = host.client();
     assert_eq!(host.io.closed, [(silent, Some(Closed::InOrder))]);
     asks(&mut host, third, 1, OTHER);
@@ -210,6 +211,18 @@
     assert!(host.io.closed.iter().all(|(conn, _)| *conn != busy && *conn != third));
 }
 
+#[rstest]
+fn one_that_has_only_just_come_outlasts_one_that_asked_before_and_stays() {
+    let mut host = Host::on_platform(&[("limits.max-clients", "2")]);
+    let stays = host.client();
+    host.says(stays, &request(1, &[("SCRIPT_NAME", "/health".into())], b""));
+    let fresh = host.client();
+    host.client();
+    assert_eq!(host.io.closed, [(stays, Some(Closed::InOrder))]);
+    asks(&mut host, fresh, 1, CALL);
+    assert_eq!(host.strings.borrow().jobs.len(), 1);
+}
+
 #[rstest]
 fn a_withdrawn_job_is_owed_no_answer_and_a_late_one_changes_nothing() {
     let mut host = Host::on_platform(&[]);
--- a/crates/sanddrum-settings/src/schema.rs
+++ b/crates/sanddrum-settings/src/schema.rs
@@ -358,6 +358,7 @@
                 Some("60s"),
                 "a client connection that asks nothing is closed after",
             ),
+            key("time-to-speak", Kind::Span, Some("200ms"), "where clients take all places, one that has said nothing for so long makes room first"),
             key("head-time-out", Kind::Span, Some("10s"), "a request that has begun must be whole within"),
             key(
                 "linger",
