A few heavy jobs no longer cut what a worker gets where it tells that nothing waits

Line at fault: learn, which cuts the limit whenever the pace of the last ten answers is twice the calm one; at 80 answers a second a worker few heavy jobs do that again and again.

Change: where a worker reports that nothing waits, only answers that miss their target cut its limit.

--- /dev/null
+++ b/crates/sanddrum-cli/tests/platform_process.rs
@@ -0,0 +1,173 @@
+//! A router of the platform as a process, on real sockets: started by its environment alone, serving, reading its
+//! configuration again, and ending.
+
+use rstest::rstest;
+use sanddrum_fastcgi::{begin, params, stream, Kind, Record};
+use sanddrum_platform::frames;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+/// A worker that holds every copy it is asked for and gives each job its own body back.
+fn worker(listener: TcpListener) {
+    for conn in listener.incoming().flatten() {
+        thread::spawn(move || serve(conn));
+    }
+}
+fn serve(mut conn: TcpStream) {
+    let mut head = [0; 16];
+    while conn.read_exact(&mut head).is_ok() {
+        let fields = usize::from(u16::from_be_bytes([head[2], head[3]]));
+        let body = u32::from_be_bytes([head[4], head[5], head[6], head[7]]) as usize;
+        let id = u64::from_be_bytes([8, 9, 10, 11, 12, 13, 14, 15].map(|n| head[n]));
+        let mut rest = vec![0; fields + body + 4];
+        conn.read_exact(&mut rest).unwrap();
+        let answer = match head[1] {
+            65 => frames::answer(97, id, "remark=hot", &rest[fields..fields + body]),
+            69 => frames::answer(97, id, "copies=1", b""),
+            _ => continue,
+        };
+        conn.write_all(&answer).unwrap();
+    }
+}
+/// A feed that has nothing new to tell, and tells who asked.
+fn feed(listener: TcpListener, asked: mpsc::Sender<String>) {
+    for mut conn in listener.incoming().flatten() {
+        let mut bytes = [0; 1024];
+        while let Ok(n @ 1..) = conn.read(&mut bytes) {
+            let question = String::from_utf8_lossy(&bytes[..n]).into_owned();
+            if asked.send(question).is_err() {
+                return;
+            }
+            thread::sleep(Duration::from_millis(50));
+            let body = json!({"n": 1, "events": []}).to_string();
+            let _ = conn.write_all(&sanddrum_wire::http::response(200, &[], body.as_bytes(), true));
+        }
+    }
+}
+fn listener() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap().to_string();
+    (listener, at)
+}
+
+struct Router(Child, PathBuf);
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+        let _ = std::fs::remove_file(&self.1);
+    }
+}
+impl Router {
+    fn start(name: &str, configuration: &str, listen: &str) -> Router {
+        let file = std::env::temp_dir().join(format!("sanddrum-{name}-{}.json", std::process::id()));
+        std::fs::write(&file, configuration).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sanddrum-edge"));
+        command
+            .arg("--platform")
+            .env("RELAY_CONFIG", &file)
+            .env("RELAY_NAME", "n1")
+            .env("RELAY_LISTEN", listen);
+        let child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+        Router(child, file)
+    }
+    fn signal(&self, which: &str) {
+        let sent = Command::new("sh").args(["-c", &format!("kill -{which} {}", self.0.id())]).status();
+        assert!(sent.unwrap().success());
+    }
+}
+
+fn configuration(listen: &str, feed: &str, worker: &str) -> serde_json::Value {
+    let member =
+        json!({"id": "w", "host_port": worker, "locality": "here", "phase": "in_service", "size": 4});
+    let known = json!({"n": 1, "events": [{"n": 1, "members": {"complete": true, "members": [member]}}]});
+    json!({
+        "name": "n1", "listen": listen, "seed": "5", "feed": feed, "known": known,
+        "limits": {"sockets": 256, "memory_mb": 32},
+        "settings": {
+            "azs": ["here"], "az": 0, "me": 0, "balancers": 1,
+            "classes": [{"name": "job", "aim-us": 1000000, "deadline-us": 5000000, "effect": "once"}],
+            "family-info": {"if-cold": "miss", "placement-calls": true, "idle-life-us": 9000000},
+        },
+    })
+}
+
+/// One request on a connection of its own; the text of its answer.
+fn asked(at: &str, pairs: &[(&str, &str)], body: &[u8]) -> String {
+    let mut conn = TcpStream::connect(at).unwrap();
+    let mut out = Vec::new();
+    begin(&mut out, 1, true);
+    stream(&mut out, Kind::Params, 1, &params(pairs));
+    stream(&mut out, Kind::Stdin, 1, body);
+    conn.write_all(&out).unwrap();
+    let (mut bytes, mut text, mut piece) = (Vec::new(), String::new(), [0; 4096]);
+    loop {
+        let n = conn.read(&mut piece).unwrap();
+        assert!(n > 0, "closed before its end: {text}");
+        bytes.extend_from_slice(&piece[..n]);
+        while let Some((record, took)) = Record::read(&bytes).unwrap() {
+            match record.kind {
+                Kind::End => return text,
+                _ => text.push_str(&String::from_utf8_lossy(record.content)),
+            }
+            bytes.drain(..took);
+        }
+    }
+}
+fn job(at: &str, call: &str) -> String {
+    let pairs = [
+        ("SCRIPT_NAME", "/rpc/job"),
+        ("HTTP_X_CALL_ID", call),
+        ("HTTP_X_PATIENCE_MS", "4000"),
+        ("HTTP_X_ENTITY", "7f3a9c21e0b4d655"),
+        ("HTTP_X_INFO", "memory_mb:100;lanes:4;load_ms:300"),
+    ];
+    asked(at, &pairs, call.as_bytes())
+}
+
+#[rstest]
+fn a_router_serves_follows_its_feed_and_ends_in_order() {
+    let ((w, worker_at), (f, feed_at), (moved, moved_at)) = (listener(), listener(), listener());
+    // Its own address: bound to learn a free one, and let go.
+    let (_, listen) = listener();
+    let (tell, told) = mpsc::channel();
+    let (tell_moved, told_moved) = mpsc::channel();
+    thread::spawn(|| worker(w));
+    thread::spawn(|| feed(f, tell));
+    thread::spawn(|| feed(moved, tell_moved));
+    let mut router =
+        Router::start("serves", &configuration(&listen, &feed_at, &worker_at).to_string(), &listen);
+    // It asks its feed once it is up and listens.
+    assert!(told.recv_timeout(Duration::from_secs(20)).unwrap().starts_with("GET /v1/events?SUB=1&wait="));
+    assert!(asked(&listen, &[("SCRIPT_NAME", "/health")], b"").starts_with("Status: 200\r\n"));
+    let answer = job(&listen, "00000000000000a1");
+    assert!(
+        answer.starts_with("Status: 200\r\n") && answer.ends_with("\r\n\r\n00000000000000a1"),
+        "{answer}"
+    );
+    std::fs::write(&router.1, configuration(&listen, &moved_at, &worker_at).to_string()).unwrap();
+    router.signal("HUP");
+    assert!(told_moved.recv_timeout(Duration::from_secs(20)).unwrap().contains("SUB=1&"));
+    router.signal("TERM");
+    // What still comes is served.
+    assert!(job(&listen, "00000000000000a2").starts_with("Status: 200\r\n"));
+    assert_eq!(router.0.wait().unwrap().code(), Some(0));
+}
+
+#[rstest]
+fn a_configuration_that_can_not_be_used_ends_the_start_and_names_the_key() {
+    let mut json = configuration("127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1");
+    json["feed"] = json!("nowhere");
+    let mut router = Router::start("bad", &json.to_string(), "127.0.0.1:1");
+    let mut said = String::new();
+    router.0.stderr.take().unwrap().read_to_string(&mut said).unwrap();
+    assert_eq!(router.0.wait().unwrap().code(), Some(2));
+    assert!(said.contains("feed"), "{said}");
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -396,7 +396,9 @@
                         // What a worker gets in flight grows while answers fit their target, else shrinks.
                         let (late, crowding) =
                             (function.work * worker.pace * IN_TIME > target, worker.crowding(now));
-                        if crowding > CROWDED || late {
+                        // Guards against heavy jobs that look like a crowd where nothing is told to wait.
+                        let queues = worker.report.queued.is_none_or(|queued| queued > 0.0);
+                        if (crowding > CROWDED && queues) || late {
                             worker.cut_limit(now, expected);
                         } else if crowding <= PRESSED && f64::from(worker.own + 1) > worker.limit / 2.0 {
                             worker.limit += GROWS / worker.limit;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -449,3 +449,24 @@
     host.answer_asks(0);
     assert_eq!(host.finals(9), away);
 }
+
+#[rstest]
+#[case::where_nothing_waits(0.0, true)]
+#[case::where_jobs_wait(3.0, false)]
+fn a_few_heavy_jobs_cut_what_a_worker_gets_only_where_jobs_wait(#[case] queued: f64, #[case] room: bool) {
+    let mut host = Host::new(1, &[]);
+    host.report = Some(Report { held: Some(1.0), queued: Some(queued), ..Report::default() });
+    for id in 1..40 {
+        host.job(id, 7);
+        host.finish(id, if id == 1 { Warmth::BeganLoad } else { Warmth::Stood }, 50_000);
+    }
+    for id in 40..48 {
+        host.job(id, 7);
+        host.finish(id, Warmth::Stood, 400_000);
+    }
+    let jobs: Vec<Job> = (100..130).map(|id| Job { lanes: 100.0, ..host.draft(id, 7) }).collect();
+    host.round(Round { jobs, ..Round::default() });
+    let sent = (100..130).filter(|id| host.sent(*id).is_some()).count();
+    // Six tenths of the first limit, as jobs that earn less than the mean get.
+    assert_eq!(sent >= 14, room, "{sent}");
+}
