Only a break at once after a write tells that a connection had rested too long

Cause, in rests.rs: connections torn by a zone's loss counted as dropped for their rest, so the trusted rest fell to 10 ms and each job needed a handshake, which cold workers are spared. Change: a break counts only where it follows the write at once, as a dropped connection's reset does (0.05 to 0.3 ms on the platform's sockets).

--- a/crates/sanddrum-connect/src/rests.rs
+++ b/crates/sanddrum-connect/src/rests.rs
@@ -7,7 +7,8 @@
 const CUT: Micros = 2;
 /// The trusted rest doubles, to be tried again, once it has held for so many times itself.
 const HOLDS: Micros = 100;
-/// A rest shorter than this part of the time for a connection tells nothing: what broke then broke for another cause.
+/// A rest shorter than this part of the time for a connection tells nothing, nor does a break later than that after a
+/// write: what broke then broke for another cause.
 const TELLS: Micros = 25;
 
 #[derive(Clone, Copy, Debug)]
@@ -23,9 +24,10 @@
     pub fn new(time_out: Micros) -> Self {
         Rests { least: (time_out / TELLS).max(1), trusted: None, since: 0 }
     }
-    /// A connection broke under what it carried, unanswered, after such a rest.
-    pub fn broke(&mut self, now: Micros, rested: Micros) {
-        if rested >= self.least {
+    /// A connection broke under what it carried, unanswered, after such a rest and so long after it was written to. What
+    /// is dropped shows at once; a break later than that has another cause, such as a worker that died.
+    pub fn broke(&mut self, now: Micros, rested: Micros, written: Micros) {
+        if rested >= self.least && written <= self.least {
             let now_trusted = self.trusted(now).unwrap_or(rested).min(rested);
             (self.trusted, self.since) = (Some((now_trusted / CUT).max(self.least)), now);
         }
--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -47,6 +47,8 @@
     quiet_since: Micros,
     /// How long it had carried nothing before what it carries now.
     rested: Micros,
+    /// Since when it carries something.
+    began: Micros,
 }
 
 /// A worker as the list last named it.
@@ -224,7 +226,7 @@
         }
         if mark != Mark::Other {
             if link.carries.is_empty() {
-                link.rested = now - link.quiet_since;
+                (link.rested, link.began) = (now - link.quiet_since, now);
             }
             link.carries.insert(mark);
             if self.speech.carries_call_ids() {
@@ -283,6 +285,7 @@
             retired: false,
             quiet_since: now,
             rested: 0,
+            began: now,
         };
         self.links.links.insert(id, link);
         self.figures.links_open.increment(1.0);
@@ -445,7 +448,7 @@
             );
         }
         if link.up && how != Closed::Refused && !link.carries.is_empty() && !lied {
-            self.rests.broke(now, link.rested);
+            self.rests.broke(now, link.rested, now - link.began);
         }
         let unread = |link: &Link, mark: &Mark| !link.up || how == Closed::Refused || link.out.holds(mark);
         let each: BTreeMap<Mark, bool> =
