--- a/crates/sanddrum-platform/src/start.rs
+++ b/crates/sanddrum-platform/src/start.rs
@@ -125,9 +125,8 @@
         );
         // A connection is closed before the worker closes it, so that no job is put on one that is on its way out.
         let idle = format!("{}us", (number(IDLE, 3e7) * 0.8) as i64);
-        // A front's connections are at most a third of the descriptors; as many again are for those that say nothing or
-        // nothing sensible, and the rest is for workers.
-        let clients = (self.sockets / 2).max(8);
+        // A front's connections are at most a third of the descriptors; who says nothing sensible has no place beside them.
+        let clients = (self.sockets / 3).max(8);
         // Bodies are held twice, in the job and on their way to a worker.
         let bodies = (self.memory_mb / 8.0).max(1.0);
         let stop = format!("{}us", (longest.max(3e6) + 6e5) as i64);
