Crowded homes are replaced by further ones; pressure is the middle worker's queue

Nearly all went to presumed homes: the first two by hash, over which every router that had called the function once chose (place in src/logic.rs), also where its own last report of both was far above the middle one's. What waited was read from the mean answer, and most answers come from the few crowded workers.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -141,7 +141,8 @@
     /// Work taken in a microsecond, and when that was last brought up to date.
     inflow: f64,
     inflow_at: Micros,
-    /// What part of reported jobs waits, and what part of new jobs is taken while pressed.
+    /// What part of its reported jobs waits at the middle worker, as of the last sweep, and what part of new
+    /// jobs is taken while pressed.
     waits: f64,
     taking: f64,
     /// Jobs taken of late, over about a keep-alive.
@@ -326,7 +327,7 @@
     }
 
     fn release(&mut self, end: &ExecutionEnd) {
-        let (now, own_loads) = (self.now, !self.answers_miss());
+        let now = self.now;
         let Some(worker) = self.workers.get_mut(&end.worker) else { return };
         let found = worker.out.iter().find(|(.., job, n)| (*job, *n) == (end.job, end.execution)).copied();
         if let Some(entry) = found {
@@ -337,12 +338,6 @@
             }
         }
         if let Some(report) = end.report {
-            let busy = report.busy.map(|busy| f64::from(u8::from(busy > BUSY)));
-            // Where workers load by themselves, a load under way is a job that waits, but not for a core.
-            let loads = report.loads.filter(|_| own_loads).unwrap_or(0.0);
-            let queued =
-                report.queued.zip(report.held).map(|(queued, held)| (queued - loads) / held.max(1.0));
-            self.waits += NEWEST / 2.0 * (queued.or(busy).unwrap_or(0.0) - self.waits);
             (worker.report, worker.report_at) = (report, now);
         }
         match end.end {
@@ -522,6 +517,18 @@
         let size = |w: &Worker| w.row.size.max(f64::MIN_POSITIVE);
         let held = self.workers.values().filter(|w| w.ready() && w.report_at > 0);
         self.middle_held = middle(held.filter_map(|w| w.report.held.map(|held| held / size(w))).collect());
+        // The middle worker's, as most answers come from the few that are crowded. Where workers load by
+        // themselves, a load under way is a job that waits, but not for a core.
+        let own_loads = !self.answers_miss();
+        let waits = |w: &Worker| {
+            let queued = w.report.queued? - w.report.loads.filter(|_| own_loads).unwrap_or(0.0);
+            Some(queued / w.report.held?.max(1.0))
+        };
+        let busy = |w: &Worker| w.report.busy.map(|busy| f64::from(u8::from(busy > BUSY)));
+        let since = now - REPORT_FADES_US as Micros;
+        let told = self.workers.values().filter(|w| w.ready() && w.report_at > since.max(0));
+        let told: Vec<f64> = told.filter_map(|w| waits(w).or(busy(w))).collect();
+        self.waits = if told.is_empty() { 0.0 } else { middle(told) };
         let listed = || self.workers.values().filter(|w| w.row.state == WorkerState::Ready);
         self.sizes = listed().map(|w| w.row.size).sum();
         // Where most workers look ill, this router's own view is the likelier cause; the rest would drown.
@@ -553,6 +560,10 @@
             late || uneven || w.jammed > self.now || pace > (CROWDED * w.calm).min(SLOW * self.middle_pace)
         })
     }
+    /// What it holds for its size, with one more job.
+    fn held(&self, id: WorkerId) -> f64 {
+        self.workers.get(&id).map_or(0.0, |w| 1.0 + w.held_now(self.now, self.middle_held))
+    }
     fn own(&self, id: WorkerId) -> u32 {
         self.workers.get(&id).map_or(0, |w| w.own)
     }
@@ -723,12 +734,21 @@
         // where there are many. Homes of a function called often here are asked instead.
         let others = (self.span("routers", 1) - 1) as f64 * function.calls;
         let often = others >= (wide * wide) as f64;
-        let asks = self.allows("copies.orders") && !(often && function.calls < wide as f64);
+        let asks = self.allows("copies.orders") && !often;
         let spreads = width > FEW_HOMES || warm.iter().all(|(w, _)| self.crowded(*w));
-        let presumes = !asks && often && spreads;
+        let presumes = often && spreads;
         let believed = |w: &WorkerId| warm.iter().any(|(at, _)| at == w);
-        let maybe = if presumes { &homes[..width] } else { &[] };
-        let maybe = maybe.iter().filter(|w| !believed(w) && self.cold_budget(**w).is_none());
+        // A crowded home does not count: the next one stands in for it, at most one for each where a wrong
+        // guess costs a load. Guards against all routers filling a hot function's first two homes, while
+        // copies elsewhere have room.
+        let most = if self.answers_miss() { wide } else { wide.min(2 * width) };
+        let maybe = if presumes { &homes[..most] } else { &[] };
+        let mut uncrowded = 0;
+        let maybe = maybe.iter().take_while(|w| {
+            uncrowded += usize::from(!self.crowded(**w));
+            uncrowded <= width
+        });
+        let maybe = maybe.filter(|w| !believed(w) && self.cold_budget(**w).is_none());
         let presumed: Vec<(WorkerId, Place)> = maybe
             .map(|w| (*w, Place { copies: 1, ..place_at(w) }))
             .filter(|(_, p)| {
@@ -736,11 +756,12 @@
             })
             .collect();
 
-        // Warm-first: own zone standing for the edge, fewest own jobs in flight, ties random by size.
+        // Warm-first: own zone standing for the edge, fewest own jobs in flight, ties random in proportion to
+        // a worker's size and to how little it reports to hold: with hundreds of routers most are ties.
         let free = warm.iter().chain(&presumed).filter(open).filter(|(_, p)| p.own < lanes * p.copies);
         let warmest = free.map(|(w, _)| *w).min_by_key(|w| {
             let rough = (self.crowded(*w), far(*w), self.own(*w));
-            (rough, self.drawn(draw, *w).to_bits())
+            (rough, (self.drawn(draw, *w) * self.held(*w)).to_bits())
         });
         let crowds = warmest.is_some_and(|w| self.crowded(w));
         let loads = |(w, p): &(&WorkerId, &Place)| {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -333,6 +333,44 @@
     assert_eq!(host.sent(101) == first, there);
 }
 
+#[rstest]
+#[case::where_a_wrong_guess_costs_a_miss("miss", 5)]
+#[case::where_it_costs_a_load("load", 4)]
+fn crowded_homes_are_replaced_by_further_ones(#[case] on_miss: &str, #[case] homes: usize) {
+    let set = [("routers", Value::Number(400.0)), ("copies.on-miss", Value::Text(on_miss.into()))];
+    let mut host = Host::new(25, &set);
+    // Every worker tells what it holds, the homes of function 99 as soon as they are found.
+    for id in 0..200 {
+        host.job(id, id);
+        host.report = Some(Report { held: Some(4.0), ..Report::default() });
+        host.finish(id, Warmth::Stood, 20_000);
+    }
+    let mut found = BTreeSet::new();
+    for id in 200..206 {
+        host.job(id, 99);
+        found.extend(host.sent(id));
+        host.report = Some(Report { held: Some(40.0), ..Report::default() });
+        host.finish(id, Warmth::Stood, 20_000);
+    }
+    assert_eq!(found.len(), homes);
+}
+
+#[rstest]
+#[case::at_two_of_six(2, true)]
+#[case::at_all(6, false)]
+fn queues_at_a_few_workers_turn_no_job_away(#[case] crowded: u64, #[case] all_taken: bool) {
+    let mut host = Host::new(6, &[("routers", Value::Number(200.0))]);
+    for id in 0..200 {
+        host.job(id, id);
+        let queued = if host.sent(id).is_some_and(|w| w < crowded) { 40.0 } else { 0.0 };
+        host.report = Some(Report { held: Some(40.0), queued: Some(queued), ..Report::default() });
+        if host.finals(id) == 0 {
+            host.finish(id, Warmth::WaitedForLoad, if queued > 0.0 { 1_100_000 } else { 100_000 });
+        }
+    }
+    assert_eq!(host.count(|did| matches!(did, Did::PushBack(_))) == 0, all_taken);
+}
+
 #[rstest]
 #[case::one_router(1.0)]
 #[case::two_hundred(200.0)]
