Cheap jobs go first by the square; pressed again from four tenths, at the middle worker

Change: WAITING at 0.4 again, now of the middle worker; an answer in time raises what is taken by a fifth of what a late one takes away; of jobs that earn less than the mean for their work the square of that part is taken.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,13 +42,12 @@
 const LOADS_WAIT: f64 = 2.0;
 /// A worker this far from calm holds more than it has cores for, and copies for each of them.
 const CROWDED: f64 = 2.0;
-/// Workers count as pressed, too, once this part of what they report waits or finds all cores busy: the rest
-/// is at work for as long as its own work takes, so that on average a third of that is spent waiting.
-const WAITING: f64 = 0.25;
+/// Workers count as pressed, too, once this part of what the middle one reports waits or finds all cores busy.
+const WAITING: f64 = 0.4;
 /// Cores busy for more than this part leave jobs waiting.
 const BUSY: f64 = 0.95;
-/// A late answer cuts the part of jobs taken while pressed by so much; one in time raises it by a tenth of
-/// that. Both are parts of that part, so that it settles where a tenth of answers is late, however small it is.
+/// A late answer cuts the part of jobs taken while pressed by so much; one in time raises it by a fifth of
+/// that. Both are parts of that part, so that it settles where a sixth of answers is late, however small it is.
 const LATE_CUT: f64 = 0.1;
 /// A worker that holds this many times what the middle one holds has more than its part.
 const UNEVEN: f64 = 1.5;
@@ -313,7 +312,7 @@
         let late = self.now > came + self.target(job.workload);
         if late || end.end == End::Finished {
             let part =
-                if late { self.taking * (1.0 - LATE_CUT) } else { self.taking * (1.0 + LATE_CUT / 10.0) };
+                if late { self.taking * (1.0 - LATE_CUT) } else { self.taking * (1.0 + LATE_CUT / 5.0) };
             self.taking = part.min(1.0);
         }
         if end.settled {
@@ -695,10 +694,11 @@
         let limit = if narrow { target } else { left };
         let hopeless = left <= usual as Micros || tries >= self.span("limits.max-executions", 1) as usize;
         // Guards against overload that no single worker shows: where all are pressed, what part of jobs is
-        // taken follows from how many answers were late; those that earn more go first.
+        // taken follows from how many answers were late; those that earn more go first: of them the root of
+        // that part is taken, of the others the square.
         let luck = hash_of((self.seed, id)) as f64 / u64::MAX as f64;
         let dear = self.earning(&job) >= self.earned;
-        let part = if dear { self.taking.sqrt() } else { self.taking };
+        let part = if dear { self.taking.sqrt() } else { self.taking * self.taking };
         let shed = came == self.now && tries == 0 && self.pressed() && luck > part;
         if hopeless || shed {
             return self.give_up(id, out);
