The list is subscribed to where it must be; settings that can't be used end the start

Checked by stories and by the adapter as a process, each failing without its change: - membership-mode 'subscribe' (decode.rs dropped 'failed', nobody sent 'listen'): the list would never have changed and rule 3 would have broken at the first drain. The module subscribes at its start and, after a failed call, again in an eighth to a quarter of ask-every-us, drawn, so that routers turned away together do not come again together. - placement-calls false (order in logic.rs did not look at it): an order would have been a fault. None is given now; where a miss is answered, places not found empty are tried. - 'accepted' (dropped in decode.rs): a job whose answer had begun would have been killed at its time. - The dialect took an unknown effect for run-once and any other answer to a miss for 'load', and translated names as if they were codes (a class named 'once' became 'run-once'). Codes are translated under their keys alone; a value that can't be used ends the start in adapter and router with the key and what is wanted.

None of this is measured on a deployment that asks for it: none is at hand.

--- a/crates/sanddrum-dialect/src/lib.rs
+++ b/crates/sanddrum-dialect/src/lib.rs
@@ -6,15 +6,14 @@
 use sanddrum::{Report, Settings, Value};
 use serde_json::Value as Json;
 
-/// The settings' words that differ from ours.
-const WORDS: [(&str, &str); 41] = [
+/// The settings' keys that differ from ours.
+const WORDS: [(&str, &str); 37] = [
     ("aim-us", "start-target-us"),
     ("answer-slack-us", "answer-slack-us"),
     ("az", "zone"),
     ("azs", "zones"),
     ("balancers", "routers"),
     ("blend", "goal"),
-    ("by_key", "fingerprinted"),
     ("classes", "workloads"),
     ("client-habits", "clients"),
     ("deadline-us", "time-limit-us"),
@@ -27,15 +26,12 @@
     ("load-wait-us", "order-time-out-us"),
     ("loads-anyway", "load-free"),
     ("loads-per-request", "load-share"),
-    ("lookup_miss", "miss"),
     ("may-duplicate", "second-copies"),
     ("obligations", "rules"),
-    ("once", "run-once"),
     ("over-share-worth", "over-share-importance"),
     ("placement-calls", "orders"),
     ("ram-mb-by-kind", "kind-memory-mb"),
     ("repeat-window-us", "repeat-window-us"),
-    ("repeatable", "restartable"),
     ("rng-seed", "seed"),
     ("stats", "reports"),
     ("stop-sending-within-us", "drain-grace-us"),
@@ -51,36 +47,97 @@
     ("worth", "importance"),
 ];
 
-fn ours(word: &str) -> &str {
-    WORDS.iter().find(|(wire, _)| *wire == word).map_or(word, |(_, own)| own)
-}
+/// Keys whose texts are codes, each code with our word for it. Other texts are names and are kept to the letter.
+const CODES: [(&str, &[(&str, &str)]); 7] = [
+    ("effect", &[("repeatable", "restartable"), ("by_key", "fingerprinted"), ("once", "run-once")]),
+    ("key-scope", &[("all", "all"), ("zone", "zone"), ("cell", "cell")]),
+    ("if-cold", &[("load", "load"), ("miss", "miss")]),
+    ("membership-mode", &[("automatic", "automatic"), ("subscribe", "subscribe")]),
+    ("via", &[("answers", "answers"), ("probe", "probe"), ("none", "none")]),
+    ("value-by", &[("request", "request"), ("work", "work")]),
+    ("weight-kind", &[("none", "none"), ("nominal", "nominal"), ("rough", "rough"), ("live", "live")]),
+];
+
+/// Keys that allow something or not.
+const FLAGS: [&str; 8] = [
+    "cancel",
+    "may-duplicate",
+    "peers",
+    "placement-calls",
+    "probes",
+    "retry-after",
+    "tells-crowd",
+    "warm-notes",
+];
 
-/// Flattens one value of the settings.
-fn flatten(at: &str, value: &Json, into: &mut Settings) {
-    let join = |name: &str| if at.is_empty() { name.to_string() } else { format!("{at}.{name}") };
+/// Flattens one value of the settings: `wire` is its dotted name as the platform words it, `at` as we do.
+fn flatten(wire: &str, at: &str, value: &Json, into: &mut Settings) -> Result<(), String> {
+    let join = |to: &str, name: &str| if to.is_empty() { name.to_string() } else { format!("{to}.{name}") };
+    let key = wire.rsplit('.').next().unwrap_or_default();
+    let codes = CODES.iter().find(|(name, _)| *name == key).map(|(_, codes)| *codes);
     let plain = match value {
         Json::Object(map) => {
-            map.iter().for_each(|(name, v)| flatten(&join(ours(name)), v, into));
-            return;
+            for (name, v) in map {
+                let own = WORDS.iter().find(|(wire, _)| wire == name).map_or(name.as_str(), |(_, own)| own);
+                flatten(&join(wire, name), &join(at, own), v, into)?;
+            }
+            return Ok(());
         }
         Json::Array(list) => {
-            list.iter().enumerate().for_each(|(n, v)| flatten(&join(&n.to_string()), v, into));
-            into.0.insert(join("count"), Value::Number(list.len() as f64));
-            return;
+            for (n, v) in list.iter().enumerate() {
+                flatten(&join(wire, &n.to_string()), &join(at, &n.to_string()), v, into)?;
+            }
+            into.0.insert(join(at, "count"), Value::Number(list.len() as f64));
+            return Ok(());
         }
+        Json::Null => return Ok(()),
         Json::Bool(b) => Value::Flag(*b),
-        Json::String(s) => Value::Text(ours(s).to_string()),
+        Json::String(text) => {
+            let own = codes.map(|codes| codes.iter().find(|(code, _)| code == text).map(|(_, own)| *own));
+            Value::Text(own.unwrap_or(Some(text)).ok_or_else(|| unusable(wire, value))?.to_string())
+        }
         Json::Number(n) => Value::Number(n.as_f64().unwrap_or_default()),
-        Json::Null => return,
     };
+    let fits = match &plain {
+        Value::Flag(_) => codes.is_none() && !key.ends_with("-us"),
+        Value::Text(_) => !FLAGS.contains(&key) && !key.ends_with("-us"),
+        // Prices bear the names of what they are for, and are numbers.
+        Value::Number(n) => {
+            let price = wire.starts_with("prices.");
+            price || (codes.is_none() && !FLAGS.contains(&key) && (!key.ends_with("-us") || *n >= 0.0))
+        }
+    };
+    if !fits {
+        return Err(unusable(wire, value));
+    }
     into.0.insert(at.to_string(), plain);
+    Ok(())
+}
+
+fn unusable(wire: &str, value: &Json) -> String {
+    let key = wire.rsplit('.').next().unwrap_or_default();
+    let wanted = match CODES.iter().find(|(name, _)| *name == key) {
+        Some((_, codes)) => codes.iter().map(|(code, _)| *code).collect::<Vec<_>>().join(", "),
+        None if FLAGS.contains(&key) => "true, false".to_string(),
+        None => "a number of microseconds, nought or more".to_string(),
+    };
+    format!("{wire}: {value} can't be used; wanted: {wanted}")
 }
 
-/// The settings as dotted names with plain values, in our words.
-pub fn settings(info: &Json) -> Settings {
+/// The settings as dotted names with plain values, in our words. Keys that are not known are kept under their own
+/// names, and what is missing or null is left out.
+///
+/// # Errors
+/// A value that can't be used, by the name of its key: a code that none of the known ones is, or a value of
+/// another kind. Guards against an unknown effect or answer to a miss being taken for another.
+pub fn settings(info: &Json) -> Result<Settings, String> {
+    let workloads = info["classes"].as_array().is_some_and(|list| !list.is_empty());
+    if !workloads {
+        return Err("classes: a list with at least one entry is wanted".into());
+    }
     let mut map = Settings::default();
-    flatten("", info, &mut map);
-    map
+    flatten("", "", info, &mut map)?;
+    Ok(map)
 }
 
 /// The names of a list in the settings, as the platform writes them: `classes`, `kinds`, `azs`.
--- a/crates/sanddrum-platform/src/start.rs
+++ b/crates/sanddrum-platform/src/start.rs
@@ -19,8 +19,9 @@
     pub sockets: u64,
     pub memory_mb: f64,
     pub known: Json,
-    /// The settings as the platform words them.
+    /// The settings as the platform words them, and as the decision module takes them.
     pub settings: Json,
+    module: Settings,
 }
 
 /// The platform's own words for limits that we have under other names, as the dialect leaves them.
@@ -54,6 +55,8 @@
         if !json["settings"].is_object() {
             return Err("settings: an object is wanted".into());
         }
+        let module =
+            sanddrum_dialect::settings(&json["settings"]).map_err(|why| format!("settings.{why}"))?;
         let read = Configuration {
             name: text("name")?,
             listen: address("listen")?,
@@ -63,6 +66,7 @@
             memory_mb: limit("memory_mb")?,
             known: json["known"].clone(),
             settings: json["settings"].clone(),
+            module,
         };
         read.told(0).map_err(|e| format!("known: {e}"))?;
         Ok(read)
@@ -79,14 +83,14 @@
     }
     /// The decision module's map.
     pub fn module(&self) -> Settings {
-        sanddrum_dialect::settings(&self.settings)
+        self.module.clone()
     }
     /// The edge's own settings.
     ///
     /// # Errors
     /// What is missing or out of bounds.
     pub fn deployment(&self) -> Result<Loaded, String> {
-        let text = self.written(&self.module());
+        let text = self.written(&self.module);
         sanddrum_settings::read("settings", &text).map_err(|e| e.to_string())
     }
 
--- a/crates/sanddrum-platform/tests/protocol.rs
+++ b/crates/sanddrum-platform/tests/protocol.rs
@@ -144,6 +144,18 @@
     assert_eq!((loaded.size("me"), loaded.size("routers")), (1, 3));
 }
 
+#[rstest]
+#[case("classes", json!([]))]
+#[case("classes", json!([{"name": "job", "effect": "thrice"}]))]
+#[case("family-info", json!({"if-cold": "perhaps"}))]
+#[case("limits", json!({"cancel": "yes"}))]
+fn settings_that_can_not_be_used_end_the_start_by_key(#[case] key: &str, #[case] value: serde_json::Value) {
+    let mut json = configuration();
+    json["settings"][key] = value;
+    let why = Configuration::read(&json.to_string()).unwrap_err();
+    assert!(why.starts_with(&format!("settings.{key}")), "{why}");
+}
+
 #[rstest]
 #[case("name", json!(""))]
 #[case("listen", json!("here:80"))]
--- a/crates/sanddrum-simhost/src/decode.rs
+++ b/crates/sanddrum-simhost/src/decode.rs
@@ -92,7 +92,7 @@
     if !info.is_object() {
         return Err("boot-info: an object is wanted".into());
     }
-    Ok((info, dialect::settings(info)))
+    Ok((info, dialect::settings(info).map_err(|why| format!("boot-info: {why}"))?))
 }
 
 fn power_on(f: &Fields) -> Read<Instance> {
@@ -158,11 +158,14 @@
                 "delta" => ListKind::Changes,
                 "full" => ListKind::Full,
                 "cached" => ListKind::Cached,
-                "failed" => return Ok(false),
+                "failed" => ListKind::Failed,
                 other => return Err(format!("mode: unknown {other:?}")),
             };
-            let list = f.number(4, "ref")? as u64;
-            let rows = host.lists.get(&list).ok_or_else(|| format!("ref: no list {list}"))?;
+            let number = f.or_nought(4, "ref")? as u64;
+            let rows = match kind {
+                ListKind::Failed => &Vec::new(),
+                _ => host.lists.get(&number).ok_or_else(|| format!("ref: no list {number}"))?,
+            };
             names.workers.extend(rows.iter().map(|(row, text)| (row.worker.0, text.clone())));
             round.lists.push(WorkerList { kind, rows: rows.iter().map(|(row, _)| *row).collect() });
         }
@@ -204,6 +207,12 @@
                 report: report_of(&instance.fields, f.get(9)),
             });
         }
+        // The client has its answer begun: nothing further is owed, and its time no longer runs.
+        "accepted" => {
+            if let Some(&id) = names.jobs.get(f.text(2, "rid")?) {
+                round.left.push(JobId(id));
+            }
+        }
         "cancelled-by-client" => {
             let Some(&id) = names.jobs.get(f.text(2, "rid")?) else { return Ok(false) };
             if let Some(job) = names.job_texts.get_mut(&id) {
--- a/crates/sanddrum-simhost/src/encode.rs
+++ b/crates/sanddrum-simhost/src/encode.rs
@@ -66,6 +66,9 @@
     fn probe(&mut self, worker: WorkerId) {
         self.act("poll", &[self.worker(worker)]);
     }
+    fn subscribe(&mut self) {
+        self.act("listen", &[true.into()]);
+    }
     fn tell(&mut self, peer: Option<PeerId>, content: &[u8]) {
         let peer = peer.map_or(Value::Null, |p| p.0.into());
         self.act("say", &[peer, STANDARD.encode(content).into()]);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -109,6 +109,8 @@
     Cached,
     /// Only what changed.
     Changes,
+    /// A call for the list failed, or the subscription broke; the list before holds, and there are no rows.
+    Failed,
 }
 
 #[derive(Clone, Debug)]
@@ -226,6 +228,9 @@
     /// Have the idle copies unloaded.
     fn unload(&mut self, worker: WorkerId, function: FunctionId);
     fn probe(&mut self, worker: WorkerId);
+    /// Ask to be told of changes to the list from now on; a list answers, or a failed one. Hosts that are told
+    /// anyway need not do anything.
+    fn subscribe(&mut self) {}
     /// A message to one other router, or to all.
     fn tell(&mut self, peer: Option<PeerId>, content: &[u8]);
     /// Be called again at this instant.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -74,6 +74,9 @@
 const FEW_HOMES: usize = 2;
 /// Errors in a row that count, each of which doubles the time for which a worker is left alone.
 const MOST_FAILURES: u32 = 6;
+/// A failed call for the list is made again within this part of the time after which, by the rules, a router
+/// counts as told of what it does not know.
+const CALLS_AN_ASK: Micros = 4;
 /// A function not called for this many keep-alives is forgotten.
 const FORGET_KEEPS: Micros = 4;
 
@@ -171,7 +174,12 @@
             taking: 1.0,
             ..Router::default()
         };
-        Router { settings: settings.clone(), seed, ..calm }
+        let mut router = Router { settings: settings.clone(), seed, ..calm };
+        // Guards rule 3 where the list tells nothing by itself: drains would never be heard of.
+        if settings.text("membership-mode") == Some("subscribe") {
+            router.due.insert((0, Due::List));
+        }
+        router
     }
 
     pub fn round(&mut self, now: Micros, round: &Round, out: &mut impl Decisions) {
@@ -189,6 +197,7 @@
                 Some((_, Due::JobEnds(id))) => self.time_is_up(id, out),
                 Some((_, Due::Silence(id))) => self.look_into_silence(id, out),
                 Some((_, Due::Keep(id))) => self.keep_copies(id, out),
+                Some((_, Due::List)) => out.subscribe(),
                 None => {}
             }
         }
@@ -251,6 +260,13 @@
     // ---- News
 
     fn record_list(&mut self, list: &WorkerList) {
+        if list.kind == ListKind::Failed {
+            // Drawn, so that routers turned away together do not call together again.
+            let most = (self.span("rules.ask-every-us", 10_000_000) / CALLS_AN_ASK).max(2);
+            let wait = most / 2 + (self.chance() % (most / 2) as u64) as Micros;
+            self.due.insert((self.now + wait, Due::List));
+            return;
+        }
         if list.kind != ListKind::Changes {
             let listed: BTreeSet<_> = list.rows.iter().map(|row| row.worker).collect();
             for worker in self.workers.values_mut().filter(|w| !listed.contains(&w.row.worker)) {
@@ -649,6 +665,9 @@
 
     /// Rule 5: an order to load, within the ration; one an order out for a function at a worker.
     fn order(&mut self, w: WorkerId, id: FunctionId, copies: u32, out: &mut impl Decisions) -> bool {
+        if !self.allows("copies.orders") {
+            return false;
+        }
         let window = self.span("copies.load-window-us", 0);
         for times in [&mut self.taken, &mut self.ordered] {
             while times.front().is_some_and(|at| *at <= self.now - window) {
@@ -796,7 +815,8 @@
         // first. Ties go by the order of homes, so that routers share copies.
         let loadable = homes.iter().enumerate().filter(|(_, w)| {
             let place = place_at(w);
-            place.barred <= self.now && place.order.is_none() && self.has_room(**w, share)
+            let maybe = self.allows("copies.orders") || place.absent <= self.now;
+            maybe && place.barred <= self.now && place.order.is_none() && self.has_room(**w, share)
         });
         let emptiest =
             loadable.min_by_key(|(n, w)| (self.crowded(**w), *n >= wide, far(**w), self.own(**w), *n));
@@ -829,13 +849,15 @@
             }
             return self.give_up(id, out);
         }
-        if self.answers_miss() {
+        // Where a miss is answered and nothing may be ordered, others load: it may stand there, and is tried.
+        if self.answers_miss() && self.allows("copies.orders") {
             if self.order(w, job.function, 1, out) {
                 return self.wait(id);
             }
             return self.wait_or_give_up(id, out);
         }
-        if let Some(function) = self.functions.get_mut(&job.function) {
+        let loads = !self.answers_miss();
+        if let Some(function) = self.functions.get_mut(&job.function).filter(|_| loads) {
             function.places.entry(w).or_default().loading = true;
         }
         self.execute(id, w, work + load, out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,6 +8,7 @@
     JobEnds(JobId),
     Silence(WorkerId),
     Keep(FunctionId),
+    List,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -13,6 +13,7 @@
     Hold(u64, u64, u32),
     Unload(u64, u64),
     Probe(u64),
+    Subscribe,
 }
 
 pub struct Log {
@@ -42,6 +43,9 @@
     fn probe(&mut self, worker: WorkerId) {
         self.did.push(Did::Probe(worker.0));
     }
+    fn subscribe(&mut self) {
+        self.did.push(Did::Subscribe);
+    }
     fn tell(&mut self, _: Option<PeerId>, _: &[u8]) {}
     fn wake_at(&mut self, at: Micros) {
         self.wake = at;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -32,10 +32,15 @@
     assert_eq!(host.count(|did| matches!(did, Did::Hold(_, 7, 0))) == asked, warm);
 }
 
+fn misses_and_orders() -> [(&'static str, Value); 2] {
+    [("copies.on-miss", Value::Text("miss".into())), ("copies.orders", Value::Flag(true))]
+}
+
 #[rstest]
 fn a_restarted_worker_is_believed_empty() {
-    let mut host = Host::new(3, &[("copies.on-miss", Value::Text("miss".into()))]);
+    let mut host = Host::new(3, &misses_and_orders());
     host.job(1, 7);
+    host.answer_asks(0);
     let w = host.loaded_by_order(7, 900_000);
     assert_eq!(host.sent(1), Some(w));
     host.finish(1, Warmth::Stood, 100_000);
@@ -46,15 +51,49 @@
 
 #[rstest]
 fn a_burst_orders_one_load_and_waits_for_it() {
-    let mut host = Host::new(3, &[("copies.on-miss", Value::Text("miss".into()))]);
+    let mut host = Host::new(3, &misses_and_orders());
     host.job(1, 7);
+    host.answer_asks(0);
     host.job(2, 7);
     assert_eq!(host.count(|did| matches!(did, Did::Hold(_, 7, 1))), 2, "one a lane");
     host.job(3, 7);
     host.job(3, 7);
     host.loaded_by_order(7, 900_000);
     assert!(host.sent(1).is_some());
-    assert_eq!(host.count(|did| matches!(did, Did::Hold(..))), 3, "a further order a further job, no more");
+    let orders = host.count(|did| matches!(did, Did::Hold(_, _, 1)));
+    assert_eq!(orders, 3, "a further order a further job, no more");
+}
+
+#[rstest]
+fn where_nothing_may_be_ordered_none_is_and_each_place_is_tried_once() {
+    let mut host = Host::new(3, &[("copies.on-miss", Value::Text("miss".into()))]);
+    host.job(1, 7);
+    let mut tried = BTreeSet::new();
+    while let Some(w) = host.sent(1).filter(|w| tried.insert(*w)) {
+        host.end(1, End::Miss, Warmth::Unknown, 1_000);
+        assert!(tried.len() <= 3, "{w} again");
+    }
+    assert_eq!((tried.len(), host.finals(1)), (3, 0), "all places, then it waits while it can be in time");
+    assert_eq!(host.count(|did| matches!(did, Did::Hold(..))), 0);
+}
+
+#[rstest]
+#[case::that_must_be_asked("subscribe", 1)]
+#[case::that_comes_by_itself("automatic", 0)]
+fn a_list_is_asked_for_and_asked_again_after_a_failure(#[case] mode: &str, #[case] calls: usize) {
+    let set = [("membership-mode", Value::Text(mode.into())), ("rules.ask-every-us", Value::Number(8e6))];
+    let mut host = Host::new(2, &set);
+    let subscribed = |host: &Host| host.count(|did| *did == Did::Subscribe);
+    assert_eq!(subscribed(&host), calls);
+    for _ in 0..calls {
+        host.list(ListKind::Failed, vec![]);
+        host.pass(900_000);
+        assert_eq!(subscribed(&host), calls, "not at once, with all others");
+        host.pass(1_200_000);
+        assert_eq!(subscribed(&host), 2 * calls);
+    }
+    host.job(1, 7);
+    assert!(host.sent(1).is_some(), "the list before the failure holds");
 }
 
 #[rstest]
@@ -194,13 +233,13 @@
 #[rstest]
 fn loads_ordered_stay_within_the_ration() {
     let set = [
-        ("copies.on-miss", Value::Text("miss".into())),
         ("copies.load-window-us", Value::Number(5e6)),
         ("copies.load-free", Value::Number(2.0)),
         ("copies.load-share", Value::Number(0.1)),
     ];
-    let mut host = Host::new(8, &set);
+    let mut host = Host::new(8, &[&misses_and_orders()[..], &set[..]].concat());
     (0..10).for_each(|id| host.job(id, id));
+    host.answer_asks(0);
     assert_eq!(host.count(|did| matches!(did, Did::Hold(_, _, 1))), 3, "two and a tenth of ten");
 }
 
