Settings of nought neither spin nor flood; live sizes no longer move homes

Keep-alive, targets and six further settings at nought are one story now; the other six passed before. Where sizes are 'live' (size over load of late, new with every list) the hash that favours large workers put a function's homes elsewhere with each list: two routers with lists of different age shared no home.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -231,7 +231,8 @@
     }
     fn tightest_target(&self) -> Micros {
         let count = self.span("workloads.count", 1).max(1) as usize;
-        (0..count).map(|n| self.target(WorkloadId(n))).min().unwrap_or(1_000_000)
+        let targets = (0..count).map(|n| self.target(WorkloadId(n)));
+        targets.filter(|target| *target > 0).min().unwrap_or(1_000_000)
     }
     fn effect(&self, id: WorkloadId) -> Effect {
         match self.settings.text(&format!("workloads.{}.effect", id.0)) {
@@ -286,6 +287,10 @@
                 (worker.budget, worker.budget_at) = (0.0, now);
             }
             (worker.row, worker.warm) = (*row, row.started + cold);
+            // Guards against homes that move with every list, so that no two routers find the same ones.
+            if self.settings.text("sizes") == Some("live") {
+                worker.row.size = 1.0;
+            }
             if restarted || row.state == WorkerState::Gone {
                 self.forget_copies(row.worker);
             }
@@ -868,7 +873,7 @@
         let (now, keep) = (self.now, self.keep_alive());
         let wait = self.tightest_target() / ASKS_A_TARGET;
         let Some(function) = self.functions.get_mut(&id) else { return false };
-        if function.asked.is_none_or(|at| now >= at + keep / ASKS_A_KEEP) {
+        if function.asked.is_none_or(|at| now >= at + (keep / ASKS_A_KEEP).max(wait)) {
             (function.asked, function.asking) = (Some(now), now + wait);
             for w in unsure {
                 let place = function.places.entry(*w).or_default();
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -333,6 +333,27 @@
     assert_eq!(homes[0].len(), 2, "few for a function that was called once");
 }
 
+#[rstest]
+#[case::that_tell_load_of_late("live", true)]
+#[case::that_stay("nominal", false)]
+fn sizes_that_change_with_every_list_do_not_move_homes(#[case] sizes: &str, #[case] same: bool) {
+    let homes = [3, 7].map(|seed: u64| {
+        let set = [("routers", Value::Number(200.0)), ("sizes", Value::Text(sizes.into()))];
+        let listed = |w: u64| WorkerRow {
+            size: ((w * seed + seed) % 9 + 1) as f64 / 4.0,
+            ..row(w, WorkerState::Ready, 0)
+        };
+        let sent = (0..40).filter_map(|job| {
+            let mut host = Host::seeded(job, 60, &set);
+            host.list(ListKind::Full, (0..60).map(listed).collect());
+            host.job(1, 7);
+            host.sent(1)
+        });
+        sent.collect::<BTreeSet<u64>>()
+    });
+    assert_eq!(homes[0] == homes[1], same);
+}
+
 #[rstest]
 fn a_home_found_without_its_copy_gets_one_for_the_jobs_that_follow() {
     let text = |t: &str| Value::Text(t.into());
@@ -493,6 +514,39 @@
     assert!(of_last >= 150, "{of_last} of the last 200 jobs pushed back");
 }
 
+#[rstest]
+#[case::target("workloads.0.start-target-us")]
+#[case::keep_alive("copies.keep-alive-us")]
+#[case::cold("rules.cold-us")]
+#[case::fall("rules.fall-us")]
+#[case::cold_from("rules.cold-from")]
+#[case::routers("routers")]
+#[case::window("workloads.0.repeat-window-us")]
+#[case::workloads("workloads.count")]
+fn a_setting_of_nought_loses_no_job_and_wakes_no_more_often(#[case] name: &str) {
+    let mut host = Host::new(5, &[(name, Value::Number(0.0)), ("copies.orders", Value::Flag(true))]);
+    host.list(ListKind::Changes, vec![row(1, WorkerState::Ready, host.now)]);
+    let mut woken = 0;
+    for id in 0..40 {
+        host.job(id, id % 3);
+        host.answer_asks(0);
+        if host.sent(id).is_some() {
+            host.finish(id, Warmth::Stood, 50_000);
+        }
+        let until = host.now + 100_000;
+        while host.log.wake <= until {
+            (host.now, woken) = (host.now.max(host.log.wake), woken + 1);
+            host.log.wake = Micros::MAX;
+            host.round(Round { timer: true, ..Round::default() });
+        }
+        host.now = until;
+    }
+    host.pass(4_000_000);
+    let answered = (0..40).filter(|id| host.sent(*id).is_some() || host.finals(*id) == 1).count();
+    assert_eq!(answered, 40);
+    assert!(woken < 40 * 40, "woken {woken} times in four seconds");
+}
+
 #[rstest]
 fn odd_input_is_answered_without_a_panic() {
     let mut host = Host::new(0, &[]);
