--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,12 +42,13 @@
 const LOADS_WAIT: f64 = 2.0;
 /// A worker this far from calm holds more than it has cores for, and copies for each of them.
 const CROWDED: f64 = 2.0;
-/// Workers count as pressed, too, once this part of what the middle one reports waits or finds all cores busy.
+/// Workers count as pressed, too, once this part of what the middle one reports waits or finds all cores
+/// busy.
 const WAITING: f64 = 0.4;
 /// Cores busy for more than this part leave jobs waiting.
 const BUSY: f64 = 0.95;
 /// A late answer cuts the part of jobs taken while pressed by so much; one in time raises it by a fifth of
-/// that. Both are parts of that part, so that it settles where a sixth of answers is late, however small it is.
+/// that. Both are parts of that part, so that it settles where a sixth of answers is late, however small.
 const LATE_CUT: f64 = 0.1;
 /// A worker that holds this many times what the middle one holds has more than its part.
 const UNEVEN: f64 = 1.5;
@@ -105,6 +106,14 @@
         let held = self.report.held.unwrap_or(middle * self.row.size) / self.row.size.max(f64::MIN_POSITIVE);
         faded(held, middle, now - self.report_at, REPORT_FADES_US)
     }
+    /// What part of the jobs it last reported waits, or whether all its cores were busy, where it tells. A
+    /// load under way is a job that waits, but not for a core, where workers load by themselves.
+    fn waiting(&self, own_loads: bool) -> Option<f64> {
+        let loads = self.report.loads.filter(|_| own_loads).unwrap_or(0.0);
+        let queued = self.report.queued.zip(self.report.held);
+        let part = queued.map(|(queued, held)| (queued - loads) / held.max(1.0));
+        part.or(self.report.busy.map(|busy| f64::from(u8::from(busy > BUSY))))
+    }
     /// Cuts the limit, at most once in the time of a job, as what was sent before still shows.
     fn cut_limit(&mut self, now: Micros, work: f64) {
         if now >= self.cut + (work * self.pace) as Micros {
@@ -537,17 +546,11 @@
         let size = |w: &Worker| w.row.size.max(f64::MIN_POSITIVE);
         let held = self.workers.values().filter(|w| w.ready() && w.report_at > 0);
         self.middle_held = middle(held.filter_map(|w| w.report.held.map(|held| held / size(w))).collect());
-        // The middle worker's, as most answers come from the few that are crowded. Where workers load by
-        // themselves, a load under way is a job that waits, but not for a core.
+        // The middle worker's, as most answers come from the few that are crowded.
         let own_loads = !self.answers_miss();
-        let waits = |w: &Worker| {
-            let queued = w.report.queued? - w.report.loads.filter(|_| own_loads).unwrap_or(0.0);
-            Some(queued / w.report.held?.max(1.0))
-        };
-        let busy = |w: &Worker| w.report.busy.map(|busy| f64::from(u8::from(busy > BUSY)));
         let since = now - REPORT_FADES_US as Micros;
         let told = self.workers.values().filter(|w| w.ready() && w.report_at > since.max(0));
-        let told: Vec<f64> = told.filter_map(|w| waits(w).or(busy(w))).collect();
+        let told: Vec<f64> = told.filter_map(|w| w.waiting(own_loads)).collect();
         self.waits = if told.is_empty() { 0.0 } else { middle(told) };
         let listed = || self.workers.values().filter(|w| w.row.state == WorkerState::Ready);
         self.sizes = listed().map(|w| w.row.size).sum();
@@ -580,6 +583,11 @@
             late || uneven || w.jammed > self.now || pace > (CROWDED * w.calm).min(SLOW * self.middle_pace)
         })
     }
+    /// It last reported that much of what it holds waits, or reports nothing of that.
+    fn queues(&self, id: WorkerId) -> bool {
+        let queues = |w: &Worker| w.waiting(!self.answers_miss()).is_none_or(|part| part > WAITING);
+        self.workers.get(&id).is_some_and(queues)
+    }
     /// What it holds for its size, with one more job.
     fn held(&self, id: WorkerId) -> f64 {
         self.workers.get(&id).map_or(0.0, |w| 1.0 + w.held_now(self.now, self.middle_held))
@@ -762,15 +770,15 @@
         let spreads = width > FEW_HOMES || warm.iter().all(|(w, _)| self.crowded(*w));
         let presumes = often && spreads;
         let believed = |w: &WorkerId| warm.iter().any(|(at, _)| at == w);
-        // A crowded home does not count: the next one stands in for it, at most one for each where a wrong
-        // guess costs a load. Guards against all routers filling a hot function's first two homes, while
-        // copies elsewhere have room.
+        // A crowded home where jobs wait does not count: the next one stands in for it, at most one for each
+        // where a wrong guess costs a load. Guards against all routers filling a hot function's first two
+        // homes, while copies elsewhere have room. On a quiet day it would lead jobs away from their copies.
         let most = if self.answers_miss() { wide } else { wide.min(2 * width) };
         let maybe = if presumes { &homes[..most] } else { &[] };
-        let mut uncrowded = 0;
+        let mut open_homes = 0;
         let maybe = maybe.iter().take_while(|w| {
-            uncrowded += usize::from(!self.crowded(**w));
-            uncrowded <= width
+            open_homes += usize::from(!(self.crowded(**w) && self.queues(**w)));
+            open_homes <= width
         });
         let maybe = maybe.filter(|w| !believed(w) && self.cold_budget(**w).is_none());
         let presumed: Vec<(WorkerId, Place)> = maybe
