Several failed calls for the list lead to one further call

Seen in reading the change over: each failed call, and each broken subscription, put a call of its own in the due times (record_list in logic.rs), so that two failures told at once made two calls, for ever. One is due at a time now; the story tells two failures and fails without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -274,7 +274,9 @@
             // Drawn, so that routers turned away together do not call together again.
             let most = (self.span("rules.ask-every-us", 10_000_000) / CALLS_AN_ASK).max(2);
             let wait = most / 2 + (self.chance() % (most / 2) as u64) as Micros;
-            self.due.insert((self.now + wait, Due::List));
+            if !self.due.iter().any(|(_, due)| *due == Due::List) {
+                self.due.insert((self.now + wait, Due::List));
+            }
             return;
         }
         if list.kind != ListKind::Changes {
@@ -828,8 +830,8 @@
         // first. Ties go by the order of homes, so that routers share copies.
         let loadable = homes.iter().enumerate().filter(|(_, w)| {
             let place = place_at(w);
-            let maybe = self.allows("copies.orders") || place.absent <= self.now;
-            maybe && place.barred <= self.now && place.order.is_none() && self.has_room(**w, share)
+            let may_stand = self.allows("copies.orders") || place.absent <= self.now;
+            may_stand && place.barred <= self.now && place.order.is_none() && self.has_room(**w, share)
         });
         let emptiest =
             loadable.min_by_key(|(n, w)| (self.crowded(**w), *n >= wide, far(**w), self.own(**w), *n));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -86,6 +86,7 @@
     let subscribed = |host: &Host| host.count(|did| *did == Did::Subscribe);
     assert_eq!(subscribed(&host), calls);
     for _ in 0..calls {
+        host.list(ListKind::Failed, vec![]);
         host.list(ListKind::Failed, vec![]);
         host.pass(900_000);
         assert_eq!(subscribed(&host), calls, "not at once, with all others");
