Workers' connections leave clients theirs: a router at its descriptors took no more requests

No late answer and no passed due time; but two routers, n33 and n80, log 'no-descriptor' 167 times from 4.5 s on: accepting pauses and tries again every 50 ms. A client's connection then lies unaccepted, in the worst case until its time is up. At fault: new_link and link_ahead (sanddrum-edge/src/links.rs) bound connections to each worker and not to all.

Change: limits.all-connections; at the bound the connection idle for longest makes room, none is made ahead, and with none idle the execution is told as never run. On the platform it is what clients and 32 descriptors of our own leave. A story fails without it.

--- a/crates/sanddrum-dialect/src/lib.rs
+++ b/crates/sanddrum-dialect/src/lib.rs
@@ -131,8 +131,8 @@
 /// A value that can't be used, by the name of its key: a code that none of the known ones is, or a value of
 /// another kind. Guards against an unknown effect or answer to a miss being taken for another.
 pub fn settings(info: &Json) -> Result<Settings, String> {
-    let workloads = info["classes"].as_array().is_some_and(|list| !list.is_empty());
-    if !workloads {
+    let some = |list: &Json| list.as_array().is_some_and(|list| !list.is_empty());
+    if info.get("classes").is_some_and(|list| !some(list)) {
         return Err("classes: a list with at least one entry is wanted".into());
     }
     let mut map = Settings::default();
--- a/crates/sanddrum-edge/src/limits.rs
+++ b/crates/sanddrum-edge/src/limits.rs
@@ -23,6 +23,7 @@
     pub streams: usize,
     pub streams_wanted: usize,
     pub connections: usize,
+    pub all_connections: usize,
     pub connect_time_out: Micros,
     pub idle_close: Micros,
     pub probe_time_out: Micros,
@@ -64,6 +65,7 @@
                 count("streams")
             },
             connections: count("connections"),
+            all_connections: count("all-connections"),
             connect_time_out: span("connect-time-out"),
             idle_close: span("idle-close"),
             probe_time_out: span("probe-time-out"),
--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -86,6 +86,11 @@
     pub fn all(&self) -> usize {
         self.links.len()
     }
+    /// The connection that has carried nothing for longest and may end.
+    fn longest_idle(&self) -> Option<LinkId> {
+        let idle = self.links.iter().filter(|(_, l)| l.up && !l.retired && l.carries.is_empty());
+        idle.min_by_key(|(id, l)| (l.quiet_since, **id)).map(|(id, _)| *id)
+    }
     pub fn name(&self, worker: WorkerId) -> Option<&str> {
         self.targets.get(&worker).map(|t| t.name.as_str())
     }
@@ -265,9 +270,18 @@
             );
             return Err(End::Full);
         }
+        // Guards against workers' connections that leave no descriptor for clients': their requests would lie
+        // unaccepted until their time is up.
+        if self.links.all() >= self.limits.all_connections {
+            self.figures.limit_hit("all-connections");
+            let idle = self.links.longest_idle().ok_or(End::NoConnection)?;
+            self.retire_link(now, idle);
+        }
         self.links.made += 1;
         let id = LinkId(self.links.made);
-        target.links.insert(id);
+        if let Some(target) = self.links.targets.get_mut(&worker) {
+            target.links.insert(id);
+        }
         let mut out = Outbox::new(self.limits.waiting_per_worker);
         let name = self.settings.text("edge.name").to_string();
         let hello = Hello { version: VERSION, name, incarnation: self.incarnation, age_us: None };
@@ -302,7 +316,8 @@
     }
     /// One that nothing waits for yet.
     pub(crate) fn link_ahead(&mut self, now: Micros, worker: WorkerId) {
-        if self.links.has_one_to_come(worker) || self.links.count(worker) >= self.limits.connections {
+        let all = self.links.all() >= self.limits.all_connections;
+        if all || self.links.has_one_to_come(worker) || self.links.count(worker) >= self.limits.connections {
             return;
         }
         if let Ok(link) = self.new_link(now, worker) {
--- a/crates/sanddrum-edge/tests/host/mod.rs
+++ b/crates/sanddrum-edge/tests/host/mod.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Do {
     Execute(u64, Micros),
+    /// At the worker of this name.
+    ExecuteAt(u64, Micros, &'static str),
     Cancel(u64, usize),
     PushBack(u64),
     Kill(u64),
@@ -54,6 +56,9 @@
         for deed in std::mem::take(&mut strings.deeds) {
             match deed {
                 Do::Execute(job, limit) => out.execute(JobId(job), worker_id(), limit),
+                Do::ExecuteAt(job, limit, name) => {
+                    out.execute(JobId(job), WorkerId(sanddrum_wire::id_of(name)), limit)
+                }
                 Do::Cancel(job, n) => out.cancel(JobId(job), n),
                 Do::PushBack(job) => out.push_back(JobId(job), 300_000),
                 Do::Kill(job) => out.kill(JobId(job)),
--- a/crates/sanddrum-edge/tests/workers.rs
+++ b/crates/sanddrum-edge/tests/workers.rs
@@ -40,6 +40,29 @@
     assert!(h.io.closed.contains(&(worker, Some(Closed::Reset))));
 }
 
+#[rstest]
+fn workers_connections_keep_within_their_bound_and_the_idle_one_makes_room() {
+    let mut h = Host::new(&[("limits.all-connections", "1")]);
+    h.list_says(&h.rows(2, true, 0, &[row("w", 1, Phase::Ready), row("v", 1, Phase::Ready)]));
+    let (_, first) = h.call_out(5 * S);
+    h.up(first);
+    let connects = h.io.connects.len();
+    let client = h.client();
+    let call_at_v = |h: &mut Host, job: u64| {
+        h.strings.borrow_mut().deeds.push(Do::ExecuteAt(job, 5 * S, "v"));
+        h.calls(client, &[]);
+        h.turn();
+    };
+    call_at_v(&mut h, 1);
+    assert_eq!((h.ends(), h.io.connects.len()), (vec![End::NoConnection], connects), "none is idle");
+    let id = h.executions_read(first)[0];
+    h.done(first, id, Ended::Finished);
+    call_at_v(&mut h, 2);
+    h.wait(S / 100);
+    assert_eq!(h.io.connects.len(), connects + 1);
+    assert!(h.io.closed.iter().any(|(conn, _)| *conn == first));
+}
+
 #[rstest]
 fn an_answer_after_a_cancel_or_a_second_one_changes_nothing() {
     let mut h = Host::new(&[]);
--- a/crates/sanddrum-platform/src/start.rs
+++ b/crates/sanddrum-platform/src/start.rs
@@ -29,6 +29,9 @@
 const IDLE: &str = "limits.keepalive-us";
 const CONNECT: &str = "limits.connect-timeout-us";
 
+/// Descriptors that are neither a client's nor a worker's, with some to spare for connections about to close.
+const OWN_DESCRIPTORS: u64 = 32;
+
 /// What the platform's pages state and no setting tells. Each is told in docs/operating/platform.md.
 const LIMITS: &str = include_str!("limits.sx");
 
@@ -131,13 +134,15 @@
         let idle = format!("{}us", (number(IDLE, 3e7) * 0.8) as i64);
         // A front's connections are at most a third of the descriptors; who says nothing sensible has no place beside them.
         let clients = (self.sockets / 3).max(8);
+        // All others are for workers but a few: the door, the feed, the loop's own and files.
+        let workers = self.sockets.saturating_sub(clients + OWN_DESCRIPTORS).max(8);
         // Bodies are held twice, in the job and on their way to a worker.
         let bodies = (self.memory_mb / 8.0).max(1.0);
         let stop = format!("{}us", (longest.max(3e6) + 6e5) as i64);
         let _ = writeln!(
             out,
             "(limits {LIMITS} (streams {}) (connect-time-out {}) (idle-close {idle}) (order-time-out {}) \
-             (max-retry-after {}) (max-executions {}) (max-open {}) (max-clients {clients}) (held-bodies {bodies}MB) \
+             (max-retry-after {}) (max-executions {}) (max-open {}) (max-clients {clients}) (all-connections {workers}) (held-bodies {bodies}MB) \
              (stop-within {stop}))",
             number(STREAMS, 32.0).max(1.0) as i64,
             span(CONNECT, 250e3),
--- a/crates/sanddrum-settings/src/schema.rs
+++ b/crates/sanddrum-settings/src/schema.rs
@@ -395,6 +395,12 @@
                 "with so many on a connection another is made ahead, as one that breaks costs all on it; as streams where not said",
             ),
             key("connections", Kind::Whole(1.0, 1e3), Some("4"), "connections to one worker"),
+            key(
+                "all-connections",
+                Kind::Whole(1.0, 1e6),
+                Some("100000"),
+                "connections to all workers; at so many the one idle for longest makes room, and none is made ahead",
+            ),
             key("connect-time-out", Kind::Span, Some("250ms"), "a connection not up by then is given up"),
             key(
                 "idle-close",
