--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -1,13 +1,17 @@
 //! The product's driver: one thread, real sockets, the monotonic clock, signals.
 
+mod sockets;
+mod streams;
+
 use crate::files::{Audit, Watched};
-use crate::{Closed, Conn, Core, Door, Event, HostId, Io, Micros, Side, Tap};
+use crate::{Closed, Conn, Core, Door, Event, HostId, Io, Micros, Tap};
 use polling::{Event as Ready, PollMode, Poller};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use slab::Slab;
+use sockets::Sockets;
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{self, ErrorKind, Read, Write};
-use std::net::{Shutdown as Half, SocketAddr, TcpListener, TcpStream};
+use std::io::{self, ErrorKind, Read};
+use std::net::{TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -355,156 +359,6 @@
         (0..self.hosts.len()).for_each(|n| self.look_at_files(HostId(n), true));
     }
 
-    fn accept(&mut self, key: usize) {
-        for _ in 0..ACCEPTS_AT_ONCE {
-            let Some(Source::Listener { host, door, listener }) = self.sources.get(key) else { return };
-            let (host, door) = (*host, *door);
-            if self.host(host).is_none_or(|h| h.frozen) {
-                // A silent machine's kernel may still take connections; its process does not.
-                self.accepts_again = Some(self.now() + ACCEPT_PAUSE);
-                let _ = self.poller.modify_with_mode(listener, Ready::none(key), PollMode::Level);
-                return;
-            }
-            match listener.accept() {
-                Ok((socket, _)) => {
-                    if let Some(conn) = self.take_in(host, socket, false) {
-                        self.tap.opened(self.now(), host, conn, Side::Accepted, "");
-                        self.call(host, |core, now, io| core.event(now, Event::Accepted { conn, door }, io));
-                    }
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
-                Err(e) => {
-                    tracing::warn!(reason = "no-descriptor", error = %e, "accepting pauses; raise the limit of open files");
-                    self.accepts_again = Some(self.now() + ACCEPT_PAUSE);
-                    let _ = self.poller.modify_with_mode(listener, Ready::none(key), PollMode::Level);
-                    return;
-                }
-            }
-        }
-    }
-    fn accept_again(&mut self) {
-        self.accepts_again = None;
-        for (key, source) in &self.sources {
-            if let Source::Listener { listener, .. } = source {
-                let _ = self.poller.modify_with_mode(listener, Ready::readable(key), PollMode::Level);
-            }
-        }
-    }
-    fn take_in(&mut self, host: HostId, socket: TcpStream, connecting: bool) -> Option<Conn> {
-        socket.set_nonblocking(true).ok()?;
-        let _ = socket.set_nodelay(true);
-        let conn = Conn(self.next_conn);
-        self.next_conn += 1;
-        let stream =
-            Stream { host, conn, socket, connecting, paused: false, wants_write: connecting, asleep: false };
-        let key = self.sources.insert(Source::Stream(stream));
-        let Some(Source::Stream(stream)) = self.sources.get(key) else { return None };
-        let interest = if connecting { Ready::writable(key) } else { Ready::readable(key) };
-        if self.poller.add_with_mode(&stream.socket, interest, PollMode::Level).is_err() {
-            self.sources.remove(key);
-            return None;
-        }
-        if let Some(Some(hosted)) = self.hosts.get_mut(host.0) {
-            hosted.conns.insert(conn, key);
-        }
-        Some(conn)
-    }
-    /// Asks the poller for what a stream can make use of now.
-    fn attend(&mut self, key: usize) {
-        let Some(Source::Stream(s)) = self.sources.get_mut(key) else { return };
-        let frozen = self.hosts.get(s.host.0).is_some_and(|h| h.as_ref().is_some_and(|h| h.frozen));
-        let interest = Ready {
-            key,
-            readable: !frozen && !s.paused && !s.connecting,
-            writable: !frozen && s.wants_write,
-        };
-        if !s.asleep {
-            let _ = self.poller.modify_with_mode(&s.socket, interest, PollMode::Level);
-        } else if interest.readable || interest.writable {
-            s.asleep = self.poller.add_with_mode(&s.socket, interest, PollMode::Level).is_err();
-        }
-    }
-
-    fn ready(&mut self, event: Ready) {
-        let Some(Source::Stream(s)) = self.sources.get_mut(event.key) else { return };
-        let (host, conn) = (s.host, s.conn);
-        let frozen = self.hosts.get(host.0).is_some_and(|h| h.as_ref().is_some_and(|h| h.frozen));
-        if frozen || (s.paused && event.readable && !s.wants_write) {
-            s.asleep = self.poller.delete(&s.socket).is_ok();
-            return;
-        }
-        if event.writable && s.wants_write {
-            if s.connecting {
-                if s.socket.take_error().ok().flatten().is_some() || s.socket.peer_addr().is_err() {
-                    return self.end(host, conn, Closed::Refused);
-                }
-                (s.connecting, s.wants_write) = (false, false);
-                self.attend(event.key);
-                self.call(host, |core, now, io| core.event(now, Event::Connected { conn }, io));
-            } else {
-                s.wants_write = false;
-                self.attend(event.key);
-                self.call(host, |core, now, io| core.event(now, Event::Writable { conn }, io));
-            }
-        }
-        if event.readable {
-            self.read(event.key, host, conn);
-        }
-    }
-    fn read(&mut self, key: usize, host: HostId, conn: Conn) {
-        let Some(Source::Stream(s)) = self.sources.get_mut(key) else { return };
-        if s.conn != conn || s.paused {
-            return;
-        }
-        let mut buffer = std::mem::take(&mut self.buffer);
-        let read = s.socket.read(&mut buffer);
-        match read {
-            Ok(0) => self.end(host, conn, Closed::InOrder),
-            Ok(n) => {
-                let bytes = &buffer[..n];
-                self.tap.came(self.now(), host, conn, bytes);
-                self.call(host, |core, now, io| core.event(now, Event::Bytes { conn, bytes }, io));
-            }
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
-            Err(_) => self.end(host, conn, Closed::Reset),
-        }
-        self.buffer = buffer;
-    }
-    /// The other side, or the network, ended it.
-    fn end(&mut self, host: HostId, conn: Conn, how: Closed) {
-        if how == Closed::Reset {
-            self.linger_none(host, conn);
-        }
-        if self.forget(host, conn) {
-            self.call(host, |core, now, io| core.event(now, Event::Closed { conn, how }, io));
-        }
-    }
-    /// What is not yet delivered is thrown away when the socket goes, and the other side sees a reset.
-    fn linger_none(&self, host: HostId, conn: Conn) {
-        let key = self.host(host).and_then(|h| h.conns.get(&conn));
-        if let Some(Source::Stream(s)) = key.and_then(|key| self.sources.get(*key)) {
-            let _ = socket2::SockRef::from(&s.socket).set_linger(Some(Duration::ZERO));
-        }
-    }
-    fn forget(&mut self, host: HostId, conn: Conn) -> bool {
-        let Some(Some(hosted)) = self.hosts.get_mut(host.0) else { return false };
-        let Some(key) = hosted.conns.remove(&conn) else { return false };
-        self.remove(key);
-        self.tap.ended(self.now(), host, conn);
-        if self.accepts_again.is_some() {
-            self.accepts_again = Some(self.now());
-        }
-        true
-    }
-    fn remove(&mut self, key: usize) {
-        match self.sources.try_remove(key) {
-            Some(Source::Listener { listener, .. }) => drop(self.poller.delete(&listener)),
-            Some(Source::Stream(s)) => drop(self.poller.delete(&s.socket)),
-            Some(Source::Signals(pipe) | Source::Reload(pipe)) => drop(self.poller.delete(&pipe)),
-            None => {}
-        }
-    }
     fn call(&mut self, host: HostId, what: impl FnOnce(&mut dyn Core, Micros, &mut dyn Io)) {
         let Some(hosted) = self.hosts.get_mut(host.0).and_then(Option::as_mut) else { return };
         hosted.touched = true;
@@ -515,17 +369,6 @@
             hosted.core = core;
         }
     }
-    fn open(&mut self, host: HostId, to: &str) -> Option<Conn> {
-        let at: SocketAddr = to.parse().ok()?;
-        let domain = if at.is_ipv4() { socket2::Domain::IPV4 } else { socket2::Domain::IPV6 };
-        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None).ok()?;
-        socket.set_nonblocking(true).ok()?;
-        match socket.connect(&at.into()) {
-            Err(e) if e.raw_os_error() != Some(libc::EINPROGRESS) => return None,
-            _ => {}
-        }
-        self.take_in(host, socket.into(), true)
-    }
 }
 
 /// Stands in a core's place while it is being called.
@@ -539,89 +382,3 @@
         None
     }
 }
-
-struct Sockets<'a> {
-    driver: &'a mut EventLoop,
-    host: HostId,
-}
-
-impl Sockets<'_> {
-    fn stream(&mut self, conn: Conn) -> Option<(usize, &mut Stream)> {
-        let key = *self.driver.host(self.host)?.conns.get(&conn)?;
-        match self.driver.sources.get_mut(key) {
-            Some(Source::Stream(s)) => Some((key, s)),
-            _ => None,
-        }
-    }
-}
-
-impl Io for Sockets<'_> {
-    fn connect(&mut self, to: &str) -> Conn {
-        let conn = self.driver.open(self.host, to).unwrap_or_else(|| {
-            let conn = Conn(self.driver.next_conn);
-            self.driver.next_conn += 1;
-            self.driver.refused.push((self.host, conn));
-            conn
-        });
-        let (now, host) = (self.driver.now(), self.host);
-        self.driver.tap.opened(now, host, conn, Side::Connected, to);
-        conn
-    }
-    fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
-        let torn = bytes.len() > 1
-            && self.driver.hosts[self.host.0].as_mut().is_some_and(|hosted| hosted.torn.remove(&conn));
-        if torn {
-            let wrote = self.write(conn, &bytes[..bytes.len() / 2]);
-            let (driver, host) = (&mut *self.driver, self.host);
-            driver.broken.push((host, conn));
-            return wrote;
-        }
-        let Some((key, s)) = self.stream(conn) else { return 0 };
-        if s.connecting {
-            return 0;
-        }
-        let mut wrote = 0;
-        while wrote < bytes.len() {
-            match s.socket.write(&bytes[wrote..]) {
-                Ok(n) if n > 0 => wrote += n,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                // An error shows when the stream is next read.
-                _ => break,
-            }
-        }
-        if wrote < bytes.len() {
-            s.wants_write = true;
-            self.driver.attend(key);
-        }
-        let (now, host) = (self.driver.now(), self.host);
-        self.driver.tap.went(now, host, conn, &bytes[..wrote]);
-        wrote
-    }
-    fn close(&mut self, conn: Conn) {
-        if let Some((_, s)) = self.stream(conn) {
-            let _ = s.socket.shutdown(Half::Write);
-        }
-        self.driver.forget(self.host, conn);
-    }
-    fn reset(&mut self, conn: Conn) {
-        self.driver.linger_none(self.host, conn);
-        self.driver.forget(self.host, conn);
-    }
-    fn pause(&mut self, conn: Conn, paused: bool) {
-        if let Some((key, s)) = self.stream(conn) {
-            s.paused = paused;
-            self.driver.attend(key);
-        }
-    }
-    fn save(&mut self, state: &[u8]) {
-        let Some(file) = self.driver.host(self.host).and_then(|h| h.state_file.clone()) else { return };
-        if let Err(e) = crate::files::replace(&file, state) {
-            tracing::warn!(reason = "state-file", file = %file.display(), error = %e, "state was not kept; look at the disk");
-        }
-    }
-    fn audit(&mut self, line: &str) {
-        if let Some(audit) = self.driver.hosts[self.host.0].as_mut().and_then(|h| h.audit.as_mut()) {
-            audit.add(line);
-        }
-    }
-}
--- /dev/null
+++ b/crates/sanddrum-net/src/event_loop/sockets.rs
@@ -0,0 +1,92 @@
+//! What a core may ask of the event loop while it is being called.
+
+use super::{EventLoop, Source, Stream};
+use crate::{Conn, HostId, Io, Side};
+use std::io::{ErrorKind, Write};
+use std::net::Shutdown as Half;
+
+pub(super) struct Sockets<'a> {
+    pub driver: &'a mut EventLoop,
+    pub host: HostId,
+}
+
+impl Sockets<'_> {
+    fn stream(&mut self, conn: Conn) -> Option<(usize, &mut Stream)> {
+        let key = *self.driver.host(self.host)?.conns.get(&conn)?;
+        match self.driver.sources.get_mut(key) {
+            Some(Source::Stream(s)) => Some((key, s)),
+            _ => None,
+        }
+    }
+}
+
+impl Io for Sockets<'_> {
+    fn connect(&mut self, to: &str) -> Conn {
+        let conn = self.driver.open(self.host, to).unwrap_or_else(|| {
+            let conn = Conn(self.driver.next_conn);
+            self.driver.next_conn += 1;
+            self.driver.refused.push((self.host, conn));
+            conn
+        });
+        let (now, host) = (self.driver.now(), self.host);
+        self.driver.tap.opened(now, host, conn, Side::Connected, to);
+        conn
+    }
+    fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        let torn = bytes.len() > 1
+            && self.driver.hosts[self.host.0].as_mut().is_some_and(|hosted| hosted.torn.remove(&conn));
+        if torn {
+            let wrote = self.write(conn, &bytes[..bytes.len() / 2]);
+            let (driver, host) = (&mut *self.driver, self.host);
+            driver.broken.push((host, conn));
+            return wrote;
+        }
+        let Some((key, s)) = self.stream(conn) else { return 0 };
+        if s.connecting {
+            return 0;
+        }
+        let mut wrote = 0;
+        while wrote < bytes.len() {
+            match s.socket.write(&bytes[wrote..]) {
+                Ok(n) if n > 0 => wrote += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                // An error shows when the stream is next read.
+                _ => break,
+            }
+        }
+        if wrote < bytes.len() {
+            s.wants_write = true;
+            self.driver.attend(key);
+        }
+        let (now, host) = (self.driver.now(), self.host);
+        self.driver.tap.went(now, host, conn, &bytes[..wrote]);
+        wrote
+    }
+    fn close(&mut self, conn: Conn) {
+        if let Some((_, s)) = self.stream(conn) {
+            let _ = s.socket.shutdown(Half::Write);
+        }
+        self.driver.forget(self.host, conn);
+    }
+    fn reset(&mut self, conn: Conn) {
+        self.driver.linger_none(self.host, conn);
+        self.driver.forget(self.host, conn);
+    }
+    fn pause(&mut self, conn: Conn, paused: bool) {
+        if let Some((key, s)) = self.stream(conn) {
+            s.paused = paused;
+            self.driver.attend(key);
+        }
+    }
+    fn save(&mut self, state: &[u8]) {
+        let Some(file) = self.driver.host(self.host).and_then(|h| h.state_file.clone()) else { return };
+        if let Err(e) = crate::files::replace(&file, state) {
+            tracing::warn!(reason = "state-file", file = %file.display(), error = %e, "state was not kept; look at the disk");
+        }
+    }
+    fn audit(&mut self, line: &str) {
+        if let Some(audit) = self.driver.hosts[self.host.0].as_mut().and_then(|h| h.audit.as_mut()) {
+            audit.add(line);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-net/src/event_loop/streams.rs
@@ -0,0 +1,172 @@
+//! Connections on their sockets: taken in, watched for what they can make use of, read, ended.
+
+use super::{EventLoop, Source, Stream, ACCEPTS_AT_ONCE, ACCEPT_PAUSE};
+use crate::{Closed, Conn, Event, HostId, Side};
+use polling::{Event as Ready, PollMode};
+use std::io::{ErrorKind, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+impl EventLoop {
+    pub(super) fn accept(&mut self, key: usize) {
+        for _ in 0..ACCEPTS_AT_ONCE {
+            let Some(Source::Listener { host, door, listener }) = self.sources.get(key) else { return };
+            let (host, door) = (*host, *door);
+            if self.host(host).is_none_or(|h| h.frozen) {
+                // A silent machine's kernel may still take connections; its process does not.
+                self.accepts_again = Some(self.now() + ACCEPT_PAUSE);
+                let _ = self.poller.modify_with_mode(listener, Ready::none(key), PollMode::Level);
+                return;
+            }
+            match listener.accept() {
+                Ok((socket, _)) => {
+                    if let Some(conn) = self.take_in(host, socket, false) {
+                        self.tap.opened(self.now(), host, conn, Side::Accepted, "");
+                        self.call(host, |core, now, io| core.event(now, Event::Accepted { conn, door }, io));
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(e) => {
+                    tracing::warn!(reason = "no-descriptor", error = %e, "accepting pauses; raise the limit of open files");
+                    self.accepts_again = Some(self.now() + ACCEPT_PAUSE);
+                    let _ = self.poller.modify_with_mode(listener, Ready::none(key), PollMode::Level);
+                    return;
+                }
+            }
+        }
+    }
+    pub(super) fn accept_again(&mut self) {
+        self.accepts_again = None;
+        for (key, source) in &self.sources {
+            if let Source::Listener { listener, .. } = source {
+                let _ = self.poller.modify_with_mode(listener, Ready::readable(key), PollMode::Level);
+            }
+        }
+    }
+    pub(super) fn take_in(&mut self, host: HostId, socket: TcpStream, connecting: bool) -> Option<Conn> {
+        socket.set_nonblocking(true).ok()?;
+        let _ = socket.set_nodelay(true);
+        let conn = Conn(self.next_conn);
+        self.next_conn += 1;
+        let stream =
+            Stream { host, conn, socket, connecting, paused: false, wants_write: connecting, asleep: false };
+        let key = self.sources.insert(Source::Stream(stream));
+        let Some(Source::Stream(stream)) = self.sources.get(key) else { return None };
+        let interest = if connecting { Ready::writable(key) } else { Ready::readable(key) };
+        if self.poller.add_with_mode(&stream.socket, interest, PollMode::Level).is_err() {
+            self.sources.remove(key);
+            return None;
+        }
+        if let Some(Some(hosted)) = self.hosts.get_mut(host.0) {
+            hosted.conns.insert(conn, key);
+        }
+        Some(conn)
+    }
+    /// Asks the poller for what a stream can make use of now.
+    pub(super) fn attend(&mut self, key: usize) {
+        let Some(Source::Stream(s)) = self.sources.get_mut(key) else { return };
+        let frozen = self.hosts.get(s.host.0).is_some_and(|h| h.as_ref().is_some_and(|h| h.frozen));
+        let interest = Ready {
+            key,
+            readable: !frozen && !s.paused && !s.connecting,
+            writable: !frozen && s.wants_write,
+        };
+        if !s.asleep {
+            let _ = self.poller.modify_with_mode(&s.socket, interest, PollMode::Level);
+        } else if interest.readable || interest.writable {
+            s.asleep = self.poller.add_with_mode(&s.socket, interest, PollMode::Level).is_err();
+        }
+    }
+
+    pub(super) fn ready(&mut self, event: Ready) {
+        let Some(Source::Stream(s)) = self.sources.get_mut(event.key) else { return };
+        let (host, conn) = (s.host, s.conn);
+        let frozen = self.hosts.get(host.0).is_some_and(|h| h.as_ref().is_some_and(|h| h.frozen));
+        if frozen || (s.paused && event.readable && !s.wants_write) {
+            s.asleep = self.poller.delete(&s.socket).is_ok();
+            return;
+        }
+        if event.writable && s.wants_write {
+            if s.connecting {
+                if s.socket.take_error().ok().flatten().is_some() || s.socket.peer_addr().is_err() {
+                    return self.end(host, conn, Closed::Refused);
+                }
+                (s.connecting, s.wants_write) = (false, false);
+                self.attend(event.key);
+                self.call(host, |core, now, io| core.event(now, Event::Connected { conn }, io));
+            } else {
+                s.wants_write = false;
+                self.attend(event.key);
+                self.call(host, |core, now, io| core.event(now, Event::Writable { conn }, io));
+            }
+        }
+        if event.readable {
+            self.read(event.key, host, conn);
+        }
+    }
+    pub(super) fn read(&mut self, key: usize, host: HostId, conn: Conn) {
+        let Some(Source::Stream(s)) = self.sources.get_mut(key) else { return };
+        if s.conn != conn || s.paused {
+            return;
+        }
+        let mut buffer = std::mem::take(&mut self.buffer);
+        let read = s.socket.read(&mut buffer);
+        match read {
+            Ok(0) => self.end(host, conn, Closed::InOrder),
+            Ok(n) => {
+                let bytes = &buffer[..n];
+                self.tap.came(self.now(), host, conn, bytes);
+                self.call(host, |core, now, io| core.event(now, Event::Bytes { conn, bytes }, io));
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            Err(_) => self.end(host, conn, Closed::Reset),
+        }
+        self.buffer = buffer;
+    }
+    /// The other side, or the network, ended it.
+    pub(super) fn end(&mut self, host: HostId, conn: Conn, how: Closed) {
+        if how == Closed::Reset {
+            self.linger_none(host, conn);
+        }
+        if self.forget(host, conn) {
+            self.call(host, |core, now, io| core.event(now, Event::Closed { conn, how }, io));
+        }
+    }
+    /// What is not yet delivered is thrown away when the socket goes, and the other side sees a reset.
+    pub(super) fn linger_none(&self, host: HostId, conn: Conn) {
+        let key = self.host(host).and_then(|h| h.conns.get(&conn));
+        if let Some(Source::Stream(s)) = key.and_then(|key| self.sources.get(*key)) {
+            let _ = socket2::SockRef::from(&s.socket).set_linger(Some(Duration::ZERO));
+        }
+    }
+    pub(super) fn forget(&mut self, host: HostId, conn: Conn) -> bool {
+        let Some(Some(hosted)) = self.hosts.get_mut(host.0) else { return false };
+        let Some(key) = hosted.conns.remove(&conn) else { return false };
+        self.remove(key);
+        self.tap.ended(self.now(), host, conn);
+        if self.accepts_again.is_some() {
+            self.accepts_again = Some(self.now());
+        }
+        true
+    }
+    pub(super) fn remove(&mut self, key: usize) {
+        match self.sources.try_remove(key) {
+            Some(Source::Listener { listener, .. }) => drop(self.poller.delete(&listener)),
+            Some(Source::Stream(s)) => drop(self.poller.delete(&s.socket)),
+            Some(Source::Signals(pipe) | Source::Reload(pipe)) => drop(self.poller.delete(&pipe)),
+            None => {}
+        }
+    }
+    pub(super) fn open(&mut self, host: HostId, to: &str) -> Option<Conn> {
+        let at: SocketAddr = to.parse().ok()?;
+        let domain = if at.is_ipv4() { socket2::Domain::IPV4 } else { socket2::Domain::IPV6 };
+        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None).ok()?;
+        socket.set_nonblocking(true).ok()?;
+        match socket.connect(&at.into()) {
+            Err(e) if e.raw_os_error() != Some(libc::EINPROGRESS) => return None,
+            _ => {}
+        }
+        self.take_in(host, socket.into(), true)
+    }
+}
