Races at the edge: spent ids, half-written requests, moved workers, the end under load

Now all is answered a tenth of a second before, by the module in one round (closing): pushed back where running it again is harmless, where all got 502 before. What is taken while a router ends has no longer than that. A request that has come in part is waited for (races.rs:354). - One id twice on a connection: a second copy of a "full" ended the attempt after it as never run, though it ran, and a late answer to one client was given to the next that used its id (races.rs:114, :132; Links::roomy, Job::tainted knew given up attempts only). Ids are spent on a connection for twice the longest time limit. - A request of which a part is written when its client leaves was written on whenever there was room again (races.rs:102; Outbox::retract can't take it back): out within 80 ms, or its connection goes. - A whole list that leaves a worker out, a moved address and an address taken over by a later start recalled nothing (races.rs:215, :227, :247; recall_from knew rows that drain or are gone). The edge's own list service recalls now, too. - An event that the feed counts and does not bring was skipped for good (races.rs:274; take_told took the told number). It is asked for once more; then the feed is believed. - A body too long ended every other request on its connection after 200 ms (races.rs:320), and a request given up, or begun, on a connection that ends was not heard of (races.rs:336). - At its bound on clients the HTTP door reset the newcomer and kept the silent (clients.rs:119); now as for web servers. The story that asked for the reset of the newcomer was wrong by the users' term on silent connections; two as strict take its place.

--- a/crates/sanddrum-edge/src/carry.rs
+++ b/crates/sanddrum-edge/src/carry.rs
@@ -36,7 +36,6 @@
         };
         let call = job.number;
         let wire_id = if inner.speech.carries_call_ids() { call } else { execution };
-        let tainted = job.tainted.clone();
         let closed = job.closed;
         let customer = job.customer_id;
         let due = now + limit;
@@ -45,7 +44,7 @@
         } else {
             let bytes = inner.speech.execute(message, call);
             let piece = Piece { mark: Mark::Execution(execution), id: wire_id, bytes: &bytes };
-            inner.send(now, worker, piece, due, &tainted)
+            inner.send(now, worker, piece, due)
         };
         let link = sent.unwrap_or(LinkId(u64::MAX));
         inner.jobs.executions.insert(execution, Execution { job: id, number, worker, link, sent: now, due });
@@ -105,8 +104,7 @@
         let bytes = self.inner.speech.unload(name);
         // Nothing is owed for it: where it can't be sent the copies lapse by themselves.
         let due = self.now + self.inner.limits.order_time_out;
-        let _ =
-            self.inner.send(self.now, worker, Piece { mark: Mark::Other, id: 0, bytes: &bytes }, due, &[]);
+        let _ = self.inner.send(self.now, worker, Piece { mark: Mark::Other, id: 0, bytes: &bytes }, due);
     }
 
     fn probe(&mut self, worker: WorkerId) {
--- a/crates/sanddrum-edge/src/clients.rs
+++ b/crates/sanddrum-edge/src/clients.rs
@@ -31,6 +31,7 @@
     first: u64,
     /// Since when a request is begun and not whole.
     began: Option<Micros>,
+    came: Micros,
     active: Micros,
     ending: Ending,
     paused: bool,
@@ -52,6 +53,26 @@
     pub fn nothing_to_write(&self) -> bool {
         self.clients.values().all(|c| c.places.is_empty() && c.out.waiting() == 0)
     }
+    /// Whether a request has come in part.
+    pub fn reads_one(&self) -> bool {
+        self.clients.values().any(|c| c.began.is_some())
+    }
+    /// Who goes where there is no room for one more, as for web servers: the silent first, never one with a request.
+    fn least_missed(&self, now: Micros, time_to_speak: Micros) -> Option<Conn> {
+        let quiet = |c: &Client| c.places.is_empty() && c.out.waiting() == 0 && c.bytes.is_empty();
+        let idle = self.clients.iter().filter(|(_, client)| quiet(client));
+        let rank = |client: &Client| missed(client.first > 0, now - client.came >= time_to_speak);
+        idle.min_by_key(|(conn, client)| (rank(client), client.active, **conn)).map(|(conn, _)| *conn)
+    }
+}
+
+/// Who goes first where there is no room for one more.
+pub(crate) fn missed(spoke: bool, had_time_to_speak: bool) -> u8 {
+    match (spoke, had_time_to_speak) {
+        (false, true) => 0,
+        (true, _) => 1,
+        (false, false) => 2,
+    }
 }
 
 /// Why a request became no job.
@@ -77,8 +98,13 @@
     pub(crate) fn client_came(&mut self, now: Micros, conn: Conn, io: &mut dyn Io) {
         if self.clients.clients.len() >= self.limits.max_clients {
             self.figures.limit_hit("max-clients");
-            tracing::warn!(reason = "max-clients", "a client is closed at once");
-            return io.reset(conn);
+            match self.clients.least_missed(now, self.limits.time_to_speak) {
+                Some(other) => self.drop_client(now, other, io, true),
+                None => {
+                    tracing::warn!(reason = "max-clients", "a client is closed at once");
+                    return io.reset(conn);
+                }
+            }
         }
         self.owners.insert(conn, Owner::Client);
         self.identity.client_came(conn, io);
@@ -88,6 +114,7 @@
             places: VecDeque::new(),
             first: 0,
             began: None,
+            came: now,
             active: now,
             ending: Ending::No,
             paused: false,
@@ -215,7 +242,7 @@
 
     fn take_request(&mut self, now: Micros, conn: Conn, request: Request, io: &mut dyn Io) {
         let retired = self.clients.clients.get(&conn).is_some_and(|client| client.retired);
-        let mut keep = request.keep_alive && !self.stopping && !retired;
+        let mut keep = request.keep_alive && self.stop_at.is_none() && !retired;
         let path = request.path.split('?').next().unwrap_or_default().to_string();
         let answer = match (request.method.as_str(), path.as_str()) {
             ("GET", "/metrics") => {
@@ -288,7 +315,7 @@
         if request.method != "POST" {
             return Err(no_job(405, "method", "calls are made with POST"));
         }
-        if self.stopping {
+        if self.stop_at.is_some() {
             return Err(no_job(503, "stopping", "this edge ends; nothing was done, ask another one"));
         }
         if self.jobs.open() >= self.limits.max_open {
--- a/crates/sanddrum-edge/src/feed.rs
+++ b/crates/sanddrum-edge/src/feed.rs
@@ -5,19 +5,21 @@
 use sanddrum::{ListKind, Micros};
 use sanddrum_net::{Conn, Event, Io};
 use sanddrum_platform::feed::{self, Told};
-use sanddrum_wire::{http, Phase};
+use sanddrum_wire::http;
 
 pub(crate) struct Feed {
     address: String,
     kinds: Vec<String>,
     /// The last event held; its number is the only thing that a new connection needs.
     last: u64,
+    /// The last answer counted an event that it did not bring.
+    behind: bool,
     bytes: Vec<u8>,
 }
 
 impl Feed {
     pub fn new(address: &str, kinds: Vec<String>) -> Self {
-        Feed { address: address.to_string(), kinds, last: 0, bytes: Vec::new() }
+        Feed { address: address.to_string(), kinds, last: 0, behind: false, bytes: Vec::new() }
     }
 }
 
@@ -26,13 +28,17 @@
     pub(crate) fn take_told(&mut self, now: Micros, told: Told) {
         let Some(feed) = &mut self.feed else { return };
         let held = feed.last;
-        feed.last = feed.last.max(told.last);
+        let newest = told.changes.iter().map(|change| change.n).max().unwrap_or(held).max(held);
+        // An event that an answer counts and does not bring is asked for once more. Guards against one lost for good;
+        // a feed that has nothing to bring is believed then, or it would be asked without end.
+        let behind = newest < told.last;
+        feed.last = if behind && feed.behind { told.last } else { newest };
+        feed.behind = behind && feed.last < told.last;
         for change in told.changes.into_iter().filter(|change| change.n > held) {
             let Some((whole, rows)) = change.rows else { continue };
             let kind = if whole { ListKind::Full } else { ListKind::Changes };
             self.take_rows(now, kind, &rows);
             self.list.forget_gone();
-            rows.iter().filter(|row| row.phase != Phase::Ready).for_each(|row| self.recall_from(now, row));
         }
     }
 
--- a/crates/sanddrum-edge/src/fronts.rs
+++ b/crates/sanddrum-edge/src/fronts.rs
@@ -1,7 +1,7 @@
 //! The client door for web servers: FastCGI 1.0 as Responder, many requests open on a connection, answers in any order.
 //! Nothing is held of a client beyond named bounds, and a request that makes no sense is answered at once.
 
-use crate::clients::{no_job, NoJob};
+use crate::clients::{missed, no_job, NoJob};
 use crate::jobs::{Answer, Call, Refusal};
 use crate::{Due, Inner, Owner};
 use sanddrum::{JobId, Micros, WorkloadId};
@@ -37,16 +37,16 @@
     pub fn nothing_to_write(&self) -> bool {
         self.fronts.values().all(|front| front.jobs.is_empty() && front.out.waiting() == 0)
     }
+    /// Whether a request has come in part.
+    pub fn reads_one(&self) -> bool {
+        self.fronts.values().any(|front| front.began.is_some())
+    }
     /// Who goes where there is no room for one more: first who has had time to speak and has not, then who has asked
     /// nothing for longest, last who has only just come and may have its request on its way; never one that has a
     /// request open. Guards against clients that connect by the hundred and say nothing, or ask once and stay.
     fn least_missed(&self, now: Micros, time_to_speak: Micros) -> Option<Conn> {
         let idle = self.fronts.iter().filter(|(_, front)| front.jobs.is_empty() && front.out.waiting() == 0);
-        let rank = |front: &Front| match (front.spoke, now - front.came >= time_to_speak) {
-            (false, true) => 0,
-            (true, _) => 1,
-            (false, false) => 2,
-        };
+        let rank = |front: &Front| missed(front.spoke, now - front.came >= time_to_speak);
         idle.min_by_key(|(conn, front)| (rank(front), front.active, **conn)).map(|(conn, _)| *conn)
     }
 }
@@ -106,10 +106,8 @@
             Event::Bytes { bytes, .. } => {
                 let Some(front) = self.fronts.fronts.get_mut(&conn) else { return };
                 front.active = now;
-                if front.ends.is_none() {
-                    front.requests.take_in(bytes);
-                    self.read_front(now, conn, io);
-                }
+                front.requests.take_in(bytes);
+                self.read_front(now, conn, io);
             }
             Event::Writable { .. } => {
                 if let Some(front) = self.fronts.fronts.get_mut(&conn) {
@@ -125,9 +123,7 @@
 
     fn read_front(&mut self, now: Micros, conn: Conn, io: &mut dyn Io) {
         loop {
-            let Some(front) = self.fronts.fronts.get_mut(&conn).filter(|front| front.ends.is_none()) else {
-                return;
-            };
+            let Some(front) = self.fronts.fronts.get_mut(&conn) else { return };
             let said = match front.requests.next_said() {
                 Ok(Some(said)) => said,
                 Ok(None) => {
@@ -154,6 +150,10 @@
                     self.write_front(conn, &fastcgi::end_all(id, Status::RequestComplete));
                 }
                 Said::Refuse { id, why } => self.refuse_unread(now, conn, id, why, io),
+                // Its connection ends with what it has open; a request given up there is still heard of.
+                Said::Request { id, .. } if front.ends.is_some() => {
+                    self.end_front_request(conn, id, &fastcgi::end_all(id, Status::Overloaded));
+                }
                 Said::Request { id, request } => {
                     front.spoke = true;
                     self.take_front_request(now, conn, id, request);
@@ -178,9 +178,10 @@
         if reads_on {
             return;
         }
-        // What is still to come of it may be endless and is not read.
         self.figures.refused("refused", reason);
-        if let Some(front) = self.fronts.fronts.get_mut(&conn) {
+        // What is still to come of it may be endless and is not read, unless others have requests open beside it: it is
+        // skipped then. Guards against one that sends too much and ends them all.
+        if let Some(front) = self.fronts.fronts.get_mut(&conn).filter(|front| front.jobs.is_empty()) {
             front.ends = Some(now + self.limits.linger);
             self.due.insert((now + self.limits.linger, Due::Client(conn)));
             io.pause(conn, true);
--- a/crates/sanddrum-edge/src/jobs.rs
+++ b/crates/sanddrum-edge/src/jobs.rs
@@ -30,8 +30,6 @@
     pub out: usize,
     /// It has its final answer, or its client has left.
     pub closed: bool,
-    /// Connections on which an execution was given up: an answer under its number may still come there.
-    pub tainted: Vec<LinkId>,
 }
 
 /// What a call asks for, whatever door it came by.
@@ -260,6 +258,8 @@
             let Some(link) = self.jobs.executions.get(&execution).map(|e| e.link) else { continue };
             if self.links.take_back(link, execution) {
                 self.execution_ended(now, execution, End::Moot, Warmth::Unknown, None, None);
+            } else {
+                self.finish_writing_soon(now, link, execution);
             }
         }
     }
@@ -326,8 +326,7 @@
     /// Tells a worker that an execution is not waited for any more, behind all that was told it before.
     pub(crate) fn give_up_execution(&mut self, link: LinkId, id: u64) {
         let Some(e) = self.jobs.executions.get(&id) else { return };
-        let Some(job) = self.jobs.jobs.get_mut(&e.job) else { return };
-        job.tainted.push(link);
+        let Some(job) = self.jobs.jobs.get(&e.job) else { return };
         let bytes = self.speech.cancel(id, job.number);
         self.tell(link, &bytes);
     }
@@ -345,7 +344,8 @@
 
     /// Takes a call up as a job, whatever door it came by.
     pub(crate) fn take_job(&mut self, now: Micros, client: Conn, place: u64, call: Call) -> JobId {
-        let due = now + call.limit.max(0);
+        // One that is taken while the edge ends has no longer than that.
+        let due = (now + call.limit.max(0)).min(self.stop_at.unwrap_or(Micros::MAX));
         let Call { workload, function, memory_mb, lanes, load, work, repeat, customer_id, .. } = call;
         let job = self.jobs.take(Job {
             client,
@@ -363,7 +363,6 @@
             executions: Vec::new(),
             out: 0,
             closed: false,
-            tainted: Vec::new(),
         });
         self.figures.taken.increment(1);
         tracing::debug!(job = job.0, workload = workload.0, limit_us = call.limit, "taken");
@@ -396,7 +395,7 @@
         self.jobs.forget_if_done(id);
     }
 
-    /// The bound on ending is reached: whatever is still held gets its final answer now.
+    /// The bound on ending is reached, and the module has ended what it holds: nothing is left without its answer.
     pub(crate) fn end_all(&mut self, now: Micros) {
         let open: Vec<JobId> = self.jobs.jobs.iter().filter(|(_, j)| !j.closed).map(|(id, _)| *id).collect();
         for id in open {
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -58,6 +58,8 @@
     Order(u64),
     Probe(u64),
     Link(LinkId),
+    /// An execution that nobody waits for is not written to its end yet.
+    Unwritten(LinkId, u64),
     Client(Conn),
     List,
     Save,
@@ -137,7 +139,10 @@
     start: sanddrum_start::Start,
     due: BTreeSet<(Micros, Due)>,
     module_wake: Option<Micros>,
-    stopping: bool,
+    /// Asked to end: whatever it holds has its final answer by then.
+    stop_at: Option<Micros>,
+    /// That bound is reached: a request that has come in part is not waited for any more.
+    ended: bool,
     kept: Option<Vec<u8>>,
 }
 
@@ -217,7 +222,8 @@
             start: sanddrum_start::Start::new(start.seed ^ 0x57, &start.settings.values_for_module()),
             due: BTreeSet::new(),
             module_wake: None,
-            stopping: false,
+            stop_at: None,
+            ended: false,
             kept: start.kept,
             settings: start.settings,
         };
@@ -282,6 +288,7 @@
             && r.probes.is_empty()
             && r.notes.is_empty()
             && r.left.is_empty()
+            && !r.closing
             && !self.admission.is_waiting())
     }
     fn fall_due(&mut self, now: Micros, io: &mut dyn Io) {
@@ -292,12 +299,13 @@
                 Due::Order(id) => self.order_is_late(now, id),
                 Due::Probe(id) => self.probe_is_late(now, id),
                 Due::Link(link) => self.look_at_link(now, link, io),
+                Due::Unwritten(link, execution) => self.still_unwritten(now, link, execution, io),
                 Due::Client(conn) if self.on_platform => self.look_at_front(now, conn, io),
                 Due::Client(conn) => self.look_at_client(now, conn, io),
                 Due::List => self.call_for_list(now, io),
                 Due::Save => self.save_list(now, io),
                 Due::Arrivals => {}
-                Due::Stop => self.end_all(now),
+                Due::Stop => self.round.closing = true,
             }
         }
     }
@@ -343,6 +351,10 @@
         self.inner.fall_due(now, io);
         self.inner.admit(now);
         self.rounds(now);
+        if self.inner.stop_at.is_some_and(|at| at <= now) {
+            self.inner.end_all(now);
+            self.inner.ended = true;
+        }
         self.connect(now, io);
         self.inner.flush_links(now, io);
         self.inner.flush_clients(now, io);
@@ -372,22 +384,24 @@
     }
 
     fn stop(&mut self, now: Micros, _: &mut dyn Io) {
-        if !self.inner.stopping {
+        if self.inner.stop_at.is_none() {
             tracing::info!(open = self.inner.jobs.open(), "asked to end");
-            self.inner.stopping = true;
+            let stop_at = now + self.inner.limits.stop_within;
+            self.inner.stop_at = Some(stop_at);
             self.inner.due.insert((now + self.inner.limits.late_arrivals, Due::Arrivals));
-            self.inner.due.insert((now + self.inner.limits.stop_within, Due::Stop));
+            self.inner.due.insert((stop_at, Due::Stop));
         }
     }
 
     fn still_listens(&self) -> bool {
-        self.inner.stopping && self.inner.limits.late_arrivals > 0
+        self.inner.stop_at.is_some() && self.inner.limits.late_arrivals > 0
     }
 
     fn done(&self) -> bool {
         let inner = &self.inner;
-        inner.stopping
+        inner.stop_at.is_some()
             && !inner.due.iter().any(|(_, due)| *due == Due::Arrivals)
+            && (inner.ended || !(inner.clients.reads_one() || inner.fronts.reads_one()))
             && inner.jobs.open() == 0
             && inner.clients.nothing_to_write()
             && inner.fronts.nothing_to_write()
--- a/crates/sanddrum-edge/src/limits.rs
+++ b/crates/sanddrum-edge/src/limits.rs
@@ -4,6 +4,9 @@
 /// Rounds of the module in one turn of the loop; what is left over waits for the next, so that sockets are served.
 pub(crate) const ROUNDS_A_TURN: usize = 4;
 
+/// A worker answers an attempt within this many of the longest time limit, or never.
+const ANSWERS_LATE: Micros = 2;
+
 /// The named bounds, as set (`limits` in the settings); see docs/settings.md for what each guards.
 #[derive(Clone, Debug)]
 pub(crate) struct Limits {
@@ -37,6 +40,8 @@
     pub late_arrivals: Micros,
     pub feed_wait: Micros,
     pub feed_silence: Micros,
+    /// An answer to an attempt that has had its end may come so long after.
+    pub answers_late: Micros,
 }
 
 impl Limits {
@@ -44,6 +49,7 @@
         let span = |name: &str| l.span(&format!("limits.{name}-us"));
         let bytes = |name: &str| l.size(&format!("limits.{name}-bytes"));
         let count = |name: &str| l.size(&format!("limits.{name}"));
+        let longest = (0..l.count("workloads")).map(|n| l.span(&format!("workloads.{n}.time-limit-us")));
         Limits {
             answer_ahead: span("answer-ahead"),
             max_open: count("max-open"),
@@ -79,6 +85,7 @@
             late_arrivals: span("late-arrivals"),
             feed_wait: span("feed-wait"),
             feed_silence: span("feed-silence"),
+            answers_late: ANSWERS_LATE * longest.max().unwrap_or_default(),
         }
     }
 }
--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -8,10 +8,14 @@
 };
 use sanddrum_connect::{LinkId, Listed, Need, News, Old, Wanted, Why};
 use sanddrum_net::{Closed, Conn, Event, Io, Outbox};
-use sanddrum_wire::{self as wire, FromWorker, Hello, Phase, Row, VERSION};
+use sanddrum_wire::{self as wire, FromWorker, Hello, Row, VERSION};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// An attempt that nobody waits for any more begins no later than this: the tenth of a second that the users allow,
+/// less a fifth of it for the way.
+const WRITTEN_SOON: Micros = 80_000;
+
 /// A piece of what is written to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Mark {
@@ -41,6 +45,9 @@
     carries: BTreeSet<Mark>,
     /// The same by the ids that answers name, where those are not our own.
     ids: BTreeMap<u64, Mark>,
+    /// Ids that have had their end here, and until when an answer under them may still come. Guards against a second
+    /// answer to one attempt, taken for the answer to a later one: what runs then would count as never run.
+    spent: BTreeMap<u64, Micros>,
     up: bool,
     /// It gets nothing new, and ends once it carries nothing.
     retired: bool,
@@ -94,7 +101,17 @@
     pub fn name(&self, worker: WorkerId) -> Option<&str> {
         self.targets.get(&worker).map(|t| t.name.as_str())
     }
-    /// A worker as listed; at a new address the old connections are of no further use and end when idle.
+    /// Whether a worker is called elsewhere than this row says.
+    pub fn has_moved(&self, row: &Row) -> bool {
+        let target = self.targets.get(&WorkerId(wire::id_of(&row.name)));
+        target.is_some_and(|target| target.address != row.address)
+    }
+    /// Other workers called at this address.
+    pub fn called_at(&self, row: &Row) -> Vec<WorkerId> {
+        let others = self.targets.iter().filter(|(_, t)| t.address == row.address && t.name != row.name);
+        others.map(|(worker, _)| *worker).collect()
+    }
+    /// A worker as listed.
     pub fn set_target(&mut self, row: &WorkerRow, name: &str, address: &str) {
         let WorkerRow { worker, size, state, started, .. } = *row;
         if state == WorkerState::Gone {
@@ -102,25 +119,30 @@
         }
         self.news.listed.push(Listed { worker, size, started, ready: state != WorkerState::Gone });
         let target = self.targets.entry(worker).or_default();
-        if target.address != address {
-            for link in std::mem::take(&mut target.links) {
-                self.links.entry(link).and_modify(|link| link.retired = true);
-            }
-        }
         (target.name, target.address) = (name.to_string(), address.to_string());
     }
     /// Takes an execution back of which nothing was written.
     pub fn take_back(&mut self, link: LinkId, execution: u64) -> bool {
         self.take_back_mark(link, &Mark::Execution(execution))
     }
+    /// Whether an execution is not written to its last byte.
+    fn holds(&self, link: LinkId, execution: u64) -> bool {
+        self.links.get(&link).is_some_and(|link| link.out.holds(&Mark::Execution(execution)))
+    }
     fn take_back_mark(&mut self, link: LinkId, mark: &Mark) -> bool {
         self.links.get_mut(&link).is_some_and(|link| link.out.retract(mark))
     }
-    /// What a link carried has ended; `true` where a retired one has nothing more to wait for.
-    fn carried_ends(&mut self, id: LinkId, mark: Mark, now: Micros) -> bool {
+    /// What a link carried has ended, and its id is not used there again until then; `true` where a retired one has
+    /// nothing more to wait for.
+    fn carried_ends(&mut self, id: LinkId, mark: Mark, now: Micros, until: Micros) -> bool {
         let Some(link) = self.links.get_mut(&id) else { return false };
         link.carries.remove(&mark);
-        link.ids.retain(|_, of| *of != mark);
+        link.spent.retain(|_, until| *until > now);
+        let ended = link.ids.iter().find(|(_, of)| **of == mark).map(|(id, _)| *id);
+        if let Some(id) = ended {
+            link.ids.remove(&id);
+            link.spent.insert(id, until);
+        }
         (link.quiet_since, link.rested) = (now, 0);
         link.retired && link.carries.is_empty()
     }
@@ -130,13 +152,13 @@
         worker: WorkerId,
         streams: usize,
         piece: &Piece<'_>,
-        not: &[LinkId],
         fresh: impl Fn(Micros) -> bool,
     ) -> Option<LinkId> {
-        let links = self.targets.get(&worker)?.links.iter().filter(|id| !not.contains(id));
+        let links = self.targets.get(&worker)?.links.iter();
         let links = links.filter_map(|id| self.links.get(id).map(|link| (id, link)));
         // One id stands for one thing on a connection.
-        let free = links.filter(|(_, link)| piece.mark == Mark::Other || !link.ids.contains_key(&piece.id));
+        let used = |link: &Link| link.ids.contains_key(&piece.id) || link.spent.contains_key(&piece.id);
+        let free = links.filter(|(_, link)| piece.mark == Mark::Other || !used(link));
         let fresh = free.filter(|(_, link)| !link.carries.is_empty() || !link.up || fresh(link.quiet_since));
         // Of those that carry nothing, the one that did last: the longest idle may be dead without a word.
         let load = fresh.map(|(id, link)| (link.carries.len(), Reverse(link.quiet_since), *id));
@@ -164,17 +186,15 @@
 }
 
 impl Inner {
-    /// A worker that drains or is gone gets nothing that was not begun to be written before; one that is gone is called
-    /// no more, and what it still answers is heard.
-    pub(crate) fn recall_from(&mut self, now: Micros, row: &Row) {
-        let worker = WorkerId(wire::id_of(&row.name));
+    /// A worker that drains, is gone or is called elsewhere from now on gets nothing that was not begun to be written
+    /// before.
+    pub(crate) fn recall_from(&mut self, now: Micros, worker: WorkerId) {
         let Some(target) = self.links.targets.get(&worker) else { return };
-        let links: Vec<LinkId> = target.links.iter().copied().collect();
-        for id in &links {
-            let Some(link) = self.links.links.get_mut(id) else { continue };
+        for id in target.links.clone() {
+            let Some(link) = self.links.links.get_mut(&id) else { continue };
             let back: Vec<Mark> = link.carries.iter().filter(|mark| link.out.holds(mark)).copied().collect();
             for mark in back {
-                if !self.links.take_back_mark(*id, &mark) {
+                if !self.links.take_back_mark(id, &mark) {
                     continue;
                 }
                 match mark {
@@ -187,14 +207,44 @@
                 }
             }
         }
-        if row.phase == Phase::Gone {
-            links.iter().for_each(|id| self.retire_link(now, *id));
-            self.links.targets.remove(&worker);
+    }
+    /// The connections to a worker are of no further use: what it still answers there is heard, and then they end.
+    pub(crate) fn leave_worker(&mut self, now: Micros, worker: WorkerId) {
+        self.recall_from(now, worker);
+        let links = self.links.targets.get(&worker).map(|target| target.links.clone()).unwrap_or_default();
+        links.into_iter().for_each(|id| self.retire_link(now, id));
+    }
+    /// One that is gone is called no more.
+    pub(crate) fn worker_gone(&mut self, now: Micros, worker: WorkerId) {
+        self.leave_worker(now, worker);
+        self.links.targets.remove(&worker);
+    }
+    /// Workers that a whole list does not name are gone.
+    pub(crate) fn only_these_stand(&mut self, now: Micros, listed: &BTreeSet<WorkerId>) {
+        let gone: Vec<WorkerId> =
+            self.links.targets.keys().filter(|worker| !listed.contains(worker)).copied().collect();
+        for worker in gone {
+            self.links.news.gone.push(worker);
+            self.worker_gone(now, worker);
+        }
+    }
+
+    /// Nobody waits any more for an execution of which a part is written: it is out soon, or its connection goes.
+    /// Guards against one that begins long after its client has left, behind a worker that reads nothing.
+    pub(crate) fn finish_writing_soon(&mut self, now: Micros, link: LinkId, execution: u64) {
+        if self.links.holds(link, execution) {
+            self.due.insert((now + WRITTEN_SOON, Due::Unwritten(link, execution)));
+        }
+    }
+    pub(crate) fn still_unwritten(&mut self, now: Micros, id: LinkId, execution: u64, io: &mut dyn Io) {
+        if self.links.holds(id, execution) {
+            self.reset_link(id, io);
+            self.link_ended(now, id, Closed::Reset, false);
         }
     }
 
     pub(crate) fn release(&mut self, link: LinkId, mark: Mark, now: Micros) {
-        if self.links.carried_ends(link, mark, now) {
+        if self.links.carried_ends(link, mark, now, now + self.limits.answers_late) {
             self.due.insert((now, Due::Link(link)));
         }
     }
@@ -205,12 +255,11 @@
         worker: WorkerId,
         piece: Piece<'_>,
         due: Micros,
-        not: &[LinkId],
     ) -> Result<LinkId, End> {
         let mark = piece.mark;
         let rests = self.rests;
         let fresh = |since: Micros| rests.is_trusted(now, now - since);
-        let id = match self.links.roomy(worker, self.limits.streams, &piece, not, fresh) {
+        let id = match self.links.roomy(worker, self.limits.streams, &piece, fresh) {
             Some(id) => id,
             None => {
                 let stale = self.links.stale(worker, fresh);
@@ -295,6 +344,7 @@
             frames: self.speech.reader(self.limits.largest_frame),
             carries: BTreeSet::new(),
             ids: BTreeMap::new(),
+            spent: BTreeMap::new(),
             up: false,
             retired: false,
             quiet_since: now,
@@ -413,7 +463,8 @@
     ) -> Result<(), String> {
         match says {
             FromWorker::Hello(hello) => {
-                let name = self.links.name(worker).unwrap_or_default();
+                // One that was told as gone meanwhile has no name to compare.
+                let Some(name) = self.links.name(worker) else { return Ok(()) };
                 if hello.name != name {
                     return Err(format!("{:?} answers where {name:?} is listed", hello.name));
                 }
@@ -479,7 +530,8 @@
             target.links.remove(&id);
         }
         // A spoilt answer tells nothing against the next connection; another worker's name, as our own tell it, does.
-        let failed = (lied && !self.on_platform) || (link.conn.is_some() && !link.up);
+        // Nor does a dial that was left because its worker has moved.
+        let failed = (lied && !self.on_platform) || (link.conn.is_some() && !link.up && !link.retired);
         let news = &mut self.links.news;
         if failed { &mut news.failed } else { &mut news.ended }.push(id);
         for mark in &link.carries {
@@ -554,7 +606,7 @@
             self.figures.orders.increment(1);
         }
         let due = now + self.limits.order_time_out;
-        let sent = self.send(now, worker, Piece { mark, id, bytes: &bytes_of.hold(hold) }, due, &[]);
+        let sent = self.send(now, worker, Piece { mark, id, bytes: &bytes_of.hold(hold) }, due);
         match sent {
             Ok(link) => {
                 self.links.orders.insert(id, Asked { worker, function, link, sent: now, due });
@@ -580,7 +632,7 @@
         self.figures.probes.increment(1);
         let bytes = self.speech.probe(id);
         let due = now + self.limits.probe_time_out;
-        match self.send(now, worker, Piece { mark: Mark::Probe(id), id, bytes: &bytes }, due, &[]) {
+        match self.send(now, worker, Piece { mark: Mark::Probe(id), id, bytes: &bytes }, due) {
             Ok(link) => {
                 let function = FunctionId::default();
                 self.links.probes.insert(id, Asked { worker, function, link, sent: now, due });
--- a/crates/sanddrum-edge/src/list.rs
+++ b/crates/sanddrum-edge/src/list.rs
@@ -131,13 +131,20 @@
         if kind != ListKind::Changes {
             let listed: BTreeSet<WorkerId> = rows.iter().map(|row| WorkerId(id_of(&row.name))).collect();
             self.list.rows.retain(|worker, _| listed.contains(worker));
+            self.only_these_stand(now, &listed);
         }
         let mut told = WorkerList { kind, rows: Vec::new() };
         for row in rows {
             let worker = WorkerId(id_of(&row.name));
             let (incarnation, started) = self.list.started(worker, row, now);
             let listed = self.list.worker_row(worker, row, started);
+            self.look_at_addresses(now, worker, row, incarnation);
             self.links.set_target(&listed, &row.name, &row.address);
+            match row.phase {
+                Phase::Ready => {}
+                Phase::Draining => self.recall_from(now, worker),
+                Phase::Gone => self.worker_gone(now, worker),
+            }
             told.rows.push(listed);
             self.list.rows.insert(worker, (Row { incarnation, ..row.clone() }, started));
         }
@@ -145,6 +152,23 @@
         self.round.lists.push(told);
     }
 
+    /// A worker that has moved is called at its new address only, and one whose address a later start has taken over is
+    /// called no more. Guards against work for a worker long warm that comes to a cold one in its place.
+    fn look_at_addresses(&mut self, now: Micros, worker: WorkerId, row: &Row, incarnation: u64) {
+        if self.links.has_moved(row) {
+            self.leave_worker(now, worker);
+        }
+        if row.phase != Phase::Ready {
+            return;
+        }
+        for other in self.links.called_at(row) {
+            let before = self.list.rows.get(&other).is_none_or(|(row, _)| row.incarnation < incarnation);
+            if before {
+                self.worker_gone(now, other);
+            }
+        }
+    }
+
     /// A worker's greeting tells of a start that the list has not told yet: its copies are gone and it is cold.
     pub(crate) fn worker_started(
         &mut self,
--- a/crates/sanddrum-edge/tests/clients.rs
+++ b/crates/sanddrum-edge/tests/clients.rs
@@ -110,14 +110,26 @@
 }
 
 #[rstest]
-fn too_many_clients_and_silent_ones_are_closed() {
+fn where_there_is_no_room_the_silent_go_first_and_never_one_that_waits_for_its_answer() {
     let mut h = Host::new(&[("limits.max-clients", "2"), ("limits.client-idle", "3s")]);
-    let clients: Vec<_> = (0..3).map(|_| h.client()).collect();
-    assert_eq!(h.io.closed, [(clients[2], Some(Closed::Reset))]);
-    h.calls(clients[0], &[]);
+    let (silent, asks) = (h.client(), h.client());
+    h.wait(S);
+    h.calls(asks, &[]);
+    let third = h.client();
+    assert_eq!(h.io.closed, [(silent, Some(Closed::InOrder))]);
+    h.calls(third, &[]);
+    let fourth = h.client();
+    assert_eq!(h.io.closed[1..], [(fourth, Some(Closed::Reset))], "both wait for an answer");
+    h.wait(9 * S);
+    assert!(!h.io.closed.iter().any(|(conn, _)| [asks, third].contains(conn)), "they still wait");
+}
+
+#[rstest]
+fn a_client_that_says_nothing_is_closed() {
+    let mut h = Host::new(&[("limits.client-idle", "3s")]);
+    let silent = h.client();
     h.wait(9 * S);
-    assert!(h.io.closed.contains(&(clients[1], Some(Closed::InOrder))), "it said nothing");
-    assert!(!h.io.closed.iter().any(|(conn, _)| *conn == clients[0]), "it waits for its answer");
+    assert_eq!(h.io.closed, [(silent, Some(Closed::InOrder))]);
 }
 
 #[rstest]
--- a/crates/sanddrum-edge/tests/host/mod.rs
+++ b/crates/sanddrum-edge/tests/host/mod.rs
@@ -1,6 +1,8 @@
 //! An edge between a scripted network and a puppet in the module's place.
 #![allow(dead_code)]
 
+pub mod platform;
+
 use sanddrum::*;
 use sanddrum_edge::{Edge, Module, Platform, Start};
 use sanddrum_net::{Closed, Conn, Core, Door, Event, Io, Peer};
--- a/crates/sanddrum-platform/src/start.rs
+++ b/crates/sanddrum-platform/src/start.rs
@@ -32,6 +32,11 @@
 /// Descriptors that are neither a client's nor a worker's, with some to spare for connections about to close.
 const OWN_DESCRIPTORS: u64 = 32;
 
+/// A router that was asked to end is killed so long after the longest time limit, which counts as this where it is
+/// longer, and a tenth of a second is left for the last answers.
+const STOP_LONGEST: f64 = 3e6;
+const STOP_BEYOND: f64 = 0.7e6 - 0.1e6;
+
 /// What the platform's pages state and no setting tells. Each is told in docs/operating/platform.md.
 const LIMITS: &str = include_str!("limits.sx");
 
@@ -138,7 +143,7 @@
         let workers = self.sockets.saturating_sub(clients + OWN_DESCRIPTORS).max(8);
         // Bodies are held twice, in the job and on their way to a worker.
         let bodies = (self.memory_mb / 8.0).max(1.0);
-        let stop = format!("{}us", (longest.max(3e6) + 6e5) as i64);
+        let stop = format!("{}us", (longest.min(STOP_LONGEST) + STOP_BEYOND) as i64);
         let _ = writeln!(
             out,
             "(limits {LIMITS} (streams {}) (connect-time-out {}) (idle-close {idle}) (order-time-out {}) \
--- a/crates/sanddrum-platform/tests/protocol.rs
+++ b/crates/sanddrum-platform/tests/protocol.rs
@@ -144,6 +144,16 @@
     assert_eq!((loaded.size("me"), loaded.size("routers")), (1, 3));
 }
 
+#[rstest]
+#[case::short(1_500_000, 2_100_000)]
+#[case::longer_than_it_counts(11_000_000, 3_600_000)]
+fn all_is_answered_before_a_router_that_was_asked_to_end_is_killed(#[case] longest: i64, #[case] by: i64) {
+    let mut json = configuration();
+    json["settings"]["classes"][0]["deadline-us"] = json!(longest);
+    let loaded = Configuration::read(&json.to_string()).unwrap().deployment().unwrap();
+    assert_eq!(loaded.span("limits.stop-within-us"), by);
+}
+
 #[rstest]
 #[case("classes", json!([]))]
 #[case("classes", json!([{"name": "job", "effect": "thrice"}]))]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -212,6 +212,8 @@
     /// Jobs whose client left.
     pub left: Vec<JobId>,
     pub timer: bool,
+    /// The host ends now: whatever is held gets its final answer in this round.
+    pub closing: bool,
 }
 
 /// Where the module writes its decisions; they take effect in the order written.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,6 @@
 //! Every decision of sanddrum is in this file. The host makes one `Router` an instance and calls `round` once
-//! a round with all that came in (`Round`) and a writer (`Decisions`); both are described in `lib.rs`, and
-//! what is remembered in `state.rs`. All news is recorded first, the worker list before the rest; only then
-//! is decided.
+//! a round with all that came in (`Round`) and a writer (`Decisions`), see `lib.rs`; `state.rs` has what is
+//! remembered. All news is recorded first, the worker list before the rest; only then is decided.
 //!
 //! The ordinary path is the design page's: a job goes to the believed-warm worker with the fewest own jobs in
 //! flight whose lanes have room, own zone first; failing that it loads on the ready worker with the fewest.
@@ -27,8 +26,7 @@
 const SLOW: f64 = 2.5;
 /// The pace seen at a worker, or of loads, is forgotten at this rate, so that a slow one is tried again.
 const PACE_FADES_US: f64 = 2e6;
-/// A worker's report is forgotten at this rate; other routers' jobs come and go, but where there are hundreds
-/// of routers each hears a worker every ten seconds or so.
+/// A worker's report is forgotten at this rate: of hundreds of routers each hears it every ten seconds or so.
 const REPORT_FADES_US: f64 = 1e7;
 /// A cold worker gets this part of what it would bear in proportion; the rest is for bursts and chance.
 const COLD_CAUTION: f64 = 0.7;
@@ -106,8 +104,7 @@
         self.long += (seen - self.long) * (1.0 / self.seen).max(NEWEST / 10.0);
         self.calm = if self.seen * NEWEST < 4.0 { self.long } else { risen.min(self.long) };
     }
-    /// Jobs of all routers held here for its size, as last reported; what is not heard of for long tells as
-    /// little as the middle worker's.
+    /// Jobs of all routers held here for its size, as last reported; an old report tells as the middle one's.
     fn held_now(&self, now: Micros, middle: f64) -> f64 {
         let held = self.report.held.unwrap_or(middle * self.row.size) / self.row.size.max(f64::MIN_POSITIVE);
         faded(held, middle, now - self.report_at, REPORT_FADES_US)
@@ -237,6 +234,8 @@
         while let Some(job) = self.todo.pop_first() {
             self.place(job, out);
         }
+        let held = if round.closing { self.jobs.keys().copied().collect() } else { Vec::new() };
+        held.into_iter().for_each(|id| self.end_now(id, out));
         let sweep = (!self.waiting.is_empty()).then_some(self.sweep);
         let due = self.due.first().map(|(at, _)| *at);
         if let Some(next) = due.into_iter().chain(sweep).min().map(|at| at.max(now + 1)) {
@@ -430,8 +429,7 @@
                         self.learn_load(job.function, (took - expected).max(took * GUESS_OF_TARGET));
                     }
                     Warmth::Stood | Warmth::Unknown if !execution.queued => {
-                        // Guards against taking the first guess for what is calm: by it all workers would
-                        // look fast at first and then, for long, crowded.
+                        // Guards against the first guess taken for calm: all would look fast, then crowded.
                         let usual = self.usual.entry(job.workload).or_default();
                         if usual.1 * NEWEST >= 1.0 {
                             worker.learn_pace(now, (took / expected.max(1.0)).min(MOST_PACE));
@@ -662,8 +660,7 @@
         let size = self.workers.get(&w).map_or(1.0, |w| w.row.size.max(f64::MIN_POSITIVE));
         -(tie(by, w) as f64 / u64::MAX as f64).ln() / size
     }
-    /// The workers as a function's homes, first by a hash that favours large ones. All routers find the same
-    /// ones as workers come and go, so that they share copies with no word between them.
+    /// A function's homes by a hash that favours large workers: all routers find the same and share copies.
     fn homes(&self, id: FunctionId, ready: &[WorkerId]) -> Vec<WorkerId> {
         let mut homes = ready.to_vec();
         homes.sort_by_cached_key(|w| (self.drawn(id, *w).to_bits(), *w));
@@ -771,9 +768,8 @@
         let narrow = self.pressed() || (self.loads_pressed() && !self.answers_miss());
         let limit = if narrow { target } else { left };
         let hopeless = left <= usual as Micros || tries >= self.span("limits.max-executions", 1) as usize;
-        // Guards against overload that no single worker shows: where all are pressed, what part of jobs is
-        // taken follows from how many answers were late or full, and those that earn less than the mean go
-        // first. One is taken nevertheless where no worker was heard of for long.
+        // Guards against overload that no single worker shows: where all are pressed, the part taken follows
+        // from late and full answers, cheap jobs go first; one is taken where nobody was heard of for long.
         let luck = hash_of((self.seed, id)) as f64 / u64::MAX as f64;
         let dear = self.earning(&job) >= self.earned * (1.0 - LATE_CUT);
         let part = 2.0 * self.taking - if dear { 0.0 } else { 1.0 };
@@ -906,8 +902,7 @@
         }
         let Some(w) = emptiest else { return self.wait_or_give_up(id, out) };
         if limit < (load + work * self.pace(w)) as Micros {
-            // Exception: what is called again gets its copy nevertheless. Guards against functions whose
-            // loads take longer than their jobs wait, which would be turned away for ever.
+            // Exception: what is called again gets its copy, or loads longer than jobs wait would never end.
             if again {
                 self.order(w, job.function, 1, out);
             }
@@ -987,12 +982,16 @@
         self.further = (self.further - charged).max(0.0);
     }
 
-    /// The final answer of a job that is not going to be in time, at once: pushed back where that is allowed.
+    /// The final answer of a job that is not going to be in time, at once, unless an execution is out.
     fn give_up(&mut self, id: JobId, out: &mut impl Decisions) {
-        let Some(held) = self.jobs.get(&id) else { return };
-        if held.executions.iter().any(|e| e.out) {
-            return;
+        if !self.jobs.get(&id).is_some_and(|held| held.executions.iter().any(|e| e.out)) {
+            self.end_now(id, out);
         }
+    }
+
+    /// The final answer to a job that has not finished: pushed back where that is allowed.
+    fn end_now(&mut self, id: JobId, out: &mut impl Decisions) {
+        let Some(held) = self.jobs.get(&id) else { return };
         let (job, may_have_run) = (held.job, held.executions.iter().any(|e| e.may_have_run));
         let harmless = match self.effect(job.workload) {
             Effect::Restartable => true,
@@ -1019,9 +1018,8 @@
         }
     }
 
-    /// Guards against workers that take work and answer nothing, for whatever cause: hung, cut off, dead. One
-    /// that owes an answer for long is checked; one that leaves the check unanswered gets nothing new and is
-    /// checked on, ever less often, until it is heard.
+    /// Guards against workers that take work and answer nothing: hung, cut off, dead. One that owes for long
+    /// is checked; one that leaves that unanswered gets nothing new and is checked on, ever less, until heard.
     fn look_into_silence(&mut self, id: WorkerId, out: &mut impl Decisions) {
         let (now, wait) = (self.now, self.tightest_target() / ASKS_A_TARGET);
         let probes = self.allows("limits.probes");
