--- a/crates/sanddrum-cli/src/edge.rs
+++ b/crates/sanddrum-cli/src/edge.rs
@@ -114,14 +114,21 @@
 }
 
 pub fn run(args: &EdgeArgs) -> ExitCode {
+    // First of all: a signal that came before its handler stood would end the process, SIGHUP as well.
+    let driver =
+        EventLoop::new(Box::new(NoTap)).and_then(|mut driver| driver.catch_signals().map(|()| driver));
+    let driver = match driver {
+        Ok(driver) => driver,
+        Err(e) => return fail(exit::TROUBLE, e),
+    };
     if args.platform {
-        return crate::platform::run();
+        return crate::platform::run(driver);
     }
     let settings = match settings(args) {
         Ok(settings) => settings,
         Err(problem) => return fail(exit::USAGE, problem),
     };
-    match serve(args, settings) {
+    match serve(driver, args, settings) {
         Ok(Shutdown::InOrder) => ExitCode::from(exit::GOOD),
         Ok(Shutdown::AtOnce) => fail(exit::TROUBLE, "ended at once, as a second signal came"),
         Err(e) => fail(exit::TROUBLE, e),
@@ -188,7 +195,7 @@
     Ok(Box::new(layer))
 }
 
-fn serve(args: &EdgeArgs, settings: Loaded) -> Result<Shutdown, String> {
+fn serve(mut driver: EventLoop, args: &EdgeArgs, settings: Loaded) -> Result<Shutdown, String> {
     let listen = settings.text("edge.listen").to_string();
     let (door, at) = EventLoop::bind(&listen).map_err(|e| format!("{listen}: {e}; give another --listen"))?;
     if args.with_parent {
@@ -207,8 +214,6 @@
         settings: settings.clone(),
         platform: None,
     };
-    let mut driver = EventLoop::new(Box::new(NoTap)).map_err(|e| e.to_string())?;
-    driver.catch_signals().map_err(|e| e.to_string())?;
     let keys_file =
         settings.has("identity.keys-file").then(|| PathBuf::from(settings.text("identity.keys-file")));
     let audit_file =
--- a/crates/sanddrum-cli/src/platform.rs
+++ b/crates/sanddrum-cli/src/platform.rs
@@ -3,7 +3,7 @@
 
 use crate::{exit, fail};
 use sanddrum_edge::{Edge, Platform, Start, CONFIGURATION};
-use sanddrum_net::{EventLoop, NoTap, Shutdown};
+use sanddrum_net::{EventLoop, Shutdown};
 use sanddrum_platform::Configuration;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -23,22 +23,20 @@
     Ok((file, read))
 }
 
-pub fn run() -> ExitCode {
+pub(crate) fn run(driver: EventLoop) -> ExitCode {
     let (file, read) = match configuration() {
         Ok(read) => read,
         Err(problem) => return fail(exit::USAGE, problem),
     };
-    match serve(file, &read) {
+    match serve(driver, file, &read) {
         Ok(Shutdown::InOrder) => ExitCode::from(exit::GOOD),
         Ok(Shutdown::AtOnce) => fail(exit::TROUBLE, "ended at once, as a second signal came"),
         Err(e) => fail(exit::TROUBLE, e),
     }
 }
 
-fn serve(file: PathBuf, read: &Configuration) -> Result<Shutdown, String> {
+fn serve(mut driver: EventLoop, file: PathBuf, read: &Configuration) -> Result<Shutdown, String> {
     let settings = read.deployment()?;
-    let mut driver = EventLoop::new(Box::new(NoTap)).map_err(|e| e.to_string())?;
-    driver.catch_signals().map_err(|e| e.to_string())?;
     let now = driver.now();
     let platform = Platform { known: read.told(now)?, kinds: read.kinds() };
     let (door, at) = EventLoop::bind(&read.listen).map_err(|e| format!("{}: {e}", read.listen))?;
--- a/crates/sanddrum-connect/src/lib.rs
+++ b/crates/sanddrum-connect/src/lib.rs
@@ -340,8 +340,9 @@
         let part = self.part();
         let Some(gap) = self.workers.get(&id).map(|worker| self.gap(now, worker)) else { return };
         if let Some(worker) = self.workers.get_mut(&id) {
-            worker.spared_until = now + SPARED_GAPS * gap.max(self.time_out);
-            worker.next = Some(now + (part * gap as f64) as Micros);
+            // Where no part of a worker is for handshakes the gap is without end.
+            worker.spared_until = now.saturating_add(SPARED_GAPS.saturating_mul(gap.max(self.time_out)));
+            worker.next = Some(now.saturating_add((part * gap as f64) as Micros));
         }
     }
     /// When a worker that is spared may have its next handshake from here; `None` for all others.
@@ -356,7 +357,7 @@
         }
         // Alone there is nobody to keep a distance from.
         let others = 1.0 - 1.0 / self.routers;
-        Some(*worker.next.get_or_insert(now + (part * others * gap as f64) as Micros))
+        Some(*worker.next.get_or_insert(now.saturating_add((part * others * gap as f64) as Micros)))
     }
     /// The distance between two handshakes from here to a worker that is spared: with all edges keeping it, all
     /// handshakes together take their part of what it can do by now.
--- a/crates/sanddrum-connect/tests/stories.rs
+++ b/crates/sanddrum-connect/tests/stories.rs
@@ -318,3 +318,18 @@
     rests.broke(11_000_000, 150_000, 100);
     assert!(!rests.is_trusted(12_000_000, 100_000));
 }
+
+#[rstest]
+fn a_dial_that_fails_where_no_part_of_a_worker_is_for_handshakes_is_no_sum_out_of_bounds() {
+    let mut story = Story::new(&[("limits.handshake-part", 0.0)]);
+    story.lists(1, 0);
+    let due = story.now + S;
+    let wanted = |link| Wanted { link: LinkId(link), worker: WorkerId(0), need: Need::Job, due };
+    assert_eq!(story.hears(&News { wanted: vec![wanted(1)], ..News::default() }).opened, [1]);
+    story.now += S;
+    story.hears(&News { failed: vec![LinkId(1)], ..News::default() });
+    story.now += S;
+    let due = story.now + S;
+    let again = Wanted { due, ..wanted(2) };
+    assert_eq!(story.hears(&News { wanted: vec![again], ..News::default() }).opened, [2]);
+}
--- a/crates/sanddrum-edge/src/fronts.rs
+++ b/crates/sanddrum-edge/src/fronts.rs
@@ -128,6 +128,7 @@
                 Ok(Some(said)) => said,
                 Ok(None) => {
                     let in_part = front.requests.in_part();
+                    let in_part = in_part && front.ends.is_none();
                     let newly = in_part && front.began.is_none();
                     front.began = if in_part { front.began.or(Some(now)) } else { None };
                     if newly {
@@ -346,9 +347,17 @@
         }
         let patience = self.limits.head_time_out;
         let silent = (!front.spoke).then_some(front.came + patience);
-        let slow = front.began.map(|at| at + patience);
+        let slow = front.began.filter(|_| front.ends.is_none()).map(|at| at + patience);
         let quiet = front.jobs.is_empty() || front.out.waiting() > 0;
         let idle = quiet.then_some(front.active + self.limits.client_idle);
+        if slow.is_some_and(|at| at <= now) && !front.jobs.is_empty() {
+            // Guards against a request that never comes whole and takes with it all that are open beside it: its
+            // connection ends behind their answers.
+            let front = self.fronts.fronts.get_mut(&conn);
+            front.into_iter().for_each(|front| (front.ends, front.began) = (Some(Micros::MAX), None));
+            self.due.insert((now + patience, Due::Client(conn)));
+            return;
+        }
         let next = silent.into_iter().chain(slow).chain(idle).min();
         if next.is_some_and(|at| at <= now) {
             return self.drop_front(now, conn, io, front.out.waiting() == 0);
--- a/crates/sanddrum-edge/tests/races.rs
+++ b/crates/sanddrum-edge/tests/races.rs
@@ -269,7 +269,7 @@
     );
     let asked = |host: &Host| {
         let text = String::from_utf8_lossy(&host.io.wrote[&host.list]).into_owned();
-        text.lines().filter(|line| line.starts_with("GET")).last().unwrap().to_string()
+        text.lines().rfind(|line| line.starts_with("GET")).unwrap().to_string()
     };
     assert!(asked(&host).contains("SUB=2&"), "{}", asked(&host));
     tells(
@@ -321,6 +321,18 @@
     assert!(!host.io.closed.iter().any(|(conn, _)| *conn == front));
 }
 
+#[rstest]
+fn one_request_that_never_comes_whole_takes_no_other_on_its_connection_with_it() {
+    let mut host = Host::on_platform(&[("limits.head-time-out", "500 ms")]);
+    let (front, worker) = job_out(&mut host);
+    host.says(front, &request(2, &usual(OTHER), b"in")[..40]);
+    host.wait(S);
+    assert!(!host.io.closed.iter().any(|(conn, _)| *conn == front));
+    host.says(worker, &frames::answer(97, call_number(), "", b"out"));
+    assert_eq!(statuses(&host, front), [(1, "Status: 200".to_string())]);
+    assert!(host.io.closed.contains(&(front, Some(Closed::InOrder))), "behind the answer");
+}
+
 #[rstest]
 fn a_request_given_up_on_a_connection_that_ends_is_heard_of() {
     let mut host = Host::on_platform(&[]);
