--- a/crates/sanddrum-lab/src/whole.rs
+++ b/crates/sanddrum-lab/src/whole.rs
@@ -103,53 +103,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use rstest::rstest;
-
-    fn scenario() -> Scenario {
-        let text = r#"(deployment (name "w") (zones "a"))
-            (workload "dear" (start-target 1s) (time-limit 3s) (effect restartable) (importance 4))
-            (workload "cheap" (start-target 1s) (time-limit 3s) (effect restartable) (importance 1))
-            (function "d-*" (workload "dear") (memory 9MB) (lanes 2))
-            (function "c-*" (workload "cheap") (memory 9MB) (lanes 2))
-            (calls "dear" (share 0.5) (work 20ms)) (calls "cheap" (share 0.5) (work 10ms))"#;
-        Scenario::read("whole", text, 1).unwrap_or_else(|e| panic!("{e}"))
-    }
-    /// Tries of a workload answered so in a second.
-    fn tries(workload: &str, second: Micros, status: u16, count: u64) -> Vec<Try> {
-        let at = second * 1_000_000 + 500;
-        let call = |n: u64| Try {
-            call: n + (at as u64 + u64::from(status)) * 1000 + workload.len() as u64 * 100,
-            workload: workload.into(),
-            edge: format!("edge-{}", n % 2),
-            began: at,
-            answers: vec![(at, status)],
-            ..Try::default()
-        };
-        (0..count).map(call).collect()
-    }
-
-    #[rstest]
-    #[case::the_cheap_are_turned_away(&[("dear", 1, 200, 5), ("cheap", 1, 503, 9)], 0.0)]
-    #[case::in_another_second(&[("dear", 1, 503, 5), ("cheap", 2, 200, 9)], 0.0)]
-    #[case::as_much_as_fits(&[("dear", 1, 503, 5), ("cheap", 1, 200, 4)], 0.4)]
-    #[case::all_of_it(&[("dear", 1, 503, 5), ("cheap", 1, 200, 40)], 1.0)]
-    fn what_is_turned_away_for_less_dear_work_is_told(
-        #[case] seen: &[(&str, Micros, u16, u64)],
-        #[case] part: f64,
-    ) {
-        let tries = seen.iter().flat_map(|(workload, at, status, n)| tries(workload, *at, *status, *n));
-        let log = Log { tries: tries.collect(), ..Log::default() };
-        assert!((inversions(&log, &scenario()) - part).abs() < 1e-9);
-    }
-
-    #[rstest]
-    fn edges_that_serve_apart_are_told() {
-        let mut all = tries("dear", 1, 200, 200);
-        all.iter_mut().filter(|t| t.edge == "edge-1").step_by(4).for_each(|t| t.answers[0].1 = 503);
-        let log = Log { tries: all, ..Log::default() };
-        assert_eq!(edges(&log, &scenario()), (0.75, 1.0));
-        assert_eq!(amplification(&log)["executions"], 0.0);
-    }
-}
+#[path = "whole_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/sanddrum-simhost/src/decode_tests.rs
@@ -0,0 +1,27 @@
+//! The first message, read as the router reads its configuration.
+
+use super::*;
+use serde_json::json;
+
+#[test]
+fn one_first_message_gives_the_module_equal_settings_in_adapter_and_router() {
+    let settings = json!({
+        "azs": ["here"], "az": 0, "me": 1, "balancers": 3, "kinds": ["fast"], "value-by": "request",
+        "classes": [{"name": "job", "aim-us": 700000, "deadline-us": 2000000, "effect": "by_key",
+                     "key-scope": "all", "late-value": 0.3, "worth": 5.0, "repeat-window-us": 4000000}],
+        "family-info": {"if-cold": "miss", "placement-calls": true, "idle-life-us": 9000000,
+                        "ram-mb-by-kind": [9216.0], "tells-crowd": false},
+        "limits": {"cancel": true, "may-duplicate": false, "try-limit": 5, "max-retry-after-us": 1000000},
+        "obligations": {"cold-from": 0.2, "cold-us": 9000000, "tip-after-us": 2000000},
+        "stats": {"fields": ["q", "rif"], "via": "answers"},
+    });
+    let message = json!(["power-on", "router_1", 7, settings]);
+    let (_, adapters) = told_at_start(&Fields(message.as_array().unwrap())).unwrap();
+    let configuration = json!({
+        "name": "n1", "listen": "127.0.0.1:80", "feed": "127.0.0.1:81", "seed": "7", "settings": settings,
+        "limits": {"sockets": 256, "memory_mb": 32}, "known": {"n": 0, "events": []},
+    });
+    let routers = sanddrum_platform::Configuration::read(&configuration.to_string()).unwrap().module();
+    assert_eq!(adapters.0, routers.0);
+    assert_eq!(adapters.text("workloads.0.effect"), Some("fingerprinted"));
+}
