--- a/crates/sanddrum-cli/src/platform.rs
+++ b/crates/sanddrum-cli/src/platform.rs
@@ -20,6 +20,9 @@
     let mut read = Configuration::read(&text).map_err(|why| format!("{}: {why}", file.display()))?;
     read.name = variable("RELAY_NAME").unwrap_or(read.name);
     read.listen = variable("RELAY_LISTEN").unwrap_or(read.listen);
+    // Guards against a configuration that promises more descriptors than there are: idle clients would take the last.
+    let open_files = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    read.sockets = read.sockets.min(open_files.unwrap_or(u64::MAX));
     Ok((file, read))
 }
 
--- a/crates/sanddrum-edge/src/clients.rs
+++ b/crates/sanddrum-edge/src/clients.rs
@@ -190,9 +190,14 @@
                 return;
             }
             if client.places.len() >= self.limits.pipelined {
-                client.paused = true;
                 client.began = None;
-                return io.pause(conn, true);
+                // Read on within a bound. Guards against a client that leaves unheard, for which what it had asked
+                // would still be sent: of a connection that is not read its end is not told.
+                if client.bytes.len() > self.limits.largest_head + self.limits.largest_body {
+                    client.paused = true;
+                    io.pause(conn, true);
+                }
+                return;
             }
             match http::request(&client.bytes, self.limits.largest_head, self.limits.largest_body) {
                 Ok(Parsed::Partial { expects_continue }) => {
@@ -407,9 +412,10 @@
                 self.drop_client(now, conn, io, false);
             } else if client.ending == Ending::WhenWritten && client.out.waiting() == 0 {
                 self.drop_client(now, conn, io, true);
-            } else if client.paused && client.places.len() < self.limits.pipelined {
-                client.paused = false;
-                io.pause(conn, false);
+            } else if !client.bytes.is_empty() && client.places.len() < self.limits.pipelined {
+                if std::mem::take(&mut client.paused) {
+                    io.pause(conn, false);
+                }
                 self.read_requests(now, conn, io);
             }
         }
--- a/crates/sanddrum-edge/src/fronts.rs
+++ b/crates/sanddrum-edge/src/fronts.rs
@@ -9,6 +9,10 @@
 use sanddrum_net::{Conn, Event, Io, Outbox};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// One that was told of no list at its start, and can't reach the feed, is ready all the same after half of the ten
+/// seconds within which nine in ten have to be: it answers, if only that clients are to come back.
+const READY_WITHOUT_LIST: Micros = 5_000_000;
+
 struct Front {
     requests: Responder,
     out: Outbox<()>,
@@ -192,7 +196,7 @@
     fn take_front_request(&mut self, now: Micros, conn: Conn, id: u16, request: Request) {
         let answer = match request.param("SCRIPT_NAME") {
             Some("/health") => {
-                let ready = !self.list.is_empty();
+                let ready = !self.list.is_empty() || now >= self.began + READY_WITHOUT_LIST;
                 let status = if ready { 200 } else { 503 };
                 let text: &[u8] = if ready { b"ok\n" } else { b"no list yet\n" };
                 Some(fastcgi::answer(id, &[head(status, &[], text.len()).as_bytes(), text]))
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -137,6 +137,7 @@
     connect_wake: Option<Micros>,
     list: List,
     start: sanddrum_start::Start,
+    began: Micros,
     due: BTreeSet<(Micros, Due)>,
     module_wake: Option<Micros>,
     /// Asked to end: whatever it holds has its final answer by then.
@@ -220,6 +221,7 @@
             list,
             // A seed of its own, as for the connections.
             start: sanddrum_start::Start::new(start.seed ^ 0x57, &start.settings.values_for_module()),
+            began: 0,
             due: BTreeSet::new(),
             module_wake: None,
             stop_at: None,
@@ -313,6 +315,7 @@
 
 impl<M: Module> Core for Edge<M> {
     fn start(&mut self, now: Micros, io: &mut dyn Io) {
+        self.inner.began = now;
         self.inner.take_up_kept_list(now);
         if let Some(known) = self.inner.known.take() {
             self.inner.take_told(now, known);
--- a/crates/sanddrum-edge/tests/host/mod.rs
+++ b/crates/sanddrum-edge/tests/host/mod.rs
@@ -149,6 +149,10 @@
         let known = Told { last: 1, changes: vec![Change { n: 1, rows: Some((true, rows)) }] };
         Host::begun(set, "", None, Some(Platform { known, kinds: vec![] }))
     }
+    /// The same where the start configuration told of no list.
+    pub fn without_list(set: &[(&str, &str)]) -> Host {
+        Host::begun(set, "", None, Some(Platform { known: Told::default(), kinds: vec![] }))
+    }
     pub fn bare(set: &[(&str, &str)], kept: Option<Vec<u8>>) -> Host {
         Host::made(set, "", kept)
     }
--- a/crates/sanddrum-edge/tests/races.rs
+++ b/crates/sanddrum-edge/tests/races.rs
@@ -103,6 +103,37 @@
     assert_eq!(host.ends(), [End::NoConnection]);
 }
 
+#[rstest]
+fn a_further_attempt_is_not_begun_behind_one_that_is_half_written_and_still_to_come() {
+    let mut host = Host::on_platform(&[]);
+    let front = host.client();
+    host.strings.borrow_mut().deeds.push(Do::Execute(0, 1_400_000));
+    asks(&mut host, front, 1, CALL);
+    let first = worker(&host);
+    host.io.room.insert(first, 20);
+    host.up(first);
+    decide(&mut host, 2, &[Do::Cancel(0, 0), Do::Execute(0, 1_000_000)]);
+    // The first one's rest can't come any more, wherever the second is.
+    assert!(host.io.closed.contains(&(first, Some(Closed::Reset))));
+    let second = worker(&host);
+    assert_ne!(first, second);
+    host.up(second);
+    host.says(second, &frames::answer(97, call_number(), "", b"out"));
+    assert_eq!(statuses(&host, front), [(1, "Status: 200".to_string())]);
+}
+
+#[rstest]
+fn a_request_in_the_wake_up_of_its_connections_idle_time_out_is_taken() {
+    let mut host = Host::on_platform(&[("limits.client-idle", "4 s")]);
+    let front = host.client();
+    asks(&mut host, front, 1, CALL);
+    decide(&mut host, 2, &[Do::PushBack(0)]);
+    host.now += 4 * S + 1;
+    asks(&mut host, front, 2, OTHER);
+    assert_eq!(host.strings.borrow().jobs.len(), 2);
+    assert!(!host.io.closed.iter().any(|(conn, _)| *conn == front));
+}
+
 #[rstest]
 fn a_second_copy_of_an_answer_is_not_taken_for_the_answer_to_the_next_attempt() {
     let mut host = Host::on_platform(&[]);
@@ -307,6 +338,20 @@
     assert_eq!(host.strings.borrow().lists.len(), 1);
 }
 
+#[rstest]
+fn one_that_starts_while_discovery_is_down_is_ready_within_ten_seconds_and_refuses_at_once() {
+    let mut host = Host::without_list(&[]);
+    let health = |host: &mut Host| {
+        let front = host.client();
+        host.says(front, &request(1, &[("SCRIPT_NAME", "/health".into())], b""));
+        statuses(host, front).remove(0).1
+    };
+    host.event(Event::Closed { conn: host.list, how: Closed::Refused });
+    assert_eq!(health(&mut host), "Status: 503");
+    host.wait(5 * S);
+    assert_eq!(health(&mut host), "Status: 200");
+}
+
 // ---- Clients
 
 #[rstest]
--- a/crates/sanddrum-lab/src/callers.rs
+++ b/crates/sanddrum-lab/src/callers.rs
@@ -60,6 +60,8 @@
     chance: Chance,
     ends: Micros,
     popularity: Vec<f64>,
+    /// The edges' parts of the calls, summed up; empty where they are even.
+    parts: Vec<f64>,
     calls: BTreeMap<u64, (Call, Option<Conn>)>,
     next: u64,
     lines: BTreeMap<Conn, Line>,
@@ -85,7 +87,13 @@
             sum += (rank as f64).powf(-zipf);
             sum
         });
+        let uneven = l.number("traffic.uneven");
+        let sums = (1..=edges.len()).scan(0.0, |sum, rank| {
+            *sum += (rank as f64).powf(-uneven);
+            Some(*sum)
+        });
         Callers {
+            parts: if uneven > 0.0 { sums.collect() } else { Vec::new() },
             popularity: popularity.collect(),
             idle: vec![VecDeque::new(); edges.len()],
             edges,
@@ -152,7 +160,10 @@
     }
 
     fn attempt(&mut self, now: Micros, id: u64, io: &mut dyn Io) {
-        let edge = self.chance.below(self.edges.len());
+        let edge = match self.parts.is_empty() {
+            true => self.chance.below(self.edges.len()),
+            false => Self::pick(&mut self.chance, &self.parts),
+        };
         let Some((call, at)) = self.calls.get_mut(&id) else { return };
         let what = &self.scenario.calls[call.of];
         let left = call.began + what.time_limit - now;
--- a/crates/sanddrum-lab/src/lib.rs
+++ b/crates/sanddrum-lab/src/lib.rs
@@ -4,6 +4,7 @@
 mod baselines;
 mod callers;
 pub mod checker;
+pub mod cold;
 mod experiment;
 mod fleet;
 mod hammer;
--- a/crates/sanddrum-lab/src/schema.rs
+++ b/crates/sanddrum-lab/src/schema.rs
@@ -129,6 +129,7 @@
             key("retries", Kind::Whole(0.0, 10.0), Some("1"), "a call's further tries"),
             key("retry-wait", Kind::Span, Some("100ms"), "before a further try, where no time was told"),
             key("heeds", Kind::Number(0.0, 1.0), Some("0.8"), "the part of clients that heed the told time"),
+            key("uneven", Kind::Number(0.0, 5.0), Some("0"), "how uneven the edges' parts of the calls are"),
         ],
     },
     Section {
--- a/crates/sanddrum-lab/src/whole.rs
+++ b/crates/sanddrum-lab/src/whole.rs
@@ -1,6 +1,7 @@
 //! How the edges behaved as one: what reached workers for each finished job, whether dear work was turned away while
 //! less dear work was served, and how far edges served apart. Read from the traffic, as the verdict is.
 
+use crate::cold;
 use crate::recorder::{Load, Log, Try};
 use crate::scenario::Scenario;
 use sanddrum_net::Micros;
@@ -95,7 +96,9 @@
 pub fn of(log: &Log, scenario: &Scenario) -> Value {
     let round = |part: f64| (part * 1e4).round() / 1e4;
     let (worst, best) = edges(log, scenario);
+    let cold: Vec<f64> = cold::windows(log, scenario).iter().map(|window| round(window.part())).collect();
     json!({
+        "cold": cold,
         "for_each_finished": amplification(log),
         "inversions": round(inversions(log, scenario)),
         "edges": { "worst": round(worst), "best": round(best) },
