--- a/crates/sanddrum-cli/tests/played/mod.rs
+++ b/crates/sanddrum-cli/tests/played/mod.rs
@@ -12,6 +12,7 @@
 
 impl Played {
     /// Calls in time of calls begun, over these seconds.
+    #[allow(dead_code)] // not every story asks for it
     pub fn service(&self, seconds: std::ops::Range<usize>) -> f64 {
         let sums = seconds.fold((0, 0), |(begun, in_time), n| {
             let second = &self.summary["seconds"][n];
--- a/crates/sanddrum-lab/tests/checker.rs
+++ b/crates/sanddrum-lab/tests/checker.rs
@@ -2,7 +2,8 @@
 
 use rstest::rstest;
 use sanddrum_lab::checker::judge;
-use sanddrum_lab::recorder::{Log, Order, Try};
+use sanddrum_lab::cold;
+use sanddrum_lab::recorder::{Log, Order, Run, Try};
 use sanddrum_lab::Scenario;
 
 const RATION: &str = r#"
@@ -47,3 +48,43 @@
     let verdict = judge(&log, &Scenario::read("story", RATION, 1).unwrap(), 0, 0);
     assert_eq!(verdict.broken.len(), broken, "{:?}", verdict.broken);
 }
+
+/// 4 cores, 100 ms a job: in a window of 2 s just after the start a fifth of the cores does 16 jobs, of which 2.5 times as
+/// many are allowed: 40, and 2 roots of that and 2 more are put down to chance.
+#[rstest]
+#[case::as_many_as_chance_brings(54, 1_000_000, true)]
+#[case::more(55, 1_000_000, false)]
+#[case::more_but_before_it_started(200, -3_000_000, true)]
+#[case::more_but_long_warm(200, 20_000_000, true)]
+fn what_a_cold_worker_got_is_held_against_what_is_allowed_and_chance(
+    #[case] jobs: i64,
+    #[case] after_its_start: i64,
+    #[case] within: bool,
+) {
+    let text = r#"
+        (deployment (zones "a"))
+        (workload "job" (start-target 1s) (time-limit 3s) (effect restartable))
+        (function "f-*" (workload "job"))
+        (rules (cold-from 20%) (cold 10000s) (fall-multiple 2.5) (fall 2s))
+        (fleet (workers 1) (cores 4))
+        (calls "job" (share 1) (work 100ms))"#;
+    let started = 50_000_000;
+    let came = |n: i64| started + after_its_start + n;
+    let run = |n| Run {
+        worker: 0,
+        edge: format!("edge-{}", n % 7),
+        came: came(n),
+        call: n as u64,
+        number: 0,
+        workload: "job".into(),
+        answers: vec![],
+    };
+    let mut scenario = Scenario::read("story", text, 1).unwrap();
+    if after_its_start > 10_000_000 {
+        scenario.settings.give("rules.cold", "10 s", "story").unwrap();
+    }
+    let log = Log { runs: (0..jobs).map(run).collect(), starts: vec![(0, started)], ..Log::default() };
+    let windows = cold::windows(&log, &scenario);
+    assert_eq!(windows.len(), 1);
+    assert_eq!(windows[0].part() <= 1.0, within, "{windows:?}");
+}
