All that is given up is written before any further attempt; a slow request at the HTTP door ends alone

At fault: flush_links wrote whole connections that have something given up, in the order of their numbers. Now what is given up is written first on all of them, up to that and no further, and then the rest.

clients.rs: a request that never comes whole, or can't be read, ended its connection 200 ms later with all that were open before it (look_at_client, Lingers): it ends behind their answers. Both stories were seen to fail before (races.rs:148, clients.rs:111).

The router's debug line of a job it takes names the call's own id, by which one request is followed through all routers.

--- a/crates/sanddrum-edge/src/clients.rs
+++ b/crates/sanddrum-edge/src/clients.rs
@@ -438,8 +438,14 @@
         let quiet = client.places.is_empty() || client.out.waiting() > 0;
         let idle = client.active + self.limits.client_idle;
         match client.ending {
-            Ending::Lingers(until) if until <= now => return self.drop_client(now, conn, io, true),
-            Ending::Lingers(_) => return,
+            // Guards against a request that can't be read and takes those before it on its connection with it.
+            Ending::Lingers(until) if until <= now && client.places.is_empty() => {
+                return self.drop_client(now, conn, io, client.out.waiting() == 0)
+            }
+            Ending::Lingers(until) => {
+                self.due.insert((until.max(now + self.limits.linger.max(1)), Due::Client(conn)));
+                return;
+            }
             _ => {}
         }
         if head.is_some_and(|at| at <= now) {
--- a/crates/sanddrum-edge/src/jobs.rs
+++ b/crates/sanddrum-edge/src/jobs.rs
@@ -365,7 +365,8 @@
             closed: false,
         });
         self.figures.taken.increment(1);
-        tracing::debug!(job = job.0, workload = workload.0, limit_us = call.limit, "taken");
+        let number = format_args!("{:016x}", call.number);
+        tracing::debug!(job = job.0, call = %number, workload = workload.0, limit_us = call.limit, "taken");
         let customer = customer_id;
         let id = job;
         self.ask(sanddrum::Job {
--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -568,19 +568,24 @@
         self.due.insert((again.max(now + 1), Due::Link(id)));
     }
 
+    /// Writes what waits: first all that gives something up, on all connections, then the rest. Guards against a
+    /// further attempt that is out on one connection before the first one is given up on another.
     pub(crate) fn flush_links(&mut self, now: Micros, io: &mut dyn Io) {
-        let first = std::mem::take(&mut self.links.first);
-        let rest = std::mem::take(&mut self.links.dirty);
-        for id in first.iter().chain(rest.difference(&first)) {
-            if let Some(link) = self.links.links.get_mut(id).filter(|link| link.up) {
-                if let Some(conn) = link.conn {
-                    link.out.flush(conn, io);
-                }
-                if first.contains(id) && self.on_platform && link.out.holds(&Mark::GiveUp) {
-                    // It reads nothing, so that what is given up there would be out twice at a time.
-                    self.reset_link(*id, io);
-                    self.link_ended(now, *id, Closed::Reset, false);
-                }
+        for id in std::mem::take(&mut self.links.first) {
+            let Some(link) = self.links.links.get_mut(&id).filter(|link| link.up) else { continue };
+            if let Some(conn) = link.conn {
+                link.out.flush_through(&Mark::GiveUp, conn, io);
+            }
+            if self.on_platform && link.out.holds(&Mark::GiveUp) {
+                // It reads nothing, so that what is given up there would be out twice at a time.
+                self.reset_link(id, io);
+                self.link_ended(now, id, Closed::Reset, false);
+            }
+        }
+        for id in std::mem::take(&mut self.links.dirty) {
+            let Some(link) = self.links.links.get_mut(&id).filter(|link| link.up) else { continue };
+            if let Some(conn) = link.conn {
+                link.out.flush(conn, io);
             }
         }
     }
--- a/crates/sanddrum-edge/tests/clients.rs
+++ b/crates/sanddrum-edge/tests/clients.rs
@@ -96,6 +96,25 @@
     assert_eq!(h.io.closed, [(client, Some(Closed::InOrder))]);
 }
 
+#[rstest]
+#[case::noise("\u{1}\u{2}\r\n\r\n", 400)]
+#[case::never_whole("POST /v1/calls/job/f1 HT", 408)]
+fn a_request_that_cannot_be_read_takes_none_before_it_on_its_connection_with_it(
+    #[case] text: &str,
+    #[case] status: u16,
+) {
+    let mut h = Host::new(&[("limits.linger", "100ms"), ("limits.head-time-out", "500ms")]);
+    let (client, worker) = h.call_out(50 * S);
+    h.up(worker);
+    h.says(client, text.as_bytes());
+    h.wait(2 * S);
+    assert!(h.io.closed.is_empty());
+    h.done(worker, h.executions_read(worker)[0], Ended::Finished);
+    assert_eq!(h.statuses(client), [200, status]);
+    h.wait(S);
+    assert_eq!(h.io.closed, [(client, Some(Closed::InOrder))]);
+}
+
 #[rstest]
 #[case::path("POST", "/v1/calls/job", 404)]
 #[case::workload("POST", "/v1/calls/jib/f1", 404)]
--- a/crates/sanddrum-edge/tests/host/mod.rs
+++ b/crates/sanddrum-edge/tests/host/mod.rs
@@ -74,6 +74,8 @@
 /// Connections as the edge sees them, with what it wrote to each.
 pub struct Wires {
     pub wrote: BTreeMap<Conn, Vec<u8>>,
+    /// The same in the order in which it was written.
+    pub writes: Vec<(Conn, Vec<u8>)>,
     pub connects: Vec<(Conn, String)>,
     pub closed: Vec<(Conn, Option<Closed>)>,
     pub paused: BTreeMap<Conn, bool>,
@@ -100,6 +102,7 @@
         let n = bytes.len().min(*room);
         *room -= n;
         self.wrote.entry(conn).or_default().extend_from_slice(&bytes[..n]);
+        self.writes.push((conn, bytes[..n].to_vec()));
         n
     }
     fn close(&mut self, conn: Conn) {
@@ -173,6 +176,7 @@
         let edge = Edge::with_module(start, Puppet(strings.clone()));
         let io = Wires {
             wrote: BTreeMap::new(),
+            writes: Vec::new(),
             connects: Vec::new(),
             closed: Vec::new(),
             paused: BTreeMap::new(),
--- a/crates/sanddrum-edge/tests/races.rs
+++ b/crates/sanddrum-edge/tests/races.rs
@@ -122,6 +122,32 @@
     assert_eq!(statuses(&host, front), [(1, "Status: 200".to_string())]);
 }
 
+#[rstest]
+fn no_further_attempt_is_written_before_the_one_it_follows_is_given_up() {
+    let mut host = Host::on_platform(&[("limits.streams", "1")]);
+    let front = host.client();
+    for (job, call) in [(0, CALL), (1, OTHER)] {
+        host.strings.borrow_mut().deeds.push(Do::Execute(job, 1_400_000));
+        asks(&mut host, front, job as u16 + 1, call);
+        let conn = worker(&host);
+        host.up(conn);
+    }
+    let (first, second) = (host.io.connects[1].0, host.io.connects[2].0);
+    // Both are given up, and the second goes again where the first one was: on the connection before its own.
+    let again = [Do::Cancel(0, 0), Do::Cancel(1, 0), Do::Execute(1, 1_000_000)];
+    let before = host.io.writes.len();
+    decide(&mut host, 2, &again);
+    let written: Vec<Conn> = host.io.writes[before..].iter().map(|(conn, _)| *conn).collect();
+    let other = u64::from_str_radix(OTHER, 16).unwrap();
+    let given_up = host.io.writes[before..]
+        .iter()
+        .position(|(conn, bytes)| *conn == second && bytes.ends_with(&frames::give_up(other)));
+    let request = frames::request(other, "job", FUNCTION, 1_000_000, b"in");
+    let sent =
+        host.io.writes[before..].iter().position(|(conn, bytes)| *conn == first && bytes.ends_with(&request));
+    assert!(given_up.unwrap() < sent.unwrap(), "{written:?}");
+}
+
 #[rstest]
 fn a_request_in_the_wake_up_of_its_connections_idle_time_out_is_taken() {
     let mut host = Host::on_platform(&[("limits.client-idle", "4 s")]);
--- a/crates/sanddrum-net/src/outbox.rs
+++ b/crates/sanddrum-net/src/outbox.rs
@@ -52,11 +52,19 @@
     }
     /// Writes what the socket takes.
     pub fn flush(&mut self, conn: Conn, io: &mut dyn Io) {
-        while !self.blocked && self.waiting() > 0 {
-            let wrote = io.write(conn, &self.bytes[self.taken..]);
+        self.write(self.bytes.len(), conn, io);
+    }
+    /// Writes what the socket takes of all up to the last piece of this mark, and nothing behind it.
+    pub fn flush_through(&mut self, mark: &M, conn: Conn, io: &mut dyn Io) {
+        let end = self.pieces.iter().rev().find(|(_, m)| m == mark).map(|(end, _)| *end);
+        end.into_iter().for_each(|end| self.write(end, conn, io));
+    }
+    fn write(&mut self, end: usize, conn: Conn, io: &mut dyn Io) {
+        while !self.blocked && self.taken < end {
+            let wrote = io.write(conn, &self.bytes[self.taken..end]);
             self.taken += wrote;
             self.begun |= wrote > 0;
-            self.blocked = self.waiting() > 0;
+            self.blocked = self.taken < end;
         }
         while self.pieces.front().is_some_and(|(end, _)| *end <= self.taken) {
             self.begun = self.pieces.pop_front().is_some_and(|(end, _)| end < self.taken);
