Where neither probes nor orders are allowed, silence proves nothing and who failed is tried again

At fault: look_into_silence took a worker for suspect that had left a check unanswered, though none was sent, as nothing may be asked there; and a worker once suspect of a failed connection was never tried again, as only an answer clears it.

Now silence moves nothing there, and a suspicion from a failed connection ends with the wait, so that the next job shows. No deployment of ours has these settings; the others' decisions are as they were.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -673,10 +673,9 @@
 
     // ---- What the rules allow
 
-    /// Rule 4: work that may go to a cold worker now. It gets no more than its cold part of an even share of
-    /// what this router takes, saved up over no more than the rule's window; when every router does the same,
-    /// all together stay near what it can do. What has been saved up for a part only goes by chance, so that
-    /// many routers with little traffic do not each save up a whole job and send them together.
+    /// Rule 4: work that may go to a cold worker now: its cold part of an even share of what is taken here,
+    /// saved up over no more than the rule's window; all together stay near what it can do. What is saved up
+    /// for a part only goes by chance, or many routers would each save up a job and send them together.
     fn cold_room(&self, id: WorkerId, job: JobId, work: f64) -> bool {
         let drawn = hash_of((self.seed, id, job)) as f64 / u64::MAX as f64;
         self.cold_budget(id).is_none_or(|budget| budget > drawn * work)
@@ -817,9 +816,8 @@
         let believes = warm.iter().filter(open).any(|(_, p)| p.own < lanes * p.copies);
         let presumes = often && spreads && !(believes && self.pressed());
         let believed = |w: &WorkerId| warm.iter().any(|(at, _)| at == w);
-        // A crowded home where jobs wait does not count: the next one stands in for it, at most one for each
-        // where a wrong guess costs a load. Guards against all routers filling a hot function's first two
-        // homes, while copies elsewhere have room. On a quiet day it would lead jobs away from their copies.
+        // A crowded home where jobs wait does not count: the next one stands in, at most one for each where a
+        // wrong guess costs a load. Guards against all routers filling a hot function's first two homes.
         let most = if self.answers_miss() { wide } else { wide.min(2 * width) };
         let maybe = if presumes { &homes[..most] } else { &[] };
         let mut open_homes = 0;
@@ -871,8 +869,7 @@
         let waits = warm.iter().filter(open).map(|(w, p)| ((work * self.pace(*w) * turns(p)) as Micros, *w));
         let shortest = waits.min().filter(|(wait, _)| *wait < target && (*wait as f64) < load + work);
 
-        // Load on the ready worker with the fewest own jobs in flight, the function's homes and the own zone
-        // first. Ties go by the order of homes, so that routers share copies.
+        // Load on the emptiest ready worker, homes and the own zone first; ties by the order of homes.
         let loadable = homes.iter().enumerate().filter(|(_, w)| {
             let place = place_at(w);
             let may_stand = self.allows("copies.orders") || place.absent <= self.now;
@@ -1019,23 +1016,28 @@
     }
 
     /// Guards against workers that take work and answer nothing: hung, cut off, dead. One that owes for long
-    /// is checked; one that leaves that unanswered gets nothing new and is checked on, ever less, until heard.
+    /// is checked; one that leaves that unanswered gets nothing new and is checked on, ever less often.
     fn look_into_silence(&mut self, id: WorkerId, out: &mut impl Decisions) {
         let (now, wait) = (self.now, self.tightest_target() / ASKS_A_TARGET);
-        let probes = self.allows("limits.probes");
+        let (probes, orders) = (self.allows("limits.probes"), self.allows("copies.orders"));
         let Some(worker) = self.workers.get_mut(&id) else { return };
         let owes = worker.out.first().is_some_and(|(sent, ..)| worker.heard <= *sent);
         let unanswered = worker.checked.map(|at| at + wait);
         if worker.row.state != WorkerState::Ready || !(owes || worker.suspect) || unanswered > Some(now) {
             return;
         }
+        // Where nothing may be asked silence proves nothing, and who failed is tried again by the next job.
+        if unanswered.is_some() && !probes && !orders {
+            (worker.suspect, worker.checked) = (false, None);
+            return;
+        }
         worker.suspect |= unanswered.is_some();
         (worker.checked, worker.checks) = (Some(now), worker.checks + 1);
         self.due.insert((now + wait * Micros::from(worker.checks.min(10)), Due::Silence(id)));
         let stuck = if worker.suspect { worker.out.clone() } else { BTreeSet::new() };
         if probes {
             out.probe(id);
-        } else if self.allows("copies.orders") {
+        } else if orders {
             let no_order = |f: &Function| f.places.get(&id).is_some_and(|p| p.order.is_none());
             if let Some((function, f)) = self.functions.iter_mut().find(|(_, f)| no_order(f)) {
                 f.places.entry(id).or_default().order = Some((now, 0));
