A router starts with any settings that make sense to the platform, keyed classes among them

They are brought within those bounds; the module has the platform's figures as they are, as before. The property failed before (protocol.rs, any_settings_that_make_sense_to_the_platform_start_a_router).

--- a/crates/sanddrum-platform/src/start.rs
+++ b/crates/sanddrum-platform/src/start.rs
@@ -115,24 +115,36 @@
         for (n, name) in sanddrum_dialect::names(&self.settings, "classes").iter().enumerate() {
             let at = |key: &str| format!("workloads.{n}.{key}");
             let effect = map.text(&at("effect")).unwrap_or("run-once");
-            let (target, limit) = (span(&at("start-target-us"), 1e6), span(&at("time-limit-us"), 5e6));
-            longest = longest.max(number(&at("time-limit-us"), 5e6));
+            let limit = number(&at("time-limit-us"), 5e6).max(1.0);
+            // What is wanted later than it is given up is wanted by then.
+            let target = number(&at("start-target-us"), 1e6).clamp(1.0, limit);
+            longest = longest.max(limit);
+            let repeats = match effect {
+                "fingerprinted" => {
+                    let group = map.text(&at("group")).unwrap_or("all");
+                    let window = number(&at("repeat-window-us"), 0.0).max(1.0) as i64;
+                    format!(" (group {group}) (repeat-window {window}us)")
+                }
+                _ => String::new(),
+            };
             let _ = writeln!(
                 out,
-                "(workload {name:?} (start-target {target}) (time-limit {limit}) (effect {effect}))"
+                "(workload {name:?} (start-target {}us) (time-limit {}us) (effect {effect}){repeats})",
+                target as i64, limit as i64
             );
         }
-        let orders = if map.flag("copies.orders") == Some(true) { "yes" } else { "no" };
         let on_miss = map.text("copies.on-miss").unwrap_or("load");
-        let keep = span("copies.keep-alive-us", 8e6);
+        // Whether orders are allowed the module reads for itself; a fleet that loads by other means is no mistake here.
+        let orders = if map.flag("copies.orders") == Some(true) || on_miss == "miss" { "yes" } else { "no" };
+        let keep = format!("{}us", number("copies.keep-alive-us", 8e6).max(1.0) as i64);
         let _ = writeln!(out, "(copies (keep-alive {keep}) (on-miss {on_miss}) (orders {orders}))");
         let _ = writeln!(
             out,
             "(rules (drain-grace {}) (cold-from {}) (cold {}) (fall-multiple {}) (fall {}))",
             span("rules.drain-grace-us", 2e6),
-            number("rules.cold-from", 0.2).max(0.01),
+            number("rules.cold-from", 0.2).clamp(0.01, 1.0),
             span("rules.cold-us", 1e7),
-            number("rules.fall-multiple", 3.0).max(1.0),
+            number("rules.fall-multiple", 3.0).clamp(1.0, 100.0),
             span("rules.fall-us", 3e6),
         );
         // A connection is closed before the worker closes it, so that no job is put on one that is on its way out.
@@ -149,12 +161,12 @@
             "(limits {LIMITS} (streams {}) (connect-time-out {}) (idle-close {idle}) (order-time-out {}) \
              (max-retry-after {}) (max-executions {}) (max-open {}) (max-clients {clients}) (all-connections {workers}) (held-bodies {bodies}MB) \
              (stop-within {stop}))",
-            number(STREAMS, 32.0).max(1.0) as i64,
+            number(STREAMS, 32.0).clamp(1.0, 1e5) as i64,
             span(CONNECT, 250e3),
             span("copies.order-time-out-us", 1e7),
             span("limits.max-retry-after-us", 2e6),
-            number("limits.max-executions", 5.0).max(1.0) as i64,
-            number("limits.max-open", 20e3).max(1.0) as i64,
+            number("limits.max-executions", 5.0).clamp(1.0, 100.0) as i64,
+            number("limits.max-open", 20e3).clamp(1.0, 1e7) as i64,
         );
         let (me, routers) = (number("me", 0.0) as i64, number("routers", 1.0).max(1.0) as i64);
         let zone = zones.get(number("zone", 0.0) as usize).map(|zone| format!("(zone {zone:?})"));
--- a/crates/sanddrum-platform/tests/protocol.rs
+++ b/crates/sanddrum-platform/tests/protocol.rs
@@ -180,3 +180,59 @@
     let why = Configuration::read(&json.to_string()).unwrap_err();
     assert!(why.starts_with(key), "{why}");
 }
+
+/// Names as an operator may choose them.
+fn name() -> impl Strategy<Value = String> {
+    "[a-zA-Z0-9é][a-zA-Z0-9é _.\"'\\\\;()-]{0,20}"
+}
+fn class() -> impl Strategy<Value = serde_json::Value> {
+    let effect = prop_oneof![Just("repeatable"), Just("by_key"), Just("once")];
+    let scope = prop_oneof![Just(None), Just(Some("all")), Just(Some("zone")), Just(Some("cell"))];
+    (name(), 0..20_000_000u64, 1..20_000_000u64, effect, scope, 0..10_000_000u64, 0.0..1e4f64).prop_map(
+        |(name, aim, deadline, effect, scope, window, worth)| {
+            json!({"name": name, "aim-us": aim, "deadline-us": deadline, "effect": effect, "key-scope": scope,
+                   "repeat-window-us": window, "worth": worth, "late-value": 0.3})
+        },
+    )
+}
+
+proptest! {
+    /// Whatever another deployment's classes, limits and rules are, a router starts with them.
+    #[test]
+    fn any_settings_that_make_sense_to_the_platform_start_a_router(
+        classes in prop::collection::vec(class(), 1..6),
+        zones in prop::collection::btree_set(name(), 1..4),
+        family in (any::<bool>(), any::<bool>(), 0..30_000_000u64, 0..30_000_000u64),
+        rules in (0.0..1.5f64, 0..30_000_000u64, 0.0..9.0f64, 0..9_000_000u64, 0..9_000_000u64),
+        limits in (0..100_000u64, 0..90_000_000u64, 0..2_000_000u64, 0..50u64, 0..1_000_000u64, 0..9_000_000u64),
+        size in (8u64..100_000, 1.0..1e5f64, 0usize..400, 1usize..400),
+    ) {
+        let mut json = configuration();
+        let mut classes = classes;
+        for (n, class) in classes.iter_mut().enumerate() {
+            class["name"] = json!(format!("{}{n}", class["name"].as_str().unwrap()));
+        }
+        let settings = &mut json["settings"];
+        settings["classes"] = json!(classes);
+        settings["azs"] = json!(zones);
+        settings["az"] = json!(zones.len() - 1);
+        settings["family-info"] = json!({
+            "if-cold": if family.0 { "miss" } else { "load" }, "placement-calls": family.1,
+            "idle-life-us": family.2, "load-wait-us": family.3,
+        });
+        settings["obligations"] = json!({
+            "cold-from": rules.0, "cold-us": rules.1, "fall-multiple": rules.2, "tip-after-us": rules.3,
+            "stop-sending-within-us": rules.4,
+        });
+        settings["limits"] = json!({
+            "streams-per-conn": limits.0, "keepalive-us": limits.1, "connect-timeout-us": limits.2,
+            "try-limit": limits.3, "max-open": limits.4, "max-retry-after-us": limits.5,
+        });
+        (settings["me"], settings["balancers"]) = (json!(size.2), json!(size.3));
+        json["limits"] = json!({"sockets": size.0, "memory_mb": size.1});
+        let read = Configuration::read(&json.to_string()).unwrap();
+        let loaded = read.deployment();
+        prop_assert!(loaded.is_ok(), "{}", loaded.err().unwrap_or_default());
+        prop_assert_eq!(loaded.unwrap().names("workloads").len(), classes.len());
+    }
+}
