A client's idempotency key goes on to model servers with every attempt

Now the key goes on as it came; one with a comma, an equals sign or a control character is answered 400, as it could not be told from another field.

The story fails without the field.

--- a/crates/sanddrum-edge/src/fronts.rs
+++ b/crates/sanddrum-edge/src/fronts.rs
@@ -251,6 +251,11 @@
             None => None,
             told => Some((within(told, "load_ms", 0.0, longest)? * 1000.0) as Micros),
         };
+        let mark = request.param("HTTP_X_DEDUPE_KEY").filter(|key| !key.is_empty()).map(String::from);
+        // It goes on unchanged as one field among others.
+        if mark.iter().any(|key| key.chars().any(|c| matches!(c, ',' | '=') || c.is_control())) {
+            return Err(no_job(400, "bad-field", "HTTP_X_DEDUPE_KEY: a key without commas and equals signs"));
+        }
         if self.jobs.is_open(number_of) {
             return Err(no_job(409, "call-open", "a call of this id is open"));
         }
@@ -269,7 +274,17 @@
             return Err(no_job(503, "max-functions", "this edge knows as many functions as it may"));
         };
         let limit = ((patience * 1000.0) as Micros - self.limits.answer_ahead).max(1);
-        Ok(Call { number: number_of, workload, function, memory_mb, lanes, load, limit, ..Call::default() })
+        Ok(Call {
+            number: number_of,
+            workload,
+            function,
+            memory_mb,
+            lanes,
+            load,
+            limit,
+            mark,
+            ..Call::default()
+        })
     }
 
     /// The final answer to a job of a web server's.
--- a/crates/sanddrum-edge/src/speech.rs
+++ b/crates/sanddrum-edge/src/speech.rs
@@ -44,8 +44,8 @@
         match self {
             Speech::Ours => frame(&ToWorker::Execute(execute)),
             Speech::Platform => {
-                let Execute { workload, function, limit_us, body, .. } = execute;
-                frames::request(call, &workload, &function, limit_us, &body)
+                let Execute { workload, function, limit_us, body, mark, .. } = execute;
+                frames::keyed_request(call, &workload, &function, limit_us, mark.as_deref(), &body)
             }
         }
     }
--- a/crates/sanddrum-edge/tests/races.rs
+++ b/crates/sanddrum-edge/tests/races.rs
@@ -380,6 +380,25 @@
 
 // ---- Clients
 
+#[rstest]
+fn an_idempotency_key_goes_on_unchanged_with_every_attempt() {
+    let mut host = Host::on_platform(&[]);
+    let front = host.client();
+    let mut pairs = usual(CALL);
+    pairs.push(("HTTP_X_DEDUPE_KEY", "order-17".into()));
+    host.strings.borrow_mut().deeds.push(Do::Execute(0, 1_400_000));
+    host.says(front, &request(1, &pairs, b"in"));
+    let first = worker(&host);
+    host.up(first);
+    let (id, key) = (call_number(), Some("order-17"));
+    assert_eq!(host.io.wrote[&first], frames::keyed_request(id, "job", FUNCTION, 1_400_000, key, b"in"));
+    host.says(first, &frames::answer(100, id, "", b""));
+    decide(&mut host, 2, &[Do::Execute(0, 1_000_000)]);
+    let second = worker(&host);
+    host.up(second);
+    assert_eq!(host.io.wrote[&second], frames::keyed_request(id, "job", FUNCTION, 1_000_000, key, b"in"));
+}
+
 #[rstest]
 fn one_request_too_long_takes_no_other_on_its_connection_with_it() {
     let mut host = Host::on_platform(&[("limits.largest-body", "16 KB")]);
--- a/crates/sanddrum-platform/src/frames.rs
+++ b/crates/sanddrum-platform/src/frames.rs
@@ -31,8 +31,21 @@
 
 /// A job, which runs on if it can be begun within `limit`.
 pub fn request(id: u64, workload: &str, function: &str, limit: Micros, body: &[u8]) -> Vec<u8> {
+    keyed_request(id, workload, function, limit, None, body)
+}
+/// The same with the idempotency key that its client gave it, by which workers drop its repeats.
+pub fn keyed_request(
+    id: u64,
+    workload: &str,
+    function: &str,
+    limit: Micros,
+    key: Option<&str>,
+    body: &[u8],
+) -> Vec<u8> {
     let max = (limit / 1000).max(1);
-    frame(FROM_ROUTER, REQUEST, id, &format!("profile={workload},thing={function},max={max}"), body)
+    let mut fields = format!("profile={workload},thing={function},max={max}");
+    key.into_iter().for_each(|key| fields.push_str(&format!(",replay={key}")));
+    frame(FROM_ROUTER, REQUEST, id, &fields, body)
 }
 /// A job is given up; nothing answers this.
 pub fn give_up(id: u64) -> Vec<u8> {
