The virtual network delays each piece once; the execution 0.85 s after its answer explained

At fault: post() took the arrival of the piece before, delay included, and added the delay once more, so that pieces following each other on a connection were late by the sum of their delays. Relays between processes delay each once, as here now.

The story is played with 250 ms on both stages, beside 100 ms as before. A story of the network itself failed before (both_drivers.rs:312). The checker tells how late it was.

--- a/crates/sanddrum-cli/tests/overload.rs
+++ b/crates/sanddrum-cli/tests/overload.rs
@@ -57,6 +57,11 @@
     r#"(trouble "link" (to workers) (fault delay) (size 0.1) (at 5s) (length 3s))"#,
     11
 )]
+#[case::everything_is_later_than_a_connection_is_waited_for(
+    "later",
+    r#"(trouble "link" (to workers) (fault delay) (size 0.25) (at 5s) (length 3s))"#,
+    11
+)]
 #[case::an_edge_is_stopped("stopped", r#"(trouble "edge-stop" (count 1) (at 4500ms) (length 5s))"#, 11)]
 fn four_times_the_load_is_turned_away_at_the_door_and_over_when_it_ends(
     #[case] name: &str,
--- a/crates/sanddrum-lab/src/checker.rs
+++ b/crates/sanddrum-lab/src/checker.rs
@@ -191,7 +191,8 @@
         for run in &self.log.runs {
             let Some(at) = answered.get(&(run.call, run.number)) else { continue };
             if run.came > at + self.slack {
-                let what = format!("call {} try {} went to a worker after its answer", run.call, run.number);
+                let (call, n, late) = (run.call, run.number, run.came - at);
+                let what = format!("call {call} try {n} went to a worker {late} us after its answer");
                 self.breaks(1, run.came, what);
             }
         }
--- a/crates/sanddrum-net/src/virtual_net.rs
+++ b/crates/sanddrum-net/src/virtual_net.rs
@@ -277,14 +277,17 @@
             held.push(what);
             return earliest;
         }
-        let mut at = (self.now + self.latency(from, to)).max(earliest);
+        let arrives = self.now + self.latency(from, to);
+        let mut at = arrives.max(earliest);
         if let Some((bend, held)) = to.and_then(|to| self.bent.get_mut(&(from, to))) {
             let passes = matches!(what, What::Knock { .. } | What::Connected { .. });
             if bend.silent && !passes {
                 held.push(what);
                 return earliest;
             }
-            at += bend.delay;
+            // Behind what was sent before it, and not later than that by a delay of its own: pieces that follow each
+            // other would be late by the sum of all their delays.
+            at = (arrives + bend.delay).max(earliest);
             if let (What::Bytes { bytes, .. }, true) = (&what, bend.per_s > 0.0) {
                 at += (bytes.len() as f64 / bend.per_s * 1e6) as Micros;
             }
--- a/crates/sanddrum-net/tests/both_drivers.rs
+++ b/crates/sanddrum-net/tests/both_drivers.rs
@@ -280,3 +280,34 @@
     assert_eq!(first, play(1));
     assert_ne!(first, play(2));
 }
+
+#[rstest]
+fn a_way_that_delays_delays_each_piece_once() {
+    let (listens, came, _) = Talker::new(None, b"");
+    /// Says a byte every ten milliseconds.
+    struct Drips(Option<Conn>, Micros, u32);
+    impl Core for Drips {
+        fn start(&mut self, now: Micros, io: &mut dyn Io) {
+            (self.0, self.1) = (Some(io.connect("a:1")), now + 500_000);
+        }
+        fn event(&mut self, _: Micros, _: Event<'_>, _: &mut dyn Io) {}
+        fn turn(&mut self, now: Micros, io: &mut dyn Io) {
+            if let Some(conn) = self.0.filter(|_| now >= self.1 && self.2 < 20) {
+                io.write(conn, b"x");
+                (self.1, self.2) = (now + 10_000, self.2 + 1);
+            }
+        }
+        fn wake(&self) -> Option<Micros> {
+            (self.2 < 20).then_some(self.1)
+        }
+    }
+    let mut net = VirtualNet::new(1, 1_000_000, Links { split: 0.0, ..Links::default() }, Box::new(NoTap));
+    let to = net.add(0, &["a:1"], listens);
+    let from = net.add(0, &[], Box::new(Drips(None, 0, 0)));
+    net.bend(from, to, Some(Bend { delay: 250_000, ..Bend::default() }));
+    // The last of them is said after 700 ms, and is there a quarter of a second later.
+    net.run_until(1_000_000 + 690_000);
+    assert!(came.borrow().came.len() < 20);
+    net.run_until(1_000_000 + 950_000);
+    assert_eq!(came.borrow().came.len(), 20);
+}
