--- a/crates/sanddrum-net/tests/outbox.rs
+++ b/crates/sanddrum-net/tests/outbox.rs
@@ -61,3 +61,34 @@
     assert_eq!(out.push(1, b"much too long"), Ok(()));
     assert_eq!(out.push(2, b"x"), Err(OutboxFull));
 }
+
+#[rstest]
+fn up_to_a_mark_nothing_behind_it_is_written() {
+    let (mut out, mut io) = (Outbox::new(100), Narrow { room: 100, wrote: vec![] });
+    for (mark, piece) in [(1, &b"one"[..]), (7, b"seven"), (2, b"two"), (7, b"again"), (3, b"three")] {
+        out.push(mark, piece).unwrap();
+    }
+    out.flush_through(&8, Conn(0), &mut io);
+    assert_eq!(io.wrote, b"", "no piece has this mark");
+    out.flush_through(&7, Conn(0), &mut io);
+    assert_eq!(io.wrote, b"oneseventwoagain");
+    assert!(out.holds(&3) && !out.holds(&7) && out.retract(&3));
+    out.push(4, b"four").unwrap();
+    out.flush(Conn(0), &mut io);
+    assert_eq!(io.wrote, b"oneseventwoagainfour");
+}
+
+#[rstest]
+fn a_short_write_up_to_a_mark_waits_for_room_as_any() {
+    let (mut out, mut io) = (Outbox::new(100), Narrow { room: 4, wrote: vec![] });
+    out.push(1, b"aaa").unwrap();
+    out.push(2, b"bbb").unwrap();
+    out.flush_through(&2, Conn(0), &mut io);
+    assert!(out.holds(&2));
+    io.room = 10;
+    out.flush(Conn(0), &mut io);
+    assert_eq!(io.wrote, b"aaab", "not before the socket says that there is room");
+    out.unblock();
+    out.flush(Conn(0), &mut io);
+    assert_eq!(io.wrote, b"aaabbb");
+}
