--- a/crates/sanddrum-cli/tests/overload.rs
+++ b/crates/sanddrum-cli/tests/overload.rs
@@ -62,6 +62,18 @@
     r#"(trouble "link" (to workers) (fault delay) (size 0.25) (at 5s) (length 3s))"#,
     11
 )]
+#[case::one_zones_workers_refuse_connections(
+    "refuse",
+    r#"(trouble "link" (from edges) (to workers) (to-zone "a") (fault refused) (at 5s) (length 2s))"#,
+    10
+)]
+#[case::edges_restart_two_by_two_and_workers_start_anew(
+    "roll",
+    r#"(trouble "edge-end" (count 2) (at 4500ms) (length 300ms)) (trouble "edge-end" (count 2) (at 5200ms) (length 300ms))
+       (trouble "edge-end" (count 2) (at 5900ms) (length 300ms)) (trouble "edge-end" (count 2) (at 6600ms) (length 300ms))
+       (trouble "crash" (count 3) (at 6s) (length 300ms))"#,
+    11
+)]
 #[case::an_edge_is_stopped("stopped", r#"(trouble "edge-stop" (count 1) (at 4500ms) (length 5s))"#, 11)]
 fn four_times_the_load_is_turned_away_at_the_door_and_over_when_it_ends(
     #[case] name: &str,
@@ -88,3 +100,19 @@
         assert!(played.service(9..13) >= 0.95, "{}", played.text);
     }
 }
+
+/// One customer asks for more than its half of a fleet that can do a quarter of what is asked.
+#[rstest]
+fn a_greedy_customer_takes_nothing_from_the_other() {
+    let customers =
+        r#"(customer "modest" (share 50%)) (customer "greedy" (share 50%)) (sharing (shares yes))"#;
+    let beside = r#"(trouble "greedy-customer" (at 4s) (length 4s) (size 0.6))"#;
+    let scenario = format!("{HEAD}{customers}{FOUR_TIMES}{beside}");
+    for how in [&["fleet"][..], &["run", "--virtual"][..]] {
+        let played = play(&format!("over-greedy-{}", how.len()), &scenario, how);
+        assert_eq!(played.exit, Some(0), "{}", played.text);
+        let served = |name: &str| played.summary["customers"][name].as_f64().unwrap();
+        assert!(served("modest") >= 0.9 && served("greedy") < served("modest"), "{}", played.text);
+        assert!(played.service(10..13) >= 0.95, "{}", played.text);
+    }
+}
