Races of the router: ports given by the system; the story before its start waits for the door

It now waits until the router listens. Routers choose their own ports and tell them, so that no two stories get the same.

--- a/crates/sanddrum-cli/tests/races.rs
+++ b/crates/sanddrum-cli/tests/races.rs
@@ -6,7 +6,7 @@
 use sanddrum_platform::frames;
 use serde_json::json;
 use std::io::Write;
-use std::process::Command;
+use std::process::{Command, Stdio};
 use steered::*;
 
 const A: &str = "00000000000000a1";
@@ -110,17 +110,19 @@
 
 #[rstest]
 fn a_signal_before_it_is_ready_is_heard_once_it_is(#[values("HUP", "TERM")] which: &str) {
-    let ((_workers, worker_at), (feeds, feed_at), (_, at)) = (listener(), listener(), listener());
+    let ((_workers, worker_at), (feeds, feed_at)) = (listener(), listener());
     // Its configuration is a pipe: opened, it has begun and read nothing.
     let file = std::env::temp_dir().join(format!("sanddrum-race-early-{which}-{}", std::process::id()));
     assert!(Command::new("mkfifo").arg(&file).status().unwrap().success());
     let child = Router::command(&file).spawn().unwrap();
-    let mut router = Router::of(child, file.clone(), at.clone());
+    let router = Router::of(child, file.clone());
     let mut pipe = std::fs::OpenOptions::new().write(true).open(&file).unwrap();
     router.signal(which);
-    let text = configuration(&at, &feed_at, &worker_at, "once").to_string();
+    let text = configuration(&feed_at, &worker_at, "once").to_string();
     pipe.write_all(text.as_bytes()).unwrap();
     drop(pipe);
+    // It listens once it has read that; before, a second text would be read behind the first.
+    let mut router = router.begins();
     // It reads it again whenever it looks; nothing is there to be read where it has ended.
     let writer = file.clone();
     std::thread::spawn(move || loop {
@@ -150,7 +152,7 @@
     let mut web = Web::connects(&router.at);
     web.calls(1, A);
     let request = worker.request();
-    let text = configuration(&router.at, &moved_at, &worker_at, "once").to_string();
+    let text = configuration(&moved_at, &worker_at, "once").to_string();
     std::fs::write(&router.file, text).unwrap();
     signals.iter().for_each(|which| router.signal(which));
     assert_eq!(question(&mut accept(&moved)), 1, "its numbers go on");
@@ -345,20 +347,19 @@
 fn idle_clients_that_fill_the_descriptors_keep_nobody_from_the_list_the_workers_and_their_answers(
     #[case] told: u64,
 ) {
-    let ((mut worker, worker_at), (feeds, feed_at), (_, at)) = (Worker::listens(), listener(), listener());
+    let ((mut worker, worker_at), (feeds, feed_at)) = (Worker::listens(), listener());
     // Nobody is there at the feed's address: discovery is down.
     drop(feeds);
-    let mut json = configuration(&at, &feed_at, &worker_at, "once");
+    let mut json = configuration(&feed_at, &worker_at, "once");
     json["limits"]["sockets"] = json!(told);
     let file = std::env::temp_dir().join(format!("sanddrum-race-full-{told}-{}.json", std::process::id()));
     std::fs::write(&file, json.to_string()).unwrap();
     let program = env!("CARGO_BIN_EXE_sanddrum-edge");
     let mut command = Command::new("sh");
-    command.args(["-c", &format!("ulimit -n 64; exec {program} --platform")]).env("RELAY_CONFIG", &file);
-    let mut router = Router::of(command.spawn().unwrap(), file, at.clone());
-    while std::net::TcpStream::connect(&at).is_err() {
-        std::thread::yield_now();
-    }
+    command.args(["-c", &format!("ulimit -n 64; exec {program} --platform --log info")]);
+    command.env("RELAY_CONFIG", &file).stderr(Stdio::piped());
+    let mut router = Router::of(command.spawn().unwrap(), file).begins();
+    let at = router.at.clone();
     let _idle: Vec<Web> = (0..100).map(|_| Web::connects(&at)).collect();
     let feeds = std::net::TcpListener::bind(&feed_at).unwrap();
     let mut feed = accept(&feeds);
--- a/crates/sanddrum-cli/tests/steered/mod.rs
+++ b/crates/sanddrum-cli/tests/steered/mod.rs
@@ -7,10 +7,10 @@
 use serde_json::{json, Value};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::BTreeMap;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::time::Duration;
 
 /// What does not come within this does not come.
@@ -265,7 +265,9 @@
 pub struct Router {
     child: Child,
     pub file: PathBuf,
+    /// Where it listens; the system gives the port, so that no other story has it.
     pub at: String,
+    said: BufReader<ChildStderr>,
 }
 
 impl Drop for Router {
@@ -276,11 +278,11 @@
     }
 }
 
-pub fn configuration(listen: &str, feed: &str, worker: &str, effect: &str) -> Value {
+pub fn configuration(feed: &str, worker: &str, effect: &str) -> Value {
     let first =
         json!({"n": 1, "members": {"complete": true, "members": [member("w", worker, "in_service")]}});
     json!({
-        "name": "n1", "listen": listen, "seed": "5", "feed": feed, "known": {"n": 1, "events": [first]},
+        "name": "n1", "listen": "127.0.0.1:0", "seed": "5", "feed": feed, "known": {"n": 1, "events": [first]},
         "limits": {"sockets": 256, "memory_mb": 32},
         "settings": {
             "azs": ["here"], "az": 0, "me": 0, "balancers": 1,
@@ -299,20 +301,27 @@
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         command
     }
-    pub fn of(child: Child, file: PathBuf, at: String) -> Router {
-        Router { child, file, at }
+    /// One that has been started, whether it has begun or not.
+    pub fn of(mut child: Child, file: PathBuf) -> Router {
+        let said = BufReader::new(child.stderr.take().unwrap());
+        Router { child, file, at: String::new(), said }
+    }
+    /// Waits until it listens, and learns where.
+    pub fn begins(mut self) -> Router {
+        let mut line = String::new();
+        while !line.contains("a router of the platform begins") {
+            line.clear();
+            assert!(self.said.read_line(&mut line).unwrap() > 0, "it ended at its start");
+        }
+        self.at = line.split('"').find(|text| text.starts_with("127.0.0.1:")).unwrap().to_string();
+        self
     }
     /// Starts one whose worker and feed are at these addresses.
     pub fn start(name: &str, feed: &str, worker: &str, effect: &str) -> Router {
-        // Its own address: bound to learn a free one, and let go.
-        let (_, at) = listener();
-        Router::configured(name, &at, &configuration(&at, feed, worker, effect))
-    }
-    pub fn configured(name: &str, at: &str, configuration: &Value) -> Router {
         let file = std::env::temp_dir().join(format!("sanddrum-race-{name}-{}.json", std::process::id()));
-        std::fs::write(&file, configuration.to_string()).unwrap();
+        std::fs::write(&file, configuration(feed, worker, effect).to_string()).unwrap();
         let child = Router::command(&file).spawn().unwrap();
-        Router { child, file, at: at.into() }
+        Router::of(child, file).begins()
     }
     pub fn signal(&self, which: &str) {
         let sent = Command::new("sh").args(["-c", &format!("kill -{which} {}", self.child.id())]).status();
@@ -324,7 +333,7 @@
     /// What it logged until its end.
     pub fn log(&mut self) -> String {
         let mut said = String::new();
-        self.child.stderr.take().unwrap().read_to_string(&mut said).unwrap();
+        self.said.read_to_string(&mut said).unwrap();
         said
     }
 }
