--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -1,11 +1,12 @@
 //! Connections to workers: opened as needed, capped, closed when idle; and how whatever was out on one ended.
 
+mod errands;
+mod recall;
+
 use crate::jobs::report_of;
 use crate::speech::Reader;
 use crate::{Due, Inner, Owner};
-use sanddrum::{
-    End, FunctionId, Micros, OrderEnd, ProbeEnd, Report, Warmth, WorkerId, WorkerRow, WorkerState,
-};
+use sanddrum::{End, FunctionId, Micros, ProbeEnd, Report, Warmth, WorkerId, WorkerRow, WorkerState};
 use sanddrum_connect::{LinkId, Listed, Need, News, Old, Wanted, Why};
 use sanddrum_net::{Closed, Conn, Event, Io, Outbox};
 use sanddrum_wire::{self as wire, FromWorker, Hello, Row, VERSION};
@@ -186,63 +187,6 @@
 }
 
 impl Inner {
-    /// A worker that drains, is gone or is called elsewhere from now on gets nothing that was not begun to be written
-    /// before.
-    pub(crate) fn recall_from(&mut self, now: Micros, worker: WorkerId) {
-        let Some(target) = self.links.targets.get(&worker) else { return };
-        for id in target.links.clone() {
-            let Some(link) = self.links.links.get_mut(&id) else { continue };
-            let back: Vec<Mark> = link.carries.iter().filter(|mark| link.out.holds(mark)).copied().collect();
-            for mark in back {
-                if !self.links.take_back_mark(id, &mark) {
-                    continue;
-                }
-                match mark {
-                    Mark::Execution(n) => {
-                        self.execution_ended(now, n, End::Moot, Warmth::Unknown, None, None)
-                    }
-                    Mark::Order(n) => self.order_ended(now, n, End::Full, 0),
-                    Mark::Probe(n) => self.probe_failed(now, n, End::Moot),
-                    Mark::GiveUp | Mark::Other => {}
-                }
-            }
-        }
-    }
-    /// The connections to a worker are of no further use: what it still answers there is heard, and then they end.
-    pub(crate) fn leave_worker(&mut self, now: Micros, worker: WorkerId) {
-        self.recall_from(now, worker);
-        let links = self.links.targets.get(&worker).map(|target| target.links.clone()).unwrap_or_default();
-        links.into_iter().for_each(|id| self.retire_link(now, id));
-    }
-    /// One that is gone is called no more.
-    pub(crate) fn worker_gone(&mut self, now: Micros, worker: WorkerId) {
-        self.leave_worker(now, worker);
-        self.links.targets.remove(&worker);
-    }
-    /// Workers that a whole list does not name are gone.
-    pub(crate) fn only_these_stand(&mut self, now: Micros, listed: &BTreeSet<WorkerId>) {
-        let gone: Vec<WorkerId> =
-            self.links.targets.keys().filter(|worker| !listed.contains(worker)).copied().collect();
-        for worker in gone {
-            self.links.news.gone.push(worker);
-            self.worker_gone(now, worker);
-        }
-    }
-
-    /// Nobody waits any more for an execution of which a part is written: it is out soon, or its connection goes.
-    /// Guards against one that begins long after its client has left, behind a worker that reads nothing.
-    pub(crate) fn finish_writing_soon(&mut self, now: Micros, link: LinkId, execution: u64) {
-        if self.links.holds(link, execution) {
-            self.due.insert((now + WRITTEN_SOON, Due::Unwritten(link, execution)));
-        }
-    }
-    pub(crate) fn still_unwritten(&mut self, now: Micros, id: LinkId, execution: u64, io: &mut dyn Io) {
-        if self.links.holds(id, execution) {
-            self.reset_link(id, io);
-            self.link_ended(now, id, Closed::Reset, false);
-        }
-    }
-
     pub(crate) fn release(&mut self, link: LinkId, mark: Mark, now: Micros) {
         if self.links.carried_ends(link, mark, now, now + self.limits.answers_late) {
             self.due.insert((now, Due::Link(link)));
@@ -589,76 +533,4 @@
             }
         }
     }
-
-    // ---- Orders and probes
-
-    pub(crate) fn order(&mut self, now: Micros, worker: WorkerId, function: FunctionId, copies: u32) {
-        self.links.asked += 1;
-        let id = self.links.asked;
-        let Some(known) = self.functions.get(function) else {
-            let end = End::Error;
-            return self.round.orders.push(OrderEnd { worker, function, end, latency: 0, copies: 0 });
-        };
-        let (mark, bytes_of) = (Mark::Order(id), self.speech);
-        let hold = wire::Hold {
-            id,
-            function: known.name.clone(),
-            copies,
-            memory_mb: known.memory_mb,
-            lanes: known.lanes,
-        };
-        if copies > 0 {
-            self.figures.orders.increment(1);
-        }
-        let due = now + self.limits.order_time_out;
-        let sent = self.send(now, worker, Piece { mark, id, bytes: &bytes_of.hold(hold) }, due);
-        match sent {
-            Ok(link) => {
-                self.links.orders.insert(id, Asked { worker, function, link, sent: now, due });
-                self.due.insert((due, Due::Order(id)));
-            }
-            Err(end) => self.round.orders.push(OrderEnd { worker, function, end, latency: 0, copies: 0 }),
-        }
-    }
-    fn order_ended(&mut self, now: Micros, id: u64, end: End, copies: u32) {
-        let Some(asked) = self.links.orders.remove(&id) else { return };
-        self.due.remove(&(asked.due, Due::Order(id)));
-        self.release(asked.link, Mark::Order(id), now);
-        let (worker, function, latency) = (asked.worker, asked.function, now - asked.sent);
-        self.round.orders.push(OrderEnd { worker, function, end, latency, copies });
-    }
-    pub(crate) fn order_is_late(&mut self, now: Micros, id: u64) {
-        self.order_ended(now, id, End::TimedOut, 0);
-    }
-
-    pub(crate) fn probe(&mut self, now: Micros, worker: WorkerId) {
-        self.links.asked += 1;
-        let id = self.links.asked;
-        self.figures.probes.increment(1);
-        let bytes = self.speech.probe(id);
-        let due = now + self.limits.probe_time_out;
-        match self.send(now, worker, Piece { mark: Mark::Probe(id), id, bytes: &bytes }, due) {
-            Ok(link) => {
-                let function = FunctionId::default();
-                self.links.probes.insert(id, Asked { worker, function, link, sent: now, due });
-                self.due.insert((due, Due::Probe(id)));
-            }
-            Err(end) => self.round.probes.push(ProbeEnd { worker, end, latency: 0, report: None }),
-        }
-    }
-    fn probe_over(&mut self, now: Micros, id: u64) -> Option<Asked> {
-        let asked = self.links.probes.remove(&id)?;
-        self.due.remove(&(asked.due, Due::Probe(id)));
-        self.release(asked.link, Mark::Probe(id), now);
-        Some(asked)
-    }
-    fn probe_failed(&mut self, now: Micros, id: u64, end: End) {
-        if let Some(asked) = self.probe_over(now, id) {
-            let (worker, latency) = (asked.worker, now - asked.sent);
-            self.round.probes.push(ProbeEnd { worker, end, latency, report: None });
-        }
-    }
-    pub(crate) fn probe_is_late(&mut self, now: Micros, id: u64) {
-        self.probe_failed(now, id, End::TimedOut);
-    }
 }
