Story of what waits for a worker that our own list service tells off

Read over: of the faults in docs/design/races.md this one had a story on the platform only, which passed before the mend. Both cases fail without list.rs's recall and pass with it.

--- a/crates/sanddrum-edge/tests/races.rs
+++ b/crates/sanddrum-edge/tests/races.rs
@@ -10,6 +10,7 @@
 use sanddrum_fastcgi::{header, Kind, HEADER};
 use sanddrum_net::{Closed, Conn, Core, Event};
 use sanddrum_platform::frames;
+use sanddrum_wire::Phase;
 use serde_json::json;
 
 fn tells(host: &mut Host, last: u64, events: serde_json::Value) {
@@ -274,6 +275,18 @@
     assert_eq!(host.io.wrote.get(&dial), None);
 }
 
+#[rstest]
+#[case::draining(Phase::Draining)]
+#[case::gone(Phase::Gone)]
+fn what_waits_for_a_worker_that_our_own_list_service_tells_off_is_taken_back(#[case] phase: Phase) {
+    let mut host = Host::new(&[]);
+    let (_, dial) = host.call_out(S);
+    host.list_says(&host.rows(2, true, 0, &[row("w", 1, phase)]));
+    assert_eq!(host.ends(), [End::Moot]);
+    host.up(dial);
+    assert!(host.executions_read(dial).is_empty());
+}
+
 #[rstest]
 fn what_waits_for_a_worker_that_has_moved_is_not_sent_to_its_old_address() {
     let mut host = Host::on_platform(&[]);
