--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod figures;
 pub mod logic;
+pub mod order;
 mod state;
 
 pub use logic::Router;
