--- a/src/figures.rs
+++ b/src/figures.rs
@@ -1,6 +1,7 @@
 //! Sums that the decision module works with; none of them knows what it is about.
 
 use crate::{FunctionId, Micros, WorkerId};
+use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// The middle one; one where there is none.
@@ -23,3 +24,10 @@
     what.hash(&mut hasher);
     hasher.finish()
 }
+
+/// Drops what is not later than this.
+pub(crate) fn drop_until(times: &mut VecDeque<Micros>, until: Micros) {
+    while times.front().is_some_and(|at| *at <= until) {
+        times.pop_front();
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,10 +6,10 @@
 //! flight whose lanes have room, own zone first; failing that it loads on the ready worker with the fewest.
 //! Each departure is marked "Exception" below and told in docs/design.md with when it acts.
 
-use crate::figures::{faded, hash_of, middle, tie};
+use crate::figures::{drop_until, faded, hash_of, middle, tie};
+use crate::order::{Lazily, Order};
 use crate::state::*;
 use crate::*;
-use std::cell::LazyCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A sweep takes up what waits this often in the tightest start target.
@@ -55,6 +55,8 @@
 const LEAST_TAKEN: f64 = 0.01;
 /// What a job in time earns of a further execution for jobs that were turned away.
 const EARNS_FURTHER: f64 = 0.1;
+/// What a job in time earns of an ask, and an ask that finds a copy: together no more asks than jobs in time.
+const EARNS_ASK: f64 = 0.5;
 /// A worker that holds this many times what the middle one holds has more than its part.
 const UNEVEN: f64 = 1.5;
 /// One answer counts for no more than this pace: a job that was itself long tells little of its worker.
@@ -76,6 +78,15 @@
 /// A function gets so many homes that each bears this part of a mean worker's load from it; half of it where
 /// a home wrongly presumed warm costs a miss and not a load.
 const HOME_PART: f64 = 0.5;
+/// Homes looked at for a job, and as many spares beyond them: a few draws find the emptier ones nearly as well as
+/// a look at all. A function with more homes is decided in parts, each with homes of its own.
+const HOMES: usize = 8;
+/// They are looked for among this many times as many workers: more where half of them may not be called.
+const LOOKS: usize = 4;
+/// Copies looked at for a job: those of all homes and of their spares, each told twice at the most.
+const COPIES: usize = 4 * HOMES;
+/// Workers, of those heard of last, by which the middle one is told.
+const HEARD_LAST: usize = 128;
 /// Homes of any function: with one, chance alone makes some workers home to far more work than others.
 const FEW_HOMES: usize = 2;
 /// Errors in a row that count, each of which doubles the time for which a worker is left alone.
@@ -146,7 +157,11 @@
     draws: u64,
     now: Micros,
     workers: BTreeMap<WorkerId, Worker>,
-    functions: BTreeMap<FunctionId, Function>,
+    /// Workers listed as ready, by which homes are drawn; those that reported, by when; those suspected.
+    listed: Order,
+    told: BTreeSet<(Micros, WorkerId)>,
+    suspects: BTreeSet<WorkerId>,
+    functions: Functions,
     jobs: BTreeMap<JobId, Held>,
     /// All due times but the sweep's.
     due: BTreeSet<(Micros, Due)>,
@@ -156,12 +171,8 @@
     /// Jobs to be placed this round, and those that wait for a copy or for room.
     todo: BTreeSet<JobId>,
     waiting: BTreeSet<JobId>,
-    /// Of the middle worker, and the size of all, as of the last sweep: for each job it would cost too much.
-    middle_pace: f64,
-    middle_crowding: f64,
-    middle_loads: f64,
-    middle_held: f64,
-    sizes: f64,
+    /// Of the middle worker, as of the last sweep: for each job it would cost too much.
+    middle: Middle,
     /// Work taken in a microsecond, and when that was last brought up to date.
     inflow: f64,
     inflow_at: Micros,
@@ -172,6 +183,8 @@
     taking: f64,
     /// Further executions that jobs turned away by full workers may still have while pressed.
     further: f64,
+    /// Asks that may still be made.
+    asks: f64,
     /// Jobs taken of late, over about a keep-alive.
     calls: f64,
     calls_at: Micros,
@@ -195,15 +208,10 @@
 
 impl Router {
     pub fn new(seed: u64, settings: &Settings) -> Self {
-        let calm = Router {
-            middle_pace: 1.0,
-            middle_crowding: 1.0,
-            load_pace: 1.0,
-            taking: 1.0,
-            ..Router::default()
-        };
-        let mut router =
-            Router { settings: settings.clone(), terms: Terms::read(settings, &OTHERWISE), seed, ..calm };
+        let middle = Middle { pace: 1.0, crowding: 1.0, ..Middle::default() };
+        let calm = Router { middle, load_pace: 1.0, ..Router::default() };
+        let (settings, terms) = (settings.clone(), Terms::read(settings, &OTHERWISE));
+        let mut router = Router { settings, terms, seed, taking: 1.0, asks: FEW_HOMES as f64, ..calm };
         // Guards rule 3 where the list tells nothing by itself: drains would never be heard of.
         if router.terms.subscribes {
             router.due.insert((0, Due::List));
@@ -223,17 +231,19 @@
         round.left.iter().for_each(|job| self.end_job(*job));
         while self.due.first().is_some_and(|(at, _)| *at <= now) {
             match self.due.pop_first() {
-                Some((_, Due::JobEnds(id))) => self.time_is_up(id, out),
+                Some((_, Due::JobEnds(id))) if self.jobs.contains_key(&id) => {
+                    out.kill(id);
+                    self.end_job(id);
+                }
                 Some((_, Due::Silence(id))) => self.look_into_silence(id, out),
                 Some((_, Due::Keep(id))) => self.keep_copies(id, out),
                 Some((_, Due::List)) => out.subscribe(),
-                None => {}
+                Some((_, Due::JobEnds(_))) | None => {}
             }
         }
         if now >= self.sweep {
             self.sweep = now + self.terms.tightest / SWEEPS_A_TARGET;
-            let forget = now - FORGET_KEEPS * self.terms.keep_alive;
-            self.functions.retain(|_, f| f.last_job > forget || !f.waiting.is_empty());
+            self.functions.forget(now - FORGET_KEEPS * self.terms.keep_alive);
             self.todo.extend(&self.waiting);
             self.look_over_fleet();
         }
@@ -279,37 +289,46 @@
         }
         if list.kind != ListKind::Changes {
             let listed: BTreeSet<_> = list.rows.iter().map(|row| row.worker).collect();
-            for worker in self.workers.values_mut().filter(|w| !listed.contains(&w.row.worker)) {
-                worker.row.state = WorkerState::Gone;
-            }
+            let gone = self.workers.values().map(|w| w.row).filter(|row| !listed.contains(&row.worker));
+            let gone: Vec<_> = gone.filter(|row| row.state != WorkerState::Gone).collect();
+            gone.into_iter().for_each(|row| self.record_row(&WorkerRow { state: WorkerState::Gone, ..row }));
         }
-        let now = self.now;
-        let limit = FIRST_LIMIT / self.terms.routers.max(1) as f64;
-        let cold = self.terms.cold;
-        for row in &list.rows {
-            let new = || Worker { row: *row, pace: 1.0, calm: 1.0, limit, ..Worker::default() };
-            let worker = self.workers.entry(row.worker).or_insert_with(new);
-            let restarted = worker.row.started < row.started;
-            if restarted {
-                worker.hear(now);
-                (worker.pace, worker.seen) = (worker.calm, 0.0);
-                (worker.budget, worker.budget_at) = (0.0, now);
-            }
-            (worker.row, worker.warm) = (*row, row.started + cold);
-            // Guards against homes that move with every list, so that no two routers find the same ones.
-            if self.terms.sizes_change {
-                worker.row.size = 1.0;
-            }
-            if restarted || row.state == WorkerState::Gone {
-                self.forget_copies(row.worker);
-            }
+        list.rows.iter().for_each(|row| self.record_row(row));
+    }
+
+    fn record_row(&mut self, row: &WorkerRow) {
+        let (now, limit) = (self.now, FIRST_LIMIT / self.terms.routers.max(1) as f64);
+        let new = || Worker { row: *row, pace: 1.0, calm: 1.0, limit, ..Worker::default() };
+        let worker = self.workers.entry(row.worker).or_insert_with(new);
+        let restarted = worker.row.started < row.started;
+        if restarted {
+            worker.hear(now);
+            (worker.pace, worker.seen) = (worker.calm, 0.0);
+            (worker.budget, worker.budget_at) = (0.0, now);
+        }
+        (worker.row, worker.warm) = (*row, row.started + self.terms.cold);
+        // Guards against homes that move with every list, so that no two routers find the same ones.
+        if self.terms.sizes_change {
+            worker.row.size = 1.0;
+        }
+        let (told, size) = ((worker.report_at, row.worker), worker.row.size);
+        match row.state {
+            WorkerState::Ready => self.listed.put(row.worker.0, size),
+            WorkerState::Draining | WorkerState::Gone => self.listed.remove(row.worker.0),
+        }
+        self.told.remove(&told);
+        if row.state != WorkerState::Gone {
+            self.told.insert(told);
+        }
+        if restarted || row.state == WorkerState::Gone {
+            self.functions.forget_copies(row.worker);
         }
     }
 
     fn record_job(&mut self, job: &Job) {
         let target = self.target(job.workload) as f64;
         let guess = if self.load > 0.0 { self.load } else { target };
-        let function = self.functions.entry(job.function).or_insert_with(|| {
+        let function = self.functions.call(job.function, self.now, || {
             self.due.insert((self.now, Due::Keep(job.function)));
             Function { work: target * GUESS_OF_TARGET, load: guess, ..Function::default() }
         });
@@ -318,16 +337,17 @@
         let keep = self.terms.keep_alive as f64;
         function.calls = 1.0 + faded(function.calls, 0.0, self.now - function.last_job, keep);
         self.calls = 1.0 + faded(self.calls, 0.0, self.now - self.calls_at, keep);
-        self.calls_at = self.now;
-        function.last_job = self.now;
+        (self.calls_at, function.last_job) = (self.now, self.now);
         self.jobs.insert(job.id, Held { job: *job, came: self.now, executions: Vec::new() });
         self.due.insert((job.due, Due::JobEnds(job.id)));
         self.todo.insert(job.id);
-        self.taken.push_back(self.now);
+        if self.terms.orders && self.terms.load_window > 0 {
+            drop_until(&mut self.taken, self.now - self.terms.load_window);
+            self.taken.push_back(self.now);
+        }
         self.inflow = self.inflow_now() + self.work_of(job) / self.terms.fall;
         self.inflow_at = self.now;
-        let earning = self.earning(job);
-        self.earned += NEWEST / 10.0 * (earning - self.earned);
+        self.earned += NEWEST / 10.0 * (self.earning(job) - self.earned);
     }
 
     fn record_end(&mut self, end: &ExecutionEnd) {
@@ -335,8 +355,7 @@
         let Some(held) = self.jobs.get_mut(&end.job) else { return };
         let (job, came) = (held.job, held.came);
         let Some(execution) = held.executions.get_mut(end.execution).filter(|e| e.out) else { return };
-        execution.out = false;
-        execution.full = end.end == End::Full;
+        (execution.out, execution.full) = (false, end.end == End::Full);
         execution.may_have_run = !matches!(end.end, End::Full | End::NoConnection | End::Moot | End::Miss);
         let execution = *execution;
         self.learn(&job, end, &execution);
@@ -354,12 +373,13 @@
         self.taking = (self.taking + change).clamp(LEAST_TAKEN, 1.0);
         let saved = self.further + if in_time { EARNS_FURTHER } else { 0.0 };
         self.further = saved.min((self.calls * EARNS_FURTHER).max(1.0));
+        self.earn_ask(if in_time { EARNS_ASK } else { 0.0 });
         if end.settled {
             self.end_job(end.job);
         } else {
             self.todo.insert(end.job);
         }
-        if let Some(function) = self.functions.get(&job.function) {
+        if let Some(function) = self.functions.get(job.function) {
             self.todo.extend(&function.waiting);
         }
     }
@@ -376,15 +396,19 @@
             }
         }
         if let Some(report) = end.report {
+            if self.told.remove(&(worker.report_at, end.worker)) {
+                self.told.insert((now, end.worker));
+            }
             (worker.report, worker.report_at) = (report, now);
         }
         match end.end {
             End::Finished | End::Error | End::Full | End::Miss => worker.hear(now),
             End::Reset | End::NoConnection => {
                 (worker.suspect, worker.checks) = (true, worker.checks.max(1));
+                self.suspects.insert(end.worker);
                 self.due.insert((now, Due::Silence(end.worker)));
                 if end.end == End::Reset {
-                    self.forget_copies(end.worker);
+                    self.functions.forget_copies(end.worker);
                 }
             }
             End::TimedOut | End::Cancelled | End::Moot => {}
@@ -396,9 +420,10 @@
         let (expected, unscaled) = (self.work_of(job), self.unscaled_work(job));
         let target = self.target(job.workload) as f64;
         let Some(worker) = self.workers.get_mut(&end.worker) else { return };
-        let Some(function) = self.functions.get_mut(&job.function) else { return };
-        let place = function.places.entry(end.worker).or_default();
+        let Some(function) = self.functions.get_mut(job.function) else { return };
+        let mut place = function.place(end.worker);
         place.own = place.own.saturating_sub(1);
+        let mut loaded = None;
         match end.end {
             End::Finished => {
                 (place.copies, place.until, place.loading) = (place.copies.max(1), now + keep, false);
@@ -408,7 +433,7 @@
                 match end.warmth {
                     Warmth::BeganLoad => {
                         place.copies = 1;
-                        self.learn_load(job.function, (took - expected).max(took * GUESS_OF_TARGET));
+                        loaded = Some((took - expected).max(took * GUESS_OF_TARGET));
                     }
                     Warmth::Stood | Warmth::Unknown if !execution.queued => {
                         // Guards against the first guess taken for calm: all would look fast, then crowded.
@@ -468,10 +493,12 @@
             // Waited for a load that did not come. Guards against load queues that nothing tells of.
             End::TimedOut if place.copies == 0 => {
                 (place.loading, place.absent) = (false, now + function.load as Micros);
-                self.learn_load(job.function, end.latency as f64);
+                loaded = Some(end.latency as f64);
             }
             _ => place.loading = false,
         }
+        self.functions.put(job.function, end.worker, place);
+        loaded.into_iter().for_each(|took| self.learn_load(job.function, took));
     }
 
     fn record_order(&mut self, end: &OrderEnd) {
@@ -479,14 +506,15 @@
         if !matches!(end.end, End::TimedOut | End::NoConnection | End::Reset) {
             self.workers.entry(end.worker).and_modify(|w| w.hear(now));
         }
-        let Some(function) = self.functions.get_mut(&end.function) else { return };
-        let place = function.places.entry(end.worker).or_default();
+        let Some(function) = self.functions.get_mut(end.function) else { return };
+        let mut place = function.place(end.worker);
         let wanted = place.order.take().map_or(0, |(_, copies)| copies);
         place.copies = end.copies;
         if end.copies > 0 {
             let lasts = if wanted > 0 { keep } else { keep / ASKED_COPY_LASTS };
             place.until = place.until.max(now + lasts);
         }
+        let found = if wanted == 0 && end.copies > 0 { EARNS_ASK } else { 0.0 };
         self.todo.extend(&function.waiting);
         if wanted > 0 && end.end == End::Finished {
             function.warm_last = Some(end.worker);
@@ -502,11 +530,18 @@
                 self.loads_again = now + (load * (0.5 + self.chance() as f64 / u64::MAX as f64)) as Micros;
             }
         }
+        self.functions.put(end.function, end.worker, place);
+        self.earn_ask(found);
+    }
+
+    /// A budget of asks that answers earn, so that a function that stands nowhere costs no more than others pay.
+    fn earn_ask(&mut self, earned: f64) {
+        self.asks = (self.asks + earned).min((self.calls * EARNS_ASK).max(FEW_HOMES as f64));
     }
 
     fn learn_load(&mut self, id: FunctionId, took: f64) {
         let pace = self.load_pace_now();
-        let Some(function) = self.functions.get_mut(&id) else { return };
+        let Some(function) = self.functions.get_mut(id) else { return };
         self.load_pace = pace + NEWEST * ((took / function.load.max(1.0)).min(MOST_PACE) - pace);
         self.load_pace_at = self.now;
         let calm = took / self.load_pace;
@@ -514,21 +549,17 @@
         self.load += if self.load > 0.0 { NEWEST / 4.0 * (calm - self.load) } else { calm };
     }
 
-    fn forget_copies(&mut self, worker: WorkerId) {
-        for place in self.functions.values_mut().filter_map(|f| f.places.get_mut(&worker)) {
-            (place.copies, place.loading) = (0, false);
-        }
-    }
-
     fn end_job(&mut self, id: JobId) {
         let Some(held) = self.jobs.remove(&id) else { return };
         self.due.remove(&(held.job.due, Due::JobEnds(id)));
         self.todo.remove(&id);
         self.waiting.remove(&id);
-        let Some(function) = self.functions.get_mut(&held.job.function) else { return };
+        let Some(function) = self.functions.get_mut(held.job.function) else { return };
         function.waiting.remove(&id);
         for execution in held.executions.iter().filter(|e| e.out) {
-            function.places.entry(execution.worker).and_modify(|p| p.own = p.own.saturating_sub(1));
+            let place = self.functions.place(held.job.function, execution.worker);
+            let own = place.own.saturating_sub(1);
+            self.functions.put(held.job.function, execution.worker, Place { own, ..place });
         }
     }
 
@@ -544,7 +575,7 @@
         self.usual.get(&id).map_or(self.target(id) as f64 * GUESS_OF_TARGET, |(work, _)| *work)
     }
     fn unscaled_work(&self, job: &Job) -> f64 {
-        let learned = self.functions.get(&job.function).filter(|f| f.answered);
+        let learned = self.functions.get(job.function).filter(|f| f.answered);
         let learned = learned.map_or(self.usual_work(job.workload), |f| f.work);
         job.work.filter(|hint| *hint > 0).map_or(learned, |hint| (learned * hint as f64).sqrt())
     }
@@ -553,71 +584,57 @@
     }
     fn look_over_fleet(&mut self) {
         let now = self.now;
-        self.middle_pace = self.typical(|w| w.pace_now(now));
-        self.middle_crowding = self.typical(|w| w.crowding(now));
-        self.middle_loads = self.typical(|w| w.report.loads.unwrap_or(0.0));
+        // Those heard of last stand for all: the fleet may be far larger than what this router hears of.
+        let last = self.told.iter().rev().filter_map(|(_, w)| self.workers.get(w)).filter(|w| w.ready());
+        let last: Vec<&Worker> = last.take(HEARD_LAST).collect();
+        let typical = |figure: &dyn Fn(&Worker) -> f64| middle(last.iter().map(|w| figure(w)).collect());
+        let (pace, crowding) = (typical(&|w| w.pace_now(now)), typical(&|w| w.crowding(now)));
+        let loads = typical(&|w| w.report.loads.unwrap_or(0.0));
         let size = |w: &Worker| w.row.size.max(f64::MIN_POSITIVE);
-        let held = self.workers.values().filter(|w| w.ready() && w.report_at > 0);
-        self.middle_held = middle(held.filter_map(|w| w.report.held.map(|held| held / size(w))).collect());
+        let held = last.iter().filter(|w| w.report_at > 0);
+        let held = middle(held.filter_map(|w| w.report.held.map(|held| held / size(w))).collect());
         // The middle one's, as most answers come from the crowded; newest, or the end is heard of late.
-        let own_loads = !self.terms.answers_miss;
-        let since = now - REPORT_FADES_US as Micros;
-        let told = self.workers.values().filter(|w| w.ready() && w.report_at > since.max(0));
-        let told = told.filter_map(|w| Some((now - w.report_at, w.waiting_for_cores(own_loads)?)));
-        let mut told: Vec<(Micros, f64)> = told.collect();
-        told.sort_by_key(|(age, _)| *age);
-        let (few, fresh) = ((self.workers.len() as f64).sqrt().max(FEW_REPORTS), self.terms.tightest);
+        let fresh = last.iter().filter(|w| w.report_at > (now - REPORT_FADES_US as Micros).max(0));
+        let told =
+            fresh.filter_map(|w| Some((now - w.report_at, w.waiting_for_cores(!self.terms.answers_miss)?)));
+        let told: Vec<(Micros, f64)> = told.collect();
+        let (few, fresh) = ((last.len() as f64).sqrt().max(FEW_REPORTS), self.terms.tightest);
         let newest = told.iter().enumerate().take_while(|(n, (age, _))| (*n as f64) < few || *age < fresh);
-        let others = self.terms.routers / self.workers.len().max(1) as Micros;
+        let others = self.terms.routers / self.listed.len().max(1) as Micros;
         self.heard = told.first().is_some_and(|(age, _)| *age < fresh * others.max(1));
         self.waits = if told.is_empty() { 0.0 } else { middle(newest.map(|(_, (_, part))| *part).collect()) };
-        let listed = || self.workers.values().filter(|w| w.row.state == WorkerState::Ready);
-        self.sizes = listed().map(|w| w.row.size).sum();
+        self.middle = Middle { pace, crowding, loads, held };
+        let workers = &self.workers;
+        let ill = |w: &Worker| w.suspect && w.row.state == WorkerState::Ready;
+        self.suspects.retain(|w| workers.get(w).is_some_and(ill));
         // Where most workers look ill, this router's own view is the likelier cause; the rest would drown.
-        self.most_suspect = listed().filter(|w| w.suspect).count() * 2 > listed().count();
-    }
-    fn typical(&self, figure: impl Fn(&Worker) -> f64) -> f64 {
-        middle(self.workers.values().filter(|w| w.ready()).map(figure).collect())
+        self.most_suspect = self.suspects.len() * 2 > self.listed.len();
     }
     fn pressed(&self) -> bool {
-        self.middle_crowding > PRESSED || self.waits > WAITING
+        self.middle.crowding > PRESSED || self.waits > WAITING
     }
     fn load_pace_now(&self) -> f64 {
         faded(self.load_pace, 1.0, self.now - self.load_pace_at, PACE_FADES_US)
     }
     /// Guards against a crowded or stopped store and load queues: loads take longer than told or usual.
     fn loads_pressed(&self) -> bool {
-        self.load_pace_now() > PRESSED || self.middle_loads > LOADS_WAIT
-    }
-    fn pace(&self, id: WorkerId) -> f64 {
-        self.workers.get(&id).map_or(1.0, |w| w.pace_now(self.now))
+        self.load_pace_now() > PRESSED || self.middle.loads > LOADS_WAIT
     }
     /// Guards against what this router cannot see, the others' jobs: a worker that reports far more than the
     /// middle one for its size, was full of late, owes a late answer with no report since, or is slow.
-    fn crowded(&self, id: WorkerId) -> bool {
-        self.workers.get(&id).is_some_and(|w| {
-            let late = w.out.iter().any(|(_, late, ..)| *late <= self.now && w.report_at < *late);
-            let uneven = w.held_now(self.now, self.middle_held) > UNEVEN * self.middle_held;
-            let pace = w.pace_now(self.now);
-            late || uneven || w.jammed > self.now || pace > (CROWDED * w.calm).min(SLOW * self.middle_pace)
-        })
+    fn crowded(&self, w: &Worker) -> bool {
+        let late = w.out.iter().any(|(_, late, ..)| *late <= self.now && w.report_at < *late);
+        let uneven = w.held_now(self.now, self.middle.held) > UNEVEN * self.middle.held;
+        let pace = w.pace_now(self.now);
+        late || uneven || w.jammed > self.now || pace > (CROWDED * w.calm).min(SLOW * self.middle.pace)
     }
     /// It last reported that much of what it holds waits, or reports nothing of that.
-    fn queues(&self, id: WorkerId) -> bool {
-        let queues = |w: &Worker| w.waiting(!self.terms.answers_miss).is_none_or(|part| part > WAITING);
-        self.workers.get(&id).is_some_and(queues)
-    }
-    /// What it holds for its size, with one more job.
-    fn held(&self, id: WorkerId) -> f64 {
-        self.workers.get(&id).map_or(0.0, |w| 1.0 + w.held_now(self.now, self.middle_held))
-    }
-    fn own(&self, id: WorkerId) -> u32 {
-        self.workers.get(&id).map_or(0, |w| w.own)
+    fn queues(&self, w: &Worker) -> bool {
+        w.waiting(!self.terms.answers_miss).is_none_or(|part| part > WAITING)
     }
     /// Own jobs in flight below what it bears; guards against overload of any cause.
-    fn has_room(&self, id: WorkerId, share: f64) -> bool {
-        let room = |w: &Worker| f64::from(w.own) < w.limit * share && w.barred <= self.now;
-        self.workers.get(&id).is_some_and(room)
+    fn has_room(&self, w: &Worker, share: f64) -> bool {
+        f64::from(w.own) < w.limit * share && w.barred <= self.now
     }
     /// By its workload's work: what a function was seen to take under pressure would shed it for ever.
     fn earning(&self, job: &Job) -> f64 {
@@ -627,22 +644,31 @@
             / if self.terms.importance_by_work { 1.0 } else { work.max(1.0) }
     }
     /// How many homes a function needs by its share of this router's jobs; one call asks for no more.
-    fn width(&self, function: &Function, fleet: usize) -> usize {
+    fn width(&self, function: &Function) -> usize {
+        let fleet = self.listed.len();
         let sure = (function.calls - 1.0).max(0.0);
         let part = if self.terms.answers_miss { HOME_PART / 2.0 } else { HOME_PART };
         let wanted = sure / self.calls.max(1.0) * fleet as f64 / part;
         (wanted.ceil() as usize).max(FEW_HOMES).min(fleet)
     }
-    /// A draw by which the lowest of several workers is each in proportion to its size.
-    fn drawn(&self, by: FunctionId, w: WorkerId) -> f64 {
-        let size = self.workers.get(&w).map_or(1.0, |w| w.row.size.max(f64::MIN_POSITIVE));
-        -(tie(by, w) as f64 / u64::MAX as f64).ln() / size
+    /// A draw by which the lowest of several workers is each in proportion to its size over what it holds for it.
+    fn drawn(&self, by: u64, w: &Worker) -> f64 {
+        let size = w.row.size.max(f64::MIN_POSITIVE);
+        let held = 1.0 + w.held_now(self.now, self.middle.held);
+        -(tie(FunctionId(by), w.row.worker) as f64 / u64::MAX as f64).ln() / size * held
     }
-    /// A function's homes by a hash that favours large workers: all routers find the same and share copies.
-    fn homes(&self, id: FunctionId, ready: &[WorkerId]) -> Vec<WorkerId> {
-        let mut homes = ready.to_vec();
-        homes.sort_by_cached_key(|w| (self.drawn(id, *w).to_bits(), *w));
-        homes
+    /// A function's homes where a job may go, by draws that favour large workers: all routers find the same ones
+    /// and share copies. Guards against a pass over a large fleet for each job: the next is found when it is
+    /// needed. Only where hardly any may be called (a keyed job's group) a further try looks at all.
+    fn homes<'a>(&'a self, held: &'a Held, key: u64, work: f64) -> impl Iterator<Item = &'a Worker> + 'a {
+        let fits = move |w: &&Worker| self.may_get(held, w, work);
+        let drawn = move || self.listed.drawn(key).take(2 * HOMES * LOOKS);
+        let drawn = move || drawn().filter_map(|w| self.workers.get(&WorkerId(w))).filter(fits);
+        let few = !held.executions.is_empty() && drawn().nth(FEW_HOMES - 1).is_none();
+        drawn().chain(self.workers.values().filter(move |w| few && fits(w)))
+    }
+    fn may_get(&self, held: &Held, w: &Worker, work: f64) -> bool {
+        self.may_go(held, w) && self.cold_room(w, held.job.id, work)
     }
     /// A copy is believed while jobs run on it and, after the last, for the keep-alive.
     fn stands(&self, place: &Place) -> bool {
@@ -654,17 +680,19 @@
     /// Rule 4: work that may go to a cold worker now: its cold part of an even share of what is taken here,
     /// saved up over no more than the rule's window; all together stay near what it can do. What is saved up
     /// for a part only goes by chance, or many routers would each save up a job and send them together.
-    fn cold_room(&self, id: WorkerId, job: JobId, work: f64) -> bool {
-        let drawn = || hash_of((self.seed, id, job)) as f64 / u64::MAX as f64;
-        self.cold_budget(id).is_none_or(|budget| budget > drawn() * work)
+    fn cold_room(&self, to: &Worker, job: JobId, work: f64) -> bool {
+        let drawn = || hash_of((self.seed, to.row.worker, job)) as f64 / u64::MAX as f64;
+        self.cold_budget(to).is_none_or(|budget| budget > drawn() * work)
     }
-    fn cold_budget(&self, id: WorkerId) -> Option<f64> {
-        let worker = self.workers.get(&id).filter(|w| w.row.started > 0 && self.now < w.warm)?;
+    fn cold_budget(&self, worker: &Worker) -> Option<f64> {
+        if worker.row.started <= 0 || self.now >= worker.warm {
+            return None;
+        }
         let (now, span, fall) = (self.now, self.terms.cold, self.terms.fall);
         let age = (now - worker.row.started).max(0);
         let from = self.terms.cold_from;
         let part = from + (1.0 - from) * age as f64 / span as f64;
-        let share = worker.row.size / self.sizes.max(worker.row.size);
+        let share = worker.row.size / self.listed.total().max(worker.row.size);
         let rate = self.inflow_now() * share * part * COLD_CAUTION;
         let saved = worker.budget + rate * (now - worker.budget_at).max(0) as f64;
         Some(saved.min(rate * fall))
@@ -699,21 +727,17 @@
             return false;
         }
         let window = self.terms.load_window;
-        for times in [&mut self.taken, &mut self.ordered] {
-            while times.front().is_some_and(|at| *at <= self.now - window) {
-                times.pop_front();
-            }
-        }
+        drop_until(&mut self.taken, self.now - window);
+        drop_until(&mut self.ordered, self.now - window);
         let most = self.terms.load_free + self.terms.load_share * self.taken.len() as f64;
         if window > 0 && (self.ordered.len() + 1) as f64 > most {
             return false;
         }
-        let Some(function) = self.functions.get_mut(&id) else { return false };
-        let place = function.places.entry(w).or_default();
+        let place = self.functions.place(id, w);
         if place.order.is_some() || (place.copies == 0 && self.now < self.loads_again) {
             return false;
         }
-        place.order = Some((self.now, copies));
+        self.functions.put(id, w, Place { order: Some((self.now, copies)), ..place });
         self.ordered.push_back(self.now);
         out.hold(w, id, copies);
         true
@@ -733,7 +757,7 @@
         // late answer earns little and makes the next one late. This guards against any overload. A client's
         // repeat has used up part of its target before: what is gone of its limit, and half of it at least.
         let work = self.work_of(&job);
-        let usual = work * self.middle_pace;
+        let usual = work * self.middle.pace;
         let left = job.due - self.now;
         let whole = self.target(job.workload);
         let patience = self.workload(job.workload).patience;
@@ -755,88 +779,90 @@
         if hopeless || shed || spent {
             return self.give_up(id, out);
         }
-        let draw = FunctionId(self.chance());
+        let (draw, now) = (self.chance(), self.now);
+        self.functions.lapse(job.function, draw, COPIES, |p| p.own == 0 && p.until <= now);
         // Under overload what earns least for its work goes first: it may not fill a worker's last places.
         let share = if dear { 1.0 } else { CHEAP_SHARE };
-        let near = self.terms.near;
         let Some(held) = self.jobs.get(&id) else { return };
-        let Some(function) = self.functions.get(&job.function) else { return };
+        let Some(function) = self.functions.get(job.function) else { return };
         let (lanes, load) = (function.lanes, function.load * self.load_pace_now());
-        let ready: Vec<WorkerId> =
-            self.workers.values().filter(|w| self.may_go(held, w)).map(|w| w.row.worker).collect();
-        if ready.is_empty() && tries > 0 {
+        if tries > 0 && !self.workers.values().any(|w| self.may_go(held, w)) {
             return self.give_up(id, out);
         }
-        let ready: Vec<WorkerId> = ready.into_iter().filter(|w| self.cold_room(*w, id, work)).collect();
-        let stands = function.places.iter().filter(|(w, p)| self.stands(p) && ready.binary_search(w).is_ok());
-        let warm: Vec<(WorkerId, Place)> = stands.map(|(w, p)| (*w, *p)).collect();
-        let in_time = |w: WorkerId| (work * self.pace(w)) as Micros <= limit;
-        let open =
-            |(w, p): &&(WorkerId, Place)| p.barred <= self.now && self.has_room(*w, share) && in_time(*w);
-        let far = |w: WorkerId| self.workers.get(&w).is_some_and(|w| w.row.zone != near);
+        // Of the many copies of a hot function some idle ones drawn, and those with the fewest own jobs.
+        let warm =
+            function.first(draw, COPIES).filter_map(|w| Some((self.workers.get(&w)?, function.place(w))));
+        let may_get = |(w, p): &(&Worker, Place)| self.stands(p) && self.may_get(held, w, work);
+        let warm: Vec<(&Worker, Place)> = warm.filter(may_get).collect();
+        let time_at = |w: &Worker| work * w.pace_now(self.now);
+        let open = |(w, p): &&(&Worker, Place)| {
+            p.barred <= self.now && self.has_room(w, share) && time_at(w) as Micros <= limit
+        };
+        let far = |w: &Worker| w.row.zone != self.terms.near;
 
-        // Worked out only where they matter, as that takes a draw for each worker.
-        let homes = LazyCell::new(|| self.homes(job.function, &ready));
-        let width = self.width(function, ready.len()).min(ready.len());
-        let place_at = |w: &WorkerId| function.places.get(w).copied().unwrap_or_default();
-        let wide = width.max((ready.len() as f64).sqrt().ceil() as usize).min(ready.len());
+        let width = self.width(function);
+        let parts = width.div_ceil(HOMES).max(1);
+        let width = width.div_ceil(parts);
+        let homes = Lazily::new(self.homes(held, hash_of((job.function, draw % parts as u64)), work));
+        let place_at = |w: &Worker| function.place(w.row.worker);
 
         // Exception: a function's homes are presumed warm where the others, sending as this router does, call
         // each many times and a load would end in time as well. Guards against each router's knowing little
         // where there are many. Homes of a function called often here are asked instead.
-        let others = (self.terms.routers - 1) as f64 * function.calls;
-        let often = others >= (wide * wide) as f64;
-        let asks = self.terms.orders && !often;
-        let spreads = width > FEW_HOMES || warm.iter().all(|(w, _)| self.crowded(*w));
+        let others = (self.terms.routers - 1) as f64 * function.calls / parts as f64;
+        let often = others >= (width * width) as f64;
+        let spreads = width > FEW_HOMES || warm.iter().all(|(w, _)| self.crowded(w));
         // Pressed, a wrong guess costs more than a believed copy's crowd.
         let believes = warm.iter().filter(open).any(|(_, p)| p.own < lanes * p.copies);
         let presumes = often && spreads && !(believes && self.pressed());
-        let believed = |w: &WorkerId| warm.iter().any(|(at, _)| at == w);
         // A crowded home where jobs wait does not count: the next one stands in, at most one for each where a
         // wrong guess costs a load. Guards against all routers filling a hot function's first two homes.
-        let most = if self.terms.answers_miss { wide } else { wide.min(2 * width) };
-        let maybe = if presumes { &homes[..most] } else { &[] };
+        let most = if self.terms.answers_miss { HOMES } else { HOMES.min(2 * width) };
         let mut open_homes = 0;
-        let maybe = maybe.iter().take_while(|w| {
-            open_homes += usize::from(!(self.crowded(**w) && self.queues(**w)));
+        let maybe = homes.first(if presumes { most } else { 0 }).take_while(|w| {
+            open_homes += usize::from(!(self.crowded(w) && self.queues(w)));
             open_homes <= width
         });
-        let maybe = maybe.filter(|w| !believed(w) && self.cold_budget(**w).is_none());
-        let presumed: Vec<(WorkerId, Place)> = maybe
-            .map(|w| (*w, Place { copies: 1, ..place_at(w) }))
-            .filter(|(_, p)| {
-                p.absent <= self.now
-                    && !p.loading
-                    && (self.terms.answers_miss || (load + work) as Micros <= left)
-            })
-            .collect();
+        let wrong_guess_fits = self.terms.answers_miss || (load + work) as Micros <= left;
+        let maybe = maybe.map(|w| (w, place_at(w))).filter(|(w, p)| {
+            let may_stand = p.absent <= self.now && !p.loading && !self.stands(p);
+            may_stand && wrong_guess_fits && self.cold_budget(w).is_none()
+        });
+        let presumed: Vec<(&Worker, Place)> = maybe.map(|(w, p)| (w, Place { copies: 1, ..p })).collect();
 
         // Warm-first: own zone standing for the edge, fewest own jobs in flight, ties random in proportion to
         // a worker's size and to how little it reports to hold: with hundreds of routers most are ties.
         let free = warm.iter().chain(&presumed).filter(open).filter(|(_, p)| p.own < lanes * p.copies);
-        let warmest = free.map(|(w, _)| *w).min_by_key(|w| {
-            let rough = (self.crowded(*w), far(*w), self.own(*w));
-            (rough, (self.drawn(draw, *w) * self.held(*w)).to_bits())
-        });
-        let crowds = warmest.is_some_and(|w| self.crowded(w));
-        let loads = |(w, p): &(&WorkerId, &Place)| {
+        let warmest = free
+            .map(|(w, _)| *w)
+            .min_by_key(|w| ((self.crowded(w), far(w), w.own), self.drawn(draw, w).to_bits()));
+        let loads = |w: &&WorkerId| {
+            let p = function.place(**w);
             let at_work = p.loading && self.workers.get(w).is_some_and(|w| !w.suspect);
             at_work || p.order.is_some_and(|(_, copies)| copies > 0)
         };
-        let underway = function.places.iter().filter(loads).count() * lanes as usize;
+        let underway = function.open.iter().filter(loads).count() * lanes as usize;
 
-        // Exception: a home found without its copy gets one ordered for the jobs that follow; so does the
-        // next one that is not crowded, where all warm workers with room are.
-        let candidates = if asks || !self.terms.orders { &[] } else { homes.as_slice() };
-        let spare = candidates.iter().enumerate().find(|(n, w)| {
-            let place = place_at(w);
-            let found = *n < width && width > FEW_HOMES && place.absent > self.now;
-            let wanted = found || (crowds && function.calls > 2.0 && underway == 0);
-            let fit = place.order.is_none() && place.barred <= self.now && !self.stands(&place);
-            wanted && fit && !self.crowded(**w)
-        });
         if let Some(w) = warmest {
-            if let Some(to) = spare.map(|(_, w)| *w).filter(|_| !self.loads_pressed()) {
+            // Exception: a home found without its copy gets one ordered for the jobs that follow; so does the
+            // next one that is not crowded, where all warm workers with room are.
+            let crowds = self.crowded(w) && function.calls > 2.0 && underway == 0;
+            let most = if !often || self.loads_pressed() {
+                0
+            } else if crowds {
+                2 * HOMES
+            } else {
+                width
+            };
+            let spare = homes.first(most).enumerate().find(|(n, w)| {
+                let place = place_at(w);
+                let found = *n < width && width > FEW_HOMES && place.absent > self.now;
+                let fit = place.order.is_none() && place.barred <= self.now && !self.stands(&place);
+                (found || crowds) && fit && !self.crowded(w)
+            });
+            let (spare, w) = (spare.map(|(_, w)| w.row.worker), w.row.worker);
+            drop(homes);
+            if let Some(to) = spare {
                 self.order(to, job.function, 1, out);
             }
             return self.execute(id, w, work, out);
@@ -844,24 +870,29 @@
 
         // Exception: where all lanes are taken, a short wait at a warm worker that is in time beats a load.
         let turns = |p: &Place| f64::from(p.own + 1) / f64::from(lanes * p.copies);
-        let waits = warm.iter().filter(open).map(|(w, p)| ((work * self.pace(*w) * turns(p)) as Micros, *w));
+        let waits = warm.iter().filter(open).map(|(w, p)| ((time_at(w) * turns(p)) as Micros, w.row.worker));
         let shortest = waits.min().filter(|(wait, _)| *wait < target && (*wait as f64) < load + work);
 
         // Load on the emptiest ready worker, homes and the own zone first; ties by the order of homes.
-        let loadable = homes.iter().enumerate().filter(|(_, w)| {
+        let loadable = homes.first(2 * HOMES).enumerate().filter(|(_, w)| {
             let place = place_at(w);
             let may_stand = self.terms.orders || place.absent <= self.now;
-            may_stand && place.barred <= self.now && place.order.is_none() && self.has_room(**w, share)
+            may_stand && place.barred <= self.now && place.order.is_none() && self.has_room(w, share)
         });
-        let emptiest =
-            loadable.min_by_key(|(n, w)| (self.crowded(**w), *n >= wide, far(**w), self.own(**w), *n));
-        let emptiest = emptiest.map(|(_, w)| *w);
-        let ahead = function.waiting.iter().filter(|other| **other < id).count();
+        let emptiest = loadable
+            .min_by_key(|(n, w)| (self.crowded(w), if *n < width { 0 } else { *n }, far(w), w.own, *n));
+        let emptiest = emptiest.map(|(_, w)| (w.row.worker, time_at(w)));
+        let ahead = function.waiting.range(..id).count();
         let again = self.terms.orders && function.calls > 1.0 && underway == 0 && !self.loads_pressed();
 
-        // Exception: before a load, ask where else the function stands; other routers' loads are not told.
-        let unsure: Vec<WorkerId> = homes[..wide].iter().filter(|w| !believed(w)).copied().collect();
-        if asks && self.ask(job.function, &unsure, out) {
+        // Exception: before a load, ask the function's other homes; other routers' loads are not told. The home
+        // where it would load tells by its answer, and is asked only where a load there would end too late.
+        let load_fits = |there: &(WorkerId, f64)| limit >= (load + there.1) as Micros;
+        let untold = emptiest.filter(load_fits).map(|(there, _)| there);
+        let unsure = homes.first(HOMES).filter(|w| !self.stands(&place_at(w))).map(|w| w.row.worker);
+        let unsure: Vec<WorkerId> = unsure.filter(|w| Some(*w) != untold).collect();
+        drop(homes);
+        if self.terms.orders && self.ask(job.function, &unsure, out) {
             return self.wait(id);
         }
         if let Some((_, w)) = shortest {
@@ -874,8 +905,8 @@
             }
             return self.wait(id);
         }
-        let Some(w) = emptiest else { return self.wait_or_give_up(id, out) };
-        if limit < (load + work * self.pace(w)) as Micros {
+        let Some((w, _)) = emptiest else { return self.wait_or_give_up(id, out) };
+        if untold.is_none() {
             // Exception: what is called again gets its copy, or loads longer than jobs wait would never end.
             if again {
                 self.order(w, job.function, 1, out);
@@ -889,9 +920,9 @@
             }
             return self.wait_or_give_up(id, out);
         }
-        let loads = !self.terms.answers_miss;
-        if let Some(function) = self.functions.get_mut(&job.function).filter(|_| loads) {
-            function.places.entry(w).or_default().loading = true;
+        if !self.terms.answers_miss {
+            let place = self.functions.place(job.function, w);
+            self.functions.put(job.function, w, Place { loading: true, ..place });
         }
         self.execute(id, w, work + load, out);
     }
@@ -900,23 +931,26 @@
     fn ask(&mut self, id: FunctionId, unsure: &[WorkerId], out: &mut impl Decisions) -> bool {
         let (now, keep) = (self.now, self.terms.keep_alive);
         let wait = self.terms.tightest / ASKS_A_TARGET;
-        let Some(function) = self.functions.get_mut(&id) else { return false };
+        let Some(function) = self.functions.get_mut(id) else { return false };
         if function.asked.is_none_or(|at| now >= at + (keep / ASKS_A_KEEP).max(wait)) {
             (function.asked, function.asking) = (Some(now), now + wait);
             for w in unsure {
-                let place = function.places.entry(*w).or_default();
-                if place.order.is_none() && !place.loading {
-                    place.order = Some((now, 0));
+                let place = self.functions.place(id, *w);
+                if place.order.is_none() && !place.loading && self.asks >= 1.0 {
+                    self.asks -= 1.0;
+                    self.functions.put(id, *w, Place { order: Some((now, 0)), ..place });
                     out.hold(*w, id, 0);
                 }
             }
         }
-        now < function.asking && function.places.values().any(|p| p.order.is_some_and(|(_, n)| n == 0))
+        let Some(function) = self.functions.get(id) else { return false };
+        let is_ask = |w: &WorkerId| function.place(*w).order.is_some_and(|(_, copies)| copies == 0);
+        now < function.asking && function.open.iter().any(is_ask)
     }
 
     fn wait(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id).map(|h| h.job) else { return };
-        if let Some(function) = self.functions.get_mut(&job.function) {
+        if let Some(function) = self.functions.get_mut(job.function) {
             function.waiting.insert(id);
             self.waiting.insert(id);
         }
@@ -925,7 +959,7 @@
     /// Waits for room while the job can still be in time, and gives it up at once when it cannot.
     fn wait_or_give_up(&mut self, id: JobId, out: &mut impl Decisions) {
         let Some(held) = self.jobs.get(&id) else { return };
-        let expected = (self.work_of(&held.job) * self.middle_pace * IN_TIME) as Micros;
+        let expected = (self.work_of(&held.job) * self.middle.pace * IN_TIME) as Micros;
         if self.now + expected < held.came + self.target(held.job.workload) {
             return self.wait(id);
         }
@@ -933,19 +967,20 @@
     }
 
     fn execute(&mut self, id: JobId, w: WorkerId, expected: f64, out: &mut impl Decisions) {
-        let (now, pace) = (self.now, self.pace(w));
-        let saved = self.cold_budget(w);
+        let now = self.now;
+        let saved = self.workers.get(&w).and_then(|w| self.cold_budget(w));
         let Some(held) = self.jobs.get_mut(&id) else { return };
-        let Some(function) = self.functions.get_mut(&held.job.function) else { return };
+        let Some(function) = self.functions.get_mut(held.job.function) else { return };
         let Some(worker) = self.workers.get_mut(&w) else { return };
         function.waiting.remove(&id);
         self.waiting.remove(&id);
-        let place = function.places.entry(w).or_default();
+        let mut place = function.place(w);
         place.own += 1;
         let queued = place.own > function.lanes * place.copies.max(1);
+        self.functions.put(held.job.function, w, place);
         worker.own += 1;
         (worker.budget, worker.budget_at) = (saved.unwrap_or(0.0) - expected, now);
-        let late = now + (SILENCE * expected * pace) as Micros;
+        let late = now + (SILENCE * expected * worker.pace_now(now)) as Micros;
         worker.out.insert((now, late, id, held.executions.len()));
         self.due.insert((late, Due::Silence(w)));
         let charged = f64::from(u8::from(held.executions.last().is_some_and(|e| e.full)));
@@ -974,7 +1009,7 @@
         };
         if harmless {
             // Pressed, the longer the less is taken; else a load's time. Drawn, lest they come back together.
-            let load = self.functions.get(&job.function).map_or(0.0, |f| f.load * self.load_pace_now());
+            let load = self.functions.get(job.function).map_or(0.0, |f| f.load * self.load_pace_now());
             let shed = self.target(job.workload) as f64 * (1.0 - self.taking) / 2.0;
             let wait = if self.pressed() { shed } else { load }.max(self.work_of(&job));
             let wait = (wait * (0.5 + self.chance() as f64 / u64::MAX as f64)) as Micros;
@@ -985,18 +1020,10 @@
         self.end_job(id);
     }
 
-    fn time_is_up(&mut self, id: JobId, out: &mut impl Decisions) {
-        if self.jobs.contains_key(&id) {
-            out.kill(id);
-            self.end_job(id);
-        }
-    }
-
     /// Guards against workers that take work and answer nothing: hung, cut off, dead. One that owes for long
     /// is checked; one that leaves that unanswered gets nothing new and is checked on, ever less often.
     fn look_into_silence(&mut self, id: WorkerId, out: &mut impl Decisions) {
         let (now, wait) = (self.now, self.terms.tightest / ASKS_A_TARGET);
-        let (probes, orders) = (self.terms.probes, self.terms.orders);
         let Some(worker) = self.workers.get_mut(&id) else { return };
         let owes = worker.out.first().is_some_and(|(sent, ..)| worker.heard <= *sent);
         let unanswered = worker.checked.map(|at| at + wait);
@@ -1004,21 +1031,25 @@
             return;
         }
         // Where nothing may be asked silence proves nothing, and who failed is tried again by the next job.
-        if unanswered.is_some() && !probes && !orders {
+        if unanswered.is_some() && !self.terms.probes && !self.terms.orders {
             (worker.suspect, worker.checked) = (false, None);
             return;
         }
         worker.suspect |= unanswered.is_some();
+        if worker.suspect {
+            self.suspects.insert(id);
+        }
         (worker.checked, worker.checks) = (Some(now), worker.checks + 1);
         self.due.insert((now + wait * Micros::from(worker.checks.min(10)), Due::Silence(id)));
         let stuck = if worker.suspect { worker.out.clone() } else { BTreeSet::new() };
-        if probes {
+        if self.terms.probes {
             out.probe(id);
-        } else if orders {
-            let no_order = |f: &Function| f.places.get(&id).is_some_and(|p| p.order.is_none());
-            if let Some((function, f)) = self.functions.iter_mut().find(|(_, f)| no_order(f)) {
-                f.places.entry(id).or_default().order = Some((now, 0));
-                out.hold(id, *function, 0);
+        } else if self.terms.orders {
+            let places = self.functions.at(id).map(|f| (f, self.functions.place(f, id)));
+            let unasked = places.into_iter().find(|(_, place)| place.order.is_none());
+            if let Some((f, place)) = unasked {
+                self.functions.put(f, id, Place { order: Some((now, 0)), ..place });
+                out.hold(id, f, 0);
             }
         }
         stuck.iter().for_each(|(.., job, n)| self.move_away(*job, *n, out));
@@ -1029,11 +1060,9 @@
     fn move_away(&mut self, id: JobId, number: usize, out: &mut impl Decisions) {
         let Some(held) = self.jobs.get(&id) else { return };
         let job = held.job;
-        let effect = self.workload(job.workload).effect;
         let in_time = job.due - self.now > self.work_of(&job) as Micros;
         let elsewhere = self.workers.values().any(|w| self.may_go(held, w));
-        let may_cancel = self.terms.cancels;
-        let doubles = effect == Effect::Restartable && self.terms.second_copies;
+        let doubles = self.terms.second_copies && self.workload(job.workload).effect == Effect::Restartable;
         let Some(held) = self.jobs.get_mut(&id) else { return };
         let pending = held.executions.iter().filter(|e| e.out).count();
         let Some(execution) = held.executions.get_mut(number).filter(|e| e.out && !e.cancelled) else {
@@ -1044,7 +1073,7 @@
         }
         if doubles {
             self.todo.insert(id);
-        } else if may_cancel {
+        } else if self.terms.cancels {
             execution.cancelled = true;
             out.cancel(id, number);
         }
@@ -1052,46 +1081,39 @@
 
     // ---- The design's options
 
-    /// An option as set for this function, else for all.
-    fn option(&self, id: FunctionId, name: &str, otherwise: Micros) -> Micros {
-        let set = |name: &str| self.settings.number(name).map(|n| n as Micros);
-        let one = set(&format!("design.{}.{name}", id.0));
-        one.or_else(|| set(&format!("design.{name}"))).unwrap_or(otherwise)
-    }
-
     /// Renews copies whose set keep-alive is longer than the worker's, and holds this router's share of the
     /// pre-warmed count where the function was last found warm, else at a worker hashed from it and our
     /// number. Idle copies of one not called for the set time are dropped, once each. All are off unless set.
     fn keep_copies(&mut self, id: FunctionId, out: &mut impl Decisions) {
         let keep = self.terms.keep_alive;
-        let longer = self.option(id, "keep-alive-us", keep);
+        let longer = option(&self.settings, id, "keep-alive-us", keep);
         let (me, routers) = (self.terms.me, self.terms.routers.max(1));
-        let wanted = self.option(id, "pre-warmed", 0);
+        let wanted = option(&self.settings, id, "pre-warmed", 0);
         let share = wanted / routers + Micros::from(me < wanted % routers);
-        let Some(function) = self.functions.get(&id) else { return };
-        let drop_after = self.option(id, "drop-after-us", 0);
+        let Some(function) = self.functions.get(id) else { return };
+        let drop_after = option(&self.settings, id, "drop-after-us", 0);
         if !self.terms.orders || (longer <= keep && wanted <= 0 && drop_after <= 0) {
             return;
         }
-        let ready: Vec<WorkerId> =
-            self.workers.values().filter(|w| w.ready()).map(|w| w.row.worker).collect();
-        let warm: Vec<WorkerId> =
-            function.places.iter().filter(|(_, p)| p.copies > 0).map(|(w, _)| *w).collect();
+        let is_ready = |w: &WorkerId| self.workers.get(w).is_some_and(|w| w.ready());
+        let warm = function.places.iter().filter(|(_, p)| p.copies > 0).map(|(w, _)| *w);
+        let warm: Vec<WorkerId> = warm.filter(is_ready).collect();
         let renews = longer > keep && self.now < function.last_job + longer;
-        let hashed = ready.iter().copied().min_by_key(|w| tie(id, WorkerId(w.0 ^ me as u64)));
-        let last = function.warm_last.filter(|w| ready.contains(w)).or(hashed);
+        let hashed = self.listed.drawn(hash_of((id, me))).map(WorkerId).take(2 * HOMES * LOOKS);
+        let last = function.warm_last.into_iter().chain(hashed).find(is_ready);
         self.due.insert((self.now + (keep as f64 * RENEW_AT) as Micros, Due::Keep(id)));
         if let Some(w) = last.filter(|_| share > 0) {
             self.order(w, id, share.min(16) as u32, out);
         }
-        for w in warm.into_iter().filter(|w| renews && ready.contains(w)) {
+        for w in warm.into_iter().filter(|_| renews) {
             self.order(w, id, 1, out);
         }
-        let Some(function) = self.functions.get_mut(&id) else { return };
+        let Some(function) = self.functions.get(id) else { return };
         if drop_after > 0 && share == 0 && self.now >= function.last_job + drop_after {
-            for (w, place) in function.places.iter_mut().filter(|(_, p)| p.copies > 0 && p.own == 0) {
-                place.copies = 0;
-                out.unload(*w, id);
+            let idle = function.places.iter().filter(|(_, p)| p.copies > 0 && p.own == 0);
+            for (w, place) in idle.map(|(w, p)| (*w, *p)).collect::<Vec<_>>() {
+                self.functions.put(id, w, Place { copies: 0, ..place });
+                out.unload(w, id);
             }
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What the decision module remembers, as plain data. What it does with it, and every figure, is in `logic`.
 
+use crate::figures::tie;
 use crate::{FunctionId, Job, JobId, Micros, Report, Settings, WorkerId, WorkerRow, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -108,6 +109,15 @@
     pub budget_at: Micros,
 }
 
+/// Figures of the middle worker.
+#[derive(Default)]
+pub(crate) struct Middle {
+    pub pace: f64,
+    pub crowding: f64,
+    pub loads: f64,
+    pub held: f64,
+}
+
 /// A function at a worker.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Place {
@@ -135,6 +145,10 @@
     pub asked: Option<Micros>,
     pub asking: Micros,
     pub places: BTreeMap<WorkerId, Place>,
+    /// Places with a copy, by own jobs in flight and then by a hash, as believed when last changed.
+    pub copies: BTreeSet<(u32, u64, WorkerId)>,
+    /// Places with an order out or a load by an own job.
+    pub open: BTreeSet<WorkerId>,
     pub waiting: BTreeSet<JobId>,
     /// Jobs taken of late, over about a keep-alive, and when the last one was.
     pub calls: f64,
@@ -161,6 +175,120 @@
     pub executions: Vec<Execution>,
 }
 
+impl Function {
+    pub fn place(&self, w: WorkerId) -> Place {
+        self.places.get(&w).copied().unwrap_or_default()
+    }
+}
+
+impl Function {
+    /// Copies, idle ones from a draw on first and then those with the fewest own jobs; some come twice.
+    pub fn first(&self, draw: u64, most: usize) -> impl Iterator<Item = WorkerId> + '_ {
+        let idle = self.copies.range((0, draw, WorkerId(0))..(1, 0, WorkerId(0)));
+        idle.chain(&self.copies).map(|(.., w)| *w).take(most)
+    }
+}
+
+/// All functions called of late, and the orders in which they and their places are found again.
+#[derive(Default)]
+pub(crate) struct Functions {
+    all: BTreeMap<FunctionId, Function>,
+    by_last_job: BTreeSet<(Micros, FunctionId)>,
+    by_worker: BTreeSet<(WorkerId, FunctionId)>,
+}
+
+impl Functions {
+    pub fn get(&self, id: FunctionId) -> Option<&Function> {
+        self.all.get(&id)
+    }
+
+    /// What is known of a function but its places, which [`put`](Self::put) keeps, and its last job.
+    pub fn get_mut(&mut self, id: FunctionId) -> Option<&mut Function> {
+        self.all.get_mut(&id)
+    }
+
+    /// Takes a job of a function up, which is new if it is not known yet.
+    pub fn call(&mut self, id: FunctionId, now: Micros, new: impl FnOnce() -> Function) -> &mut Function {
+        let function = self.all.entry(id).or_insert_with(new);
+        self.by_last_job.remove(&(function.last_job, id));
+        self.by_last_job.insert((now, id));
+        function
+    }
+
+    pub fn place(&self, id: FunctionId, w: WorkerId) -> Place {
+        self.get(id).map(|function| function.place(w)).unwrap_or_default()
+    }
+
+    /// Keeps what is known of a place.
+    pub fn put(&mut self, id: FunctionId, w: WorkerId, place: Place) {
+        let Some(function) = self.all.get_mut(&id) else { return };
+        if let Some(before) = function.places.insert(w, place) {
+            function.copies.remove(&(before.own, tie(id, w), w));
+        } else {
+            self.by_worker.insert((w, id));
+        }
+        if place.copies > 0 {
+            function.copies.insert((place.own, tie(id, w), w));
+        }
+        if place.loading || place.order.is_some() {
+            function.open.insert(w);
+        } else {
+            function.open.remove(&w);
+        }
+    }
+
+    /// Takes copies that are no more out of those that [`Function::first`] tells, lest they hide others.
+    pub fn lapse(&mut self, id: FunctionId, draw: u64, most: usize, lapsed: impl Fn(&Place) -> bool) {
+        let Some(function) = self.all.get_mut(&id) else { return };
+        loop {
+            let is_lapsed = |w: &WorkerId| lapsed(&function.place(*w));
+            let gone: Vec<_> = function.first(draw, most).filter(is_lapsed).collect();
+            if gone.is_empty() {
+                return;
+            }
+            for w in gone {
+                let own = function.place(w).own;
+                function.copies.remove(&(own, tie(id, w), w));
+            }
+        }
+    }
+
+    /// Functions with something known of them at a worker.
+    pub fn at(&self, w: WorkerId) -> impl Iterator<Item = FunctionId> + '_ {
+        self.by_worker.range((w, FunctionId(0))..=(w, FunctionId(u64::MAX))).map(|(_, id)| *id)
+    }
+
+    /// No copy stands at a worker any more, and no load of ours is under way there.
+    pub fn forget_copies(&mut self, w: WorkerId) {
+        for id in self.at(w).collect::<Vec<_>>() {
+            let place = self.place(id, w);
+            self.put(id, w, Place { copies: 0, loading: false, ..place });
+        }
+    }
+
+    /// Forgets what had its last job by then, unless jobs wait.
+    pub fn forget(&mut self, by: Micros) {
+        let old: Vec<_> = self.by_last_job.range(..=(by, FunctionId(u64::MAX))).copied().collect();
+        for (at, id) in old {
+            let Some(function) = self.all.get(&id).filter(|function| function.waiting.is_empty()) else {
+                continue;
+            };
+            for w in function.places.keys() {
+                self.by_worker.remove(&(*w, id));
+            }
+            self.by_last_job.remove(&(at, id));
+            self.all.remove(&id);
+        }
+    }
+}
+
+/// One of the design's options, as set for this function, else for all.
+pub(crate) fn option(settings: &Settings, id: FunctionId, name: &str, otherwise: Micros) -> Micros {
+    let set = |name: &str| settings.number(name).map(|n| n as Micros);
+    let one = set(&format!("design.{}.{name}", id.0));
+    one.or_else(|| set(&format!("design.{name}"))).unwrap_or(otherwise)
+}
+
 /// What holds where a setting is not told and nought would make no sense.
 pub(crate) struct Otherwise {
     pub target: Micros,
