A setting given over a scenario's takes effect on its fleet, or is refused by its name

Cause: Scenario::read (scenario.rs) takes workers, edges, zones, length, calls and troubles out of the settings as it reads the text; read_scenario (cli lab.rs:48-52) and Experiment::scenario (experiment.rs:101-107) gave theirs to the settings afterwards, where only what is read from them late (cores, rates, limits) is seen.

Change: Scenario::read_with gives the settings first and checks them; run, fleet, part and experiment's variants all go through it. A value that can't be read is told with its whole NAME=VALUE.

--- a/crates/sanddrum-cli/src/fleet.rs
+++ b/crates/sanddrum-cli/src/fleet.rs
@@ -50,9 +50,6 @@
             command.args(["--edges", &scenario.told_edges().to_string()]);
             command.args(["--seed", &start.seed.wrapping_add(n as u64 * 101).to_string()]);
             command.arg("--state-file").arg(start.state_file);
-            for set in set {
-                command.args(["--set", set]);
-            }
         }
         part => {
             let (kind, number) = match part {
@@ -70,16 +67,18 @@
             }
         }
     }
+    for set in set {
+        command.args(["--set", set]);
+    }
     command.args(["--listen", "127.0.0.1:0"]).arg("--address-file").arg(start.address_file);
     command
 }
 
 pub fn run(args: &FleetArgs) -> ExitCode {
-    let (name, mut scenario) = match read_scenario(args.file.as_deref(), args.seed, &args.set) {
+    let (name, scenario) = match read_scenario(args.file.as_deref(), args.seed, &args.set, args.edges) {
         Ok(read) => read,
         Err(problem) => return fail(exit::USAGE, problem),
     };
-    scenario.edges = args.edges.unwrap_or(scenario.edges);
     let (edges, workers) = (scenario.edges, scenario.workers);
     println!("{name}: {edges} edges and {workers} workers as processes, seed {}", args.seed);
     match played(scenario, &args.set) {
@@ -138,7 +137,7 @@
 }
 
 pub fn sizes(args: &SizesArgs) -> ExitCode {
-    let (_, scenario) = match read_scenario(Some(&args.file), args.seed, &[]) {
+    let (_, scenario) = match read_scenario(Some(&args.file), args.seed, &[], None) {
         Ok(read) => read,
         Err(problem) => return fail(exit::USAGE, problem),
     };
@@ -216,6 +215,9 @@
     /// What is wrong with it, as JSON; looked at as it changes
     #[arg(long)]
     pub faults: PathBuf,
+    /// A setting over the scenario's; may be given several times
+    #[arg(long = "set", value_name = "NAME=VALUE")]
+    pub set: Vec<String>,
 }
 
 /// How often a stand-in looks at its faults.
@@ -245,9 +247,7 @@
 
 fn stand_in(args: &PartArgs) -> Result<(), String> {
     end_with_parent();
-    let text = std::fs::read_to_string(&args.file).map_err(|e| format!("{}: {e}", args.file.display()))?;
-    let scenario =
-        Scenario::read(&args.file.display().to_string(), &text, args.seed).map_err(|e| e.to_string())?;
+    let (_, scenario) = read_scenario(Some(&args.file), args.seed, &args.set, None)?;
     let (door, at) = EventLoop::bind(&args.listen).map_err(|e| format!("{}: {e}", args.listen))?;
     let mut driver = EventLoop::new(Box::new(NoTap)).map_err(|e| e.to_string())?;
     driver.catch_signals().map_err(|e| e.to_string())?;
--- a/crates/sanddrum-cli/src/lab.rs
+++ b/crates/sanddrum-cli/src/lab.rs
@@ -32,11 +32,20 @@
 /// The settings that have a scenario speak TLS to its workers.
 pub const TLS: [&str; 2] = ["tls.roots-file=roots.pem", "tls.workers=verified"];
 
-/// A scenario's name and what it says, the demo's where no file is given, with these settings over its own.
+/// A scenario's name and what it says, the demo's where no file is given, with these settings and so many edges over its
+/// own.
 ///
 /// # Errors
 /// What is wrong with it.
-pub fn read_scenario(file: Option<&Path>, seed: u64, set: &[String]) -> Result<(String, Scenario), String> {
+pub fn read_scenario(
+    file: Option<&Path>,
+    seed: u64,
+    set: &[String],
+    edges: Option<usize>,
+) -> Result<(String, Scenario), String> {
+    if edges.is_some() && set.iter().any(|set| set.starts_with("fleet.edges=")) {
+        return Err("--edges and --set fleet.edges both say how many edges there are: give one".into());
+    }
     let (name, text) = match file {
         None => ("bad-day.sx".to_string(), BAD_DAY.to_string()),
         Some(file) => {
@@ -44,20 +53,16 @@
             (file.display().to_string(), text)
         }
     };
-    let mut scenario = Scenario::read(&name, &text, seed).map_err(|e| e.to_string())?;
-    for set in set {
-        let (name, value) = set.split_once('=').unwrap_or((set, ""));
-        scenario.settings.give(name, value, "--set").map_err(|e| e.to_string())?;
-    }
+    let mut scenario = Scenario::read_with(&name, &text, seed, set, "--set").map_err(|e| e.to_string())?;
+    scenario.edges = edges.unwrap_or(scenario.edges);
     Ok((name, scenario))
 }
 
 pub fn run(args: &RunArgs) -> ExitCode {
-    let (name, mut scenario) = match read_scenario(args.file.as_deref(), args.seed, &args.set) {
+    let (name, scenario) = match read_scenario(args.file.as_deref(), args.seed, &args.set, args.edges) {
         Ok(read) => read,
         Err(problem) => return fail(exit::USAGE, problem),
     };
-    scenario.edges = args.edges.unwrap_or(scenario.edges);
     let seconds = scenario.length / 1_000_000;
     let how = if args.in_virtual_time { "in virtual time" } else { "on loopback sockets" };
     let (workers, edges) = (scenario.workers, scenario.edges);
--- a/crates/sanddrum-lab/src/experiment.rs
+++ b/crates/sanddrum-lab/src/experiment.rs
@@ -99,12 +99,7 @@
         Ok(experiment)
     }
     fn scenario(&self, variant: &Variant, seed: u64) -> Result<Scenario, Problem> {
-        let mut scenario = Scenario::read(&self.file, &self.text, seed)?;
-        for set in &variant.set {
-            let (name, value) = set.split_once('=').unwrap_or((set, ""));
-            scenario.settings.give(name, value, &variant.name)?;
-        }
-        Ok(scenario)
+        Scenario::read_with(&self.file, &self.text, seed, &variant.set, &variant.name)
     }
     fn run(&self, variant: &Variant, seed: u64) -> io::Result<Figures> {
         let mut scenario = self.scenario(variant, seed).map_err(io::Error::other)?;
--- a/crates/sanddrum-lab/src/scenario.rs
+++ b/crates/sanddrum-lab/src/scenario.rs
@@ -64,13 +64,57 @@
     }
 }
 
+/// What a scenario tells each edge for itself, and what to give in its place.
+const EACH_EDGES: &[(&str, &str)] = &[
+    ("edge.name", "edges are named by their number"),
+    ("edge.listen", "the lab chooses where edges listen"),
+    ("edge.list", "the lab chooses where the list service is"),
+    ("edge.zone", "edges are spread over the zones that the file names"),
+    ("edge.edges", "give fleet.edges, or fleet.edges-told"),
+    ("edge.number", "edges are counted from 0 on"),
+    ("edge.state-file", "the lab chooses where edges keep their state"),
+];
+
+/// Gives settings over those of the file, each as `fleet.edges=1000`; `by` says whose they are.
+fn give_over(l: &mut Loaded, set: &[String], by: &str) -> Result<(), Problem> {
+    for set in set {
+        let refused = |what: String, remedy: &str| Problem {
+            file: by.into(),
+            line: 0,
+            column: 0,
+            what: format!("{set}: {what}"),
+            remedy: remedy.into(),
+        };
+        let Some((name, value)) = set.split_once('=') else {
+            return Err(refused("it has no =".into(), "as fleet.edges=1000"));
+        };
+        if let Some((_, remedy)) = EACH_EDGES.iter().find(|(own, _)| *own == name) {
+            return Err(refused(format!("{name} is told to each edge by the lab"), remedy));
+        }
+        l.give(name, value, by).map_err(|problem| refused(problem.what, &problem.remedy))?;
+    }
+    Ok(())
+}
+
 impl Scenario {
     /// Reads a scenario from a text.
     ///
     /// # Errors
     /// What is wrong with it, and where.
     pub fn read(file: &str, text: &str, seed: u64) -> Result<Self, Problem> {
-        let l = sanddrum_settings::read_with(file, text, SCENARIO)?;
+        Self::read_with(file, text, seed, &[], "")
+    }
+    /// The same with settings over its own, each as `fleet.edges=1000`; `by` says whose they are, for a problem. All that
+    /// the scenario says is taken after them.
+    ///
+    /// # Errors
+    /// What is wrong with it, and where; a setting that is none, or that would change nothing, by its name.
+    pub fn read_with(file: &str, text: &str, seed: u64, set: &[String], by: &str) -> Result<Self, Problem> {
+        let mut l = sanddrum_settings::read_with(file, text, SCENARIO)?;
+        if !set.is_empty() {
+            give_over(&mut l, set, by)?;
+            sanddrum_settings::check(&l)?;
+        }
         let problem = |what: String, remedy: &str| Problem {
             file: file.into(),
             line: 0,
