The lab's capacity framework: points, slopes with their fits, files, plan, subcommand

Plays give points to a sink, which tells of them and writes one JSON file and two CSV files anew after each, beside and renamed, so that a run that is cut short leaves a whole file that says so. Slopes are fitted as a line and as a power law to relative misses; the closer one is told with its residual, or that neither is near. A plan is a deployment with a section for each play; settings know lists of whole numbers for its sizes. The list service's and the configuration's plays are empty so far.

--- a/crates/sanddrum-cli/src/lib.rs
+++ b/crates/sanddrum-cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the programs share: logs, exit codes, and running an edge.
 
 pub mod call;
+pub mod capacity;
 pub mod certs;
 pub mod config;
 pub mod edge;
--- a/crates/sanddrum-cli/src/main.rs
+++ b/crates/sanddrum-cli/src/main.rs
@@ -1,7 +1,7 @@
 //! The operators' command line.
 
 use clap::{Args, Parser, Subcommand};
-use sanddrum_cli::{call, certs, config, edge, exit, fail, fleet, keys, lab, load, logs};
+use sanddrum_cli::{call, capacity, certs, config, edge, exit, fail, fleet, keys, lab, load, logs};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -104,6 +104,11 @@
                             (variant \"random\" (decides random))."
     )]
     Experiment(lab::ExperimentArgs),
+    /// Measure what each part of a deployment costs as it grows, and the slope of each figure
+    #[command(after_help = "Examples:
+  sanddrum lab capacity --out capacity            all plays at the operators' expected sizes
+  sanddrum lab capacity --short --only router     one play, at sizes that take seconds")]
+    Capacity(capacity::CapacityArgs),
     /// Measure what an edge costs on this machine, beside a bare forwarder
     Measure(load::MeasureArgs),
 }
@@ -151,6 +156,7 @@
         What::Lab(Lab::Load(args)) => load::load(args),
         What::Lab(Lab::Experiment(args)) => lab::experiment(args),
         What::Lab(Lab::Hunt(args)) => lab::hunt(args),
+        What::Lab(Lab::Capacity(args)) => capacity::run(args),
         What::Lab(Lab::Measure(args)) => load::run(args),
         What::Config(Config::Check { file, scenario }) => config::check(file, *scenario),
         What::Config(Config::Show { file, scenario }) => config::show(file, *scenario),
--- /dev/null
+++ b/crates/sanddrum-lab/src/capacity.rs
@@ -0,0 +1,47 @@
+//! What routers, workers, the store, the list service and the configuration cost as a deployment grows: measured over
+//! several sizes, each figure with its slope. Hollow parts run the product's own cores and decision modules and are
+//! hollow at their ends only.
+
+mod configuration;
+mod fit;
+mod list_service;
+mod output;
+mod plan;
+mod point;
+mod sink;
+
+pub use fit::{fit, Fit, Shape};
+pub use output::{Output, Summary};
+pub use plan::{Memory, Plan, DEFAULT_PLAN, SHORT_PLAN};
+pub use point::{slopes, Point, Role, Slope, Source};
+pub use sink::{Sink, Stop};
+
+use sanddrum_settings::{Problem, Section};
+
+/// A play: what its plan may say, what is wrong with a plan, and what it measures.
+pub struct Play {
+    /// As it is named on the command line.
+    pub name: &'static str,
+    pub section: Section,
+    /// What can't be is refused before anything starts, with the key named.
+    pub check: fn(&Plan) -> Result<(), Problem>,
+    /// Gives its points to the sink as they are measured, and ends early where it is asked to.
+    pub play: fn(&Plan, &mut Sink, &Stop) -> Result<(), String>,
+}
+
+/// All plays, in the order in which they run.
+pub const PLAYS: &[Play] = &[list_service::PLAY, configuration::PLAY];
+
+/// Plays those named, or all, until done or told to stop; what was measured is with the sink.
+///
+/// # Errors
+/// A play could not be set up, or the files could not be written.
+pub fn run(plan: &Plan, only: &[String], sink: &mut Sink, stop: &Stop) -> Result<(), String> {
+    for play in PLAYS.iter().filter(|p| only.is_empty() || only.iter().any(|name| name == p.name)) {
+        if stop.is_set() {
+            break;
+        }
+        (play.play)(plan, sink, stop).map_err(|e| format!("{}: {e}", play.name))?;
+    }
+    sink.finish(!stop.is_set())
+}
--- a/crates/sanddrum-lab/src/lib.rs
+++ b/crates/sanddrum-lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod baselines;
 mod callers;
+pub mod capacity;
 pub mod checker;
 pub mod cold;
 mod experiment;
--- a/crates/sanddrum-settings/src/schema.rs
+++ b/crates/sanddrum-settings/src/schema.rs
@@ -11,6 +11,8 @@
     /// A number, or a percentage, within bounds.
     Number(f64, f64),
     Whole(f64, f64),
+    /// Whole numbers within bounds, one after the other.
+    Wholes(f64, f64),
     Flag,
     Text,
     Choice(&'static [&'static str]),
@@ -20,6 +22,12 @@
     Names,
 }
 
+impl Kind {
+    pub(crate) fn is_list(self) -> bool {
+        matches!(self, Kind::Names | Kind::Wholes(..))
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Key {
     pub name: &'static str,
--- a/crates/sanddrum-settings/src/values.rs
+++ b/crates/sanddrum-settings/src/values.rs
@@ -57,6 +57,11 @@
     pub fn count(&self, name: &str) -> usize {
         self.size(&format!("{name}.count"))
     }
+    /// A list of whole numbers.
+    pub fn wholes(&self, name: &str) -> Vec<u64> {
+        let each = |n| self.values.number(&format!("{name}.{n}"));
+        (0..self.count(name)).filter_map(|n| each(n).map(|whole| whole as u64)).collect()
+    }
     pub fn names(&self, name: &str) -> Vec<String> {
         let each =
             |n| self.values.text(&format!("{name}.{n}.name")).or(self.values.text(&format!("{name}.{n}")));
@@ -93,13 +98,8 @@
         values.0.insert("zone".into(), Value::Number(zone as f64));
         values
     }
-    /// The place of a setting in the file, for a problem that concerns it.
-    pub(crate) fn problem_at(
-        &self,
-        name: &str,
-        what: impl Into<String>,
-        remedy: impl Into<String>,
-    ) -> Problem {
+    /// A problem that concerns a setting, with its place in the file.
+    pub fn problem_at(&self, name: &str, what: impl Into<String>, remedy: impl Into<String>) -> Problem {
         let place = match self.origins.get(name) {
             Some(Origin::File { line, column }) => Place { line: *line, column: *column },
             _ => Place { line: 0, column: 0 },
@@ -175,8 +175,8 @@
             return Err(problem(&file, inner.place, what, remedy));
         };
         let origin = Origin::File { line: inner.place.line, column: inner.place.column };
-        if key.kind == Kind::Names {
-            names(loaded, key, inner, &at, &origin)?;
+        if key.kind.is_list() {
+            list(loaded, key, inner, &at, &origin)?;
             continue;
         }
         let (dotted, value) = plain(&file, &at, key, inner)?;
@@ -196,13 +196,21 @@
     }
 }
 
-fn names(loaded: &mut Loaded, key: &Key, form: &Form, at: &str, origin: &Origin) -> Result<(), Problem> {
+/// Names or whole numbers, one after the other.
+fn list(loaded: &mut Loaded, key: &Key, form: &Form, at: &str, origin: &Origin) -> Result<(), Problem> {
     let dotted = key.dotted.map_or_else(|| format!("{at}.{}", key.name), String::from);
     for (n, (part, place)) in form.parts.iter().enumerate() {
-        let Part::Word(word) = part else {
-            return Err(problem(&loaded.file, *place, "a name is wanted", "write names one after the other"));
+        let value = match (key.kind, part) {
+            (Kind::Names, Part::Word(word)) => Ok(Value::Text(word.clone())),
+            (Kind::Names, _) => Err(("a name is wanted".into(), "write names one after the other".into())),
+            (Kind::Wholes(least, most), part) => value_of(Kind::Whole(least, most), &[part]),
+            (kind, part) => value_of(kind, &[part]),
         };
-        loaded.values.0.insert(format!("{dotted}.{n}"), Value::Text(word.clone()));
+        let value = value.map_err(|(what, remedy)| {
+            let named = if key.kind == Kind::Names { what } else { format!("{}: {what}", key.name) };
+            problem(&loaded.file, *place, named, remedy)
+        })?;
+        loaded.values.0.insert(format!("{dotted}.{n}"), value);
         loaded.origins.insert(format!("{dotted}.{n}"), origin.clone());
     }
     loaded.values.0.insert(format!("{dotted}.count"), Value::Number(form.parts.len() as f64));
@@ -218,10 +226,10 @@
             _ => format!("({} {default})", key.name),
         };
         let form = forms::forms("defaults", &text)?.remove(0);
-        if key.kind == Kind::Names {
+        if key.kind.is_list() {
             let dotted = key.dotted.map_or_else(|| format!("{at}.{}", key.name), String::from);
             if !loaded.values.0.contains_key(&format!("{dotted}.count")) {
-                names(loaded, key, &form, at, &Origin::Default)?;
+                list(loaded, key, &form, at, &Origin::Default)?;
             }
             continue;
         }
@@ -313,6 +321,7 @@
             wrong(&format!("{word:?} is not an address"), remedy)
         }
         (Kind::Text | Kind::Address, [Part::Word(word)]) => Ok(Value::Text(word.clone())),
+        (Kind::Wholes(..), _) => wrong("whole numbers are wanted", "as 10 100 1000"),
         (Kind::Text | Kind::Address | Kind::Names, _) => wrong("one text is wanted", "in quotes"),
     }
 }
--- a/crates/sanddrum-settings/tests/stories.rs
+++ b/crates/sanddrum-settings/tests/stories.rs
@@ -1,6 +1,6 @@
 use proptest::prelude::*;
 use rstest::rstest;
-use sanddrum_settings::{read, Origin};
+use sanddrum_settings::{key, read, read_with, Kind, Origin, Section};
 
 const GOOD: &str = r#"
 (deployment (name "demo") (zones "bat-a" "bat-b"))
@@ -57,6 +57,38 @@
     assert!(l.give("limits.tik", "3s", "--set").unwrap_err().to_string().contains("not a setting"));
 }
 
+const SIZES: &[Section] = &[Section {
+    name: "sizes",
+    dotted: "sizes",
+    named: false,
+    repeats: false,
+    about: "",
+    keys: &[key("workers", Kind::Wholes(1.0, 1e4), Some("10 100"), "")],
+}];
+
+#[rstest]
+#[case::said("(sizes (workers 1 20 300))", &[1, 20, 300])]
+#[case::by_default("", &[10, 100])]
+#[case::none("(sizes (workers))", &[])]
+fn a_list_of_whole_numbers_is_told_in_its_order(#[case] added: &str, #[case] wholes: &[u64]) {
+    let l = read_with("demo.sx", &format!("{GOOD}{added}"), SIZES).unwrap();
+    assert_eq!(l.wholes("sizes.workers"), wholes);
+}
+
+#[rstest]
+#[case::fraction("(sizes (workers 1 2.5))", 19, "workers: a whole number is wanted")]
+#[case::bound("(sizes (workers 1 20000))", 19, "workers: 20000 is not between 1 and 10000")]
+#[case::word("(sizes (workers many))", 17, "workers: a whole number is wanted")]
+fn a_list_with_anything_else_is_refused_at_its_place(
+    #[case] added: &str,
+    #[case] column: usize,
+    #[case] what: &str,
+) {
+    let problem = read_with("demo.sx", &format!("{GOOD}{added}"), SIZES).unwrap_err();
+    assert_eq!((problem.line, problem.column), (8, column), "{problem}");
+    assert_eq!(problem.what, what);
+}
+
 proptest! {
     #[test]
     fn no_text_makes_the_reader_panic(text in "[ ()\"a-z0-9;#'\\\\.\\[\\]\n-]{0,200}") {
