The capacity plays of the list service and of the configuration, with hollow routers

The list service's own core on the virtual network, with hollow routers: sanddrum-start decides when they call, ask and hang up, and the edge's own Known (crates/sanddrum-edge/src/known.rs, taken out of list.rs unchanged, so that both decide by one text) whether rows follow on what is known. They keep no rows and read a list as far as its head (RowsHead), the same bytes otherwise. Workers are the stand-in's whole cores. Metered counts calls, messages and bytes at the service as encoded, and the thread's processor time within its core alone. Played at each size: all routers start without and with kept lists, one zone's, one region's, a quiet time, changes, the service gone for a minute, a zone of workers that returns; besides the core alone for memory, a whole list and a change, and workers that beat.

Configuration: no mechanism today carries a change to all routers; the row says so, and what is looked at anew on a router's own machine (key set, certificates).

--- /dev/null
+++ b/crates/sanddrum-edge/src/known.rs
@@ -0,0 +1,30 @@
+//! What of the list service's tale is known: its run and the version of its list. Everything that follows the list
+//! decides by it whether rows follow on what it has.
+
+use sanddrum_wire::{RowsHead, Watch};
+
+/// The run of the list service and the version of its list that are known; nought for none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Known {
+    pub run: u64,
+    pub version: u64,
+}
+
+impl Known {
+    /// Asks for all that follows on it.
+    pub fn watch(self) -> Watch {
+        Watch { version: self.version, run: self.run }
+    }
+    /// Whether nothing is missing between what is known and these rows.
+    pub fn is_followed_by(self, rows: RowsHead) -> bool {
+        rows.whole || (rows.run == self.run && rows.after == self.version)
+    }
+    /// Takes the version of rows that follow; false for a list that is older than what is known, which changes nothing.
+    pub fn take(&mut self, rows: RowsHead) -> bool {
+        if rows.whole && rows.run == self.run && rows.version < self.version {
+            return false;
+        }
+        (self.run, self.version) = (rows.run, rows.version);
+        true
+    }
+}
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod functions;
 mod identity;
 mod jobs;
+mod known;
 mod limits;
 mod links;
 mod list;
@@ -20,6 +21,7 @@
 
 pub use figures::Figures;
 pub use identity::rights_of;
+pub use known::Known;
 
 use admission::Admission;
 use clients::Clients;
--- a/crates/sanddrum-edge/src/list.rs
+++ b/crates/sanddrum-edge/src/list.rs
@@ -1,5 +1,6 @@
 //! Following the list service: whole lists and changes by version, called again after a growing wait.
 
+use crate::known::Known;
 use crate::state::{self, Kept};
 use crate::{Due, Inner, Owner};
 use sanddrum::{CellId, KindId, ListKind, Micros, WorkerId, WorkerList, WorkerRow, WorkerState, ZoneId};
@@ -7,7 +8,7 @@
 use sanddrum_net::{Conn, Event, Io, Outbox};
 use sanddrum_settings::Loaded;
 use sanddrum_start::{Decisions, News};
-use sanddrum_wire::{frame::frame, id_of, Frames, FromList, Hello, Phase, Row, Rows, ToList, Watch, VERSION};
+use sanddrum_wire::{frame::frame, id_of, Frames, FromList, Hello, Phase, Row, Rows, ToList, VERSION};
 use std::collections::{BTreeMap, BTreeSet};
 
 pub(crate) struct List {
@@ -16,8 +17,7 @@
     pub up: bool,
     frames: Frames,
     out: Option<Outbox<()>>,
-    run: u64,
-    version: u64,
+    known: Known,
     /// The list as it stands, and when each worker's process started (nought: long ago).
     rows: BTreeMap<WorkerId, (Row, Micros)>,
     pub backoff: Backoff,
@@ -35,8 +35,7 @@
             up: false,
             frames: Frames::default(),
             out: None,
-            run: 0,
-            version: 0,
+            known: Known::default(),
             rows: BTreeMap::new(),
             backoff: Backoff::new(span("least"), span("most")),
             next: 0,
@@ -113,7 +112,7 @@
         let Some(bytes) = self.kept.take() else { return };
         match state::read(&bytes) {
             Ok(kept) => {
-                (self.list.run, self.list.version) = (kept.run, kept.version);
+                self.list.known = Known { run: kept.run, version: kept.version };
                 self.identity.remember_floor(&kept);
                 let rows = state::aged(&kept, now);
                 tracing::info!(
@@ -199,7 +198,7 @@
             self.call_list(now, io);
         }
         if wanted.asks {
-            let watch = Watch { version: self.list.version, run: self.list.run };
+            let watch = self.list.known.watch();
             if let Some(out) = &mut self.list.out {
                 let _ = out.push((), &frame(&ToList::Watch(watch)));
             }
@@ -220,8 +219,7 @@
         let mut out = Outbox::new(self.limits.largest_frame);
         let hello = Hello { version: VERSION, name, incarnation: self.incarnation, age_us: None };
         let _ = out.push((), &frame(&ToList::Hello(hello)));
-        let _ =
-            out.push((), &frame(&ToList::Watch(Watch { version: self.list.version, run: self.list.run })));
+        let _ = out.push((), &frame(&ToList::Watch(self.list.known.watch())));
         self.list.conn = Some(conn);
         self.list.out = Some(out);
         self.list.up = false;
@@ -292,18 +290,17 @@
     }
 
     fn list_rows(&mut self, now: Micros, rows: &Rows, io: &mut dyn Io) {
-        let follows = rows.run == self.list.run && rows.after == self.list.version;
-        if !rows.whole && !follows {
+        let head = rows.head();
+        if !self.list.known.is_followed_by(head) {
             // A change was missed: the service tells what follows on the version that is known, or the whole list. What
             // this one says is true all the same, and a drain that waited for the rest would be found out too late.
             self.take_rows(now, ListKind::Changes, &rows.rows);
             return self.follow_list(now, &[News::Gap], io);
         }
         self.follow_list(now, &[News::Answered], io);
-        if rows.whole && rows.run == self.list.run && rows.version < self.list.version {
+        if !self.list.known.take(head) {
             return;
         }
-        (self.list.run, self.list.version) = (rows.run, rows.version);
         let kind = if rows.whole { ListKind::Full } else { ListKind::Changes };
         self.take_rows(now, kind, &rows.rows);
         if !self.list.saving {
@@ -323,7 +320,7 @@
             Row { age_us, ..row.clone() }
         };
         let rows = stands.map(aged).collect();
-        let (run, version) = (self.list.run, self.list.version);
+        let Known { run, version } = self.list.known;
         let (keys_version, keys_revoked) = self.identity.floor();
         io.save(&state::write(&Kept { at: now, run, version, rows, keys_version, keys_revoked }));
     }
--- a/crates/sanddrum-lab/src/capacity.rs
+++ b/crates/sanddrum-lab/src/capacity.rs
@@ -4,13 +4,20 @@
 
 mod configuration;
 mod fit;
+mod hollow_router;
+mod list_alone;
 mod list_service;
+mod list_stage;
+mod metered;
 mod output;
 mod plan;
 mod point;
 mod sink;
 
 pub use fit::{fit, Fit, Shape};
+pub use hollow_router::{Follower, Followers, HollowRouter, HollowRouterSpec};
+pub use list_stage::{Cut, ListStage, ListStageSpec};
+pub use metered::{ListSecond, Metered, Said, Tally};
 pub use output::{Output, Summary};
 pub use plan::{Memory, Plan, DEFAULT_PLAN, SHORT_PLAN};
 pub use point::{slopes, Point, Role, Slope, Source};
--- a/crates/sanddrum-lab/src/capacity/configuration.rs
+++ b/crates/sanddrum-lab/src/capacity/configuration.rs
@@ -1,4 +1,7 @@
-use super::{Plan, Play, Sink, Stop};
+//! How long a change of the configuration takes from its writing to the last router that acts on it. No mechanism
+//! carries one to all routers today; what exists is told.
+
+use super::{Plan, Play, Point, Role, Sink, Source, Stop};
 use sanddrum_settings::{Problem, Section};
 
 pub const PLAY: Play = Play {
@@ -8,7 +11,7 @@
         dotted: "configuration-plays",
         named: false,
         repeats: false,
-        about: "",
+        about: "nothing is to be set: no mechanism carries the configuration to routers",
         keys: &[],
     },
     check,
@@ -19,6 +22,37 @@
     Ok(())
 }
 
-fn play(_: &Plan, _: &mut Sink, _: &Stop) -> Result<(), String> {
-    Ok(())
+/// What routers read anew while they run, with how often they look, once somebody has put the file on their machine.
+const WATCHED: [(&str, &str); 2] = [
+    ("the key set, by each router from its own file", "identity.watch-every-us"),
+    ("certificates, roots and lists of the revoked, by each router from its own files", "tls.watch-every-us"),
+];
+
+fn play(plan: &Plan, sink: &mut Sink, _: &Stop) -> Result<(), String> {
+    let l = &plan.settings;
+    let routers = l.number("capacity.routers");
+    let mut tell = |play: &str, figure: &str, unit: &'static str, value: f64| {
+        sink.point(Point {
+            role: Role::Configuration,
+            play: play.into(),
+            figure: figure.into(),
+            unit,
+            axis: "routers",
+            at: routers,
+            value,
+            source: Source::WorkedOut,
+        })
+    };
+    tell(
+        "a change of the configuration: no mechanism today carries it to all routers",
+        "mechanisms",
+        "mechanisms",
+        0.0,
+    )?;
+    for (what, every) in WATCHED {
+        let play = format!("a file that is already on every router's machine: {what}");
+        tell(&play, "looked at every", "s", l.span(every) as f64 / 1e6)?;
+    }
+    let a_day = l.number("capacity.changes");
+    tell("changes of the configuration", "a second, in the mean", "changes", a_day / 86_400.0)
 }
--- /dev/null
+++ b/crates/sanddrum-lab/src/capacity/list_alone.rs
@@ -0,0 +1,170 @@
+//! What the list service holds, and what a whole list and a change take it: its core alone, with callers that take all
+//! that is written at once.
+
+use super::list_service::{list_spec, most_of};
+use super::list_stage::row;
+use super::metered::processor_time;
+use super::{Plan, Point, Role, Sink, Source, Stop};
+use sanddrum_net::{Conn, Core, Door, Event, Io, Micros};
+use sanddrum_wire::{frame::frame, Hello, Row, ToList, Watch, VERSION};
+use sanddrum_worker::{ListFaults, ListService};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// Whole lists, or changes, that are timed.
+const TIMED: u64 = 20;
+
+/// Takes all that is written.
+#[derive(Default)]
+struct Takes {
+    bytes: u64,
+}
+
+impl Io for Takes {
+    fn connect(&mut self, _: &str) -> Conn {
+        Conn(0)
+    }
+    fn write(&mut self, _: Conn, bytes: &[u8]) -> usize {
+        self.bytes += bytes.len() as u64;
+        bytes.len()
+    }
+    fn close(&mut self, _: Conn) {}
+    fn reset(&mut self, _: Conn) {}
+    fn pause(&mut self, _: Conn, _: bool) {}
+    fn save(&mut self, _: &[u8]) {}
+}
+
+/// The memory that this process has in use, in bytes.
+fn resident() -> Result<u64, String> {
+    let file = "/proc/self/status";
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse::<u64>().ok());
+    kilobytes.map(|kb| kb * 1024).ok_or_else(|| format!("{file}: no VmRSS"))
+}
+
+/// The service's core with callers that come one after the other, each once the one before has its answer.
+struct Alone {
+    service: ListService,
+    io: Takes,
+    now: Micros,
+    whole: Micros,
+    notice: Micros,
+    callers: u64,
+    /// How often the worker that changes has started.
+    incarnation: u64,
+}
+
+/// The worker that changes, beside all callers.
+const WORKER: Conn = Conn(u64::MAX);
+
+impl Alone {
+    fn new(plan: &Plan, rows: u64) -> Self {
+        let (spec, now) = (list_spec(plan), 1_000_000_000);
+        let zones = plan.settings.size("capacity.zones");
+        let rows: Vec<_> = (0..rows as usize).map(|n| row(n, zones)).collect();
+        let (whole, notice) = (spec.whole, spec.notice.1);
+        let service = ListService::new(spec, plan.seed, 1, Rc::new(RefCell::new(ListFaults::default())));
+        let service = service.with_rows(now, &rows);
+        let mut alone =
+            Alone { service, io: Takes::default(), now, whole, notice, callers: 0, incarnation: 1 };
+        alone.service.event(now, Event::Accepted { conn: WORKER, door: Door(0) }, &mut alone.io);
+        alone
+    }
+    /// A worker tells that it has started anew, and all callers are told.
+    fn change(&mut self) {
+        self.incarnation += 1;
+        let register = ToList::Register(Row { incarnation: self.incarnation, ..row(0, 1) });
+        let event = Event::Bytes { conn: WORKER, bytes: &frame(&register) };
+        self.service.event(self.now, event, &mut self.io);
+        self.now += self.notice + 1;
+        self.service.turn(self.now, &mut self.io);
+    }
+    /// One more router calls and is told the whole list.
+    fn caller(&mut self) {
+        let (conn, door) = (Conn(self.callers), Door(0));
+        self.callers += 1;
+        self.now += self.whole + 1;
+        let name = crate::Scenario::edge_name(self.callers as usize);
+        let hello = ToList::Hello(Hello { version: VERSION, name, incarnation: 1, age_us: None });
+        let bytes = [frame(&hello), frame(&ToList::Watch(Watch::default()))].concat();
+        self.service.event(self.now, Event::Accepted { conn, door }, &mut self.io);
+        self.service.event(self.now, Event::Bytes { conn, bytes: &bytes }, &mut self.io);
+        self.service.turn(self.now, &mut self.io);
+    }
+}
+
+struct Telling<'a> {
+    sink: &'a mut Sink,
+}
+
+impl Telling<'_> {
+    fn tell(
+        &mut self,
+        play: String,
+        figure: &str,
+        unit: &'static str,
+        (axis, at): (&'static str, u64),
+        value: f64,
+    ) -> Result<(), String> {
+        let (role, source) = (Role::ListService, Source::Played);
+        let figure = figure.to_string();
+        self.sink.point(Point { role, play, figure, unit, axis, at: at as f64, value, source })
+    }
+}
+
+/// Memory against rows and against routers, and a whole list against rows. Memory is what the process has more of, so
+/// what is measured is kept until all is.
+pub(super) fn alone(
+    plan: &Plan,
+    routers: &[u64],
+    rows: &[u64],
+    sink: &mut Sink,
+    stop: &Stop,
+) -> Result<(), String> {
+    let most = most_of(rows);
+    let mut kept = Vec::new();
+    let mut telling = Telling { sink };
+    for at in rows {
+        if stop.is_set() {
+            return Ok(());
+        }
+        // Small ones several times over, as a process grows by pages.
+        let copies = (most / at).max(1);
+        let before = resident()?;
+        kept.extend((0..copies).map(|_| Alone::new(plan, *at)));
+        let each = resident()?.saturating_sub(before) as f64 / copies as f64;
+        telling.tell("alone, no router".into(), "memory", "bytes", ("rows", *at), each)?;
+        let Some(alone) = kept.last_mut() else { continue };
+        let (sent, began) = (alone.io.bytes, processor_time());
+        (0..TIMED).for_each(|_| alone.caller());
+        let nanoseconds = (processor_time() - began) as f64 / TIMED as f64;
+        let bytes = (alone.io.bytes - sent) as f64 / TIMED as f64;
+        telling.tell("a whole list".into(), "processor time", "us", ("rows", *at), nanoseconds / 1e3)?;
+        telling.tell("a whole list".into(), "bytes out", "bytes", ("rows", *at), bytes)?;
+    }
+    for rows in [rows.iter().copied().min().unwrap_or(1), most] {
+        let mut alone = Alone::new(plan, rows);
+        let before = resident()?;
+        for at in routers {
+            while alone.callers < *at {
+                alone.caller();
+                if stop.is_set() {
+                    return Ok(());
+                }
+            }
+            let more = resident()?.saturating_sub(before) as f64;
+            let (play, at) = (format!("alone, {rows} rows"), ("routers", *at));
+            telling.tell(play, "memory for routers", "bytes", at, more)?;
+            let (sent, began) = (alone.io.bytes, processor_time());
+            (0..TIMED).for_each(|_| alone.change());
+            let nanoseconds = (processor_time() - began) as f64 / TIMED as f64;
+            let bytes = (alone.io.bytes - sent) as f64 / TIMED as f64;
+            let play = format!("a change, {rows} rows");
+            telling.tell(play.clone(), "processor time", "us", at, nanoseconds / 1e3)?;
+            telling.tell(play, "bytes out", "bytes", at, bytes)?;
+        }
+        kept.push(alone);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/capacity/list_stage.rs
@@ -0,0 +1,317 @@
+//! The list service with hollow routers and the workers of one zone, in virtual time; what is done to them, one thing
+//! after the other.
+
+use super::hollow_router::{Followers, HollowRouter, HollowRouterSpec};
+use super::metered::{Metered, Tally};
+use super::Stop;
+use crate::scenario::Scenario;
+use sanddrum::Settings;
+use sanddrum_edge::{Edge, Known, Start};
+use sanddrum_net::{Core, Event, HostId, Io, Links, Micros, NoTap, VirtualNet};
+use sanddrum_settings::{Loaded, Problem};
+use sanddrum_wire::{Phase, Row};
+use sanddrum_worker::{ListFaults, ListService, ListSpec, Marks, OnMiss, Worker, WorkerFaults, WorkerSpec};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+pub(crate) const SECOND: Micros = 1_000_000;
+/// Virtual time starts here, well after nought, which stands for long ago.
+const BEGIN: Micros = 1_000 * SECOND;
+const LIST: &str = "10.3.0.1:1000";
+const STORE: &str = "10.3.0.2:1000";
+/// How often it is looked at whether something has come about.
+const STEP: Micros = 100_000;
+
+/// Why something did not come to its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Told to stop.
+    Stopped,
+    /// It took more real time than it may.
+    Late,
+    /// It did not come about within this virtual time.
+    Never(Micros),
+}
+
+/// Who plays.
+#[derive(Clone, Debug)]
+pub struct ListStageSpec {
+    pub settings: Loaded,
+    pub list: ListSpec,
+    pub seed: u64,
+    pub routers: usize,
+    /// Workers that the service knows from the start.
+    pub rows: usize,
+    pub zones: usize,
+    /// How often a worker tells that it runs.
+    pub beat_every: Micros,
+    pub links: Links,
+    /// Whole edges in the place of hollow routers, to compare them.
+    pub whole_edges: bool,
+}
+
+pub struct ListStage {
+    spec: ListStageSpec,
+    net: VirtualNet,
+    module: Settings,
+    list: HostId,
+    routers: Vec<HostId>,
+    starts: u64,
+    workers: Vec<HostId>,
+    incarnations: Vec<u64>,
+    list_runs: u64,
+    pub tally: Rc<RefCell<Tally>>,
+    pub followers: Rc<RefCell<Followers>>,
+    stop: Stop,
+    until: Instant,
+}
+
+/// Takes connections and nothing else: the store that workers call.
+struct Deaf;
+
+impl Core for Deaf {
+    fn start(&mut self, _: Micros, _: &mut dyn Io) {}
+    fn event(&mut self, _: Micros, _: Event<'_>, _: &mut dyn Io) {}
+    fn turn(&mut self, _: Micros, _: &mut dyn Io) {}
+    fn wake(&self) -> Option<Micros> {
+        None
+    }
+}
+
+fn address(kind: usize, n: usize) -> String {
+    format!("10.{kind}.{}.{}:1000", n / 250, n % 250 + 1)
+}
+
+/// A worker's row as the service knows it from the start.
+pub(crate) fn row(n: usize, zones: usize) -> Row {
+    Row {
+        name: Scenario::worker_name(n),
+        address: address(1, n),
+        zone: format!("z{}", n % zones.max(1)),
+        cell: (n / 4) as u32,
+        kind: 0,
+        size: 8.0,
+        phase: Phase::Ready,
+        incarnation: 1,
+        age_us: -1,
+    }
+}
+
+impl ListStage {
+    /// Nothing has started yet but the list service, which knows its rows.
+    ///
+    /// # Errors
+    /// The settings take no such number of routers.
+    pub fn new(spec: ListStageSpec, stop: Stop, takes: Duration) -> Result<Self, Problem> {
+        let mut settings = spec.settings.clone();
+        settings.give("edge.edges", &spec.routers.max(1).to_string(), "capacity")?;
+        let mut net = VirtualNet::new(spec.seed, BEGIN, spec.links.clone(), Box::new(NoTap));
+        net.add(0, &[STORE], Box::new(Deaf));
+        let list = net.add(0, &[LIST], Box::new(Deaf));
+        let mut stage = ListStage {
+            net,
+            module: settings.values_for_module(),
+            list,
+            routers: Vec::new(),
+            starts: 0,
+            workers: Vec::new(),
+            incarnations: Vec::new(),
+            list_runs: 0,
+            tally: Rc::default(),
+            followers: Rc::default(),
+            stop,
+            until: Instant::now() + takes,
+            spec,
+        };
+        stage.start_list();
+        Ok(stage)
+    }
+    /// From now on so much real time is allowed.
+    pub fn allow(&mut self, takes: Duration) {
+        self.until = Instant::now() + takes;
+    }
+    pub fn now(&self) -> Micros {
+        self.net.now()
+    }
+    /// The service starts with a list that it had kept, in a run of its own.
+    pub fn start_list(&mut self) {
+        self.list_runs += 1;
+        let rows: Vec<Row> = (0..self.spec.rows).map(|n| row(n, self.spec.zones)).collect();
+        let faults = Rc::new(RefCell::new(ListFaults::default()));
+        let service =
+            ListService::new(self.spec.list.clone(), self.spec.seed ^ 0x115, self.list_runs, faults);
+        let service = service.with_rows(self.now(), &rows);
+        self.net.replace(self.list, Box::new(Metered::new(service, self.tally.clone())));
+    }
+    pub fn stop_list(&mut self) {
+        self.net.kill(self.list);
+    }
+    /// The first so many routers start at this instant, each with what it had kept or without a list.
+    ///
+    /// # Errors
+    /// The settings are none for an edge.
+    pub fn start_routers(&mut self, count: usize, keep: bool) -> Result<(), Problem> {
+        for n in 0..count.min(self.spec.routers) {
+            self.starts += 1;
+            let seed = self.spec.seed.wrapping_mul(1009).wrapping_add(n as u64 * 101 + self.starts);
+            let core =
+                if self.spec.whole_edges { self.edge(n, seed, keep)? } else { self.hollow(n, seed, keep) };
+            match self.routers.get(n) {
+                Some(host) => self.net.replace(*host, core),
+                None => {
+                    self.followers.borrow_mut().routers.push(Default::default());
+                    let host = self.net.add(n % self.spec.zones.max(1), &[], core);
+                    self.routers.push(host);
+                }
+            }
+        }
+        Ok(())
+    }
+    fn edge(&self, n: usize, seed: u64, keep: bool) -> Result<Box<dyn Core>, Problem> {
+        let mut settings = self.spec.settings.clone();
+        for (name, value) in [
+            ("edge.name", Scenario::edge_name(n)),
+            ("edge.list", LIST.to_string()),
+            ("edge.edges", self.spec.routers.max(1).to_string()),
+            ("edge.number", n.to_string()),
+        ] {
+            settings.give(name, &value, "capacity")?;
+        }
+        let kept = self.routers.get(n).and_then(|host| self.net.kept(*host)).filter(|_| keep);
+        let incarnation = self.starts;
+        let start = Start { settings, seed, kept, incarnation, metrics_page: None, platform: None };
+        Ok(Box::new(Edge::new(start)))
+    }
+    fn hollow(&self, n: usize, seed: u64, keep: bool) -> Box<dyn Core> {
+        let known = self.followers.borrow().routers.get(n).map(|follower| follower.known);
+        let spec = HollowRouterSpec {
+            number: n,
+            name: Scenario::edge_name(n),
+            list: LIST.into(),
+            incarnation: self.starts,
+            seed,
+            kept: known.filter(|known| keep && *known != Known::default()),
+            largest_frame: self.spec.settings.size("limits.largest-frame-bytes"),
+        };
+        Box::new(HollowRouter::new(spec, &self.module, self.followers.clone()))
+    }
+    pub fn stop_routers(&mut self, count: usize) {
+        self.routers.iter().take(count).for_each(|host| self.net.kill(*host));
+    }
+    fn worker(&self, n: usize, incarnation: u64) -> Box<dyn Core> {
+        let (now, row) = (self.now(), row(n, self.spec.zones));
+        let spec = WorkerSpec {
+            name: row.name,
+            address: row.address,
+            zone: row.zone,
+            cell: row.cell,
+            kind: row.kind,
+            cores: row.size as usize,
+            speed: 1.0,
+            queue: 64,
+            memory_mb: 1e4,
+            loads_at_once: 4,
+            keep_alive: 10 * SECOND,
+            on_miss: OnMiss::Load,
+            start_us_per_mb: 400.0,
+            cold_from: 1.0,
+            cold: 0,
+            fall_multiple: f64::MAX,
+            fall: 0,
+            tells_crowd: false,
+            report_every: SECOND,
+            list: LIST.into(),
+            store: STORE.into(),
+            beat_every: self.spec.beat_every,
+        };
+        let started = if incarnation > 1 { now } else { 0 };
+        let (faults, marks) =
+            (Rc::new(RefCell::new(WorkerFaults::default())), Rc::new(RefCell::new(Marks::new(0))));
+        let seed = self.spec.seed.wrapping_mul(31).wrapping_add(n as u64);
+        Box::new(Worker::new(spec, seed, started, incarnation, faults, marks))
+    }
+    /// So many workers have run for long, each of them the stand-in's own core.
+    pub fn add_workers(&mut self, count: usize) {
+        for n in self.workers.len()..count.min(self.spec.rows) {
+            let core = self.worker(n, 1);
+            let host = self.net.add(n % self.spec.zones.max(1), &[], core);
+            self.workers.push(host);
+            self.incarnations.push(1);
+        }
+    }
+    pub fn stop_workers(&mut self) {
+        self.workers.iter().for_each(|host| self.net.kill(*host));
+    }
+    /// A worker starts anew, at once where it still ran.
+    pub fn restart_worker(&mut self, n: usize) {
+        let Some((host, incarnation)) = self.workers.get(n).copied().zip(self.incarnations.get_mut(n)) else {
+            return;
+        };
+        *incarnation += 1;
+        let incarnation = *incarnation;
+        let core = self.worker(n, incarnation);
+        self.net.replace(host, core);
+    }
+    pub fn workers(&self) -> usize {
+        self.workers.len()
+    }
+    pub fn spec(&self) -> &ListStageSpec {
+        &self.spec
+    }
+    /// Events carried out so far.
+    pub fn steps(&self) -> u64 {
+        self.net.steps()
+    }
+
+    /// Goes on to the next whole second, so that what follows falls into seconds of its own.
+    ///
+    /// # Errors
+    /// It took too long, or was told to stop.
+    pub fn to_whole_second(&mut self) -> Result<Micros, Cut> {
+        let next = (self.now().div_euclid(SECOND) + 1) * SECOND;
+        self.run_until(next)?;
+        Ok(next)
+    }
+    /// # Errors
+    /// It took too long, or was told to stop.
+    pub fn run_for(&mut self, span: Micros) -> Result<(), Cut> {
+        self.run_until(self.now() + span)
+    }
+    fn run_until(&mut self, at: Micros) -> Result<(), Cut> {
+        while self.now() < at {
+            let next = at.min(self.now() + STEP);
+            self.step(next)?;
+        }
+        Ok(())
+    }
+    fn step(&mut self, next: Micros) -> Result<(), Cut> {
+        self.net.run_until(next);
+        if self.stop.is_set() {
+            return Err(Cut::Stopped);
+        }
+        if Instant::now() >= self.until {
+            return Err(Cut::Late);
+        }
+        Ok(())
+    }
+    /// Goes on until something holds, and no longer than so much virtual time.
+    ///
+    /// # Errors
+    /// It took too long, was told to stop, or never held.
+    pub fn run_until_true(&mut self, most: Micros, holds: impl Fn(&Followers) -> bool) -> Result<(), Cut> {
+        let last = self.now() + most;
+        while !holds(&self.followers.borrow()) {
+            if self.now() >= last {
+                return Err(Cut::Never(most));
+            }
+            let next = self.now() + STEP;
+            self.step(next)?;
+        }
+        Ok(())
+    }
+    /// Which run of the service it is.
+    pub fn list_run(&self) -> u64 {
+        self.list_runs
+    }
+}
--- a/crates/sanddrum-wire/src/messages.rs
+++ b/crates/sanddrum-wire/src/messages.rs
@@ -1,7 +1,8 @@
 //! The messages of the worker protocol, version 1. Each is an array of its number and one map with whole numbers as
 //! keys (RFC 8949, section 3.1); fields that a reader does not know are skipped, absent ones are absent.
 
-use minicbor::{Decode, Encode};
+use minicbor::data::Type;
+use minicbor::{Decode, Decoder, Encode};
 
 /// The version that both sides name in their greeting; they speak the lesser.
 pub const VERSION: u32 = 1;
@@ -326,6 +327,52 @@
     pub rows: Vec<Row>,
 }
 
+/// The head of [`Rows`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub struct RowsHead {
+    pub version: u64,
+    pub run: u64,
+    pub whole: bool,
+    pub after: u64,
+}
+
+impl Rows {
+    pub fn head(&self) -> RowsHead {
+        RowsHead { version: self.version, run: self.run, whole: self.whole, after: self.after }
+    }
+}
+
+/// Reads a [`Rows`] as far as its rows and no further; this encoder writes them last.
+impl<C> Decode<'_, C> for RowsHead {
+    fn decode(d: &mut Decoder<'_>, _: &mut C) -> Result<Self, minicbor::decode::Error> {
+        let mut head = RowsHead::default();
+        let keys = d.map()?.unwrap_or(u64::MAX);
+        for _ in 0..keys {
+            if d.datatype()? == Type::Break {
+                break;
+            }
+            match d.u32()? {
+                0 => head.version = d.u64()?,
+                1 => head.run = d.u64()?,
+                2 => head.whole = d.bool()?,
+                3 => head.after = d.u64()?,
+                _ => break,
+            }
+        }
+        Ok(head)
+    }
+}
+
+/// [`FromList`] for who follows the list's versions and keeps no rows.
+#[derive(Clone, Debug, PartialEq, Decode)]
+#[cbor(flat)]
+pub enum FromListHead {
+    #[n(0)]
+    Hello(#[n(0)] Hello),
+    #[n(1)]
+    Rows(#[n(0)] RowsHead),
+}
+
 #[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
 #[cbor(map)]
 pub struct Beat {
--- a/crates/sanddrum-wire/tests/codecs.rs
+++ b/crates/sanddrum-wire/tests/codecs.rs
@@ -159,3 +159,22 @@
 fn requests_that_cannot_be_served_say_why(#[case] bytes: &[u8], #[case] most: usize, #[case] why: Bad) {
     assert_eq!(http::request(bytes, most, 100), Err(why));
 }
+
+/// Who keeps no rows reads the same head of a list, whatever its rows are.
+#[rstest]
+#[case::none(0)]
+#[case::one(1)]
+#[case::many(1000)]
+fn the_head_of_a_list_is_read_without_its_rows(#[case] count: usize) {
+    let row = |n: usize| Row { name: format!("worker-{n}"), size: 8.0, age_us: -1, ..Row::default() };
+    let rows = Rows { version: 7, run: 2, whole: false, after: 6, rows: (0..count).map(row).collect() };
+    let mut frames = Frames::new(1 << 20);
+    let changes = Rows { whole: true, after: 0, ..rows.clone() };
+    for rows in [&rows, &changes] {
+        frames.take_in(&frame(&FromList::Rows(rows.clone())));
+    }
+    for rows in [&rows, &changes] {
+        assert_eq!(frames.next_message::<FromListHead>(), Ok(Some(FromListHead::Rows(rows.head()))));
+    }
+    assert_eq!(frames.next_message::<FromListHead>(), Ok(None));
+}
