The hollow fleet, and what one router costs in it

Decision modules as they are, with hollow hosts, workers and callers in virtual time: the workers are the stand-in worker's own machine without its connections, settings are the ones that an edge makes for its module. Rounds are timed by the thread's processor time with decisions only written down, so that the model's cost stays out. What the other routers have had loaded is modelled by the chance that their calls imply. A module is weighed by playing the same rounds to many of them.

--- a/crates/sanddrum-lab/src/capacity.rs
+++ b/crates/sanddrum-lab/src/capacity.rs
@@ -2,13 +2,21 @@
 //! several sizes, each figure with its slope. Hollow parts run the product's own cores and decision modules and are
 //! hollow at their ends only.
 
+mod clock;
 mod configuration;
 mod fit;
+pub mod hollow;
+pub mod host;
 mod list_service;
+mod memory;
+pub mod model;
 mod output;
 mod plan;
 mod point;
+pub mod router;
 mod sink;
+mod sizes;
+pub mod starts;
 
 pub use fit::{fit, Fit, Shape};
 pub use output::{Output, Summary};
@@ -30,7 +38,7 @@
 }
 
 /// All plays, in the order in which they run.
-pub const PLAYS: &[Play] = &[list_service::PLAY, configuration::PLAY];
+pub const PLAYS: &[Play] = &[router::PLAY, list_service::PLAY, configuration::PLAY];
 
 /// Plays those named, or all, until done or told to stop; what was measured is with the sink.
 ///
--- /dev/null
+++ b/crates/sanddrum-lab/src/capacity/host.rs
@@ -0,0 +1,356 @@
+//! A hollow router: its decision module, and the jobs, executions and connections that an edge keeps for it. It decides
+//! nothing by itself.
+
+use sanddrum::{
+    Decisions, End, ExecutionEnd, FunctionId, JobId, Micros, OrderEnd, PeerId, ProbeEnd, Report, Round,
+    Router, Settings, Warmth, WorkerId,
+};
+use sanddrum_wire::{Copy, Ended, LoadReport};
+use std::collections::BTreeMap;
+
+/// What a module decided, as it was written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    Execute { job: JobId, worker: WorkerId, limit: Micros },
+    Cancel { job: JobId, execution: usize },
+    PushBack { job: JobId, wait: Micros },
+    Kill { job: JobId },
+    Hold { worker: WorkerId, function: FunctionId, copies: u32 },
+    Unload { worker: WorkerId, function: FunctionId },
+    Probe { worker: WorkerId },
+    Subscribe,
+    WakeAt(Micros),
+}
+
+/// Decisions in the order written; carried out after the round, so that only the module's own time is in it.
+#[derive(Debug, Default)]
+pub struct Written(pub Vec<Decision>);
+
+impl Decisions for Written {
+    fn execute(&mut self, job: JobId, worker: WorkerId, limit: Micros) {
+        self.0.push(Decision::Execute { job, worker, limit });
+    }
+    fn cancel(&mut self, job: JobId, execution: usize) {
+        self.0.push(Decision::Cancel { job, execution });
+    }
+    fn push_back(&mut self, job: JobId, wait: Micros) {
+        self.0.push(Decision::PushBack { job, wait });
+    }
+    fn kill(&mut self, job: JobId) {
+        self.0.push(Decision::Kill { job });
+    }
+    fn hold(&mut self, worker: WorkerId, function: FunctionId, copies: u32) {
+        self.0.push(Decision::Hold { worker, function, copies });
+    }
+    fn unload(&mut self, worker: WorkerId, function: FunctionId) {
+        self.0.push(Decision::Unload { worker, function });
+    }
+    fn probe(&mut self, worker: WorkerId) {
+        self.0.push(Decision::Probe { worker });
+    }
+    fn subscribe(&mut self) {
+        self.0.push(Decision::Subscribe);
+    }
+    fn tell(&mut self, _: Option<PeerId>, _: &[u8]) {
+        // Routers have no way to each other.
+    }
+    fn wake_at(&mut self, at: Micros) {
+        self.0.push(Decision::WakeAt(at));
+    }
+    fn note(&mut self, _: &str) {}
+}
+
+/// What a play counts, of one router or of all.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Counts {
+    pub calls: u64,
+    pub finished: u64,
+    pub pushed_back: u64,
+    pub killed: u64,
+    pub executions: u64,
+    pub misses: u64,
+    pub asks: u64,
+    pub orders: u64,
+    pub unloads: u64,
+    pub probes: u64,
+    pub cancels: u64,
+    pub handshakes: u64,
+    /// Rows of the worker list that came.
+    pub rows: u64,
+    pub rounds: u64,
+    /// Processor time of the rounds, in nanoseconds.
+    pub nanoseconds: u64,
+    /// Control messages both ways, and their bytes on the wire.
+    pub messages: u64,
+    pub bytes: u64,
+    /// Loads begun at workers.
+    pub loads: u64,
+}
+
+impl Counts {
+    /// Calls that have their final answer.
+    pub fn ended(&self) -> u64 {
+        self.finished + self.pushed_back + self.killed
+    }
+    /// What came since an earlier count.
+    pub fn since(&self, before: &Counts) -> Counts {
+        let mut since = self.clone();
+        for (field, before) in since.fields().into_iter().zip(before.clone().fields()) {
+            *field -= *before;
+        }
+        since
+    }
+    pub fn add(&mut self, other: &Counts) {
+        for (field, other) in self.fields().into_iter().zip(other.clone().fields()) {
+            *field += *other;
+        }
+    }
+    fn fields(&mut self) -> [&mut u64; 18] {
+        let Counts {
+            calls,
+            finished,
+            pushed_back,
+            killed,
+            executions,
+            misses,
+            asks,
+            orders,
+            unloads,
+            probes,
+            cancels,
+            handshakes,
+            rows,
+            rounds,
+            nanoseconds,
+            messages,
+            bytes,
+            loads,
+        } = self;
+        [
+            calls,
+            finished,
+            pushed_back,
+            killed,
+            executions,
+            misses,
+            asks,
+            orders,
+            unloads,
+            probes,
+            cancels,
+            handshakes,
+            rows,
+            rounds,
+            nanoseconds,
+            messages,
+            bytes,
+            loads,
+        ]
+    }
+}
+
+pub(crate) struct HostedJob {
+    pub function: usize,
+    pub work: f64,
+    pub due: Micros,
+    pub came: Micros,
+    pub executions: Vec<u64>,
+    pub out: usize,
+    pub closed: bool,
+}
+
+#[derive(Clone, Copy)]
+pub(crate) struct Out {
+    pub job: JobId,
+    pub number: usize,
+    pub worker: WorkerId,
+    pub sent: Micros,
+    /// Its time-out's place in the queue of events.
+    pub late: (Micros, u64),
+    /// The message's own, and when it is written: later than sent where a connection is made for it.
+    pub way: (Micros, u64),
+    pub written: Micros,
+}
+
+#[derive(Clone, Copy)]
+pub(crate) struct Asked {
+    pub worker: WorkerId,
+    pub function: FunctionId,
+    pub sent: Micros,
+    pub late: (Micros, u64),
+}
+
+/// A connection to a worker.
+#[derive(Clone, Copy)]
+pub(crate) struct Link {
+    pub up_at: Micros,
+    pub last: Micros,
+    pub incarnation: u64,
+}
+
+pub struct Host {
+    pub(crate) module: Router,
+    pub(crate) zone: usize,
+    pub(crate) jobs: BTreeMap<JobId, HostedJob>,
+    pub(crate) executions: BTreeMap<u64, Out>,
+    pub(crate) orders: BTreeMap<u64, Asked>,
+    pub(crate) probes: BTreeMap<u64, Asked>,
+    pub(crate) links: BTreeMap<usize, Link>,
+    pub(crate) round: Round,
+    pub(crate) wake: Option<Micros>,
+    /// When its next turn stands in the queue of events.
+    pub(crate) turn_at: Option<Micros>,
+    next_job: u64,
+    next_execution: u64,
+    next_asked: u64,
+    /// When it last ordered copies of a function.
+    pub(crate) ordered: BTreeMap<FunctionId, Micros>,
+    pub counts: Counts,
+}
+
+impl Host {
+    pub fn new(seed: u64, settings: &Settings, zone: usize) -> Self {
+        Host {
+            module: Router::new(seed, settings),
+            zone,
+            jobs: BTreeMap::new(),
+            executions: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            links: BTreeMap::new(),
+            round: Round::default(),
+            wake: None,
+            turn_at: None,
+            next_job: 0,
+            next_execution: 0,
+            next_asked: 0,
+            ordered: BTreeMap::new(),
+            counts: Counts::default(),
+        }
+    }
+    pub(crate) fn take(&mut self, job: HostedJob) -> JobId {
+        let id = JobId(self.next_job);
+        self.next_job += 1;
+        self.jobs.insert(id, job);
+        id
+    }
+    pub(crate) fn next_execution(&mut self) -> u64 {
+        self.next_execution += 1;
+        self.next_execution
+    }
+    pub(crate) fn next_asked(&mut self) -> u64 {
+        self.next_asked += 1;
+        self.next_asked
+    }
+    pub(crate) fn has_news(&self) -> bool {
+        let r = &self.round;
+        !(r.lists.is_empty()
+            && r.jobs.is_empty()
+            && r.ends.is_empty()
+            && r.orders.is_empty()
+            && r.probes.is_empty())
+    }
+    /// The job has its final answer; none has two.
+    pub(crate) fn close(&mut self, id: JobId) -> bool {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.closed) else { return false };
+        job.closed = true;
+        self.forget_if_done(id);
+        true
+    }
+    fn forget_if_done(&mut self, id: JobId) {
+        if self.jobs.get(&id).is_some_and(|job| job.closed && job.out == 0) {
+            self.jobs.remove(&id);
+        }
+    }
+    /// The end of an execution, told to the module once; gives what was out.
+    pub(crate) fn execution_ended(
+        &mut self,
+        now: Micros,
+        id: u64,
+        end: End,
+        warmth: Warmth,
+        crowd: Option<u32>,
+        report: Option<Report>,
+    ) -> Option<Out> {
+        let out = self.executions.remove(&id)?;
+        let settled = match self.jobs.get_mut(&out.job) {
+            Some(job) => {
+                job.out = job.out.saturating_sub(1);
+                job.closed
+            }
+            None => true,
+        };
+        self.forget_if_done(out.job);
+        self.counts.misses += u64::from(end == End::Miss);
+        let Out { job, number, worker, sent, .. } = out;
+        let latency = now - sent;
+        self.round.ends.push(ExecutionEnd {
+            job,
+            execution: number,
+            worker,
+            end,
+            latency,
+            settled,
+            warmth,
+            crowd,
+            report,
+        });
+        Some(out)
+    }
+    pub(crate) fn order_ended(&mut self, now: Micros, id: u64, end: End, copies: u32) -> Option<Asked> {
+        let asked = self.orders.remove(&id)?;
+        let Asked { worker, function, sent, .. } = asked;
+        self.round.orders.push(OrderEnd { worker, function, end, latency: now - sent, copies });
+        Some(asked)
+    }
+    pub(crate) fn probe_ended(
+        &mut self,
+        now: Micros,
+        id: u64,
+        end: End,
+        report: Option<Report>,
+    ) -> Option<Asked> {
+        let asked = self.probes.remove(&id)?;
+        self.round.probes.push(ProbeEnd { worker: asked.worker, end, latency: now - asked.sent, report });
+        Some(asked)
+    }
+}
+
+pub(crate) fn end_of(ended: Ended) -> End {
+    match ended {
+        Ended::Finished => End::Finished,
+        Ended::Error => End::Error,
+        Ended::Full => End::Full,
+        Ended::Miss => End::Miss,
+        Ended::Dropped => End::Moot,
+    }
+}
+
+pub(crate) fn order_end_of(ended: Ended) -> End {
+    match ended {
+        Ended::Finished => End::Finished,
+        Ended::Error | Ended::Miss => End::Error,
+        Ended::Full | Ended::Dropped => End::Full,
+    }
+}
+
+pub(crate) fn warmth_of(copy: Option<Copy>) -> Warmth {
+    match copy {
+        Some(Copy::Stood) => Warmth::Stood,
+        Some(Copy::BeganLoad) => Warmth::BeganLoad,
+        Some(Copy::WaitedForLoad) => Warmth::WaitedForLoad,
+        Some(Copy::LoadFailed) => Warmth::LoadFailed,
+        None => Warmth::Unknown,
+    }
+}
+
+pub(crate) fn report_of(report: &LoadReport) -> Report {
+    Report {
+        held: report.held,
+        queued: report.queued,
+        busy: report.busy,
+        memory_pinned: report.memory_pinned,
+        loads: report.loads,
+        ..Report::default()
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/capacity/memory.rs
@@ -0,0 +1,128 @@
+//! Memory and list costs of a decision module, from rounds that were played before.
+
+use super::clock::Clock;
+use super::host::Written;
+use super::router::{alone, module_settings, tells, Size};
+use super::{Plan, Stop};
+use sanddrum::{ListKind, Micros, Round, Router, Settings, WorkerList, WorkerState};
+use std::time::{Duration, Instant};
+
+/// Modules are made until they take so much together, as the kernel counts in pages and small ones fit what was free;
+/// no more than so many, and in no more than this part of a point's time.
+const ENOUGH_BYTES: f64 = (32 << 20) as f64;
+const MOST_MODULES: usize = 2000;
+const PART_OF_TIME: u32 = 4;
+
+/// This process's resident memory, in bytes.
+fn resident() -> Option<f64> {
+    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: f64 = text.split_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * rustix::param::page_size() as f64)
+}
+
+/// What a module takes after these rounds, in bytes: the same rounds are played to several, all kept, and what the
+/// process grows by is shared among them. None where the first doesn't get through within the limit.
+pub(crate) fn of_module(
+    settings: &Settings,
+    seed: u64,
+    rounds: &[(Micros, Round)],
+    limit: Duration,
+    stop: &Stop,
+) -> Option<f64> {
+    let began = Instant::now();
+    let deadline = began + limit;
+    let one = || -> Option<Router> {
+        let mut module = Router::new(seed.wrapping_mul(1009) + 1, settings);
+        let mut written = Written::default();
+        for (now, round) in rounds {
+            if stop.is_set() || Instant::now() >= deadline {
+                return None;
+            }
+            module.round(*now, round, &mut written);
+            written.0.clear();
+        }
+        Some(module)
+    };
+    // The first takes what was freed before; what the others take is new.
+    let mut kept = vec![one()?];
+    let before = resident()?;
+    let mut grown = 0.0;
+    while kept.len() <= MOST_MODULES && grown < ENOUGH_BYTES {
+        let Some(module) = one() else { break };
+        kept.push(module);
+        grown = resident()? - before;
+        if began.elapsed() > limit / PART_OF_TIME {
+            break;
+        }
+    }
+    let made = kept.len() - 1;
+    (made > 0).then(|| (grown / made as f64).max(0.0))
+}
+
+/// Microseconds of a whole list and of a change of one worker, and the bytes of the change, at a module that has had
+/// its usual calls for a keep-alive.
+///
+/// # Errors
+/// A setting is refused.
+pub(crate) fn list_costs(
+    plan: &Plan,
+    size: &Size,
+    changes: usize,
+    stop: &Stop,
+) -> Result<Option<(f64, f64, f64)>, String> {
+    let l = &plan.settings;
+    let until = super::hollow::BEGIN + l.span("copies.keep-alive-us");
+    let mut fleet = alone(plan, size, true, true, until)?;
+    fleet.rounds = Some(Vec::new());
+    tells(&mut fleet, super::hollow::BEGIN, until, 1);
+    let limit = Duration::from_micros(l.span("capacity.time-a-point-us").max(0) as u64);
+    let deadline = Instant::now() + limit;
+    fleet.run_until(until, deadline, stop);
+    let rounds = fleet.rounds.take().unwrap_or_default();
+    let Some(list) = rounds.iter().find_map(|(_, round)| round.lists.first().cloned()) else {
+        return Ok(None);
+    };
+    let mut module = Router::new(1, &module_settings(plan, 0, size.routers, true)?);
+    let (mut written, mut now) = (Written::default(), 0);
+    for (at, round) in &rounds {
+        if stop.is_set() || Instant::now() >= deadline + limit {
+            return Ok(None);
+        }
+        module.round(*at, round, &mut written);
+        (now, written.0) = (*at, Vec::new());
+    }
+    let clock = Clock::new();
+    let mut time = |lists: Vec<WorkerList>| {
+        now += 1;
+        let (round, mut written) = (Round { lists, ..Round::default() }, Written::default());
+        let began = Clock::now();
+        module.round(now, &round, &mut written);
+        clock.passed(began) as f64 / 1e3
+    };
+    // A round's own cost isn't the list's; some of these rounds hold a sweep, which isn't either, so the middle counts.
+    let mut nothing: Vec<f64> = (0..changes).map(|_| time(Vec::new())).collect();
+    let nothing = middle(&mut nothing);
+    const WHOLE_LISTS: usize = 9;
+    let mut whole: Vec<f64> = (0..WHOLE_LISTS).map(|_| time(vec![list.clone()])).collect();
+    let whole = middle(&mut whole) - nothing;
+    let mut rows = list.rows.iter().cycle();
+    let mut change = |state: WorkerState, row: sanddrum::WorkerRow| {
+        let rows = vec![sanddrum::WorkerRow { state, ..row }];
+        time(vec![WorkerList { kind: ListKind::Changes, rows }])
+    };
+    // Draining, gone and back, as one that is replaced.
+    let mut each: Vec<f64> = Vec::new();
+    for _ in 0..changes.div_ceil(3) {
+        let Some(row) = rows.next().copied() else { break };
+        for state in [WorkerState::Draining, WorkerState::Gone, WorkerState::Ready] {
+            each.push(change(state, row) - nothing);
+        }
+    }
+    let bytes = fleet.list_bytes(1) as f64;
+    Ok(Some((whole.max(0.0), (each.iter().sum::<f64>() / each.len().max(1) as f64).max(0.0), bytes)))
+}
+
+fn middle(figures: &mut [f64]) -> f64 {
+    figures.sort_by(f64::total_cmp);
+    figures.get(figures.len() / 2).copied().unwrap_or(0.0)
+}
--- a/crates/sanddrum-lab/src/capacity/plan.rs
+++ b/crates/sanddrum-lab/src/capacity/plan.rs
@@ -1,6 +1,6 @@
 //! What is to be measured, at which sizes: a deployment, and what each play says beside it.
 
-use super::PLAYS;
+use super::{model, PLAYS};
 use sanddrum_settings::{key, Kind, Loaded, Problem, Section};
 
 /// The operators' sizes; a fifth to a third of an hour.
@@ -73,9 +73,10 @@
     /// What is wrong with it, and where: what can't be played is refused here, with its key.
     pub fn read(file: &str, text: &str, seed: u64, memory: Memory) -> Result<Self, Problem> {
         let sections: Vec<Section> =
-            std::iter::once(DEPLOYMENT).chain(PLAYS.iter().map(|play| play.section)).collect();
+            [DEPLOYMENT, model::SECTION].into_iter().chain(PLAYS.iter().map(|play| play.section)).collect();
         let settings = sanddrum_settings::read_with(file, text, &sections)?;
         let plan = Plan { settings, text: text.to_string(), seed, memory };
+        model::check(&plan)?;
         PLAYS.iter().try_for_each(|play| (play.check)(&plan))?;
         Ok(plan)
     }
--- /dev/null
+++ b/crates/sanddrum-lab/src/capacity/router.rs
@@ -0,0 +1,334 @@
+//! What one router costs: its decision module as one of many, over workers, functions, calls a second and the count of
+//! routers; and what a change of the worker list costs it.
+
+use super::hollow::{Act, Calls, Fleet, Loads, Played, Spec, BEGIN};
+use super::host::Counts;
+use super::model::{Functions, Model, Others, Shape};
+use super::{memory, Plan, Play, Point, Role, Sink, Source, Stop};
+use sanddrum::{Micros, Settings};
+use sanddrum_settings::{key, Kind, Problem, Section};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+pub const PLAY: Play = Play {
+    name: "router",
+    section: Section {
+        name: "router-plays",
+        dotted: "router-plays",
+        named: false,
+        repeats: false,
+        about: "one router as one of many",
+        keys: &[
+            key("workers", Kind::Wholes(1.0, 1e6), Some("100 1000 10000"), "sizes along the workers"),
+            key(
+                "functions",
+                Kind::Wholes(1.0, 1e8),
+                Some("2000 20000 200000 2000000"),
+                "along the functions",
+            ),
+            key("calls", Kind::Wholes(1.0, 1e6), Some("16 160 1600"), "a second at the router"),
+            key("routers", Kind::Wholes(1.0, 1e6), Some("42 420 4200"), "along the count of routers"),
+            key("at-workers", Kind::Whole(1.0, 1e6), Some("10000"), "workers along the other axes"),
+            key("warm-up", Kind::Span, Some("16s"), "before anything is counted"),
+            key("length", Kind::Span, Some("32s"), "for so long it is"),
+            key("list-changes", Kind::Whole(0.0, 1e6), Some("300"), "of the list, to tell what one costs"),
+        ],
+    },
+    check,
+    play,
+};
+
+/// About what a hollow worker and a row of the list take, with the copies there; measured with room to spare.
+const BYTES_A_WORKER: u64 = 8 << 10;
+const BYTES_A_FUNCTION: u64 = 512;
+/// A router's module knows each worker.
+const BYTES_A_KNOWN_WORKER: u64 = 1 << 10;
+
+fn check(plan: &Plan) -> Result<(), Problem> {
+    let l = &plan.settings;
+    for name in ["workers", "functions", "calls", "routers"] {
+        let key = format!("router-plays.{name}");
+        let sizes = plan.sizes(&key)?;
+        let each = match name {
+            "workers" => BYTES_A_WORKER + BYTES_A_KNOWN_WORKER,
+            "functions" => BYTES_A_FUNCTION,
+            _ => 0,
+        };
+        let most = sizes.into_iter().max().unwrap_or(0);
+        plan.fits(&key, &format!("{most} {name}"), most.saturating_mul(each))?;
+    }
+    let most = l.size("router-plays.at-workers") as u64;
+    let each = BYTES_A_WORKER + BYTES_A_KNOWN_WORKER;
+    plan.fits("router-plays.at-workers", &format!("{most} workers"), most.saturating_mul(each))?;
+    if l.span("router-plays.length-us") == 0 {
+        let key = "router-plays.length-us";
+        return Err(l.problem_at(key, "router-plays.length: nothing would be counted", "set it above 0s"));
+    }
+    Ok(())
+}
+
+/// A router, in one way to play it.
+#[derive(Clone, Copy, Debug)]
+struct Way {
+    name: &'static str,
+    orders: bool,
+    others: bool,
+}
+
+/// As the figures of a module alone were first taken, and among the others.
+const WAYS: [Way; 4] = [
+    Way { name: "router alone, orders off", orders: false, others: false },
+    Way { name: "router alone, orders on", orders: true, others: false },
+    Way { name: "router among others, orders off", orders: false, others: true },
+    Way { name: "router among others, orders on", orders: true, others: true },
+];
+/// The way that an edge goes by default.
+const USUAL: Way = WAYS[3];
+
+/// One size.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub workers: usize,
+    pub functions: usize,
+    /// A second at the router.
+    pub calls: f64,
+    pub routers: usize,
+}
+
+impl Size {
+    fn usual(plan: &Plan) -> Self {
+        let l = &plan.settings;
+        let routers = l.size("capacity.routers");
+        Size {
+            workers: l.size("router-plays.at-workers"),
+            functions: l.size("capacity.functions"),
+            calls: l.number("capacity.calls") / routers as f64,
+            routers,
+        }
+    }
+}
+
+/// The module's settings as an edge of this number makes them from its own.
+///
+/// # Errors
+/// A setting is refused.
+pub fn module_settings(plan: &Plan, number: usize, routers: usize, orders: bool) -> Result<Settings, String> {
+    let mut l = plan.settings.clone();
+    let zones = l.names("zones");
+    let zone = zones.get(number % zones.len().max(1)).cloned().unwrap_or_default();
+    let orders = if orders { "yes" } else { "no" };
+    let (number, routers) = (number.to_string(), routers.to_string());
+    for (name, value) in [
+        ("edge.number", number.as_str()),
+        ("edge.edges", routers.as_str()),
+        ("edge.zone", zone.as_str()),
+        ("copies.orders", orders),
+    ] {
+        l.give(name, value, "capacity").map_err(|e| e.to_string())?;
+    }
+    Ok(l.values_for_module())
+}
+
+/// One router's fleet at a size.
+///
+/// # Errors
+/// A setting is refused.
+pub fn alone(plan: &Plan, size: &Size, orders: bool, others: bool, until: Micros) -> Result<Fleet, String> {
+    let l = &plan.settings;
+    let shape = Shape::Zipf(l.number("model.zipf"));
+    let rest = size.calls * (size.routers - 1) as f64;
+    Ok(Fleet::new(Spec {
+        modules: vec![module_settings(plan, 0, size.routers, orders)?],
+        workers: size.workers,
+        zones: l.names("zones").len(),
+        model: Model::of(l),
+        functions: Rc::new(Functions::new(l, size.functions, shape, plan.seed)),
+        calls: Calls::Drawn { rate: size.calls, until },
+        loads: Loads::Drawn,
+        others: others.then_some(Others { calls: rest, seed: plan.seed }),
+        seed: plan.seed,
+    }))
+}
+
+/// What a play of one router gave.
+pub struct Measured {
+    pub counts: Counts,
+    /// Virtual seconds for which it was counted.
+    pub seconds: f64,
+    pub links: usize,
+    pub played: Played,
+    /// Rounds of the whole play, to play them again.
+    pub rounds: Vec<(Micros, sanddrum::Round)>,
+}
+
+/// Plays one router through its warm-up and what is counted, within a bound on real time.
+///
+/// # Errors
+/// A setting is refused.
+pub fn measure(
+    plan: &Plan,
+    size: &Size,
+    orders: bool,
+    others: bool,
+    stop: &Stop,
+) -> Result<Measured, String> {
+    let l = &plan.settings;
+    let warm = BEGIN + l.span("router-plays.warm-up-us");
+    let until = warm + l.span("router-plays.length-us");
+    let mut fleet = alone(plan, size, orders, others, until)?;
+    fleet.rounds = Some(Vec::new());
+    let deadline = Instant::now() + Duration::from_micros(l.span("capacity.time-a-point-us").max(0) as u64);
+    let mut played = fleet.run_until(warm, deadline, stop);
+    let mut before = fleet.counts();
+    if played == Played::Done {
+        played = fleet.run_until(until, deadline, stop);
+    } else {
+        // What there is counts from the start, warm-up and all.
+        before = Counts::default();
+    }
+    let since = if before.calls > 0 { warm } else { BEGIN };
+    Ok(Measured {
+        counts: fleet.counts().since(&before),
+        seconds: ((fleet.now() - since) as f64 / 1e6).max(1e-6),
+        links: fleet.links(),
+        played,
+        rounds: fleet.rounds.take().unwrap_or_default(),
+    })
+}
+
+impl Measured {
+    /// Each figure with its unit.
+    pub fn figures(&self) -> Vec<(&'static str, &'static str, f64)> {
+        let c = &self.counts;
+        let a_call = |n: u64| n as f64 / c.calls.max(1) as f64;
+        let a_second = |n: u64| n as f64 / self.seconds;
+        vec![
+            ("processor time a call", "us", a_call(c.nanoseconds) / 1e3),
+            ("asks a call", "", a_call(c.asks)),
+            ("orders a call", "", a_call(c.orders)),
+            ("executions a call", "", a_call(c.executions)),
+            ("loads a call", "", a_call(c.loads)),
+            ("finished", "of calls", c.finished as f64 / c.ended().max(1) as f64),
+            ("probes a second", "1/s", a_second(c.probes)),
+            ("cancels a second", "1/s", a_second(c.cancels)),
+            ("handshakes a second", "1/s", a_second(c.handshakes)),
+            ("connections kept", "", self.links as f64),
+            ("control messages a second", "1/s", a_second(c.messages)),
+            ("control bytes a second", "B/s", a_second(c.bytes)),
+            ("processor time of all decisions", "of a core", a_second(c.nanoseconds) / 1e9),
+        ]
+    }
+}
+
+fn play(plan: &Plan, sink: &mut Sink, stop: &Stop) -> Result<(), String> {
+    let usual = Size::usual(plan);
+    let sizes = |name: &str| plan.settings.wholes(&format!("router-plays.{name}"));
+    for way in WAYS {
+        for workers in sizes("workers") {
+            let size = Size { workers: workers as usize, ..usual };
+            one(plan, sink, stop, way, ("workers", workers as f64), &size)?;
+        }
+    }
+    for functions in sizes("functions") {
+        let size = Size { functions: functions as usize, ..usual };
+        one(plan, sink, stop, USUAL, ("functions", functions as f64), &size)?;
+    }
+    for calls in sizes("calls") {
+        let size = Size { calls: calls as f64, ..usual };
+        one(plan, sink, stop, USUAL, ("calls a second", calls as f64), &size)?;
+    }
+    for routers in sizes("routers") {
+        let size = Size { routers: routers as usize, ..usual };
+        one(plan, sink, stop, USUAL, ("routers", routers as f64), &size)?;
+    }
+    for workers in sizes("workers") {
+        list_changes(plan, sink, stop, &Size { workers: workers as usize, ..usual })?;
+    }
+    Ok(())
+}
+
+fn one(
+    plan: &Plan,
+    sink: &mut Sink,
+    stop: &Stop,
+    way: Way,
+    (axis, at): (&'static str, f64),
+    size: &Size,
+) -> Result<(), String> {
+    if stop.is_set() {
+        return Ok(());
+    }
+    sink.told(&format!("{}, {axis} {at}: {size:?}", way.name));
+    let measured = measure(plan, size, way.orders, way.others, stop)?;
+    let source = match measured.played {
+        Played::Done => Source::Played,
+        Played::OutOfTime => Source::NotFinished,
+        Played::Stopped => return Ok(()),
+    };
+    let point = |figure: &str, unit: &'static str, value: f64, source: Source| Point {
+        role: Role::Router,
+        play: way.name.to_string(),
+        figure: figure.to_string(),
+        unit,
+        axis,
+        at,
+        value,
+        source,
+    };
+    for (figure, unit, value) in measured.figures() {
+        sink.point(point(figure, unit, value, source))?;
+    }
+    if measured.played == Played::Done {
+        let settings = module_settings(plan, 0, size.routers, way.orders)?;
+        let limit = Duration::from_micros(plan.settings.span("capacity.time-a-point-us").max(0) as u64);
+        if let Some(bytes) = memory::of_module(&settings, plan.seed, &measured.rounds, limit, stop) {
+            sink.point(point("memory of the decision module", "MB", bytes / (1 << 20) as f64, source))?;
+        }
+    }
+    Ok(())
+}
+
+/// What a change of the list and a whole list cost a router that has its usual calls.
+fn list_changes(plan: &Plan, sink: &mut Sink, stop: &Stop, size: &Size) -> Result<(), String> {
+    let changes = plan.settings.size("router-plays.list-changes");
+    if stop.is_set() || changes == 0 {
+        return Ok(());
+    }
+    let measured = memory::list_costs(plan, size, changes, stop)?;
+    let Some((whole, change, bytes)) = measured else { return Ok(()) };
+    let day = 86_400.0;
+    let of_day = (plan.settings.number("capacity.failed") + plan.settings.number("capacity.replaced")) * 3.0;
+    for (figure, unit, value, source) in [
+        ("processor time a whole list", "us", whole, Source::Played),
+        ("processor time a change of the list", "us", change, Source::Played),
+        ("bytes a change of the list", "B", bytes, Source::Played),
+        (
+            "processor time for a day's changes of the list",
+            "of a core",
+            change / 1e6 * of_day / day,
+            Source::WorkedOut,
+        ),
+    ] {
+        sink.point(Point {
+            role: Role::Router,
+            play: "the worker list".into(),
+            figure: figure.into(),
+            unit,
+            axis: "workers",
+            at: size.workers as f64,
+            value,
+            source,
+        })?;
+    }
+    Ok(())
+}
+
+/// One that fails changes the list once, one that is replaced three times: draining, gone, ready.
+pub(crate) fn tells(fleet: &mut Fleet, from: Micros, until: Micros, changes: usize) {
+    let mut chance = fleet.chance();
+    let workers = fleet.workers.len();
+    for n in 0..changes {
+        let at = from + (until - from) * n as Micros / changes.max(1) as Micros;
+        fleet.script(at, Act::Tell(chance.below(workers)));
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/capacity/sizes.rs
@@ -0,0 +1,71 @@
+//! What control messages take on the wire, each kind encoded once.
+
+use super::model::Functions;
+use sanddrum_wire::{
+    frame::frame, Cancel, Ended, FromList, FromWorker, Held, Hello, Hold, LoadReport, Phase,
+};
+use sanddrum_wire::{Probe, Probed, Row, Rows, ToWorker, Unload, VERSION};
+
+/// Bytes of frames; TLS and what is below it aren't in them.
+pub(crate) struct Bytes {
+    /// An order or an ask with its answer.
+    pub hold: u64,
+    pub probe: u64,
+    pub cancel: u64,
+    pub unload: u64,
+    /// Both greetings.
+    pub hellos: u64,
+    list: u64,
+    row: u64,
+}
+
+/// A number as long-lived connections and processes have it.
+const NUMBER: u64 = 1 << 20;
+
+impl Bytes {
+    pub fn new(functions: &Functions) -> Self {
+        let last = functions.all.last();
+        let function = last.map(|f| f.name.clone()).unwrap_or_default();
+        let (memory_mb, lanes) = last.map_or((0.0, 1), |f| (f.memory_mb, f.lanes));
+        let hold = Hold { id: NUMBER, function: function.clone(), copies: 1, memory_mb, lanes };
+        let held = Held { id: NUMBER, ended: Ended::Finished, copies: 1 };
+        let some = Some(0.3);
+        let report = LoadReport { held: some, queued: some, busy: some, memory_pinned: some, loads: some };
+        let hello = Hello {
+            version: VERSION,
+            name: "worker-10000".into(),
+            incarnation: NUMBER,
+            age_us: Some(1 << 40),
+        };
+        let row = Row {
+            name: "worker-10000".into(),
+            address: "10.100.100.100:10000".into(),
+            zone: "zone-10".into(),
+            size: 8.0,
+            phase: Phase::Ready,
+            incarnation: NUMBER,
+            age_us: 1 << 40,
+            ..Row::default()
+        };
+        let rows = |n: usize| {
+            let rows = vec![row.clone(); n];
+            let rows = Rows { version: NUMBER, run: NUMBER, whole: false, after: NUMBER, rows };
+            frame(&FromList::Rows(rows)).len() as u64
+        };
+        let to = |message: &ToWorker| frame(message).len() as u64;
+        let from = |message: &FromWorker| frame(message).len() as u64;
+        Bytes {
+            hold: to(&ToWorker::Hold(hold)) + from(&FromWorker::Held(held)),
+            probe: to(&ToWorker::Probe(Probe { id: NUMBER }))
+                + from(&FromWorker::Probed(Probed { id: NUMBER, report: Some(report) })),
+            cancel: to(&ToWorker::Cancel(Cancel { id: NUMBER })),
+            unload: to(&ToWorker::Unload(Unload { function })),
+            hellos: to(&ToWorker::Hello(hello.clone())) + from(&FromWorker::Hello(hello)),
+            list: rows(0),
+            row: rows(2) - rows(1),
+        }
+    }
+    pub fn list(&self, rows: usize) -> u64 {
+        self.list + self.row * rows as u64
+    }
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/capacity/starts.rs
@@ -0,0 +1,48 @@
+//! How soon calls begin.
+
+use sanddrum::Micros;
+
+/// Calls of one kind, and those begun in time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Begun {
+    pub calls: u64,
+    pub in_time: u64,
+}
+
+impl Begun {
+    pub fn part(&self) -> f64 {
+        self.in_time as f64 / self.calls.max(1) as f64
+    }
+}
+
+/// Calls that came in a window, by whether their function is rare and whether they needed a load.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Starts {
+    pub from: Micros,
+    pub until: Micros,
+    pub within: Micros,
+    pub all: Begun,
+    pub rare: Begun,
+    /// A load was begun, waited for or ordered for it.
+    pub cold: Begun,
+    /// Neither.
+    pub warm: Begun,
+}
+
+impl Starts {
+    /// A call has its final answer: it began so long after it came, or never.
+    pub(crate) fn call(&mut self, came: Micros, rare: bool, loads: bool, began: Option<Micros>) {
+        if !(self.from..self.until).contains(&came) {
+            return;
+        }
+        let in_time = u64::from(began.is_some_and(|after| after <= self.within));
+        let count = |begun: &mut Begun| {
+            (begun.calls, begun.in_time) = (begun.calls + 1, begun.in_time + in_time);
+        };
+        count(&mut self.all);
+        count(if loads { &mut self.cold } else { &mut self.warm });
+        if rare {
+            count(&mut self.rare);
+        }
+    }
+}
--- a/crates/sanddrum-worker/src/lib.rs
+++ b/crates/sanddrum-worker/src/lib.rs
@@ -5,7 +5,7 @@
 mod faults;
 mod handshakes;
 mod list_service;
-mod machine;
+pub mod machine;
 mod peers;
 mod store;
 mod truth;
--- a/crates/sanddrum-worker/src/machine.rs
+++ b/crates/sanddrum-worker/src/machine.rs
@@ -15,7 +15,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub(crate) struct Size {
+pub struct Size {
     pub cores: usize,
     pub speed: f64,
     pub queue: usize,
@@ -33,10 +33,10 @@
 
 /// One execution here, by the connection and number that brought it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Ticket(pub u64, pub u64);
+pub struct Ticket(pub u64, pub u64);
 
 #[derive(Clone, Debug)]
-pub(crate) struct Task {
+pub struct Task {
     pub ticket: Ticket,
     pub function: String,
     pub memory_mb: f64,
@@ -47,7 +47,7 @@
 }
 
 #[derive(Debug, PartialEq)]
-pub(crate) enum Effect {
+pub enum Effect {
     Done {
         ticket: Ticket,
         ended: Ended,
@@ -111,7 +111,7 @@
     copies: u32,
 }
 
-pub(crate) struct Machine {
+pub struct Machine {
     pub size: Size,
     chance: Chance,
     /// When it started; nought or less: long ago.
@@ -145,6 +145,9 @@
             effects: Vec::new(),
         }
     }
+    pub fn started(&self) -> Micros {
+        self.started
+    }
     /// The part of its capacity that it has now.
     fn part(&self, now: Micros) -> f64 {
         let age = now - self.started;
@@ -291,7 +294,16 @@
         self.wanted.push(Wanted { ticket, function: function.to_string(), copies });
         self.answer_holds(now);
     }
-
+    /// A copy that somebody else has had loaded here before, where there is room for it.
+    pub fn has_stood(&mut self, now: Micros, function: &str, memory_mb: f64, lanes: u32) {
+        if self.of(function).count() > 0 || !self.make_room(memory_mb) {
+            return;
+        }
+        self.next_copy += 1;
+        let (function, stage) = (function.to_string(), Stage::Stands { idle_since: now });
+        let copy = Standing { function, memory_mb, lanes, busy: 0, stage, void: false };
+        self.copies.insert(self.next_copy, copy);
+    }
     pub fn unload(&mut self, function: &str) {
         self.copies
             .retain(|_, c| c.function != function || c.busy > 0 || !matches!(c.stage, Stage::Stands { .. }));
@@ -306,11 +318,8 @@
         let free = |c: &Standing| matches!(c.stage, Stage::Stands { .. }) && c.busy < c.lanes;
         self.of(function).find(|(_, c)| free(c)).map(|(id, _)| *id)
     }
-    /// Begins a load, or has it wait its turn; false without room in memory or among the loads.
-    fn load(&mut self, now: Micros, function: &str, memory_mb: f64, lanes: u32) -> bool {
-        if self.loading() >= self.size.loads_at_once * 3 {
-            return false;
-        }
+    /// Unloads the copies that were idle for longest, until so much fits; false where it can't.
+    fn make_room(&mut self, memory_mb: f64) -> bool {
         while self.used_mb() + memory_mb > self.size.memory_mb {
             let idle = self.copies.iter().filter_map(|(id, c)| match c.stage {
                 Stage::Stands { idle_since } if c.busy == 0 => Some((idle_since, *id)),
@@ -319,6 +328,13 @@
             let Some((_, oldest)) = idle.min() else { return false };
             self.copies.remove(&oldest);
         }
+        true
+    }
+    /// Begins a load, or has it wait its turn; false without room in memory or among the loads.
+    fn load(&mut self, now: Micros, function: &str, memory_mb: f64, lanes: u32) -> bool {
+        if self.loading() >= self.size.loads_at_once * 3 || !self.make_room(memory_mb) {
+            return false;
+        }
         self.next_copy += 1;
         let function = function.to_string();
         let copy = Standing { function, memory_mb, lanes, busy: 0, stage: Stage::Queued, void: false };
