A real edge and a hollow router play one scenario and decide the same, to the microsecond

The edge's core runs on the virtual network with the stand-in workers, list service and store; its module's news and decisions are seen, and the hollow router gets the same calls and lists at the same instants, with workers of the same size. Both logs are equal, news and decisions with their instants, in six scenarios (workers load, routers order, no orders, short lanes, overload with and without a ration).

A bare module alone, told only how many routers there are, is a play of its own, as the first figures were taken so: it may not probe and asks instead where a worker is silent.

--- a/crates/sanddrum-lab/src/capacity.rs
+++ b/crates/sanddrum-lab/src/capacity.rs
@@ -13,6 +13,7 @@
 mod output;
 mod plan;
 mod point;
+pub mod real;
 pub mod router;
 mod sink;
 mod sizes;
--- a/crates/sanddrum-lab/src/capacity/hollow.rs
+++ b/crates/sanddrum-lab/src/capacity/hollow.rs
@@ -50,6 +50,17 @@
     pub function: usize,
     pub work: f64,
     pub due: Micros,
+    /// What its caller says of its work.
+    pub hint: Option<Micros>,
+}
+
+/// Where a router's worker lists come from.
+#[derive(Clone, Debug)]
+pub enum Lists {
+    /// The whole at the beginning, and changes as things happen.
+    AtStart,
+    /// The first router gets these, and no others.
+    Given(Vec<(Micros, WorkerList)>),
 }
 
 /// Where calls come from.
@@ -65,13 +76,14 @@
 
 /// A fleet that is to be played.
 pub struct Spec {
-    /// Settings of each module that is played; there are as many routers.
-    pub modules: Vec<Settings>,
+    /// Seed and settings of each module that is played; there are as many routers.
+    pub modules: Vec<(u64, Settings)>,
     pub workers: usize,
     pub zones: usize,
     pub model: Model,
     pub functions: Rc<Functions>,
     pub calls: Calls,
+    pub lists: Lists,
     pub loads: Loads,
     pub others: Option<Others>,
     pub seed: u64,
@@ -216,12 +228,11 @@
 
 impl Fleet {
     pub fn new(spec: Spec) -> Self {
-        let Spec { modules, workers, zones, model, functions, calls, loads, others, seed } = spec;
+        let Spec { modules, workers, zones, model, functions, calls, lists, loads, others, seed } = spec;
         let hollow = (0..workers).map(|n| HollowWorker::new(n, zones, &model.size, seed));
         let workers: Vec<HollowWorker> = hollow.collect();
-        let host = |(n, settings): (usize, &Settings)| {
-            Host::new(seed.wrapping_mul(1009).wrapping_add(n as u64 * 101 + 1), settings, n % zones.max(1))
-        };
+        let host =
+            |(n, (seed, settings)): (usize, &(u64, Settings))| Host::new(*seed, settings, n % zones.max(1));
         let mut fleet = Fleet {
             now: BEGIN,
             queue: BTreeMap::new(),
@@ -247,11 +258,7 @@
             rounds: None,
             clock: Clock::new(),
         };
-        let rows = (0..fleet.workers.len()).map(|n| fleet.row(n)).collect();
-        let list = Rc::new(WorkerList { kind: ListKind::Full, rows });
-        for router in 0..fleet.hosts.len() {
-            fleet.post(BEGIN, Event::List { router, list: list.clone() });
-        }
+        fleet.post_lists(lists);
         match fleet.calls.clone() {
             Calls::Drawn { .. } => (0..fleet.hosts.len()).for_each(|router| fleet.post_call(router)),
             Calls::Given(calls) => calls.into_iter().for_each(|call| {
@@ -260,6 +267,20 @@
         }
         fleet
     }
+    fn post_lists(&mut self, lists: Lists) {
+        match lists {
+            Lists::AtStart => {
+                let rows = (0..self.workers.len()).map(|n| self.row(n)).collect();
+                let list = Rc::new(WorkerList { kind: ListKind::Full, rows });
+                for router in 0..self.hosts.len() {
+                    self.post(BEGIN, Event::List { router, list: list.clone() });
+                }
+            }
+            Lists::Given(lists) => lists.into_iter().for_each(|(at, list)| {
+                self.post(at, Event::List { router: 0, list: Rc::new(list) });
+            }),
+        }
+    }
     pub fn now(&self) -> Micros {
         self.now
     }
@@ -339,7 +360,7 @@
             kind: KindId(0),
             size: self.model.size.cores as f64 * self.model.size.speed,
             state,
-            started: worker.machine.started(),
+            started: worker.machine.started,
         }
     }
 
@@ -426,11 +447,11 @@
             to = self.chance.below(self.hosts.len());
         }
         let due = self.now + self.model.time_limit;
-        self.call(Call { at: self.now, router: to, function, work, due });
+        self.call(Call { at: self.now, router: to, function, work, due, hint: None });
     }
     fn call(&mut self, call: Call) {
         let (now, host) = (self.now, &mut self.hosts[call.router]);
-        let Call { router, function, work, due, .. } = call;
+        let Call { router, function, work, due, hint, .. } = call;
         let f = &self.functions.all[function];
         let id = host.take(HostedJob {
             function,
@@ -450,8 +471,8 @@
             due,
             memory_mb: f.memory_mb,
             lanes: f64::from(f.lanes),
-            load: None,
-            work: None,
+            load: f.load,
+            work: hint,
             repeat: false,
         });
         self.touched_routers.insert(router);
--- a/crates/sanddrum-lab/src/capacity/host.rs
+++ b/crates/sanddrum-lab/src/capacity/host.rs
@@ -22,6 +22,23 @@
     WakeAt(Micros),
 }
 
+impl Decision {
+    /// Writes it to whom it is meant for.
+    pub fn write(&self, out: &mut impl Decisions) {
+        match *self {
+            Decision::Execute { job, worker, limit } => out.execute(job, worker, limit),
+            Decision::Cancel { job, execution } => out.cancel(job, execution),
+            Decision::PushBack { job, wait } => out.push_back(job, wait),
+            Decision::Kill { job } => out.kill(job),
+            Decision::Hold { worker, function, copies } => out.hold(worker, function, copies),
+            Decision::Unload { worker, function } => out.unload(worker, function),
+            Decision::Probe { worker } => out.probe(worker),
+            Decision::Subscribe => out.subscribe(),
+            Decision::WakeAt(at) => out.wake_at(at),
+        }
+    }
+}
+
 /// Decisions in the order written; carried out after the round, so that only the module's own time is in it.
 #[derive(Debug, Default)]
 pub struct Written(pub Vec<Decision>);
--- a/crates/sanddrum-lab/src/capacity/memory.rs
+++ b/crates/sanddrum-lab/src/capacity/memory.rs
@@ -32,7 +32,7 @@
     let began = Instant::now();
     let deadline = began + limit;
     let one = || -> Option<Router> {
-        let mut module = Router::new(seed.wrapping_mul(1009) + 1, settings);
+        let mut module = Router::new(seed, settings);
         let mut written = Written::default();
         for (now, round) in rounds {
             if stop.is_set() || Instant::now() >= deadline {
@@ -72,7 +72,8 @@
 ) -> Result<Option<(f64, f64, f64)>, String> {
     let l = &plan.settings;
     let until = super::hollow::BEGIN + l.span("copies.keep-alive-us");
-    let mut fleet = alone(plan, size, true, true, until)?;
+    let settings = module_settings(plan, 0, size.routers, true)?;
+    let mut fleet = alone(plan, size, settings.clone(), true, until);
     fleet.rounds = Some(Vec::new());
     tells(&mut fleet, super::hollow::BEGIN, until, 1);
     let limit = Duration::from_micros(l.span("capacity.time-a-point-us").max(0) as u64);
@@ -82,7 +83,7 @@
     let Some(list) = rounds.iter().find_map(|(_, round)| round.lists.first().cloned()) else {
         return Ok(None);
     };
-    let mut module = Router::new(1, &module_settings(plan, 0, size.routers, true)?);
+    let mut module = Router::new(1, &settings);
     let (mut written, mut now) = (Written::default(), 0);
     for (at, round) in &rounds {
         if stop.is_set() || Instant::now() >= deadline + limit {
--- a/crates/sanddrum-lab/src/capacity/model.rs
+++ b/crates/sanddrum-lab/src/capacity/model.rs
@@ -123,6 +123,8 @@
     pub name: String,
     pub memory_mb: f64,
     pub lanes: u32,
+    /// What a load usually takes, where that is set.
+    pub load: Option<Micros>,
     /// Called less than once a minute, by all routers together.
     pub rare: bool,
 }
@@ -154,6 +156,7 @@
         let prefix = l.text("functions.0.name").trim_end_matches('*').to_string();
         let workload = l.text("functions.0.workload").to_string();
         let (memory_mb, lanes) = (l.number("functions.0.memory-mb"), l.size("functions.0.lanes") as u32);
+        let load = l.has("functions.0.load-us").then(|| l.span("functions.0.load-us"));
         let mut chance = Chance::new(seed ^ 0xf0);
         let (zipf, frequent, calls) = match shape {
             Shape::Zipf(zipf) => (zipf, count, 1.0),
@@ -175,7 +178,7 @@
         let sums = sums.collect();
         let function = |n: usize| {
             let name = format!("{workload}/{prefix}{n}");
-            Function { id: FunctionId(id_of(&name)), name, memory_mb, lanes, rare: n >= frequent }
+            Function { id: FunctionId(id_of(&name)), name, memory_mb, lanes, load, rare: n >= frequent }
         };
         Functions { all: (0..count).map(function).collect(), sums }
     }
--- a/crates/sanddrum-lab/src/capacity/router.rs
+++ b/crates/sanddrum-lab/src/capacity/router.rs
@@ -1,11 +1,11 @@
 //! What one router costs: its decision module as one of many, over workers, functions, calls a second and the count of
 //! routers; and what a change of the worker list costs it.
 
-use super::hollow::{Act, Calls, Fleet, Loads, Played, Spec, BEGIN};
+use super::hollow::{Act, Calls, Fleet, Lists, Loads, Played, Spec, BEGIN};
 use super::host::Counts;
 use super::model::{Functions, Model, Others, Shape};
 use super::{memory, Plan, Play, Point, Role, Sink, Source, Stop};
-use sanddrum::{Micros, Settings};
+use sanddrum::{Micros, Settings, Value};
 use sanddrum_settings::{key, Kind, Problem, Section};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -73,14 +73,19 @@
     name: &'static str,
     orders: bool,
     others: bool,
+    /// The module is told how many routers there are, whether it may order, and nothing else: it may not probe either.
+    bare: bool,
+}
+
+const fn way(name: &'static str, orders: bool, others: bool, bare: bool) -> Way {
+    Way { name, orders, others, bare }
 }
 
-/// As the figures of a module alone were first taken, and among the others.
 const WAYS: [Way; 4] = [
-    Way { name: "router alone, orders off", orders: false, others: false },
-    Way { name: "router alone, orders on", orders: true, others: false },
-    Way { name: "router among others, orders off", orders: false, others: true },
-    Way { name: "router among others, orders on", orders: true, others: true },
+    way("bare module alone, orders off", false, false, true),
+    way("bare module alone, orders on", true, false, true),
+    way("router among others, orders off", false, true, false),
+    way("router among others, orders on", true, true, false),
 ];
 /// The way that an edge goes by default.
 const USUAL: Way = WAYS[3];
@@ -129,25 +134,45 @@
     Ok(l.values_for_module())
 }
 
-/// One router's fleet at a size.
-///
-/// # Errors
-/// A setting is refused.
-pub fn alone(plan: &Plan, size: &Size, orders: bool, others: bool, until: Micros) -> Result<Fleet, String> {
+impl Way {
+    fn settings(&self, plan: &Plan, routers: usize) -> Result<Settings, String> {
+        if !self.bare {
+            return module_settings(plan, 0, routers, self.orders);
+        }
+        let mut settings = Settings::default();
+        for (name, value) in [
+            ("routers", Value::Number(routers as f64)),
+            ("copies.orders", Value::Flag(self.orders)),
+            ("copies.on-miss", Value::Text(plan.settings.text("copies.on-miss").into())),
+        ] {
+            settings.0.insert(name.into(), value);
+        }
+        Ok(settings)
+    }
+}
+
+/// A module's seed, as a scenario gives them to edges.
+pub fn module_seed(plan: &Plan, number: usize) -> u64 {
+    plan.seed.wrapping_mul(1009).wrapping_add(number as u64 * 101 + 1)
+}
+
+/// One router's fleet at a size, with these settings of its module.
+pub fn alone(plan: &Plan, size: &Size, settings: Settings, others: bool, until: Micros) -> Fleet {
     let l = &plan.settings;
     let shape = Shape::Zipf(l.number("model.zipf"));
     let rest = size.calls * (size.routers - 1) as f64;
-    Ok(Fleet::new(Spec {
-        modules: vec![module_settings(plan, 0, size.routers, orders)?],
+    Fleet::new(Spec {
+        modules: vec![(module_seed(plan, 0), settings)],
         workers: size.workers,
         zones: l.names("zones").len(),
         model: Model::of(l),
         functions: Rc::new(Functions::new(l, size.functions, shape, plan.seed)),
         calls: Calls::Drawn { rate: size.calls, until },
+        lists: Lists::AtStart,
         loads: Loads::Drawn,
         others: others.then_some(Others { calls: rest, seed: plan.seed }),
         seed: plan.seed,
-    }))
+    })
 }
 
 /// What a play of one router gave.
@@ -162,20 +187,11 @@
 }
 
 /// Plays one router through its warm-up and what is counted, within a bound on real time.
-///
-/// # Errors
-/// A setting is refused.
-pub fn measure(
-    plan: &Plan,
-    size: &Size,
-    orders: bool,
-    others: bool,
-    stop: &Stop,
-) -> Result<Measured, String> {
+pub fn measure(plan: &Plan, size: &Size, settings: &Settings, others: bool, stop: &Stop) -> Measured {
     let l = &plan.settings;
     let warm = BEGIN + l.span("router-plays.warm-up-us");
     let until = warm + l.span("router-plays.length-us");
-    let mut fleet = alone(plan, size, orders, others, until)?;
+    let mut fleet = alone(plan, size, settings.clone(), others, until);
     fleet.rounds = Some(Vec::new());
     let deadline = Instant::now() + Duration::from_micros(l.span("capacity.time-a-point-us").max(0) as u64);
     let mut played = fleet.run_until(warm, deadline, stop);
@@ -187,13 +203,13 @@
         before = Counts::default();
     }
     let since = if before.calls > 0 { warm } else { BEGIN };
-    Ok(Measured {
+    Measured {
         counts: fleet.counts().since(&before),
         seconds: ((fleet.now() - since) as f64 / 1e6).max(1e-6),
         links: fleet.links(),
         played,
         rounds: fleet.rounds.take().unwrap_or_default(),
-    })
+    }
 }
 
 impl Measured {
@@ -206,10 +222,10 @@
             ("processor time a call", "us", a_call(c.nanoseconds) / 1e3),
             ("asks a call", "", a_call(c.asks)),
             ("orders a call", "", a_call(c.orders)),
+            ("probes a call", "", a_call(c.probes)),
             ("executions a call", "", a_call(c.executions)),
             ("loads a call", "", a_call(c.loads)),
             ("finished", "of calls", c.finished as f64 / c.ended().max(1) as f64),
-            ("probes a second", "1/s", a_second(c.probes)),
             ("cancels a second", "1/s", a_second(c.cancels)),
             ("handshakes a second", "1/s", a_second(c.handshakes)),
             ("connections kept", "", self.links as f64),
@@ -259,7 +275,8 @@
         return Ok(());
     }
     sink.told(&format!("{}, {axis} {at}: {size:?}", way.name));
-    let measured = measure(plan, size, way.orders, way.others, stop)?;
+    let settings = way.settings(plan, size.routers)?;
+    let measured = measure(plan, size, &settings, way.others, stop);
     let source = match measured.played {
         Played::Done => Source::Played,
         Played::OutOfTime => Source::NotFinished,
@@ -279,9 +296,9 @@
         sink.point(point(figure, unit, value, source))?;
     }
     if measured.played == Played::Done {
-        let settings = module_settings(plan, 0, size.routers, way.orders)?;
         let limit = Duration::from_micros(plan.settings.span("capacity.time-a-point-us").max(0) as u64);
-        if let Some(bytes) = memory::of_module(&settings, plan.seed, &measured.rounds, limit, stop) {
+        if let Some(bytes) = memory::of_module(&settings, module_seed(plan, 0), &measured.rounds, limit, stop)
+        {
             sink.point(point("memory of the decision module", "MB", bytes / (1 << 20) as f64, source))?;
         }
     }
--- a/crates/sanddrum-worker/src/machine.rs
+++ b/crates/sanddrum-worker/src/machine.rs
@@ -115,7 +115,7 @@
     pub size: Size,
     chance: Chance,
     /// When it started; nought or less: long ago.
-    started: Micros,
+    pub started: Micros,
     copies: BTreeMap<u64, Standing>,
     next_copy: u64,
     waiting: VecDeque<Waiting>,
@@ -145,9 +145,6 @@
             effects: Vec::new(),
         }
     }
-    pub fn started(&self) -> Micros {
-        self.started
-    }
     /// The part of its capacity that it has now.
     fn part(&self, now: Micros) -> f64 {
         let age = now - self.started;
@@ -299,10 +296,13 @@
         if self.of(function).count() > 0 || !self.make_room(memory_mb) {
             return;
         }
+        self.add(function, memory_mb, lanes, Stage::Stands { idle_since: now });
+    }
+    fn add(&mut self, function: &str, memory_mb: f64, lanes: u32, stage: Stage) {
         self.next_copy += 1;
-        let (function, stage) = (function.to_string(), Stage::Stands { idle_since: now });
-        let copy = Standing { function, memory_mb, lanes, busy: 0, stage, void: false };
-        self.copies.insert(self.next_copy, copy);
+        let function = function.to_string();
+        self.copies
+            .insert(self.next_copy, Standing { function, memory_mb, lanes, busy: 0, stage, void: false });
     }
     pub fn unload(&mut self, function: &str) {
         self.copies
@@ -335,10 +335,7 @@
         if self.loading() >= self.size.loads_at_once * 3 || !self.make_room(memory_mb) {
             return false;
         }
-        self.next_copy += 1;
-        let function = function.to_string();
-        let copy = Standing { function, memory_mb, lanes, busy: 0, stage: Stage::Queued, void: false };
-        self.copies.insert(self.next_copy, copy);
+        self.add(function, memory_mb, lanes, Stage::Queued);
         self.begin_loads(now);
         true
     }
