--- a/crates/sanddrum-lab/src/capacity/list_alone.rs
+++ b/crates/sanddrum-lab/src/capacity/list_alone.rs
@@ -1,9 +1,9 @@
 //! What the list service holds, and what a whole list and a change take it: its core alone, with callers that take all
 //! that is written at once.
 
+use super::clock::Clock;
 use super::list_service::{list_spec, most_of};
 use super::list_stage::row;
-use super::metered::processor_time;
 use super::{Plan, Point, Role, Sink, Source, Stop};
 use sanddrum_net::{Conn, Core, Door, Event, Io, Micros};
 use sanddrum_wire::{frame::frame, Hello, Row, ToList, Watch, VERSION};
@@ -136,9 +136,9 @@
         let each = resident()?.saturating_sub(before) as f64 / copies as f64;
         telling.tell("alone, no router".into(), "memory", "bytes", ("rows", *at), each)?;
         let Some(alone) = kept.last_mut() else { continue };
-        let (sent, began) = (alone.io.bytes, processor_time());
+        let (sent, began) = (alone.io.bytes, Clock::now());
         (0..TIMED).for_each(|_| alone.caller());
-        let nanoseconds = (processor_time() - began) as f64 / TIMED as f64;
+        let nanoseconds = (Clock::now() - began) as f64 / TIMED as f64;
         let bytes = (alone.io.bytes - sent) as f64 / TIMED as f64;
         telling.tell("a whole list".into(), "processor time", "us", ("rows", *at), nanoseconds / 1e3)?;
         telling.tell("a whole list".into(), "bytes out", "bytes", ("rows", *at), bytes)?;
@@ -156,9 +156,9 @@
             let more = resident()?.saturating_sub(before) as f64;
             let (play, at) = (format!("alone, {rows} rows"), ("routers", *at));
             telling.tell(play, "memory for routers", "bytes", at, more)?;
-            let (sent, began) = (alone.io.bytes, processor_time());
+            let (sent, began) = (alone.io.bytes, Clock::now());
             (0..TIMED).for_each(|_| alone.change());
-            let nanoseconds = (processor_time() - began) as f64 / TIMED as f64;
+            let nanoseconds = (Clock::now() - began) as f64 / TIMED as f64;
             let bytes = (alone.io.bytes - sent) as f64 / TIMED as f64;
             let play = format!("a change, {rows} rows");
             telling.tell(play.clone(), "processor time", "us", at, nanoseconds / 1e3)?;
--- a/crates/sanddrum-lab/src/capacity/metered.rs
+++ b/crates/sanddrum-lab/src/capacity/metered.rs
@@ -1,6 +1,6 @@
 //! The list service with a meter on it: what reaches it and leaves it, by second, and the processor time within its core.
 
-use rustix::time::{clock_gettime, ClockId};
+use super::clock::Clock;
 use sanddrum_net::{Conn, Core, Event, Io, Micros, Peer};
 use sanddrum_wire::{Frames, FromList, ToList};
 use std::cell::{Cell, RefCell};
@@ -59,23 +59,6 @@
     }
 }
 
-/// Processor time of this thread, in nanoseconds.
-pub(crate) fn processor_time() -> u64 {
-    let at = clock_gettime(ClockId::ThreadCPUTime);
-    at.tv_sec as u64 * 1_000_000_000 + at.tv_nsec as u64
-}
-
-const READINGS: u64 = 2000;
-
-/// What one reading of that clock takes, in nanoseconds.
-pub(crate) fn reading_costs() -> u64 {
-    let before = processor_time();
-    for _ in 1..READINGS {
-        processor_time();
-    }
-    (processor_time() - before) / READINGS
-}
-
 /// Frames of a stream, counted without being kept.
 #[derive(Debug, Default)]
 struct FrameCount {
@@ -123,24 +106,23 @@
     core: C,
     wires: BTreeMap<Conn, Wire>,
     tally: Rc<RefCell<Tally>>,
-    reading: u64,
+    clock: Clock,
     now: Cell<Micros>,
 }
 
 impl<C: Core> Metered<C> {
     pub fn new(core: C, tally: Rc<RefCell<Tally>>) -> Self {
-        let (wires, reading, now) = (BTreeMap::new(), reading_costs(), Cell::new(0));
-        Metered { core, wires, tally, reading, now }
+        let (wires, clock, now) = (BTreeMap::new(), Clock::new(), Cell::new(0));
+        Metered { core, wires, tally, clock, now }
     }
     fn call(&mut self, now: Micros, io: &mut dyn Io, what: impl FnOnce(&mut C, &mut dyn Io)) {
         self.now.set(now);
-        let Metered { core, wires, tally, reading, .. } = self;
-        let mut counted = Counted { io, wires, tally, now, outside: 0, readings: 1 };
-        let before = processor_time();
+        let Metered { core, wires, tally, clock, .. } = self;
+        let mut counted = Counted { io, wires, tally, now, clock, outside: 0 };
+        let before = Clock::now();
         what(core, &mut counted);
-        let all = processor_time() - before;
-        let other = counted.outside + counted.readings * *reading;
-        self.tally.borrow_mut().second(now).nanoseconds += all.saturating_sub(other);
+        let within = clock.passed(before).saturating_sub(counted.outside);
+        tally.borrow_mut().second(now).nanoseconds += within;
     }
     fn heard(&mut self, now: Micros, conn: Conn, bytes: &[u8]) {
         let Some(wire) = self.wires.get_mut(&conn) else { return };
@@ -186,10 +168,10 @@
         self.call(now, io, |core, io| core.turn(now, io));
     }
     fn wake(&self) -> Option<Micros> {
-        let before = processor_time();
+        let before = Clock::now();
         let wake = self.core.wake();
-        let all = (processor_time() - before).saturating_sub(self.reading);
-        self.tally.borrow_mut().second(self.now.get()).nanoseconds += all;
+        let within = self.clock.passed(before);
+        self.tally.borrow_mut().second(self.now.get()).nanoseconds += within;
         wake
     }
     fn done(&self) -> bool {
@@ -203,17 +185,16 @@
     wires: &'a mut BTreeMap<Conn, Wire>,
     tally: &'a Rc<RefCell<Tally>>,
     now: Micros,
+    clock: &'a Clock,
     outside: u64,
-    readings: u64,
 }
 
 impl Counted<'_> {
     fn outside<T>(&mut self, what: impl FnOnce(&mut Self) -> T) -> T {
-        let before = processor_time();
+        let before = Clock::now();
         let done = what(self);
-        self.outside += processor_time() - before;
-        // Of the two readings, one is within what is taken off and one is not.
-        self.readings += 1;
+        // Of the two readings, one is within what has passed and one is not; neither is the core's.
+        self.outside += Clock::now() - before + self.clock.reading();
         done
     }
     fn wrote(&mut self, conn: Conn, bytes: &[u8]) {
