Calls for the worker list keep to list-calls however many routers start or lose it at once

Cause (sanddrum-start, lib.rs): the time over which first calls are drawn, edges / list-calls, was cut to list-retry-most (line 113), 5 s for any number of edges above 500; and waits after a loss were drawn from 100 ms to 300 ms, as for a few edges (line 173), so that all that lost the service at one instant called within 200 ms, and took their permits at one instant: permits come back after edges / list-calls, at one instant again. Each round was turned away but for what 64 calls in hand and 200 whole lists a second serve.

Change: first calls are drawn over edges / list-calls, up to ten minutes however wrong the number is set; waits after a loss are drawn over as much at least. Up to 300 edges or so nothing changes but the first wait (3 s at 300, 80 ms at 8).

--- a/crates/sanddrum-lab/tests/capacity_list.rs
+++ b/crates/sanddrum-lab/tests/capacity_list.rs
@@ -216,3 +216,38 @@
     let row = sink.points().iter().find(of).unwrap();
     assert_eq!((row.at, row.value, row.source), (4200.0, 0.0, Source::WorkedOut));
 }
+
+/// Four times list-calls whatever the number of routers, and what chance adds (docs/measurements.md): as all start
+/// without lists and with, and as a service is back that was gone.
+#[rstest]
+#[case::no_more_than_start_in_five_seconds(80)]
+#[case::four_times_as_many(320)]
+#[case::sixteen_times(1280)]
+fn calls_in_the_worst_second_do_not_grow_with_the_fleet(#[case] routers: usize) {
+    const LIST_CALLS: f64 = 16.0;
+    let bound = (4.0 * LIST_CALLS * 1.5) as u64;
+    // Standing connections are asked about apart from calls.
+    let plan = plan("", "(list-calls 16) (list-check 3000s)");
+    let mut stage = stage(&plan, routers, 3, list(1_000, 1_000), false);
+    let told = |f: &Followers| f.routers.iter().all(|router| router.told.is_some());
+    let within = (routers as f64 / LIST_CALLS + 10.0) as Micros * SECOND;
+    for keep in [false, true] {
+        let from = stage.to_whole_second().unwrap();
+        stage.start_routers(routers, keep).unwrap();
+        stage.run_until_true(within, told).unwrap();
+        let worst = stage.tally.borrow().worst(from, stage.now() + SECOND, |s| s.calls);
+        assert!(worst <= bound, "{worst} calls in the worst second of a start, kept lists: {keep}");
+        stage.stop_routers(routers);
+        stage.run_for(SECOND).unwrap();
+    }
+    stage.start_routers(routers, true).unwrap();
+    stage.run_until_true(within, told).unwrap();
+    stage.run_for(within).unwrap();
+    stage.stop_list();
+    stage.run_for(SECOND).unwrap();
+    stage.start_list();
+    let (from, run) = (stage.now(), stage.list_run());
+    stage.run_until_true(2 * within, |f| f.routers.iter().all(|router| router.known.run == run)).unwrap();
+    let worst = stage.tally.borrow().worst(from, stage.now() + SECOND, |s| s.calls);
+    assert!(worst <= bound, "{worst} calls in the worst second after the service was gone");
+}
--- a/crates/sanddrum-start/src/lib.rs
+++ b/crates/sanddrum-start/src/lib.rs
@@ -5,8 +5,8 @@
 //! Nobody tells an edge whether it is alone in this; so every edge keeps to a part of what the service is to bear from
 //! all of them, and draws its moments by chance. The first call of an edge with a kept list is spread over the time that
 //! all edges need at that rate, as it serves by the kept list meanwhile; one that knows no worker waits for a quarter of
-//! that. Later tries come from a budget, after waits that are drawn anew from the last one, so that edges which failed
-//! together spread ever wider. The number of edges may be set wrong: the rate is then wrong by as much, and nothing else.
+//! that. Later tries come from a budget, after waits that are drawn anew from the last one and over no less than that time,
+//! so that edges which lost the service together spread as wide and ever wider. The number of edges may be set wrong: the rate is then wrong by as much, and nothing else.
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -67,6 +67,8 @@
 const SPREADS: f64 = 3.0;
 /// Calls that an edge may save up; more would add up to a second herd once the first has failed.
 const BURST: f64 = 1.0;
+/// However wrong the number of edges is set, all are spread over no more than this.
+const LONGEST: Micros = 600_000_000;
 /// With each try that is not answered the next one is waited for twice as long, up to so many times.
 const MOST_PATIENCE: u32 = 3;
 
@@ -110,7 +112,7 @@
             line: Line::Down { again: Micros::MAX },
             chance: Pcg64Mcg::seed_from_u64(seed),
             rate,
-            spread: (1e6 / rate).min(span("limits.list-retry-most-us", 5e6) as f64) as Micros,
+            spread: (1e6 / rate).min(LONGEST as f64) as Micros,
             least,
             most: span("limits.list-retry-most-us", 5e6).max(least),
             time_out: span("limits.connect-time-out-us", 1e6),
@@ -169,9 +171,11 @@
     }
     fn lost(&mut self, now: Micros) {
         self.unanswered += 1;
+        // All may have lost it at one instant: spread by the waits of few edges they would come at one again.
         let last = self.wait.max(self.least) as f64;
-        let drawn = self.least as f64 + self.part() * (last * SPREADS - self.least as f64);
-        self.wait = (drawn as Micros).min(self.most);
+        let widest = (last * SPREADS).max(self.spread as f64);
+        let drawn = self.least as f64 + self.part() * (widest - self.least as f64);
+        self.wait = (drawn as Micros).min(self.most.max(self.spread));
         self.line = Line::Down { again: now + self.wait };
     }
     /// How long an answer is waited for: longer each time, as a service that is only slow is not helped by calls that
--- a/crates/sanddrum-start/tests/stories.rs
+++ b/crates/sanddrum-start/tests/stories.rs
@@ -138,3 +138,38 @@
     }
     assert_eq!(host.asks.len(), 1, "{:?}", host.asks);
 }
+
+/// However many edges there are: a quarter of the time for those without a list, so four times the rate, and the rate
+/// once all lose the service at one instant; and what chance adds.
+#[rstest]
+#[case::few(300)]
+#[case::thousands(4200)]
+fn calls_of_all_keep_to_the_rate_whatever_their_number(#[case] edges: u64) {
+    let until = (edges as i64 + 500) * 10_000;
+    let mut calls = [Vec::new(), Vec::new(), Vec::new()];
+    for n in 0..edges {
+        for kept in [false, true] {
+            let (mut start, mut host) = edge(n, edges as f64);
+            start.round(0, &[News::Began { kept }], &mut host);
+            pass(&mut start, &mut host, until, |_| vec![News::Answered]);
+            calls[usize::from(kept)].push(host.calls[0]);
+            if kept {
+                // It has been up for long, so that it has a permit.
+                pass(&mut start, &mut host, 2 * until, |_| vec![News::Answered]);
+                host.calls.clear();
+                start.round(host.now, &[News::Lost], &mut host);
+                pass(&mut start, &mut host, 3 * until, |_| vec![News::Answered]);
+                calls[2].push(host.calls[0] - 2 * until);
+            }
+        }
+    }
+    let worst = |calls: &[i64]| {
+        let mut seconds = std::collections::BTreeMap::new();
+        calls.iter().for_each(|at| *seconds.entry(at / 1_000_000).or_insert(0) += 1);
+        seconds.values().copied().max()
+    };
+    let [blind, kept, lost] = calls;
+    assert!(worst(&blind) <= Some(480), "{:?}", worst(&blind));
+    assert!(worst(&kept) <= Some(150), "{:?}", worst(&kept));
+    assert!(worst(&lost) <= Some(150), "{:?}", worst(&lost));
+}
