--- a/crates/sanddrum-lab/src/capacity.rs
+++ b/crates/sanddrum-lab/src/capacity.rs
@@ -9,6 +9,7 @@
 mod hollow_router;
 pub mod host;
 mod list_alone;
+mod list_plays;
 mod list_service;
 mod list_stage;
 mod memory;
--- a/crates/sanddrum-lab/tests/capacity_list.rs
+++ b/crates/sanddrum-lab/tests/capacity_list.rs
@@ -144,6 +144,12 @@
     // One that kept its list is not.
     let kept = figures(&points, "all routers start with kept lists", "routers", "whole lists");
     assert!(kept.iter().all(|(_, lists)| *lists == 0.0), "{kept:?}");
+    // A message of a change is as long for each router, and a zone of 27 workers has 81 changes in a minute.
+    let bytes = figures(&points, "changes", "routers", "bytes out a change");
+    let each: Vec<f64> = bytes.iter().map(|(at, bytes)| bytes / *at as f64).collect();
+    assert!(each.windows(2).all(|two| (two[0] - two[1]).abs() < 1.0), "{bytes:?}");
+    let rolls = figures(&points, "a zone's workers replaced in a minute", "routers", "messages out a second");
+    assert!(rolls.iter().all(|(at, a_second)| (a_second - 1.35 * *at as f64).abs() < 1e-9), "{rolls:?}");
     // Workers beat five times a second each.
     let beats = figures(&points, "all workers beat", "rows", "beats a second");
     assert!(beats.iter().all(|(at, beats)| *beats == 5.0 * *at as f64), "{beats:?}");
