The configuration's row tells of the platform's start configuration, too

It is looked at on SIGHUP and once an hour, and only the feed's address is taken from it while the router runs.

--- a/crates/sanddrum-lab/src/capacity/configuration.rs
+++ b/crates/sanddrum-lab/src/capacity/configuration.rs
@@ -22,7 +22,12 @@
     Ok(())
 }
 
+/// A router on the platform looks at its start configuration on SIGHUP, and as seldom as this (sanddrum-cli,
+/// platform.rs). It takes the feed's address alone; the rest holds from its next start.
+const PLATFORM: f64 = 3_600.0;
+
 /// What routers read anew while they run, with how often they look, once somebody has put the file on their machine.
+/// On SIGHUP they look at once.
 const WATCHED: [(&str, &str); 2] = [
     ("the key set, by each router from its own file", "identity.watch-every-us"),
     ("certificates, roots and lists of the revoked, by each router from its own files", "tls.watch-every-us"),
@@ -53,6 +58,9 @@
         let play = format!("a file that is already on every router's machine: {what}");
         tell(&play, "looked at every", "s", l.span(every) as f64 / 1e6)?;
     }
+    let play = "a file that is already on every router's machine: the start configuration on the platform, of which only \
+                the feed's address is taken up";
+    tell(play, "looked at every", "s", PLATFORM)?;
     let a_day = l.number("capacity.changes");
     tell("changes of the configuration", "a second, in the mean", "changes", a_day / 86_400.0)
 }
