The start target with many modules together, workers and store, a real edge beside: capacity rows

Two runs at a time, each within its bound on real time. What all routers together ask of a worker and of the store is counted there, and worked out for the operators' count of routers from one router's figures. A real edge's core beside a hollow router with the same calls: the play fails if they decide otherwise. A module is weighed once the process grows by it, as freed memory hid small ones.

Plans that can't be are refused with their key: no workers, more copies than memory holds, sizes that need over half of the machine's memory.

--- a/crates/sanddrum-lab/src/capacity.rs
+++ b/crates/sanddrum-lab/src/capacity.rs
@@ -2,6 +2,7 @@
 //! several sizes, each figure with its slope. Hollow parts run the product's own cores and decision modules and are
 //! hollow at their ends only.
 
+mod beside;
 mod clock;
 mod configuration;
 mod fit;
@@ -17,9 +18,11 @@
 pub mod router;
 mod sink;
 mod sizes;
+mod start_target;
 pub mod starts;
+mod workers;
 
-pub use fit::{fit, Fit, Shape};
+pub use fit::{fit, Fit, Form};
 pub use output::{Output, Summary};
 pub use plan::{Memory, Plan, DEFAULT_PLAN, SHORT_PLAN};
 pub use point::{slopes, Point, Role, Slope, Source};
@@ -39,7 +42,7 @@
 }
 
 /// All plays, in the order in which they run.
-pub const PLAYS: &[Play] = &[router::PLAY, list_service::PLAY, configuration::PLAY];
+pub const PLAYS: &[Play] = &[router::PLAY, start_target::PLAY, list_service::PLAY, configuration::PLAY];
 
 /// Plays those named, or all, until done or told to stop; what was measured is with the sink.
 ///
--- /dev/null
+++ b/crates/sanddrum-lab/src/capacity/beside.rs
@@ -0,0 +1,100 @@
+//! A real edge's core beside a hollow router with the same calls, where both fit.
+
+use super::host::Decision;
+use super::real::{hollow, real};
+use super::{Plan, Point, Role, Sink, Source, Stop};
+use crate::Scenario;
+use std::time::{Duration, Instant};
+
+/// A scenario of one edge with the plan's calls a router and the model's workers.
+fn scenario(plan: &Plan, workers: u64) -> Result<Scenario, String> {
+    let l = &plan.settings;
+    let zones: Vec<String> = l.names("zones").iter().map(|zone| format!("{zone:?}")).collect();
+    let text = format!(
+        r#"(deployment (name "beside") (zones {}))
+(workload "call" (start-target {}us) (time-limit {}us) (effect restartable))
+(function "f-*" (workload "call") (memory {}MB) (lanes {}))
+(copies (keep-alive {}us) (on-miss {}))
+(limits (connections-ahead 0))
+(fleet (workers {workers}) (edges 1) (cores {}) (memory {}MB) (queue {}) (beat-every 1s))
+(store (at-once 100000) (most 100000))
+(traffic (length {}us) (rate {}) (functions 2000) (zipf {}) (retries 0))
+(calls "call" (work {}us))"#,
+        zones.join(" "),
+        l.span("workloads.0.start-target-us"),
+        l.span("workloads.0.time-limit-us"),
+        l.number("functions.0.memory-mb"),
+        l.size("functions.0.lanes"),
+        l.span("copies.keep-alive-us"),
+        l.text("copies.on-miss"),
+        l.size("model.cores"),
+        l.number("model.memory-mb"),
+        l.size("model.queue"),
+        l.span("router-plays.length-us"),
+        l.number("capacity.calls") / l.number("capacity.routers"),
+        l.number("model.zipf"),
+        l.span("model.work-us"),
+    );
+    Scenario::read("beside.sx", &text, plan.seed).map_err(|e| e.to_string())
+}
+
+/// Plays both at each size; the hollow one must decide the same.
+///
+/// # Errors
+/// A scenario can't be set up, or the hollow router decided otherwise.
+pub(crate) fn play(plan: &Plan, sink: &mut Sink, stop: &Stop) -> Result<(), String> {
+    for workers in plan.settings.wholes("router-plays.real-workers") {
+        if stop.is_set() {
+            return Ok(());
+        }
+        sink.told(&format!("a real edge and a hollow router, {workers} workers"));
+        let scenario = scenario(plan, workers)?;
+        let seen = real(scenario.clone())?;
+        let mut fleet = hollow(&scenario, &seen)?;
+        fleet.log = Some(Vec::new());
+        let until = seen.decisions.last().map_or(0, |(at, _)| *at);
+        let limit = Duration::from_micros(plan.settings.span("capacity.time-a-point-us").max(0) as u64);
+        fleet.run_until(until, Instant::now() + limit, stop);
+        let log = fleet.log.take().unwrap_or_default();
+        if stop.is_set() {
+            return Ok(());
+        }
+        let same = log.iter().map(|(at, _, decision)| (at, decision));
+        if !same.eq(seen.decisions.iter().map(|(at, decision)| (at, decision))) {
+            return Err(format!("with {workers} workers the hollow router decided otherwise than the edge"));
+        }
+        let calls = seen.jobs.len().max(1) as f64;
+        let of = |figure: fn(&Decision) -> bool| {
+            seen.decisions.iter().filter(|(_, decision)| figure(decision)).count() as f64 / calls
+        };
+        let counts = fleet.counts();
+        let hollow = |n: u64| n as f64 / counts.calls.max(1) as f64;
+        let asks = of(|d| matches!(d, Decision::Hold { copies: 0, .. }));
+        let orders = of(|d| matches!(d, Decision::Hold { copies, .. } if *copies > 0));
+        let probes = of(|d| matches!(d, Decision::Probe { .. }));
+        let us = |nanoseconds: u64| nanoseconds as f64 / 1e3 / calls;
+        for (play, figure, unit, value) in [
+            ("real edge", "processor time a call", "us", us(seen.edge_nanoseconds)),
+            ("real edge", "processor time a call, its module", "us", us(seen.module_nanoseconds)),
+            ("real edge", "asks a call", "", asks),
+            ("real edge", "orders a call", "", orders),
+            ("real edge", "probes a call", "", probes),
+            ("hollow, the same calls", "processor time a call, its module", "us", us(counts.nanoseconds)),
+            ("hollow, the same calls", "asks a call", "", hollow(counts.asks)),
+            ("hollow, the same calls", "orders a call", "", hollow(counts.orders)),
+            ("hollow, the same calls", "probes a call", "", hollow(counts.probes)),
+        ] {
+            sink.point(Point {
+                role: Role::Router,
+                play: play.into(),
+                figure: figure.into(),
+                unit,
+                axis: "workers",
+                at: workers as f64,
+                value,
+                source: Source::Played,
+            })?;
+        }
+    }
+    Ok(())
+}
--- a/crates/sanddrum-lab/src/capacity/fit.rs
+++ b/crates/sanddrum-lab/src/capacity/fit.rs
@@ -12,7 +12,7 @@
 /// What shape a slope has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Shape {
+pub enum Form {
     /// Fewer than three points.
     TooFew,
     /// The same at each size.
@@ -27,7 +27,7 @@
 /// part of the figure.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Fit {
-    pub shape: Shape,
+    pub shape: Form,
     /// `line.0 + line.1 * at`, fitted to relative misses, as sizes are decades apart.
     pub line: (f64, f64),
     pub line_residual: f64,
@@ -40,8 +40,8 @@
     /// The residual of the shape that it has.
     pub fn residual(&self) -> f64 {
         match self.shape {
-            Shape::Power => self.power_residual.unwrap_or(self.line_residual),
-            Shape::Neither => self.line_residual.min(self.power_residual.unwrap_or(f64::INFINITY)),
+            Form::Power => self.power_residual.unwrap_or(self.line_residual),
+            Form::Neither => self.line_residual.min(self.power_residual.unwrap_or(f64::INFINITY)),
             _ => self.line_residual,
         }
     }
@@ -50,12 +50,12 @@
         let residual = self.residual() * 100.0;
         let (a, b) = self.line;
         match (self.shape, self.power) {
-            (Shape::TooFew, _) => "too few points for a slope".into(),
-            (Shape::Flat, _) => format!("flat at {} (residual {residual:.1} %)", figure(a)),
-            (Shape::Line, _) => {
+            (Form::TooFew, _) => "too few points for a slope".into(),
+            (Form::Flat, _) => format!("flat at {} (residual {residual:.1} %)", figure(a)),
+            (Form::Line, _) => {
                 format!("{} + {} * at (line, residual {residual:.1} %)", figure(a), figure(b))
             }
-            (Shape::Power, Some((c, k))) => {
+            (Form::Power, Some((c, k))) => {
                 format!("{} * at^{k:.2} (power law, residual {residual:.1} %)", figure(c))
             }
             _ => format!("neither line nor power law (residual {residual:.0} %)"),
@@ -68,6 +68,9 @@
     if n == 0.0 || !n.is_finite() {
         return n.to_string();
     }
+    if n.abs() < 1e-4 {
+        return format!("{n:.3e}");
+    }
     let digits = (3 - n.abs().log10().floor() as i32).clamp(0, 9);
     format!("{n:.*}", digits as usize)
 }
@@ -78,21 +81,21 @@
     let line_residual = residual(points, |at| line.0 + line.1 * at);
     let power = power(points);
     let power_residual = power.map(|(c, k)| residual(points, |at| c * at.powf(k)));
-    let mut fit = Fit { shape: Shape::TooFew, line, line_residual, power, power_residual };
+    let mut fit = Fit { shape: Form::TooFew, line, line_residual, power, power_residual };
     if points.len() < FEW_POINTS {
         return fit;
     }
     let mean = points.iter().map(|p| p.1).sum::<f64>() / points.len() as f64;
     if points.iter().all(|p| (p.1 - mean).abs() <= FLAT * mean.abs()) {
         let line_residual = residual(points, |_| mean);
-        return Fit { shape: Shape::Flat, line: (mean, 0.0), line_residual, ..fit };
+        return Fit { shape: Form::Flat, line: (mean, 0.0), line_residual, ..fit };
     }
     fit.shape = match power_residual {
-        Some(power) if power < line_residual => Shape::Power,
-        _ => Shape::Line,
+        Some(power) if power < line_residual => Form::Power,
+        _ => Form::Line,
     };
     if fit.residual() > NO_FIT {
-        fit.shape = Shape::Neither;
+        fit.shape = Form::Neither;
     }
     fit
 }
--- a/crates/sanddrum-lab/src/capacity/memory.rs
+++ b/crates/sanddrum-lab/src/capacity/memory.rs
@@ -2,16 +2,17 @@
 
 use super::clock::Clock;
 use super::host::Written;
-use super::router::{alone, module_settings, tells, Size};
+use super::router::{alone, module_settings, Size};
 use super::{Plan, Stop};
 use sanddrum::{ListKind, Micros, Round, Router, Settings, WorkerList, WorkerState};
 use std::time::{Duration, Instant};
 
-/// Modules are made until they take so much together, as the kernel counts in pages and small ones fit what was free;
-/// no more than so many, and in no more than this part of a point's time.
-const ENOUGH_BYTES: f64 = (32 << 20) as f64;
+/// Modules are made until the process has grown by the first, as what was freed before is taken first, and then by the
+/// second; no more than so many, and in no more than this part of a point's time.
+const GROWS_BYTES: f64 = (1 << 20) as f64;
+const ENOUGH_BYTES: f64 = (16 << 20) as f64;
 const MOST_MODULES: usize = 2000;
-const PART_OF_TIME: u32 = 4;
+const PART_OF_TIME: u32 = 10;
 
 /// This process's resident memory, in bytes.
 fn resident() -> Option<f64> {
@@ -21,7 +22,7 @@
 }
 
 /// What a module takes after these rounds, in bytes: the same rounds are played to several, all kept, and what the
-/// process grows by is shared among them. None where the first doesn't get through within the limit.
+/// process grows by is shared among them. None where that takes too long to tell.
 pub(crate) fn of_module(
     settings: &Settings,
     seed: u64,
@@ -43,24 +44,33 @@
         }
         Some(module)
     };
-    // The first takes what was freed before; what the others take is new.
-    let mut kept = vec![one()?];
+    let (mut kept, mut grows_from) = (Vec::new(), None);
     let before = resident()?;
-    let mut grown = 0.0;
-    while kept.len() <= MOST_MODULES && grown < ENOUGH_BYTES {
-        let Some(module) = one() else { break };
-        kept.push(module);
-        grown = resident()? - before;
-        if began.elapsed() > limit / PART_OF_TIME {
+    while kept.len() < MOST_MODULES {
+        kept.push(one()?);
+        let now = resident()?;
+        if grows_from.is_none() && now - before > GROWS_BYTES {
+            grows_from = Some((kept.len(), now));
+        }
+        let enough = grows_from.is_some_and(|(_, from)| now - from > ENOUGH_BYTES);
+        if enough || began.elapsed() > limit / PART_OF_TIME {
             break;
         }
     }
-    let made = kept.len() - 1;
-    (made > 0).then(|| (grown / made as f64).max(0.0))
+    let (made, from) = grows_from?;
+    let since = kept.len() - made;
+    (since > 0).then_some((resident()? - from) / since.max(1) as f64)
+}
+
+/// What lists cost a module.
+pub(crate) struct ListCosts {
+    pub whole_us: f64,
+    /// Of one worker.
+    pub change_us: f64,
+    pub change_bytes: f64,
 }
 
-/// Microseconds of a whole list and of a change of one worker, and the bytes of the change, at a module that has had
-/// its usual calls for a keep-alive.
+/// What lists cost a module that has had its usual calls for a keep-alive; none where that takes too long to tell.
 ///
 /// # Errors
 /// A setting is refused.
@@ -69,13 +79,12 @@
     size: &Size,
     changes: usize,
     stop: &Stop,
-) -> Result<Option<(f64, f64, f64)>, String> {
+) -> Result<Option<ListCosts>, String> {
     let l = &plan.settings;
     let until = super::hollow::BEGIN + l.span("copies.keep-alive-us");
     let settings = module_settings(plan, 0, size.routers, true)?;
     let mut fleet = alone(plan, size, settings.clone(), true, until);
     fleet.rounds = Some(Vec::new());
-    tells(&mut fleet, super::hollow::BEGIN, until, 1);
     let limit = Duration::from_micros(l.span("capacity.time-a-point-us").max(0) as u64);
     let deadline = Instant::now() + limit;
     fleet.run_until(until, deadline, stop);
@@ -119,8 +128,11 @@
             each.push(change(state, row) - nothing);
         }
     }
-    let bytes = fleet.list_bytes(1) as f64;
-    Ok(Some((whole.max(0.0), (each.iter().sum::<f64>() / each.len().max(1) as f64).max(0.0), bytes)))
+    Ok(Some(ListCosts {
+        whole_us: whole.max(0.0),
+        change_us: (each.iter().sum::<f64>() / each.len().max(1) as f64).max(0.0),
+        change_bytes: fleet.list_bytes(1) as f64,
+    }))
 }
 
 fn middle(figures: &mut [f64]) -> f64 {
--- a/crates/sanddrum-lab/src/capacity/output.rs
+++ b/crates/sanddrum-lab/src/capacity/output.rs
@@ -42,7 +42,7 @@
     points: String,
     not_finished: String,
     worked_out: bool,
-    shape: super::Shape,
+    shape: super::Form,
     line_at_nought: f64,
     line_slope: f64,
     line_residual: f64,
--- a/crates/sanddrum-lab/src/capacity/plan.rs
+++ b/crates/sanddrum-lab/src/capacity/plan.rs
@@ -95,7 +95,13 @@
             mb(bytes),
             mb(most)
         );
-        Err(self.settings.problem_at(key, what, "set a smaller size"))
+        Err(self.problem(key, what, "set a smaller size"))
+    }
+    /// A problem that concerns a setting or a list, with its place in the file.
+    pub fn problem(&self, key: &str, what: impl Into<String>, remedy: impl Into<String>) -> Problem {
+        let counted = format!("{key}.count");
+        let at = if self.settings.has(&counted) { &counted } else { key };
+        self.settings.problem_at(at, what, remedy)
     }
     /// A list of sizes; an empty one is refused.
     ///
@@ -104,7 +110,7 @@
     pub fn sizes(&self, key: &str) -> Result<Vec<u64>, Problem> {
         let sizes = self.settings.wholes(key);
         if sizes.is_empty() {
-            return Err(self.settings.problem_at(key, format!("{key}: no size is named"), "as 10 100 1000"));
+            return Err(self.problem(key, format!("{key}: no size is named"), "as 10 100 1000"));
         }
         Ok(sizes)
     }
--- a/crates/sanddrum-lab/src/capacity/router.rs
+++ b/crates/sanddrum-lab/src/capacity/router.rs
@@ -1,10 +1,10 @@
 //! What one router costs: its decision module as one of many, over workers, functions, calls a second and the count of
 //! routers; and what a change of the worker list costs it.
 
-use super::hollow::{Act, Calls, Fleet, Lists, Loads, Played, Spec, BEGIN};
+use super::hollow::{Calls, Fleet, Lists, Loads, Played, Spec, BEGIN};
 use super::host::Counts;
 use super::model::{Functions, Model, Others, Shape};
-use super::{memory, Plan, Play, Point, Role, Sink, Source, Stop};
+use super::{beside, memory, workers, Plan, Play, Point, Role, Sink, Source, Stop};
 use sanddrum::{Micros, Settings, Value};
 use sanddrum_settings::{key, Kind, Problem, Section};
 use std::rc::Rc;
@@ -28,6 +28,13 @@
             ),
             key("calls", Kind::Wholes(1.0, 1e6), Some("16 160 1600"), "a second at the router"),
             key("routers", Kind::Wholes(1.0, 1e6), Some("42 420 4200"), "along the count of routers"),
+            key("changes", Kind::Wholes(1.0, 1e9), Some("1200 12000 120000"), "of the worker list a day"),
+            key(
+                "real-workers",
+                Kind::Wholes(1.0, 1e4),
+                Some("10 100 1000"),
+                "beside a real edge, as long as length",
+            ),
             key("at-workers", Kind::Whole(1.0, 1e6), Some("10000"), "workers along the other axes"),
             key("warm-up", Kind::Span, Some("16s"), "before anything is counted"),
             key("length", Kind::Span, Some("32s"), "for so long it is"),
@@ -46,11 +53,11 @@
 
 fn check(plan: &Plan) -> Result<(), Problem> {
     let l = &plan.settings;
-    for name in ["workers", "functions", "calls", "routers"] {
+    for name in ["workers", "functions", "calls", "routers", "changes", "real-workers"] {
         let key = format!("router-plays.{name}");
         let sizes = plan.sizes(&key)?;
         let each = match name {
-            "workers" => BYTES_A_WORKER + BYTES_A_KNOWN_WORKER,
+            "workers" | "real-workers" => BYTES_A_WORKER + BYTES_A_KNOWN_WORKER,
             "functions" => BYTES_A_FUNCTION,
             _ => 0,
         };
@@ -245,6 +252,7 @@
             one(plan, sink, stop, way, ("workers", workers as f64), &size)?;
         }
     }
+    workers::work_out(plan, sink)?;
     for functions in sizes("functions") {
         let size = Size { functions: functions as usize, ..usual };
         one(plan, sink, stop, USUAL, ("functions", functions as f64), &size)?;
@@ -257,6 +265,7 @@
         let size = Size { routers: routers as usize, ..usual };
         one(plan, sink, stop, USUAL, ("routers", routers as f64), &size)?;
     }
+    beside::play(plan, sink, stop)?;
     for workers in sizes("workers") {
         list_changes(plan, sink, stop, &Size { workers: workers as usize, ..usual })?;
     }
@@ -312,40 +321,32 @@
         return Ok(());
     }
     let measured = memory::list_costs(plan, size, changes, stop)?;
-    let Some((whole, change, bytes)) = measured else { return Ok(()) };
-    let day = 86_400.0;
-    let of_day = (plan.settings.number("capacity.failed") + plan.settings.number("capacity.replaced")) * 3.0;
-    for (figure, unit, value, source) in [
-        ("processor time a whole list", "us", whole, Source::Played),
-        ("processor time a change of the list", "us", change, Source::Played),
-        ("bytes a change of the list", "B", bytes, Source::Played),
-        (
-            "processor time for a day's changes of the list",
-            "of a core",
-            change / 1e6 * of_day / day,
-            Source::WorkedOut,
-        ),
+    let Some(costs) = measured else { return Ok(()) };
+    let mut point = |figure: &str, unit, axis, at, value, source| {
+        let (play, figure) = ("the worker list".to_string(), figure.to_string());
+        sink.point(Point { role: Role::Router, play, figure, unit, axis, at, value, source })
+    };
+    for (figure, unit, value) in [
+        ("processor time a whole list", "us", costs.whole_us),
+        ("processor time a change", "us", costs.change_us),
+        ("bytes a change", "B", costs.change_bytes),
     ] {
-        sink.point(Point {
-            role: Role::Router,
-            play: "the worker list".into(),
-            figure: figure.into(),
-            unit,
-            axis: "workers",
-            at: size.workers as f64,
-            value,
-            source,
-        })?;
+        point(figure, unit, "workers", size.workers as f64, value, Source::Played)?;
+    }
+    if size.workers != plan.settings.size("router-plays.at-workers") {
+        return Ok(());
+    }
+    for changes in plan.settings.wholes("router-plays.changes") {
+        let (at, a_second) = (changes as f64, changes as f64 / SECONDS_A_DAY);
+        for (figure, unit, value) in [
+            ("processor time of changes", "of a core", costs.change_us / 1e6 * a_second),
+            ("messages of changes a second", "1/s", a_second),
+            ("bytes of changes a second", "B/s", costs.change_bytes * a_second),
+        ] {
+            point(figure, unit, "changes a day", at, value, Source::WorkedOut)?;
+        }
     }
     Ok(())
 }
 
-/// One that fails changes the list once, one that is replaced three times: draining, gone, ready.
-pub(crate) fn tells(fleet: &mut Fleet, from: Micros, until: Micros, changes: usize) {
-    let mut chance = fleet.chance();
-    let workers = fleet.workers.len();
-    for n in 0..changes {
-        let at = from + (until - from) * n as Micros / changes.max(1) as Micros;
-        fleet.script(at, Act::Tell(chance.below(workers)));
-    }
-}
+const SECONDS_A_DAY: f64 = 86_400.0;
--- a/crates/sanddrum-lab/tests/capacity.rs
+++ b/crates/sanddrum-lab/tests/capacity.rs
@@ -1,8 +1,15 @@
 //! The capacity plays: slopes, files, and plans that can't be.
 
 use rstest::rstest;
-use sanddrum_lab::capacity::{fit, slopes, Memory, Output, Plan, Point, Role, Shape, Sink, Source, Summary};
-use sanddrum_lab::capacity::{DEFAULT_PLAN, SHORT_PLAN};
+use sanddrum_lab::capacity::hollow::{Act, Played, BEGIN};
+use sanddrum_lab::capacity::host::Counts;
+use sanddrum_lab::capacity::model::{Functions, Shape};
+use sanddrum_lab::capacity::router::{alone, measure, module_settings, Size};
+use sanddrum_lab::capacity::{
+    fit, run, slopes, Memory, Output, Plan, Point, Role, Sink, Source, Stop, Summary,
+};
+use sanddrum_lab::capacity::{Form, DEFAULT_PLAN, SHORT_PLAN};
+use std::time::{Duration, Instant};
 
 const MEMORY: Memory = Memory { total: 24 << 30 };
 
@@ -16,16 +23,16 @@
 }
 
 #[rstest]
-#[case::line(|at| 3.0 + 0.02 * at, Shape::Line)]
-#[case::power(|at: f64| 6.0 * at.powf(0.5), Shape::Power)]
-#[case::flat(|at: f64| if at > 500.0 { 10.1 } else { 9.9 }, Shape::Flat)]
-#[case::nought(|_| 0.0, Shape::Flat)]
-#[case::steps(|at: f64| if at > 5000.0 { 900.0 } else if at > 500.0 { 1.0 } else { 40.0 }, Shape::Neither)]
-fn a_slope_is_told_as_what_it_is(#[case] of: fn(f64) -> f64, #[case] shape: Shape) {
+#[case::line(|at| 3.0 + 0.02 * at, Form::Line)]
+#[case::power(|at: f64| 6.0 * at.powf(0.5), Form::Power)]
+#[case::flat(|at: f64| if at > 500.0 { 10.1 } else { 9.9 }, Form::Flat)]
+#[case::nought(|_| 0.0, Form::Flat)]
+#[case::steps(|at: f64| if at > 5000.0 { 900.0 } else if at > 500.0 { 1.0 } else { 40.0 }, Form::Neither)]
+fn a_slope_is_told_as_what_it_is(#[case] of: fn(f64) -> f64, #[case] shape: Form) {
     let fit = fit(&over(&[100.0, 1000.0, 10000.0], of));
     assert_eq!(fit.shape, shape, "{fit:?}");
     let close = fit.residual() < 0.02;
-    assert_eq!(close, shape != Shape::Neither, "{fit:?}");
+    assert_eq!(close, shape != Form::Neither, "{fit:?}");
 }
 
 #[rstest]
@@ -39,12 +46,12 @@
 
 #[rstest]
 fn two_points_and_equal_sizes_make_no_slope() {
-    assert_eq!(fit(&[]).shape, Shape::TooFew);
-    assert_eq!(fit(&[(1.0, 2.0), (10.0, 20.0)]).shape, Shape::TooFew);
+    assert_eq!(fit(&[]).shape, Form::TooFew);
+    assert_eq!(fit(&[(1.0, 2.0), (10.0, 20.0)]).shape, Form::TooFew);
     let again: Vec<Point> = (0..3).map(|n| point(10.0, f64::from(n), Source::Played)).collect();
     let slopes = slopes(&again);
     assert_eq!((slopes.len(), slopes[0].points.as_slice()), (1, [(10.0, 1.0)].as_slice()));
-    assert_eq!(slopes[0].fit.shape, Shape::TooFew, "a size measured three times is one point");
+    assert_eq!(slopes[0].fit.shape, Form::TooFew, "a size measured three times is one point");
 }
 
 #[rstest]
@@ -53,7 +60,7 @@
     points.push(point(10000.0, 7.0, Source::NotFinished));
     let slope = &slopes(&points)[0];
     assert_eq!((slope.points.len(), slope.not_finished.as_slice()), (3, [(10000.0, 7.0)].as_slice()));
-    assert_eq!(slope.fit.shape, Shape::Line);
+    assert_eq!(slope.fit.shape, Form::Line);
 }
 
 #[rstest]
@@ -63,6 +70,116 @@
     Plan::read("capacity.sx", text, 1, MEMORY).unwrap();
 }
 
+const DEPLOYED: &str = r#"(deployment (name "capacity") (zones "a" "b" "c"))
+(workload "call" (start-target 1800ms) (time-limit 10s) (effect restartable))
+(function "f-*" (workload "call") (memory 128MB))
+"#;
+
+#[rstest]
+#[case::no_workers("(router-plays (workers))", "router-plays.workers: no size is named")]
+#[case::nought_workers("(router-plays (workers 10 0))", "workers: 0 is not between 1 and 1000000")]
+#[case::memory("(router-plays (workers 10 900000))", "router-plays.workers: 900000 workers need about")]
+#[case::known_functions(
+    "(router-plays (functions 90000000))",
+    "router-plays.functions: 90000000 functions need"
+)]
+#[case::along_others("(router-plays (at-workers 900000))", "router-plays.at-workers: 900000 workers need")]
+#[case::nothing_counted("(router-plays (length 0s))", "router-plays.length: nothing would be counted")]
+#[case::many_modules(
+    "(start-target-plays (routers 4200) (workers 10000) (functions 200000))",
+    "start-target-plays.routers: 4200 routers and 10000 workers, 2 runs at a time, need about"
+)]
+#[case::uneven(
+    "(start-target-plays (routers 4 42))",
+    "start-target-plays.workers has 3 sizes, and routers has 2"
+)]
+#[case::no_time("(start-target-plays (length 0s))", "start-target-plays.length: no call would count")]
+#[case::large_copy("(model (memory 100MB))", "a copy takes 128 MB, which is more than model.memory holds")]
+#[case::copies(
+    "(model (memory 200MB) (work 1s))",
+    "start-target-plays.workers: calls of 4 routers keep 638 copies"
+)]
+#[case::notice("(model (notice-least 2s))", "model.notice-least is above model.notice-most")]
+fn a_plan_that_cannot_be_is_refused_by_its_key(#[case] added: &str, #[case] what: &str) {
+    let text = format!("{DEPLOYED}{added}");
+    let problem = Plan::read("plan.sx", &text, 1, Memory { total: 8 << 30 }).unwrap_err();
+    assert!(problem.what.starts_with(what), "{problem}");
+}
+
+#[rstest]
+fn the_same_plan_without_what_is_wrong_is_taken() {
+    Plan::read("plan.sx", DEPLOYED, 1, Memory { total: 8 << 30 }).unwrap();
+}
+
+/// A fleet without calls that is told of so many changes of its workers.
+fn told_of(workers: usize, changes: usize) -> Counts {
+    let text = DEPLOYED.to_string() + "(capacity (routers 4200) (calls 1))";
+    let plan = Plan::read("plan.sx", &text, 1, MEMORY).unwrap();
+    let size = Size { workers, functions: 10, calls: 1e-9, routers: 4200 };
+    let settings = module_settings(&plan, 0, 4200, true).unwrap();
+    let mut fleet = alone(&plan, &size, settings, false, BEGIN);
+    (0..changes).for_each(|n| fleet.script(BEGIN + n as i64 * 10_000, Act::Tell(n % workers)));
+    let hour = Instant::now() + Duration::from_secs(3600);
+    assert_eq!(fleet.run_until(BEGIN + 60_000_000, hour, &Stop::default()), Played::Done);
+    fleet.counts()
+}
+
+#[rstest]
+fn a_change_of_the_list_is_one_message_of_one_row_however_large_the_fleet() {
+    let of_changes = [30, 100, 300].map(|workers| told_of(workers, 50).since(&told_of(workers, 0)));
+    for counts in &of_changes {
+        assert_eq!((counts.messages, counts.rows), (50, 50));
+        assert_eq!(counts.bytes, of_changes[0].bytes);
+    }
+}
+
+#[rstest]
+fn equal_seeds_give_equal_plays() {
+    let plan = Plan::read("capacity.sx", SHORT_PLAN, 3, MEMORY).unwrap();
+    let size = Size { workers: 20, functions: 100, calls: 50.0, routers: 42 };
+    let settings = module_settings(&plan, 0, 42, true).unwrap();
+    let counts = |others| {
+        let measured = measure(&plan, &size, &settings, others, &Stop::default());
+        assert_eq!(measured.played, Played::Done);
+        Counts { nanoseconds: 0, ..measured.counts }
+    };
+    assert_eq!(counts(true), counts(true));
+    assert!(counts(true).loads < counts(false).loads, "what others have had loaded need not be loaded");
+}
+
+#[rstest]
+fn a_play_that_is_told_to_stop_ends_and_keeps_what_it_has() {
+    let plan = Plan::read("capacity.sx", SHORT_PLAN, 1, MEMORY).unwrap();
+    let (mut sink, stop) = (Sink::quiet(), Stop::default());
+    sink.point(point(10.0, 1.0, Source::Played)).unwrap();
+    stop.set();
+    run(&plan, &[], &mut sink, &stop).unwrap();
+    assert_eq!((sink.points().len(), sink.summary().complete), (1, false));
+}
+
+#[rstest]
+fn a_point_that_takes_too_long_is_told_as_not_finished() {
+    let plan =
+        Plan::read("capacity.sx", &SHORT_PLAN.replace("(time-a-point 2s)", "(time-a-point 0s)"), 1, MEMORY);
+    let size = Size { workers: 20, functions: 100, calls: 50.0, routers: 42 };
+    let plan = plan.unwrap();
+    let settings = module_settings(&plan, 0, 42, true).unwrap();
+    assert_eq!(measure(&plan, &size, &settings, true, &Stop::default()).played, Played::OutOfTime);
+}
+
+#[rstest]
+fn nine_in_ten_functions_are_called_less_than_once_a_minute() {
+    let plan = Plan::read("capacity.sx", DEFAULT_PLAN, 1, MEMORY).unwrap();
+    let calls = 67_000.0;
+    let shape = Shape::Rare { zipf: 1.1, part: 0.9, calls };
+    let functions = Functions::new(&plan.settings, 20_000, shape, 1);
+    let a_minute = |n: usize| functions.part(n) * calls * 60.0;
+    let rare = (0..20_000).filter(|n| a_minute(*n) < 1.0).count();
+    assert_eq!((rare, functions.all.iter().filter(|f| f.rare).count()), (18_000, 18_000));
+    let all: f64 = (0..20_000).map(|n| functions.part(n)).sum();
+    assert!((all - 1.0).abs() < 1e-9, "{all}");
+}
+
 #[rstest]
 fn a_run_that_is_cut_short_leaves_a_readable_file_that_says_so() {
     let folder = std::env::temp_dir().join(format!("sanddrum-capacity-{}", std::process::id()));
