--- a/crates/sanddrum-lab/src/capacity.rs
+++ b/crates/sanddrum-lab/src/capacity.rs
@@ -2,6 +2,7 @@
 //! several sizes, each figure with its slope. Hollow parts run the product's own cores and decision modules and are
 //! hollow at their ends only.
 
+mod beside;
 mod clock;
 mod configuration;
 mod fit;
@@ -22,9 +23,11 @@
 pub mod router;
 mod sink;
 mod sizes;
+mod start_target;
 pub mod starts;
+mod workers;
 
-pub use fit::{fit, Fit, Shape};
+pub use fit::{fit, Fit, Form};
 pub use hollow_router::{Follower, Followers, HollowRouter, HollowRouterSpec};
 pub use list_stage::{Cut, ListStage, ListStageSpec};
 pub use metered::{ListSecond, Metered, Said, Tally};
@@ -47,7 +50,7 @@
 }
 
 /// All plays, in the order in which they run.
-pub const PLAYS: &[Play] = &[router::PLAY, list_service::PLAY, configuration::PLAY];
+pub const PLAYS: &[Play] = &[router::PLAY, start_target::PLAY, list_service::PLAY, configuration::PLAY];
 
 /// Plays those named, or all, until done or told to stop; what was measured is with the sink.
 ///
