--- a/crates/sanddrum-lab/tests/capacity_list.rs
+++ b/crates/sanddrum-lab/tests/capacity_list.rs
@@ -182,8 +182,9 @@
 
 #[rstest]
 fn a_plan_that_needs_more_than_half_of_the_memory_is_refused_by_its_key() {
-    let sizes = "(routers 4 4000) (rows 10 10000)";
-    let problem = read(sizes, "", Memory { total: 4 << 30 }).unwrap_err();
+    // Other plays' sizes fit.
+    let sizes = "(routers 4 40000) (rows 10 10000)";
+    let problem = read(sizes, "", MEMORY).unwrap_err();
     assert!(problem.to_string().contains("list-service-plays.routers"), "{problem}");
 }
 
