--- /dev/null
+++ b/crates/sanddrum-lab/src/capacity/list_service.rs
@@ -0,0 +1,197 @@
+//! What the list service bears: its own core, with routers that decide by the product's modules when to call it, over
+//! numbers of routers, of rows and of changes; its worst seconds; and its memory.
+
+use super::hollow_router::Followers;
+use super::list_alone::alone;
+use super::list_plays::{play_all, seconds, source_of, Played, Told, NEVER};
+use super::list_stage::{ListStage, ListStageSpec, SECOND};
+use super::{Plan, Play, Sink, Stop};
+use sanddrum_net::{Links, Micros};
+use sanddrum_settings::{key, Kind, Problem, Section};
+use sanddrum_worker::ListSpec;
+use std::time::Duration;
+
+pub const PLAY: Play = Play {
+    name: "list-service",
+    section: Section {
+        name: "list-service-plays",
+        dotted: "list-service-plays",
+        named: false,
+        repeats: false,
+        about: "sizes at which the list service is measured, and the stand-in that it is",
+        keys: &[
+            key("routers", Kind::Wholes(1.0, 1e5), Some("10 100 1000"), "with the most rows"),
+            key("rows", Kind::Wholes(1.0, 1e5), Some("100 1000 10000"), "with so many routers:"),
+            key("rows-routers", Kind::Whole(1.0, 1e5), Some("1000"), "while rows or changes grow"),
+            key("changes", Kind::Wholes(1.0, 1e5), Some("1 10 100"), "a second, with the most rows"),
+            key(
+                "beating",
+                Kind::Wholes(1.0, 1e5),
+                Some("100 1000 10000"),
+                "workers that all tell that they run",
+            ),
+            key("quiet", Kind::Span, Some("60s"), "how long a quiet time is looked at"),
+            key("gone", Kind::Span, Some("60s"), "how long the service is gone"),
+            key("notice-least", Kind::Span, Some("200ms"), "changes are told after"),
+            key("notice-most", Kind::Span, Some("1s"), "and at the latest after"),
+            key(
+                "whole",
+                Kind::Span,
+                Some("5ms"),
+                "what a whole list takes it on its one core, as the stand-in has it",
+            ),
+            key("change", Kind::Span, Some("200us"), "what an answer of changes takes it"),
+            key(
+                "calls",
+                Kind::Whole(1.0, 1e6),
+                Some("64"),
+                "calls in hand; whoever calls beyond that is closed",
+            ),
+            key("changes-kept", Kind::Whole(1.0, 1e6), Some("256"), "for routers that come back"),
+            key("beat-every", Kind::Span, Some("200ms"), "how often a worker tells that it runs"),
+        ],
+    },
+    check,
+    play,
+};
+
+/// What a row takes at most on its way, in bytes, and how often it may be there at a time: at the service, on the way
+/// and where it is read.
+const ROW_BYTES: u64 = 60;
+const COPIES: u64 = 2;
+/// Nobody is heard in these plays but the workers that are played.
+const NEVER_SILENT: Micros = 86_400 * SECOND;
+const BEATING: Micros = 2 * SECOND;
+
+fn key_of(name: &str) -> String {
+    format!("list-service-plays.{name}")
+}
+
+fn check(plan: &Plan) -> Result<(), Problem> {
+    let l = &plan.settings;
+    let most = |name: &str| plan.sizes(&key_of(name)).map(|sizes| most_of(&sizes));
+    let (routers, rows) = (most("routers")?, most("rows")?);
+    let base = l.size("list-service-plays.rows-routers") as u64;
+    most("changes")?;
+    most("beating")?;
+    let bytes = routers.max(base) * rows * ROW_BYTES * COPIES;
+    plan.fits(&key_of("routers"), &format!("{routers} routers with lists of {rows} rows"), bytes)?;
+    let (least, last) =
+        (l.span("list-service-plays.notice-least-us"), l.span("list-service-plays.notice-most-us"));
+    if least > last {
+        let what = "list-service-plays.notice-least is above notice-most";
+        return Err(l.problem_at(&key_of("notice-least-us"), what, "as 200ms and 1s"));
+    }
+    Ok(())
+}
+
+pub(super) fn most_of(sizes: &[u64]) -> u64 {
+    sizes.iter().copied().max().unwrap_or(1)
+}
+
+/// The stand-in as the plan has it.
+pub(crate) fn list_spec(plan: &Plan) -> ListSpec {
+    let l = &plan.settings;
+    let span = |name: &str| l.span(&format!("list-service-plays.{name}-us"));
+    ListSpec {
+        notice: (span("notice-least"), span("notice-most")),
+        silent_after: NEVER_SILENT,
+        changes_kept: l.size("list-service-plays.changes-kept"),
+        whole: span("whole"),
+        change: span("change"),
+        most: l.size("list-service-plays.calls"),
+    }
+}
+
+fn stage_of(plan: &Plan, routers: u64, rows: u64, stop: &Stop) -> Result<ListStage, String> {
+    let spec = ListStageSpec {
+        settings: plan.settings.clone(),
+        list: list_spec(plan),
+        seed: plan.seed,
+        routers: routers as usize,
+        rows: rows as usize,
+        links: Links::default(),
+        whole_edges: false,
+        zones: plan.settings.size("capacity.zones"),
+        beat_every: plan.settings.span("list-service-plays.beat-every-us").max(1000),
+    };
+    ListStage::new(spec, stop.clone(), Duration::MAX / 4).map_err(|e| e.to_string())
+}
+
+fn play(plan: &Plan, sink: &mut Sink, stop: &Stop) -> Result<(), String> {
+    let sizes = |name: &str| plan.sizes(&key_of(name)).map_err(|e| e.to_string());
+    let (routers, rows) = (sizes("routers")?, sizes("rows")?);
+    let base = plan.settings.size("list-service-plays.rows-routers") as u64;
+    let most_rows = most_of(&rows);
+    alone(plan, &routers, &rows, sink, stop)?;
+    for at in sizes("beating")? {
+        beats(plan, at, sink, stop)?;
+    }
+    let fleet = |axis, at: u64, with, routers: u64, rows: u64, sink: &mut Sink| -> Result<(), String> {
+        if stop.is_set() {
+            return Ok(());
+        }
+        let stage = stage_of(plan, routers, rows, stop)?;
+        play_all(&mut Played { plan, told: Told { sink, axis, at: at as f64, with }, stage })
+    };
+    for at in &rows {
+        fleet("rows", *at, format!("{base} routers"), base, *at, sink)?;
+    }
+    for at in &routers {
+        fleet("routers", *at, format!("{most_rows} rows"), *at, most_rows, sink)?;
+    }
+    for at in sizes("changes")? {
+        if stop.is_set() {
+            return Ok(());
+        }
+        let stage = stage_of(plan, base, most_rows, stop)?;
+        let with = format!("{base} routers and {most_rows} rows");
+        let told = Told { sink, axis: "changes a second", at: at as f64, with };
+        let mut played = Played { plan, told, stage };
+        played.stage.start_routers(base as usize, false).map_err(|e| e.to_string())?;
+        let all = |f: &Followers| f.routers.iter().all(|router| router.told.is_some());
+        played.allow();
+        if played.stage.run_until_true(NEVER, all).is_ok() {
+            let zone = (most_rows as usize).div_ceil(plan.settings.size("capacity.zones").max(1));
+            played.changes(at, zone)?;
+        }
+    }
+    Ok(())
+}
+
+/// Workers that all tell that they run, and nobody asks.
+fn beats(plan: &Plan, workers: u64, sink: &mut Sink, stop: &Stop) -> Result<(), String> {
+    if stop.is_set() {
+        return Ok(());
+    }
+    let stage = stage_of(plan, 1, workers, stop)?;
+    let told = Told { sink, axis: "rows", at: workers as f64, with: "no router".into() };
+    let mut played = Played { plan, told, stage };
+    played.allow();
+    played.stage.add_workers(workers as usize);
+    let begun = played.stage.run_for(SECOND).and_then(|()| played.stage.to_whole_second());
+    let from = *begun.as_ref().unwrap_or(&played.stage.now());
+    let ran = begun.and_then(|_| played.stage.run_for(BEATING));
+    let source = source_of(&ran);
+    let (beats, nanoseconds) = {
+        let tally = played.stage.tally.borrow();
+        let to = played.stage.now();
+        (tally.sum(from, to, |s| s.beats) as f64, tally.sum(from, to, |s| s.nanoseconds) as f64)
+    };
+    let span = seconds(played.stage.now() - from).max(seconds(SECOND) / 10.0);
+    played.told.tell("all workers beat", "beats a second", "beats", beats / span, source)?;
+    played.told.tell(
+        "all workers beat",
+        "processor time a second",
+        "ms",
+        nanoseconds / 1e6 / span,
+        source,
+    )?;
+    played.told.tell(
+        "all workers beat",
+        "processor time a beat",
+        "us",
+        nanoseconds / 1e3 / beats.max(1.0),
+        source,
+    )
+}
--- /dev/null
+++ b/crates/sanddrum-lab/src/capacity/memory.rs
@@ -0,0 +1,141 @@
+//! Memory and list costs of a decision module, from rounds that were played before.
+
+use super::clock::Clock;
+use super::host::Written;
+use super::router::{alone, module_settings, Size};
+use super::{Plan, Stop};
+use sanddrum::{ListKind, Micros, Round, Router, Settings, WorkerList, WorkerState};
+use std::time::{Duration, Instant};
+
+/// Modules are made until the process has grown by the first, as what was freed before is taken first, and then by the
+/// second; no more than so many, and in no more than this part of a point's time.
+const GROWS_BYTES: f64 = (1 << 20) as f64;
+const ENOUGH_BYTES: f64 = (16 << 20) as f64;
+const MOST_MODULES: usize = 2000;
+const PART_OF_TIME: u32 = 10;
+
+/// This process's resident memory, in bytes.
+fn resident() -> Option<f64> {
+    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: f64 = text.split_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * rustix::param::page_size() as f64)
+}
+
+/// What a module takes after these rounds, in bytes: the same rounds are played to several, all kept, and what the
+/// process grows by is shared among them. None where that takes too long to tell.
+pub(crate) fn of_module(
+    settings: &Settings,
+    seed: u64,
+    rounds: &[(Micros, Round)],
+    limit: Duration,
+    stop: &Stop,
+) -> Option<f64> {
+    let began = Instant::now();
+    let deadline = began + limit;
+    let one = || -> Option<Router> {
+        let mut module = Router::new(seed, settings);
+        let mut written = Written::default();
+        for (now, round) in rounds {
+            if stop.is_set() || Instant::now() >= deadline {
+                return None;
+            }
+            module.round(*now, round, &mut written);
+            written.0.clear();
+        }
+        Some(module)
+    };
+    let (mut kept, mut grows_from) = (Vec::new(), None);
+    let before = resident()?;
+    while kept.len() < MOST_MODULES {
+        kept.push(one()?);
+        let now = resident()?;
+        if grows_from.is_none() && now - before > GROWS_BYTES {
+            grows_from = Some((kept.len(), now));
+        }
+        let enough = grows_from.is_some_and(|(_, from)| now - from > ENOUGH_BYTES);
+        if enough || began.elapsed() > limit / PART_OF_TIME {
+            break;
+        }
+    }
+    let (made, from) = grows_from?;
+    let since = kept.len() - made;
+    (since > 0).then_some((resident()? - from) / since.max(1) as f64)
+}
+
+/// What lists cost a module.
+pub(crate) struct ListCosts {
+    pub whole_us: f64,
+    /// Of one worker.
+    pub change_us: f64,
+    pub change_bytes: f64,
+}
+
+/// What lists cost a module that has had its usual calls for a keep-alive; none where that takes too long to tell.
+///
+/// # Errors
+/// A setting is refused.
+pub(crate) fn list_costs(
+    plan: &Plan,
+    size: &Size,
+    changes: usize,
+    stop: &Stop,
+) -> Result<Option<ListCosts>, String> {
+    let l = &plan.settings;
+    let until = super::hollow::BEGIN + l.span("copies.keep-alive-us");
+    let settings = module_settings(plan, 0, size.routers, true)?;
+    let mut fleet = alone(plan, size, settings.clone(), true, until);
+    fleet.rounds = Some(Vec::new());
+    let limit = Duration::from_micros(l.span("capacity.time-a-point-us").max(0) as u64);
+    let deadline = Instant::now() + limit;
+    fleet.run_until(until, deadline, stop);
+    let rounds = fleet.rounds.take().unwrap_or_default();
+    let Some(list) = rounds.iter().find_map(|(_, round)| round.lists.first().cloned()) else {
+        return Ok(None);
+    };
+    let mut module = Router::new(1, &settings);
+    let (mut written, mut now) = (Written::default(), 0);
+    for (at, round) in &rounds {
+        if stop.is_set() || Instant::now() >= deadline + limit {
+            return Ok(None);
+        }
+        module.round(*at, round, &mut written);
+        (now, written.0) = (*at, Vec::new());
+    }
+    let clock = Clock::new();
+    let mut time = |lists: Vec<WorkerList>| {
+        now += 1;
+        let (round, mut written) = (Round { lists, ..Round::default() }, Written::default());
+        let began = Clock::now();
+        module.round(now, &round, &mut written);
+        clock.passed(began) as f64 / 1e3
+    };
+    // A round's own cost isn't the list's; some of these rounds hold a sweep, which isn't either, so the middle counts.
+    let mut nothing: Vec<f64> = (0..changes).map(|_| time(Vec::new())).collect();
+    let nothing = middle(&mut nothing);
+    const WHOLE_LISTS: usize = 9;
+    let mut whole: Vec<f64> = (0..WHOLE_LISTS).map(|_| time(vec![list.clone()])).collect();
+    let whole = middle(&mut whole) - nothing;
+    let mut rows = list.rows.iter().cycle();
+    let mut change = |state: WorkerState, row: sanddrum::WorkerRow| {
+        let rows = vec![sanddrum::WorkerRow { state, ..row }];
+        time(vec![WorkerList { kind: ListKind::Changes, rows }])
+    };
+    // Draining, gone and back, as one that is replaced.
+    let mut each: Vec<f64> = Vec::new();
+    for _ in 0..changes.div_ceil(3) {
+        let Some(row) = rows.next().copied() else { break };
+        for state in [WorkerState::Draining, WorkerState::Gone, WorkerState::Ready] {
+            each.push(change(state, row) - nothing);
+        }
+    }
+    Ok(Some(ListCosts {
+        whole_us: whole.max(0.0),
+        change_us: (each.iter().sum::<f64>() / each.len().max(1) as f64).max(0.0),
+        change_bytes: fleet.list_bytes(1) as f64,
+    }))
+}
+
+fn middle(figures: &mut [f64]) -> f64 {
+    figures.sort_by(f64::total_cmp);
+    figures.get(figures.len() / 2).copied().unwrap_or(0.0)
+}
