An edge as a process of its own, with a list and no calls: its memory and processor time by workers

The process gets the list from the real stand-in list service over loopback; its own metrics page says when it has it. The command line's tests run the short plan to its end.

--- a/crates/sanddrum-cli/src/capacity.rs
+++ b/crates/sanddrum-cli/src/capacity.rs
@@ -42,10 +42,11 @@
         Ok(memory) => memory,
         Err(problem) => return fail(exit::TROUBLE, problem),
     };
-    let plan = match Plan::read(&name, &text, args.seed, memory) {
+    let mut plan = match Plan::read(&name, &text, args.seed, memory) {
         Ok(plan) => plan,
         Err(problem) => return fail(exit::USAGE, problem),
     };
+    plan.program = std::env::current_exe().ok();
     let stop = Stop::default();
     for signal in [SIGINT, SIGTERM] {
         if let Err(e) = signal_hook::flag::register(signal, stop.flag()) {
--- a/crates/sanddrum-cli/tests/capacity.rs
+++ b/crates/sanddrum-cli/tests/capacity.rs
@@ -46,6 +46,26 @@
     assert!(!folder.0.join("out").exists());
 }
 
+#[rstest]
+fn the_short_plan_runs_to_its_end_and_leaves_all_files() {
+    let folder = Folder::new("capacity-short");
+    let ran = capacity(&folder).arg("--short").output().unwrap();
+    let (told, text) = (String::from_utf8(ran.stderr).unwrap(), String::from_utf8(ran.stdout).unwrap());
+    assert_eq!(ran.status.code(), Some(0), "{told}");
+    let written = written(&folder);
+    assert_eq!(written["complete"], true);
+    let slopes = written["slopes"].as_array().unwrap();
+    for play in ["router among others, orders on", "real edge", "edge process", "many routers, calm"] {
+        assert!(slopes.iter().any(|slope| slope["play"] == play), "{play}");
+    }
+    assert_eq!(text.lines().count(), slopes.len());
+    for name in ["points.csv", "slopes.csv"] {
+        let rows = std::fs::read_to_string(folder.0.join("out").join(name)).unwrap();
+        let wanted = written[name.trim_end_matches(".csv")].as_array().unwrap().len();
+        assert_eq!(rows.lines().count(), wanted + 1, "{name}");
+    }
+}
+
 #[rstest]
 fn a_signal_cuts_a_run_short_and_leaves_what_was_measured() {
     let folder = Folder::new("capacity-cut");
--- a/crates/sanddrum-lab/src/capacity.rs
+++ b/crates/sanddrum-lab/src/capacity.rs
@@ -5,6 +5,7 @@
 mod beside;
 mod clock;
 mod configuration;
+mod edge_process;
 mod fit;
 pub mod hollow;
 pub mod host;
--- /dev/null
+++ b/crates/sanddrum-lab/src/capacity/edge_process.rs
@@ -0,0 +1,156 @@
+//! An edge as a process of its own, with the list of so many workers and no calls: what it takes when it stands by.
+
+use super::{Plan, Point, Role, Sink, Source, Stop};
+use sanddrum_net::{EventLoop, Micros, NoTap};
+use sanddrum_wire::{Phase, Row};
+use sanddrum_worker::{ListService, ListSpec};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// It must have its list within this time.
+const UP_WITHIN: Micros = 30_000_000;
+const LOOKS_EVERY: Micros = 100_000;
+
+/// A process and a folder that end with their owner.
+struct Standing {
+    child: Child,
+    folder: PathBuf,
+}
+
+impl Drop for Standing {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Measures at each of the real sizes, and at those along the workers; nothing where the program isn't known.
+///
+/// # Errors
+/// A process could not be started or did not get its list.
+pub(crate) fn play(plan: &Plan, sink: &mut Sink, stop: &Stop) -> Result<(), String> {
+    let Some(program) = &plan.program else { return Ok(()) };
+    for workers in plan.settings.wholes("router-plays.workers") {
+        if stop.is_set() {
+            return Ok(());
+        }
+        sink.told(&format!("an edge process with a list of {workers} workers"));
+        let Some((bytes, core)) = stand(program, plan, workers, stop)? else { return Ok(()) };
+        for (figure, unit, value) in [
+            ("memory, standing by", "MB", bytes / (1 << 20) as f64),
+            ("processor time, standing by", "of a core", core),
+        ] {
+            let (play, figure) = ("edge process".to_string(), figure.to_string());
+            let (axis, at, source) = ("workers", workers as f64, Source::Played);
+            sink.point(Point { role: Role::Router, play, figure, unit, axis, at, value, source })?;
+        }
+    }
+    Ok(())
+}
+
+fn row(n: u64, zones: &[String]) -> Row {
+    Row {
+        name: format!("worker-{n}"),
+        address: format!("10.{}.{}.{}:7000", 100 + n / 62_500, n / 250 % 250, n % 250 + 1),
+        zone: zones[n as usize % zones.len().max(1)].clone(),
+        size: 8.0,
+        phase: Phase::Ready,
+        incarnation: 1,
+        age_us: -1,
+        ..Row::default()
+    }
+}
+
+fn stand(program: &Path, plan: &Plan, workers: u64, stop: &Stop) -> Result<Option<(f64, f64)>, String> {
+    let text = |e: std::io::Error| e.to_string();
+    let (door, list_at) = EventLoop::bind("127.0.0.1:0").map_err(text)?;
+    let mut driver = EventLoop::new(Box::new(NoTap)).map_err(text)?;
+    let spec = ListSpec {
+        notice: (0, 0),
+        silent_after: Micros::MAX / 4,
+        changes_kept: 16,
+        whole: 0,
+        change: 0,
+        most: 64,
+    };
+    let zones = plan.settings.names("zones");
+    let rows: Vec<Row> = (0..workers).map(|n| row(n, &zones)).collect();
+    let list = ListService::new(spec, 1, 1, Default::default()).with_rows(driver.now(), &rows);
+    driver.add(Box::new(list), vec![door], None).map_err(text)?;
+    let folder = std::env::temp_dir().join(format!("sanddrum-capacity-{}-{workers}", std::process::id()));
+    std::fs::create_dir_all(&folder).map_err(text)?;
+    let names: Vec<String> = zones.iter().map(|zone| format!("{zone:?}")).collect();
+    let settings = format!(
+        "(deployment (zones {}))\n(workload \"call\")\n(function \"f-*\" (workload \"call\"))\n",
+        names.join(" ")
+    );
+    let (file, address) = (folder.join("edge.sx"), folder.join("address"));
+    std::fs::write(&file, settings).map_err(text)?;
+    let routers = plan.settings.size("capacity.routers").to_string();
+    let mut command = Command::new(program);
+    command.arg("edge").arg("--settings").arg(&file).arg("--address-file").arg(&address);
+    command.args(["--listen", "127.0.0.1:0", "--list", &list_at, "--edges", &routers, "--with-parent"]);
+    command.stdin(Stdio::piped()).stdout(Stdio::null()).stderr(Stdio::null());
+    let child = command.spawn().map_err(|e| format!("{}: {e}", program.display()))?;
+    let standing = Standing { child, folder };
+    let wanted = format!("sanddrum_workers_listed {workers}");
+    let until = driver.now() + UP_WITHIN;
+    while !std::fs::read_to_string(&address).is_ok_and(|at| metrics(at.trim()).contains(&wanted)) {
+        if stop.is_set() {
+            return Ok(None);
+        }
+        if driver.now() > until {
+            return Err(format!("an edge did not get its list of {workers} workers within half a minute"));
+        }
+        let next = driver.now() + LOOKS_EVERY;
+        driver.run_until(next).map_err(text)?;
+    }
+    let mut wait = |span: Micros| {
+        let until = driver.now() + span;
+        driver.run_until(until).map_err(text)
+    };
+    let looked_at = plan.settings.span("router-plays.stands-by-us").max(1);
+    wait(looked_at / 2)?;
+    let before = ticks(&standing.child)?;
+    wait(looked_at)?;
+    let spent = (ticks(&standing.child)? - before) / rustix::param::clock_ticks_per_second() as f64;
+    Ok(Some((resident(&standing.child)?, spent / (looked_at as f64 / 1e6))))
+}
+
+/// The edge's metrics page; empty where it doesn't answer.
+fn metrics(address: &str) -> String {
+    let page = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        stream.write_all(b"GET /metrics HTTP/1.1\r\nhost: edge\r\nconnection: close\r\n\r\n")?;
+        let mut page = String::new();
+        stream.read_to_string(&mut page)?;
+        Ok(page)
+    };
+    page().unwrap_or_default()
+}
+
+fn of_process(child: &Child, file: &str) -> Result<String, String> {
+    let file = format!("/proc/{}/{file}", child.id());
+    std::fs::read_to_string(&file).map_err(|e| format!("{file}: {e}"))
+}
+
+/// Resident memory, in bytes.
+fn resident(child: &Child) -> Result<f64, String> {
+    let text = of_process(child, "statm")?;
+    let pages: Option<f64> = text.split_whitespace().nth(1).and_then(|pages| pages.parse().ok());
+    Ok(pages.unwrap_or_default() * rustix::param::page_size() as f64)
+}
+
+/// Ticks of processor time, of its own and within the kernel.
+fn ticks(child: &Child) -> Result<f64, String> {
+    let text = of_process(child, "stat")?;
+    // The name, in brackets, may have spaces in it.
+    let after = text.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<f64> = after.split_whitespace().skip(11).take(2).filter_map(|n| n.parse().ok()).collect();
+    Ok(fields.iter().sum())
+}
--- a/crates/sanddrum-lab/src/capacity/plan.rs
+++ b/crates/sanddrum-lab/src/capacity/plan.rs
@@ -2,6 +2,7 @@
 
 use super::{model, PLAYS};
 use sanddrum_settings::{key, Kind, Loaded, Problem, Section};
+use std::path::PathBuf;
 
 /// The operators' sizes; a fifth to a third of an hour.
 pub const DEFAULT_PLAN: &str = include_str!("../../scenarios/capacity.sx");
@@ -64,6 +65,8 @@
     pub text: String,
     pub seed: u64,
     pub memory: Memory,
+    /// The program that runs parts as processes; without it those plays are left out.
+    pub program: Option<PathBuf>,
 }
 
 impl Plan {
@@ -75,7 +78,7 @@
         let sections: Vec<Section> =
             [DEPLOYMENT, model::SECTION].into_iter().chain(PLAYS.iter().map(|play| play.section)).collect();
         let settings = sanddrum_settings::read_with(file, text, &sections)?;
-        let plan = Plan { settings, text: text.to_string(), seed, memory };
+        let plan = Plan { settings, text: text.to_string(), seed, memory, program: None };
         model::check(&plan)?;
         PLAYS.iter().try_for_each(|play| (play.check)(&plan))?;
         Ok(plan)
--- a/crates/sanddrum-lab/src/capacity/router.rs
+++ b/crates/sanddrum-lab/src/capacity/router.rs
@@ -4,7 +4,7 @@
 use super::hollow::{Calls, Fleet, Lists, Loads, Played, Spec, BEGIN};
 use super::host::Counts;
 use super::model::{Functions, Model, Others, Shape};
-use super::{beside, memory, workers, Plan, Play, Point, Role, Sink, Source, Stop};
+use super::{beside, edge_process, memory, workers, Plan, Play, Point, Role, Sink, Source, Stop};
 use sanddrum::{Micros, Settings, Value};
 use sanddrum_settings::{key, Kind, Problem, Section};
 use std::rc::Rc;
@@ -38,6 +38,12 @@
             key("at-workers", Kind::Whole(1.0, 1e6), Some("10000"), "workers along the other axes"),
             key("warm-up", Kind::Span, Some("16s"), "before anything is counted"),
             key("length", Kind::Span, Some("32s"), "for so long it is"),
+            key(
+                "stands-by",
+                Kind::Span,
+                Some("5s"),
+                "real time for which an edge process without calls is looked at",
+            ),
             key("list-changes", Kind::Whole(0.0, 1e6), Some("300"), "of the list, to tell what one costs"),
         ],
     },
@@ -266,6 +272,7 @@
         one(plan, sink, stop, USUAL, ("routers", routers as f64), &size)?;
     }
     beside::play(plan, sink, stop)?;
+    edge_process::play(plan, sink, stop)?;
     for workers in sizes("workers") {
         list_changes(plan, sink, stop, &Size { workers: workers as usize, ..usual })?;
     }
