--- /dev/null
+++ b/crates/sanddrum-lab/tests/capacity_rows.rs
@@ -0,0 +1,77 @@
+//! Rows of the worker list that a decision copies, by what it allocates. The only test here, as what others allocate
+//! meanwhile would count.
+
+use rstest::rstest;
+use sanddrum::{
+    CustomerId, Decisions, FunctionId, Job, JobId, ListKind, PeerId, Round, Router, WorkerId, WorkerList,
+    WorkerRow, WorkerState, WorkloadId,
+};
+use sanddrum_lab::capacity::router::module_settings;
+use sanddrum_lab::capacity::{Memory, Plan, SHORT_PLAN};
+use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
+
+#[global_allocator]
+static COUNTED: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+fn plan() -> Plan {
+    Plan::read("rows.sx", SHORT_PLAN, 1, Memory { total: 24 << 30 }).unwrap()
+}
+
+/// Nothing is kept of what is decided.
+struct Unkept;
+
+impl Decisions for Unkept {
+    fn execute(&mut self, _: JobId, _: WorkerId, _: i64) {}
+    fn cancel(&mut self, _: JobId, _: usize) {}
+    fn push_back(&mut self, _: JobId, _: i64) {}
+    fn kill(&mut self, _: JobId) {}
+    fn hold(&mut self, _: WorkerId, _: FunctionId, _: u32) {}
+    fn unload(&mut self, _: WorkerId, _: FunctionId) {}
+    fn probe(&mut self, _: WorkerId) {}
+    fn tell(&mut self, _: Option<PeerId>, _: &[u8]) {}
+    fn wake_at(&mut self, _: i64) {}
+    fn note(&mut self, _: &str) {}
+}
+
+/// Bytes that a module allocates for the decision on one job, in the mean over jobs of different functions that come
+/// between two sweeps.
+fn allocated_for_a_decision(workers: u64, orders: bool) -> f64 {
+    const JOBS: u64 = 200;
+    let mut module = Router::new(1, &module_settings(&plan(), 0, 4200, orders).unwrap());
+    let row =
+        |n| WorkerRow { worker: WorkerId(n), size: 8.0, state: WorkerState::Ready, ..WorkerRow::default() };
+    let list = WorkerList { kind: ListKind::Full, rows: (0..workers).map(row).collect() };
+    let now = 1_000_000_000;
+    module.round(now, &Round { lists: vec![list], ..Round::default() }, &mut Unkept);
+    let job = |n| Job {
+        id: JobId(n),
+        function: FunctionId(n),
+        workload: WorkloadId(0),
+        customer: CustomerId(0),
+        due: now + 10_000_000,
+        memory_mb: 128.0,
+        lanes: 1.0,
+        load: None,
+        work: None,
+        repeat: false,
+    };
+    let rounds: Vec<Round> = (0..JOBS).map(|n| Round { jobs: vec![job(n)], ..Round::default() }).collect();
+    let region = Region::new(COUNTED);
+    rounds.iter().for_each(|round| module.round(now + 1, round, &mut Unkept));
+    region.change().bytes_allocated as f64 / JOBS as f64
+}
+
+#[rstest]
+fn rows_copied_for_a_decision_do_not_grow_with_the_fleet() {
+    for orders in [false, true] {
+        let of = |workers| allocated_for_a_decision(workers, orders);
+        let (small, large) = (of(100), of(1000));
+        // A row that is copied takes eight bytes at least. A tenth of a row for each further worker is no copy.
+        let rows = (large - small) / 8.0;
+        assert!(
+            rows < 900.0 / 10.0,
+            "orders {orders}: {small:.0} bytes with 100 workers, {large:.0} with 1000, as of {rows:.0} rows more"
+        );
+    }
+}
