--- a/crates/sanddrum-lab/src/capacity/hollow/routers.rs
+++ b/crates/sanddrum-lab/src/capacity/hollow/routers.rs
@@ -17,7 +17,11 @@
             let mut written = Written::default();
             let began = Clock::now();
             host.module.round(self.now, &round, &mut written);
-            host.counts.nanoseconds += self.clock.passed(began);
+            let took = self.clock.passed(began);
+            host.counts.nanoseconds += took;
+            if round.jobs.is_empty() && round.ends.is_empty() {
+                host.counts.control_nanoseconds += took;
+            }
             host.counts.rounds += 1;
             if let Some(rounds) = self.rounds.as_mut().filter(|_| router == 0) {
                 rounds.push((self.now, round));
