Hollow routers keep their connections by the connection module itself

A real edge beside a hollow router with 1000 workers showed it: the hollow one dialled at once, the edge's first asks waited as no more than 32 handshakes are out at a time, and the play failed on it. Now the connection module decides as in an edge: handshakes out, connections made ahead, idle ones closed, several to a worker, unwritten attempts taken back; its processor time is a figure of its own.

--- a/crates/sanddrum-lab/src/capacity/beside.rs
+++ b/crates/sanddrum-lab/src/capacity/beside.rs
@@ -16,7 +16,6 @@
 (workload "call" (start-target {}us) (time-limit {}us) (effect restartable))
 (function "f-*" (workload "call") (memory {}MB) (lanes {}))
 (copies (keep-alive {}us) (on-miss {}))
-(limits (connections-ahead 0))
 (fleet (workers {workers}) (edges 1) (cores {}) (memory {}MB) (queue {}) (beat-every 1s))
 (store (at-once 100000) (most 100000))
 (traffic (length {}us) (rate {}) (functions 2000) (zipf {}) (retries 0))
@@ -57,12 +56,20 @@
         let limit = Duration::from_micros(plan.settings.span("capacity.time-a-point-us").max(0) as u64);
         let played = fleet.run_until(until, Instant::now() + limit, stop);
         let log = fleet.log.take().unwrap_or_default();
-        let all = played != Played::Done || log.len() == seen.decisions.len();
-        let same = |(one, other): (&(i64, usize, Decision), &(i64, Decision))| {
+        let same = |(one, other): &(&(i64, usize, Decision), &(i64, Decision))| {
             (one.0, &one.2) == (other.0, &other.1)
         };
-        if !(all && log.iter().zip(&seen.decisions).all(same)) {
-            return Err(format!("with {workers} workers the hollow router decided otherwise than the edge"));
+        if let Some((one, other)) = log.iter().zip(&seen.decisions).find(|pair| !same(pair)) {
+            let (one, other) = ((one.0, &one.2), (other.0, &other.1));
+            return Err(format!(
+                "{workers} workers: the hollow router decided {one:?} where the edge did {other:?}"
+            ));
+        }
+        if played == Played::Done && log.len() != seen.decisions.len() {
+            let (one, other) = (log.len(), seen.decisions.len());
+            return Err(format!(
+                "{workers} workers: {one} decisions of the hollow router, {other} of the edge"
+            ));
         }
         let source = match played {
             Played::Done => Source::Played,
--- a/crates/sanddrum-lab/src/capacity/hollow.rs
+++ b/crates/sanddrum-lab/src/capacity/hollow.rs
@@ -2,15 +2,16 @@
 //! of events in one order; equal seeds give equal plays.
 
 use super::host::{end_of, order_end_of, report_of, warmth_of, Asked, Counts, Decision, Host, HostedJob};
-use super::host::{Link, Out, Written};
+use super::host::{Mark, Out, Written};
 use super::model::{Functions, HollowWorker, Model, Others};
 use super::sizes::Bytes;
 use super::starts::Starts;
 use super::{clock::Clock, Stop};
 use sanddrum::{
-    CellId, End, FunctionId, Job, JobId, KindId, ListKind, Micros, Round, Settings, Warmth, WorkerId,
-    WorkerList, WorkerRow, WorkerState, WorkloadId, ZoneId,
+    CellId, End, FunctionId, Job, JobId, KindId, ListKind, Micros, OrderEnd, ProbeEnd, Report, Round,
+    Settings, Warmth, WorkerId, WorkerList, WorkerRow, WorkerState, WorkloadId, ZoneId,
 };
+use sanddrum_connect::LinkId;
 use sanddrum_net::Chance;
 use sanddrum_wire::{Copy, Ended, Hold, LoadReport};
 use sanddrum_worker::machine::{Effect, Task, Ticket};
@@ -18,6 +19,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+mod links;
 mod routers;
 mod workers;
 
@@ -111,7 +113,7 @@
     Stopped,
 }
 
-enum Message {
+pub(crate) enum Message {
     Execute { id: u64, function: usize, work: f64, limit: Micros },
     Cancel { id: u64 },
     Hold { id: u64, function: usize, copies: u32 },
@@ -120,34 +122,9 @@
 }
 
 enum Answer {
-    Done {
-        id: u64,
-        ended: Ended,
-        copy: Option<Copy>,
-        report: LoadReport,
-        worker: usize,
-    },
-    Held {
-        id: u64,
-        ended: Ended,
-        copies: u32,
-        worker: usize,
-    },
-    Probed {
-        id: u64,
-        report: LoadReport,
-        worker: usize,
-    },
-    /// The connection for it did not come up.
-    Unreached(Sent),
-}
-
-#[derive(Clone, Copy)]
-enum Sent {
-    Execution(u64),
-    Order(u64),
-    Probe(u64),
-    Other,
+    Done { id: u64, ended: Ended, copy: Option<Copy>, report: LoadReport, worker: usize },
+    Held { id: u64, ended: Ended, copies: u32 },
+    Probed { id: u64, report: LoadReport, worker: usize },
 }
 
 enum Event {
@@ -183,6 +160,19 @@
         router: usize,
         id: u64,
     },
+    LinkUp {
+        router: usize,
+        link: LinkId,
+    },
+    /// A connection is to be looked at.
+    Link {
+        router: usize,
+        link: LinkId,
+    },
+    LinkBroken {
+        router: usize,
+        link: LinkId,
+    },
     List {
         router: usize,
         list: Rc<WorkerList>,
@@ -300,8 +290,7 @@
     }
     /// Connections to workers that the routers keep now.
     pub fn links(&self) -> usize {
-        let kept = |link: &&Link| self.now - link.last < self.model.idle_close;
-        self.hosts.iter().map(|host| host.links.values().filter(kept).count()).sum()
+        self.hosts.iter().map(|host| host.links.values().filter(|link| link.up).count()).sum()
     }
 
     /// Plays everything up to this instant, unless the bound on real time or a stop comes before.
@@ -394,14 +383,11 @@
                 }
             }
             Event::ExecutionLate { router, id } => self.execution_late(router, id),
-            Event::OrderLate { router, id } => {
-                self.hosts[router].order_ended(self.now, id, End::TimedOut, 0);
-                self.touched_routers.insert(router);
-            }
-            Event::ProbeLate { router, id } => {
-                self.hosts[router].probe_ended(self.now, id, End::TimedOut, None);
-                self.touched_routers.insert(router);
-            }
+            Event::OrderLate { router, id } => self.end_order(router, id, End::TimedOut, 0),
+            Event::ProbeLate { router, id } => self.end_probe(router, id, End::TimedOut, None),
+            Event::LinkUp { router, link } => self.link_up(router, link),
+            Event::Link { router, link } => self.look_at_link(router, link),
+            Event::LinkBroken { router, link } => self.end_link(router, link, End::Reset),
             Event::List { router, list } => {
                 let bytes = self.bytes.list(list.rows.len());
                 let host = &mut self.hosts[router];
@@ -409,11 +395,13 @@
                 (host.counts.messages, host.counts.bytes) =
                     (host.counts.messages + 1, host.counts.bytes + bytes);
                 host.round.lists.push((*list).clone());
+                self.listed(router, &list);
                 self.touched_routers.insert(router);
             }
             Event::Act(act) => self.act(act),
             Event::Drained { worker, since } => self.look_at_drained(worker, since),
             Event::Back(worker) => {
+                self.break_links(worker);
                 self.workers[worker].restart(self.now);
                 self.notice(vec![worker], 0);
             }
--- a/crates/sanddrum-lab/src/capacity/hollow/routers.rs
+++ b/crates/sanddrum-lab/src/capacity/hollow/routers.rs
@@ -33,8 +33,11 @@
                 self.carry_out(router, decision);
             }
         }
+        self.connect(router);
+        self.flush(router);
         let host = &mut self.hosts[router];
-        let again = if host.has_news() { Some(self.now) } else { host.wake };
+        let news = (host.has_news() || !host.news.is_empty()).then_some(self.now);
+        let again = news.into_iter().chain(host.wake).chain(host.connect_wake).min();
         let again = again.map(|at| at.max(self.now + 1));
         if let Some(at) = again.filter(|at| host.turn_at.is_none_or(|set| *at < set)) {
             host.turn_at = Some(at);
@@ -54,35 +57,32 @@
                 job.out += 1;
                 let (function, work, closed) = (job.function, job.work, job.closed);
                 host.counts.executions += 1;
-                let none = (0, 0);
-                let out = Out { job: id, number, worker, sent: now, late: none, way: none, written: now };
-                host.executions.insert(execution, out);
                 let message = Message::Execute { id: execution, function, work, limit };
-                match closed {
-                    true => self.end_execution(router, execution, End::Moot),
-                    false => {
-                        let late = self.post(now + limit, Event::ExecutionLate { router, id: execution });
-                        let sent = self.send(router, worker, message, Sent::Execution(execution));
-                        let out = self.hosts[router].executions.get_mut(&execution);
-                        if let (Some(out), Some((way, written))) = (out, sent) {
-                            (out.late, out.way, out.written) = (late, way, written);
-                        } else {
-                            self.queue.remove(&late);
-                            self.end_execution(router, execution, End::NoConnection);
-                        }
-                    }
+                let due = now + limit;
+                let sent = match closed {
+                    true => Err(End::Moot),
+                    false => self.send(router, worker, Mark::Execution(execution), message, due),
+                };
+                let (link, late) = match sent {
+                    Ok(link) => (link, self.post(due, Event::ExecutionLate { router, id: execution })),
+                    Err(_) => (LinkId(u64::MAX), (0, 0)),
+                };
+                let out = Out { job: id, number, worker, sent: now, late, link };
+                self.hosts[router].executions.insert(execution, out);
+                if let Err(end) = sent {
+                    self.end_execution(router, execution, end);
                 }
             }
             Decision::Cancel { job, execution } => {
                 let Some(job) = host.jobs.get(&job) else { return };
                 let Some(id) = job.executions.get(execution).copied() else { return };
-                let Some(worker) = host.executions.get(&id).map(|out| out.worker) else { return };
+                let Some(link) = host.executions.get(&id).map(|out| out.link) else { return };
                 if self.take_back(router, id) {
                     return self.end_execution(router, id, End::Moot);
                 }
                 self.count_control(router, 1, self.bytes.cancel);
                 self.hosts[router].counts.cancels += 1;
-                self.send(router, worker, Message::Cancel { id }, Sent::Other);
+                self.tell(router, link, Message::Cancel { id });
                 self.end_execution(router, id, End::Cancelled);
             }
             Decision::PushBack { job, .. } => {
@@ -102,28 +102,44 @@
                 }
                 let Some(n) = self.by_function.get(&function).copied() else { return };
                 self.count_control(router, 2, self.bytes.hold);
-                let late = self.post(now + self.model.order_time_out, Event::OrderLate { router, id });
-                self.hosts[router].orders.insert(id, Asked { worker, function, sent: now, late });
+                let due = now + self.model.order_time_out;
                 let message = Message::Hold { id, function: n, copies };
-                if self.send(router, worker, message, Sent::Order(id)).is_none() {
-                    self.end_order(router, id, End::NoConnection, 0);
+                match self.send(router, worker, Mark::Order(id), message, due) {
+                    Ok(link) => {
+                        let late = self.post(due, Event::OrderLate { router, id });
+                        let asked = Asked { worker, function, sent: now, late, link };
+                        self.hosts[router].orders.insert(id, asked);
+                    }
+                    Err(end) => {
+                        let end = OrderEnd { worker, function, end, latency: 0, copies: 0 };
+                        self.hosts[router].round.orders.push(end);
+                    }
                 }
             }
             Decision::Unload { worker, function } => {
                 host.counts.unloads += 1;
                 let Some(function) = self.by_function.get(&function).copied() else { return };
                 self.count_control(router, 1, self.bytes.unload);
-                self.send(router, worker, Message::Unload { function }, Sent::Other);
+                let due = now + self.model.order_time_out;
+                // Nothing is owed for it: where it can't be sent the copies lapse by themselves.
+                let _ = self.send(router, worker, Mark::Other, Message::Unload { function }, due);
             }
             Decision::Probe { worker } => {
                 let id = host.next_asked();
                 host.counts.probes += 1;
                 self.count_control(router, 2, self.bytes.probe);
-                let late = self.post(now + self.model.probe_time_out, Event::ProbeLate { router, id });
-                let asked = Asked { worker, function: FunctionId::default(), sent: now, late };
-                self.hosts[router].probes.insert(id, asked);
-                if self.send(router, worker, Message::Probe { id }, Sent::Probe(id)).is_none() {
-                    self.end_probe(router, id, End::NoConnection, None);
+                let due = now + self.model.probe_time_out;
+                match self.send(router, worker, Mark::Probe(id), Message::Probe { id }, due) {
+                    Ok(link) => {
+                        let late = self.post(due, Event::ProbeLate { router, id });
+                        let function = FunctionId::default();
+                        let asked = Asked { worker, function, sent: now, late, link };
+                        self.hosts[router].probes.insert(id, asked);
+                    }
+                    Err(end) => {
+                        let end = ProbeEnd { worker, end, latency: 0, report: None };
+                        self.hosts[router].round.probes.push(end);
+                    }
                 }
             }
             Decision::WakeAt(at) => host.wake = Some(host.wake.map_or(at, |set| set.min(at))),
@@ -136,58 +152,18 @@
         (counts.messages, counts.bytes) = (counts.messages + messages, counts.bytes + bytes);
     }
 
-    /// Sends to a worker; tells the message's place in the queue, and when it is written. None where no such worker is.
-    pub(super) fn send(
-        &mut self,
-        router: usize,
-        worker: WorkerId,
-        message: Message,
-        sent: Sent,
-    ) -> Option<((Micros, u64), Micros)> {
-        let worker = self.by_id.get(&worker).copied()?;
-        let (now, to) = (self.now, &self.workers[worker]);
-        let way = self.way(self.hosts[router].zone, to.zone);
-        let (up, incarnation) = (to.up, to.incarnation);
-        let host = &mut self.hosts[router];
-        let idle_close = self.model.idle_close;
-        let link = host.links.get(&worker).copied();
-        let link = link.filter(|link| link.incarnation == incarnation && now - link.last < idle_close);
-        let up_at = match link {
-            Some(link) => link.up_at,
-            None if up => {
-                host.counts.handshakes += 1;
-                host.counts.messages += 2;
-                host.counts.bytes += self.bytes.hellos;
-                now + 2 * way
-            }
-            None => {
-                let at = now + self.model.connect_time_out;
-                let answer = Answer::Unreached(sent);
-                return Some((self.post(at, Event::ToRouter { router, answer }), at));
-            }
-        };
-        let link = Link { up_at, last: now.max(up_at), incarnation };
-        self.hosts[router].links.insert(worker, link);
-        let written = now.max(up_at);
-        let key = self.post(written + way, Event::ToWorker { worker, incarnation, router, message });
-        Some((key, written))
-    }
-    /// Takes an execution back of which nothing was written.
-    pub(super) fn take_back(&mut self, router: usize, id: u64) -> bool {
-        let Some(out) = self.hosts[router].executions.get(&id) else { return false };
-        let unwritten = out.written > out.sent && self.now <= out.written;
-        unwritten && self.queue.remove(&out.way).is_some()
-    }
     pub(super) fn end_execution(&mut self, router: usize, id: u64, end: End) {
         if let Some(out) = self.hosts[router].execution_ended(self.now, id, end, Warmth::Unknown, None, None)
         {
             self.queue.remove(&out.late);
+            self.release(router, out.link, Mark::Execution(id));
         }
         self.touched_routers.insert(router);
     }
     pub(super) fn end_order(&mut self, router: usize, id: u64, end: End, copies: u32) {
         if let Some(asked) = self.hosts[router].order_ended(self.now, id, end, copies) {
             self.queue.remove(&asked.late);
+            self.release(router, asked.link, Mark::Order(id));
         }
         self.touched_routers.insert(router);
     }
@@ -195,6 +171,7 @@
         let report = report.as_ref().map(report_of);
         if let Some(asked) = self.hosts[router].probe_ended(self.now, id, end, report) {
             self.queue.remove(&asked.late);
+            self.release(router, asked.link, Mark::Probe(id));
         }
         self.touched_routers.insert(router);
     }
@@ -228,15 +205,6 @@
 
     pub(super) fn answer(&mut self, router: usize, answer: Answer) {
         let now = self.now;
-        let heard = match &answer {
-            Answer::Done { worker, .. } | Answer::Held { worker, .. } | Answer::Probed { worker, .. } => {
-                Some(*worker)
-            }
-            Answer::Unreached(_) => None,
-        };
-        if let Some(link) = heard.and_then(|worker| self.hosts[router].links.get_mut(&worker)) {
-            link.last = link.last.max(now);
-        }
         match answer {
             Answer::Done { id, ended, copy, report, worker } => {
                 let host = &self.hosts[router];
@@ -254,17 +222,26 @@
                 }
                 let report = Some(report_of(&report));
                 let ended = self.hosts[router].execution_ended(now, id, end, warmth, None, report);
-                ended.into_iter().for_each(|out| drop(self.queue.remove(&out.late)));
+                if let Some(out) = ended {
+                    self.queue.remove(&out.late);
+                    self.release(router, out.link, Mark::Execution(id));
+                }
+                self.reported(router, worker, report.as_ref());
                 self.touched_routers.insert(router);
             }
-            Answer::Held { id, ended, copies, .. } => {
+            Answer::Held { id, ended, copies } => {
                 self.end_order(router, id, order_end_of(ended), copies);
             }
-            Answer::Probed { id, report, .. } => self.end_probe(router, id, End::Finished, Some(report)),
-            Answer::Unreached(Sent::Execution(id)) => self.end_execution(router, id, End::NoConnection),
-            Answer::Unreached(Sent::Order(id)) => self.end_order(router, id, End::NoConnection, 0),
-            Answer::Unreached(Sent::Probe(id)) => self.end_probe(router, id, End::NoConnection, None),
-            Answer::Unreached(Sent::Other) => {}
+            Answer::Probed { id, report, worker } => {
+                self.reported(router, worker, Some(&report_of(&report)));
+                self.end_probe(router, id, End::Finished, Some(report));
+            }
         }
     }
+    /// What a worker told of itself, for the connection module.
+    fn reported(&mut self, router: usize, worker: usize, report: Option<&Report>) {
+        let told = report.and_then(|report| Some(report.held? + report.queued?));
+        let id = self.workers[worker].id;
+        self.hosts[router].news.loads.extend(told.map(|load| (id, load)));
+    }
 }
--- a/crates/sanddrum-lab/src/capacity/hollow/workers.rs
+++ b/crates/sanddrum-lab/src/capacity/hollow/workers.rs
@@ -84,9 +84,12 @@
                         self.answer_router(n, router as usize, answer);
                     }
                     Effect::Held { ticket: Ticket(router, id), ended, copies } => {
-                        self.answer_router(n, router as usize, Answer::Held { id, ended, copies, worker: n });
+                        self.answer_router(n, router as usize, Answer::Held { id, ended, copies });
+                    }
+                    Effect::Fell => {
+                        self.workers[n].up = false;
+                        self.break_links(n);
                     }
-                    Effect::Fell => self.workers[n].up = false,
                 }
             }
         }
@@ -130,7 +133,10 @@
             Act::ZoneBack(zone) => {
                 self.lost_zones.remove(&zone);
                 let all = in_zone(self, zone);
-                all.iter().for_each(|n| self.workers[*n].restart(self.now));
+                all.iter().for_each(|n| {
+                    self.break_links(*n);
+                    self.workers[*n].restart(self.now);
+                });
                 self.notice(all, 0);
             }
             Act::Tell(n) => self.notice(vec![n], 0),
@@ -148,6 +154,7 @@
             return;
         }
         self.workers[n].up = false;
+        self.break_links(n);
         self.notice(vec![n], 0);
         self.post(self.now + REPLACED_WITHIN, Event::Back(n));
     }
--- a/crates/sanddrum-lab/src/capacity/host.rs
+++ b/crates/sanddrum-lab/src/capacity/host.rs
@@ -1,12 +1,14 @@
 //! A hollow router: its decision module, and the jobs, executions and connections that an edge keeps for it. It decides
 //! nothing by itself.
 
+use super::hollow::Message;
 use sanddrum::{
     Decisions, End, ExecutionEnd, FunctionId, JobId, Micros, OrderEnd, PeerId, ProbeEnd, Report, Round,
     Router, Settings, Warmth, WorkerId,
 };
+use sanddrum_connect::{Connections, LinkId, News};
 use sanddrum_wire::{Copy, Ended, LoadReport};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What a module decided, as it was written.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -98,6 +100,8 @@
     /// Processor time of the rounds, in nanoseconds, and of those without a call or an answer to one.
     pub nanoseconds: u64,
     pub control_nanoseconds: u64,
+    /// The same of the connection module.
+    pub connection_nanoseconds: u64,
     /// Control messages both ways, and their bytes on the wire.
     pub messages: u64,
     pub bytes: u64,
@@ -123,7 +127,7 @@
             *field += *other;
         }
     }
-    fn fields(&mut self) -> [&mut u64; 19] {
+    fn fields(&mut self) -> [&mut u64; 20] {
         let Counts {
             calls,
             finished,
@@ -141,6 +145,7 @@
             rounds,
             nanoseconds,
             control_nanoseconds,
+            connection_nanoseconds,
             messages,
             bytes,
             loads,
@@ -162,6 +167,7 @@
             rounds,
             nanoseconds,
             control_nanoseconds,
+            connection_nanoseconds,
             messages,
             bytes,
             loads,
@@ -187,9 +193,7 @@
     pub sent: Micros,
     /// Its time-out's place in the queue of events.
     pub late: (Micros, u64),
-    /// The message's own, and when it is written: later than sent where a connection is made for it.
-    pub way: (Micros, u64),
-    pub written: Micros,
+    pub link: LinkId,
 }
 
 #[derive(Clone, Copy)]
@@ -198,14 +202,42 @@
     pub function: FunctionId,
     pub sent: Micros,
     pub late: (Micros, u64),
+    pub link: LinkId,
 }
 
-/// A connection to a worker.
-#[derive(Clone, Copy)]
+/// What is out on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Mark {
+    Execution(u64),
+    Order(u64),
+    Probe(u64),
+    /// It wants no answer.
+    Other,
+}
+
+/// A connection to a worker, or one that is to be.
 pub(crate) struct Link {
-    pub up_at: Micros,
-    pub last: Micros,
+    /// The worker's place in the fleet, and its name.
+    pub to: usize,
+    pub worker: WorkerId,
+    /// Of the process that was dialled.
     pub incarnation: u64,
+    pub dialled: bool,
+    pub up: bool,
+    /// It gets nothing new, and ends once it carries nothing.
+    pub retired: bool,
+    /// What isn't written yet.
+    pub out: Vec<(Mark, Message)>,
+    pub carries: BTreeSet<Mark>,
+    pub quiet_since: Micros,
+}
+
+impl Link {
+    pub fn new(to: usize, worker: WorkerId, now: Micros) -> Self {
+        let (dialled, up, retired, incarnation) = (false, false, false, 0);
+        let (out, carries, quiet_since) = (Vec::new(), BTreeSet::new(), now);
+        Link { to, worker, incarnation, dialled, up, retired, out, carries, quiet_since }
+    }
 }
 
 pub struct Host {
@@ -215,7 +247,14 @@
     pub(crate) executions: BTreeMap<u64, Out>,
     pub(crate) orders: BTreeMap<u64, Asked>,
     pub(crate) probes: BTreeMap<u64, Asked>,
-    pub(crate) links: BTreeMap<usize, Link>,
+    pub(crate) links: BTreeMap<LinkId, Link>,
+    /// Connections to each worker that may be called, but retired ones.
+    pub(crate) targets: BTreeMap<WorkerId, BTreeSet<LinkId>>,
+    pub(crate) made: u64,
+    pub(crate) dirty: BTreeSet<LinkId>,
+    pub(crate) connections: Connections,
+    pub(crate) news: News,
+    pub(crate) connect_wake: Option<Micros>,
     pub(crate) round: Round,
     pub(crate) wake: Option<Micros>,
     /// When its next turn stands in the queue of events.
@@ -238,6 +277,13 @@
             orders: BTreeMap::new(),
             probes: BTreeMap::new(),
             links: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            made: 0,
+            dirty: BTreeSet::new(),
+            // A seed of its own, as an edge gives it.
+            connections: Connections::new(seed ^ 0xc0, settings),
+            news: News::default(),
+            connect_wake: None,
             round: Round::default(),
             wake: None,
             turn_at: None,
--- a/crates/sanddrum-lab/src/capacity/model.rs
+++ b/crates/sanddrum-lab/src/capacity/model.rs
@@ -65,6 +65,9 @@
     pub silent_after: Micros,
     pub connect_time_out: Micros,
     pub idle_close: Micros,
+    /// Executions that a connection carries, and connections to a worker.
+    pub streams: usize,
+    pub connections: usize,
     pub order_time_out: Micros,
     pub probe_time_out: Micros,
     pub time_limit: Micros,
@@ -100,6 +103,8 @@
             silent_after: span("silent-after"),
             connect_time_out: l.span("limits.connect-time-out-us"),
             idle_close: l.span("limits.idle-close-us"),
+            streams: l.size("limits.streams"),
+            connections: l.size("limits.connections"),
             order_time_out: l.span("limits.order-time-out-us"),
             probe_time_out: l.span("limits.probe-time-out-us"),
             time_limit: l.span("workloads.0.time-limit-us") - l.span("limits.answer-ahead-us"),
--- a/crates/sanddrum-lab/src/capacity/router.rs
+++ b/crates/sanddrum-lab/src/capacity/router.rs
@@ -247,6 +247,11 @@
             ("control bytes a second", "B/s", a_second(c.bytes)),
             ("processor time of all decisions", "of a core", a_second(c.nanoseconds) / 1e9),
             ("processor time of rounds without calls", "of a core", a_second(c.control_nanoseconds) / 1e9),
+            (
+                "processor time of the connection module",
+                "of a core",
+                a_second(c.connection_nanoseconds) / 1e9,
+            ),
         ]
     }
 }
--- a/crates/sanddrum-lab/tests/capacity.rs
+++ b/crates/sanddrum-lab/tests/capacity.rs
@@ -141,7 +141,7 @@
     let counts = |others| {
         let measured = measure(&plan, &size, &settings, others, &Stop::default());
         assert_eq!(measured.played, Played::Done);
-        Counts { nanoseconds: 0, control_nanoseconds: 0, ..measured.counts }
+        Counts { nanoseconds: 0, control_nanoseconds: 0, connection_nanoseconds: 0, ..measured.counts }
     };
     assert_eq!(counts(true), counts(true));
     assert!(counts(true).loads < counts(false).loads, "what others have had loaded need not be loaded");
--- a/crates/sanddrum-lab/tests/capacity_real.rs
+++ b/crates/sanddrum-lab/tests/capacity_real.rs
@@ -8,13 +8,12 @@
 use sanddrum_lab::Scenario;
 use std::time::{Duration, Instant};
 
-fn scenario(more: &str, rate: u32) -> String {
+fn scenario(more: &str, workers: u32, rate: u32) -> String {
     format!(
         r#"(deployment (name "both") (zones "a" "b"))
 (workload "call" (start-target 1s) (time-limit 3s) (effect restartable))
 (function "f-*" (workload "call") (memory 128MB) (lanes 1))
-(limits (connections-ahead 0))
-(fleet (workers 6) (cores 2) (memory 1GB))
+(fleet (workers {workers}) (cores 2) (memory 1GB))
 (store (at-once 1000) (most 10000))
 (traffic (length 5s) (rate {rate}) (functions 20) (retries 0))
 (calls "call" (work 30ms))
@@ -23,14 +22,23 @@
 }
 
 #[rstest]
-#[case::workers_load("", 60)]
-#[case::routers_order("(copies (on-miss miss))", 60)]
-#[case::nothing_ordered("(copies (orders no))", 60)]
-#[case::lanes_are_short("(copies (keep-alive 2s))", 200)]
-#[case::overload("", 400)]
-#[case::overload_with_orders("(copies (on-miss miss) (load-window 1s) (load-free 8) (load-share 10%))", 400)]
-fn a_hollow_router_decides_what_a_real_one_does(#[case] more: &str, #[case] rate: u32) {
-    let scenario = Scenario::read("both.sx", &scenario(more, rate), 7).unwrap();
+#[case::workers_load("", 6, 60)]
+#[case::routers_order("(copies (on-miss miss))", 6, 60)]
+#[case::nothing_ordered("(copies (orders no))", 6, 60)]
+#[case::lanes_are_short("(copies (keep-alive 2s))", 6, 200)]
+#[case::overload("", 6, 400)]
+#[case::overload_with_orders(
+    "(copies (on-miss miss) (load-window 1s) (load-free 8) (load-share 10%))",
+    6,
+    400
+)]
+#[case::connections_rest("(limits (idle-close 700ms))", 12, 60)]
+#[case::few_connections("(limits (connections 1) (streams 2))", 6, 200)]
+#[case::handshakes_wait("(limits (handshakes-out 2))", 60, 80)]
+#[case::nothing_ahead("(limits (connections-ahead 0))", 12, 60)]
+#[case::many_workers("", 150, 60)]
+fn a_hollow_router_decides_what_a_real_one_does(#[case] more: &str, #[case] workers: u32, #[case] rate: u32) {
+    let scenario = Scenario::read("both.sx", &scenario(more, workers, rate), 7).unwrap();
     let seen = real(scenario.clone()).unwrap();
     let mut fleet = hollow(&scenario, &seen).unwrap();
     (fleet.log, fleet.rounds) = (Some(Vec::new()), Some(Vec::new()));
