--- a/crates/sanddrum-lab/src/capacity/router.rs
+++ b/crates/sanddrum-lab/src/capacity/router.rs
@@ -4,7 +4,7 @@
 use super::hollow::{Calls, Fleet, Lists, Loads, Played, Spec, BEGIN};
 use super::host::Counts;
 use super::model::{Functions, Model, Others, Shape};
-use super::{beside, memory, workers, Plan, Play, Point, Role, Sink, Source, Stop};
+use super::{beside, edge_process, memory, workers, Plan, Play, Point, Role, Sink, Source, Stop};
 use sanddrum::{Micros, Settings, Value};
 use sanddrum_settings::{key, Kind, Problem, Section};
 use std::rc::Rc;
@@ -38,6 +38,13 @@
             key("at-workers", Kind::Whole(1.0, 1e6), Some("10000"), "workers along the other axes"),
             key("warm-up", Kind::Span, Some("16s"), "before anything is counted"),
             key("length", Kind::Span, Some("32s"), "for so long it is"),
+            key("weigh", Kind::Span, Some("30s"), "real time in which a module's memory is told, or isn't"),
+            key(
+                "stands-by",
+                Kind::Span,
+                Some("5s"),
+                "real time for which an edge process without calls is looked at",
+            ),
             key("list-changes", Kind::Whole(0.0, 1e6), Some("300"), "of the list, to tell what one costs"),
         ],
     },
@@ -239,6 +246,12 @@
             ("control messages a second", "1/s", a_second(c.messages)),
             ("control bytes a second", "B/s", a_second(c.bytes)),
             ("processor time of all decisions", "of a core", a_second(c.nanoseconds) / 1e9),
+            ("processor time of rounds without calls", "of a core", a_second(c.control_nanoseconds) / 1e9),
+            (
+                "processor time of the connection module",
+                "of a core",
+                a_second(c.connection_nanoseconds) / 1e9,
+            ),
         ]
     }
 }
@@ -266,6 +279,7 @@
         one(plan, sink, stop, USUAL, ("routers", routers as f64), &size)?;
     }
     beside::play(plan, sink, stop)?;
+    edge_process::play(plan, sink, stop)?;
     for workers in sizes("workers") {
         list_changes(plan, sink, stop, &Size { workers: workers as usize, ..usual })?;
     }
@@ -305,7 +319,7 @@
         sink.point(point(figure, unit, value, source))?;
     }
     if measured.played == Played::Done {
-        let limit = Duration::from_micros(plan.settings.span("capacity.time-a-point-us").max(0) as u64);
+        let limit = Duration::from_micros(plan.settings.span("router-plays.weigh-us").max(0) as u64);
         if let Some(bytes) = memory::of_module(&settings, module_seed(plan, 0), &measured.rounds, limit, stop)
         {
             sink.point(point("memory of the decision module", "MB", bytes / (1 << 20) as f64, source))?;
