--- a/crates/sanddrum-cli/src/fleet.rs
+++ b/crates/sanddrum-cli/src/fleet.rs
@@ -5,6 +5,7 @@
 use clap::{Args, ValueEnum};
 use sanddrum_lab::{
     play, MakeProcess, Outcome, ProcessStage, ProcessStart, Recording, Scenario, Steered, Who, FAULTS, LATE,
+    OURS,
 };
 use sanddrum_net::{Core, EventLoop, NoTap};
 use sanddrum_worker::{ListService, Marks, Shared, Store, Worker};
@@ -83,7 +84,10 @@
     let (edges, workers) = (scenario.edges, scenario.workers);
     println!("{name}: {edges} edges and {workers} workers as processes, seed {}", args.seed);
     match played(scenario, &args.set) {
-        Ok((outcome, late, latest, short_of_files)) => {
+        Ok((outcome, late, latest, short_of_files, waited)) => {
+            let limit = if waited > WAITED { "the machine was the limit: " } else { "" };
+            let (ms, counts) = (waited / 1000, WAITED / 1000);
+            println!("{limit}a process waited up to {ms} ms for a processor within a second (over {counts} ms counts)");
             if short_of_files {
                 println!("the machine was the limit: the relays used up the open files that are allowed; take fewer edges or workers");
             }
@@ -100,7 +104,10 @@
     }
 }
 
-fn played(scenario: Scenario, set: &[String]) -> Result<(Outcome, u64, i64, bool), String> {
+/// A process that waited longer for a processor within a second was held up: a tenth of it.
+const WAITED: i64 = 100_000;
+
+fn played(scenario: Scenario, set: &[String]) -> Result<(Outcome, u64, i64, bool, i64), String> {
     let folder = Folder::new().map_err(|e| e.to_string())?;
     let recording = Recording::default();
     let seconds = scenario.length / 1_000_000;
@@ -113,7 +120,10 @@
     stage.progress = Some(Box::new(move |now| eprint!("\r{} of {seconds} s ", (now - begun) / 1_000_000)));
     let outcome = play(&mut stage, &recording).map_err(|e| e.to_string())?;
     eprintln!();
-    Ok((outcome, stage.late, stage.latest, stage.short_of_files))
+    let log = &recording.0.borrow().log;
+    let processes = log.waits.iter().filter(|(name, _)| *name != OURS);
+    let waited = processes.map(|(_, waits)| waits.worst_second()).max().unwrap_or(0);
+    Ok((outcome, stage.late, stage.latest, stage.short_of_files, waited))
 }
 
 #[derive(Args, Clone, Debug)]
