Four homes and four spares are looked at for a job; a function with more is decided in parts

Seen: with eight homes the lab measured 14, 21 and 44 us a call at 100, 1,000 and 10,000 workers with orders off (27.7 and 61 among others, busy machine), a factor of three where two is wanted: at 10,000 workers most functions have eight homes, at 100 three. Change: HOMES 4 with four spares; parts only for functions with more homes than both, so that small fleets keep all homes of a function together (while_pressed_jobs_that_earn_little failed without it: 98 and 94 of 100 pushed back); crowded homes are replaced and homes asked up to eight as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -79,8 +79,8 @@
 /// a home wrongly presumed warm costs a miss and not a load.
 const HOME_PART: f64 = 0.5;
 /// Homes looked at for a job, and as many spares beyond them: a few draws find the emptier ones nearly as well as
-/// a look at all. A function with more homes is decided in parts, each with homes of its own.
-const HOMES: usize = 8;
+/// a look at all. A function with more than both is decided in parts, each with homes of its own.
+const HOMES: usize = 4;
 /// They are looked for among this many times as many workers: more where half of them may not be called.
 const LOOKS: usize = 4;
 /// Copies looked at for a job: those of all homes and of their spares, each told twice at the most.
@@ -801,7 +801,7 @@
         let far = |w: &Worker| w.row.zone != self.terms.near;
 
         let width = self.width(function);
-        let parts = width.div_ceil(HOMES).max(1);
+        let parts = if width > 2 * HOMES { width.div_ceil(HOMES) } else { 1 };
         let width = width.div_ceil(parts);
         let homes = Lazily::new(self.homes(held, hash_of((job.function, draw % parts as u64)), work));
         let place_at = |w: &Worker| function.place(w.row.worker);
@@ -817,7 +817,7 @@
         let presumes = often && spreads && !(believes && self.pressed());
         // A crowded home where jobs wait does not count: the next one stands in, at most one for each where a
         // wrong guess costs a load. Guards against all routers filling a hot function's first two homes.
-        let most = if self.terms.answers_miss { HOMES } else { HOMES.min(2 * width) };
+        let most = if self.terms.answers_miss { 2 * HOMES } else { 2 * HOMES.min(width) };
         let mut open_homes = 0;
         let maybe = homes.first(if presumes { most } else { 0 }).take_while(|w| {
             open_homes += usize::from(!(self.crowded(w) && self.queues(w)));
@@ -847,13 +847,8 @@
             // Exception: a home found without its copy gets one ordered for the jobs that follow; so does the
             // next one that is not crowded, where all warm workers with room are.
             let crowds = self.crowded(w) && function.calls > 2.0 && underway == 0;
-            let most = if !often || self.loads_pressed() {
-                0
-            } else if crowds {
-                2 * HOMES
-            } else {
-                width
-            };
+            let most = if crowds { 2 * HOMES } else { width };
+            let most = if often && !self.loads_pressed() { most } else { 0 };
             let spare = homes.first(most).enumerate().find(|(n, w)| {
                 let place = place_at(w);
                 let found = *n < width && width > FEW_HOMES && place.absent > self.now;
@@ -889,7 +884,7 @@
         // where it would load tells by its answer, and is asked only where a load there would end too late.
         let load_fits = |there: &(WorkerId, f64)| limit >= (load + there.1) as Micros;
         let untold = emptiest.filter(load_fits).map(|(there, _)| there);
-        let unsure = homes.first(HOMES).filter(|w| !self.stands(&place_at(w))).map(|w| w.row.worker);
+        let unsure = homes.first(2 * HOMES).filter(|w| !self.stands(&place_at(w))).map(|w| w.row.worker);
         let unsure: Vec<WorkerId> = unsure.filter(|w| Some(*w) != untold).collect();
         drop(homes);
         if self.terms.orders && self.ask(job.function, &unsure, out) {
