A capacity plan without a function, or whose calls are of another workload, is refused

Its calls would have been of no function, or judged by another workload's time limit. Checked: the lab's capacity tests, clippy over the lab and the command line.

--- a/crates/sanddrum-lab/src/capacity/edge_process.rs
+++ b/crates/sanddrum-lab/src/capacity/edge_process.rs
@@ -56,7 +56,7 @@
     Row {
         name: format!("worker-{n}"),
         address: format!("10.{}.{}.{}:7000", 100 + n / 62_500, n / 250 % 250, n % 250 + 1),
-        zone: zones[n as usize % zones.len().max(1)].clone(),
+        zone: zones.get(n as usize % zones.len().max(1)).cloned().unwrap_or_default(),
         size: 8.0,
         phase: Phase::Ready,
         incarnation: 1,
--- a/crates/sanddrum-lab/src/capacity/model.rs
+++ b/crates/sanddrum-lab/src/capacity/model.rs
@@ -37,6 +37,19 @@
 /// Why a model can't be.
 pub(crate) fn check(plan: &Plan) -> Result<(), Problem> {
     let l = &plan.settings;
+    if l.count("functions") == 0 {
+        let remedy = "add (function \"f-*\" (workload \"...\"))";
+        return Err(l.problem_at("", "no function is set, and nothing would be called", remedy));
+    }
+    let (called, first) = (l.text("functions.0.workload"), l.text("workloads.0.name"));
+    if called != first {
+        let what = format!("functions.0.workload: calls are of the first function, which is of {called:?}");
+        return Err(l.problem_at(
+            "functions.0.workload",
+            what,
+            format!("put workload {called:?} before {first:?}"),
+        ));
+    }
     for n in 0..l.count("functions") {
         let name = format!("functions.{n}.memory-mb");
         if l.number(&name) > l.number("model.memory-mb") {
--- a/crates/sanddrum-lab/tests/capacity.rs
+++ b/crates/sanddrum-lab/tests/capacity.rs
@@ -106,6 +106,17 @@
     assert!(problem.what.starts_with(what), "{problem}");
 }
 
+#[rstest]
+#[case::nothing_called("(workload \"a\")", "no function is set")]
+#[case::other_workload(
+    "(workload \"a\") (workload \"b\") (function \"f\" (workload \"b\"))",
+    "functions.0.workload"
+)]
+fn a_plan_without_calls_that_can_be_made_is_refused(#[case] text: &str, #[case] what: &str) {
+    let problem = Plan::read("plan.sx", text, 1, MEMORY).unwrap_err();
+    assert!(problem.what.starts_with(what), "{problem}");
+}
+
 #[rstest]
 fn the_same_plan_without_what_is_wrong_is_taken() {
     Plan::read("plan.sx", DEPLOYED, 1, Memory { total: 8 << 30 }).unwrap();
