--- a/crates/sanddrum-lab/src/capacity/model.rs
+++ b/crates/sanddrum-lab/src/capacity/model.rs
@@ -37,6 +37,19 @@
 /// Why a model can't be.
 pub(crate) fn check(plan: &Plan) -> Result<(), Problem> {
     let l = &plan.settings;
+    if l.count("functions") == 0 {
+        let remedy = "add (function \"f-*\" (workload \"...\"))";
+        return Err(l.problem_at("", "no function is set, and nothing would be called", remedy));
+    }
+    let (called, first) = (l.text("functions.0.workload"), l.text("workloads.0.name"));
+    if called != first {
+        let what = format!("functions.0.workload: calls are of the first function, which is of {called:?}");
+        return Err(l.problem_at(
+            "functions.0.workload",
+            what,
+            format!("put workload {called:?} before {first:?}"),
+        ));
+    }
     for n in 0..l.count("functions") {
         let name = format!("functions.{n}.memory-mb");
         if l.number(&name) > l.number("model.memory-mb") {
@@ -65,6 +78,9 @@
     pub silent_after: Micros,
     pub connect_time_out: Micros,
     pub idle_close: Micros,
+    /// Executions that a connection carries, and connections to a worker.
+    pub streams: usize,
+    pub connections: usize,
     pub order_time_out: Micros,
     pub probe_time_out: Micros,
     pub time_limit: Micros,
@@ -100,6 +116,8 @@
             silent_after: span("silent-after"),
             connect_time_out: l.span("limits.connect-time-out-us"),
             idle_close: l.span("limits.idle-close-us"),
+            streams: l.size("limits.streams"),
+            connections: l.size("limits.connections"),
             order_time_out: l.span("limits.order-time-out-us"),
             probe_time_out: l.span("limits.probe-time-out-us"),
             time_limit: l.span("workloads.0.time-limit-us") - l.span("limits.answer-ahead-us"),
--- a/crates/sanddrum-lab/tests/capacity.rs
+++ b/crates/sanddrum-lab/tests/capacity.rs
@@ -106,6 +106,17 @@
     assert!(problem.what.starts_with(what), "{problem}");
 }
 
+#[rstest]
+#[case::nothing_called("(workload \"a\")", "no function is set")]
+#[case::other_workload(
+    "(workload \"a\") (workload \"b\") (function \"f\" (workload \"b\"))",
+    "functions.0.workload"
+)]
+fn a_plan_without_calls_that_can_be_made_is_refused(#[case] text: &str, #[case] what: &str) {
+    let problem = Plan::read("plan.sx", text, 1, MEMORY).unwrap_err();
+    assert!(problem.what.starts_with(what), "{problem}");
+}
+
 #[rstest]
 fn the_same_plan_without_what_is_wrong_is_taken() {
     Plan::read("plan.sx", DEPLOYED, 1, Memory { total: 8 << 30 }).unwrap();
@@ -141,7 +152,7 @@
     let counts = |others| {
         let measured = measure(&plan, &size, &settings, others, &Stop::default());
         assert_eq!(measured.played, Played::Done);
-        Counts { nanoseconds: 0, ..measured.counts }
+        Counts { nanoseconds: 0, control_nanoseconds: 0, connection_nanoseconds: 0, ..measured.counts }
     };
     assert_eq!(counts(true), counts(true));
     assert!(counts(true).loads < counts(false).loads, "what others have had loaded need not be loaded");
@@ -160,7 +171,7 @@
 #[rstest]
 fn a_point_that_takes_too_long_is_told_as_not_finished() {
     let plan =
-        Plan::read("capacity.sx", &SHORT_PLAN.replace("(time-a-point 2s)", "(time-a-point 0s)"), 1, MEMORY);
+        Plan::read("capacity.sx", &SHORT_PLAN.replace("(time-a-point 10s)", "(time-a-point 0s)"), 1, MEMORY);
     let size = Size { workers: 20, functions: 100, calls: 50.0, routers: 42 };
     let plan = plan.unwrap();
     let settings = module_settings(&plan, 0, 42, true).unwrap();
