--- a/crates/sanddrum-cli/src/capacity.rs
+++ b/crates/sanddrum-cli/src/capacity.rs
@@ -22,6 +22,9 @@
     /// The files go here: capacity.json, points.csv, slopes.csv
     #[arg(long, value_name = "FOLDER", default_value = "capacity-results")]
     pub out: PathBuf,
+    /// Pictures of the slopes go here
+    #[arg(long, value_name = "FOLDER")]
+    pub plots: Option<PathBuf>,
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
 }
@@ -61,7 +64,8 @@
     let mut sink = Sink::new(output, summary);
     let ran = capacity::run(&plan, &args.only, &mut sink, &stop);
     print!("{}", sink.summary().text());
-    match ran {
+    let drawn = args.plots.as_ref().map_or(Ok(()), |folder| capacity::draw(folder, sink.points()));
+    match ran.and(drawn) {
         Err(problem) => fail(exit::TROUBLE, problem),
         Ok(()) if stop.is_set() => {
             println!("cut short by a signal: {} has what was measured until then", args.out.display());
--- a/crates/sanddrum-cli/tests/capacity.rs
+++ b/crates/sanddrum-cli/tests/capacity.rs
@@ -49,7 +49,7 @@
 #[rstest]
 fn the_short_plan_runs_to_its_end_and_leaves_all_files() {
     let folder = Folder::new("capacity-short");
-    let ran = capacity(&folder).arg("--short").output().unwrap();
+    let ran = capacity(&folder).arg("--short").arg("--plots").arg(folder.0.join("plots")).output().unwrap();
     let (told, text) = (String::from_utf8(ran.stderr).unwrap(), String::from_utf8(ran.stdout).unwrap());
     assert_eq!(ran.status.code(), Some(0), "{told}");
     let written = written(&folder);
@@ -59,6 +59,8 @@
         assert!(slopes.iter().any(|slope| slope["play"] == play), "{play}");
     }
     assert_eq!(text.lines().count(), slopes.len());
+    let picture = folder.0.join("plots/router-processor-time-a-call-by-workers.svg");
+    assert!(std::fs::read_to_string(picture).unwrap().starts_with("<svg"));
     for name in ["points.csv", "slopes.csv"] {
         let rows = std::fs::read_to_string(folder.0.join("out").join(name)).unwrap();
         let wanted = written[name.trim_end_matches(".csv")].as_array().unwrap().len();
--- a/crates/sanddrum-lab/src/capacity.rs
+++ b/crates/sanddrum-lab/src/capacity.rs
@@ -13,6 +13,7 @@
 mod memory;
 pub mod model;
 mod output;
+mod pictures;
 mod plan;
 mod point;
 pub mod real;
@@ -25,6 +26,7 @@
 
 pub use fit::{fit, Fit, Form};
 pub use output::{Output, Summary};
+pub use pictures::draw;
 pub use plan::{Memory, Plan, DEFAULT_PLAN, SHORT_PLAN};
 pub use point::{slopes, Point, Role, Slope, Source};
 pub use sink::{Sink, Stop};
