Homes looked at beyond a function's own follow the root of a small fleet, eight at most

At nine workers eight homes are nearly all, and where all are crowded each job tried them one by one. Lines: place, most and unsure, which took eight homes in any fleet where the root of the workers was taken before. Change: wide is the function's homes, and the root of the workers where that is more, but eight at most.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -803,6 +803,8 @@
         let width = self.width(function);
         let parts = if width > 2 * HOMES { width.div_ceil(HOMES) } else { 1 };
         let width = width.div_ceil(parts);
+        // In a small fleet, fewer: to look at most of it for a copy costs more than it finds.
+        let wide = width.max((self.listed.len() as f64).sqrt().ceil() as usize).min(2 * HOMES);
         let homes = Lazily::new(self.homes(held, hash_of((job.function, draw % parts as u64)), work));
         let place_at = |w: &Worker| function.place(w.row.worker);
 
@@ -817,7 +819,7 @@
         let presumes = often && spreads && !(believes && self.pressed());
         // A crowded home where jobs wait does not count: the next one stands in, at most one for each where a
         // wrong guess costs a load. Guards against all routers filling a hot function's first two homes.
-        let most = if self.terms.answers_miss { 2 * HOMES } else { 2 * HOMES.min(width) };
+        let most = if self.terms.answers_miss { wide } else { wide.min(2 * width) };
         let mut open_homes = 0;
         let maybe = homes.first(if presumes { most } else { 0 }).take_while(|w| {
             open_homes += usize::from(!(self.crowded(w) && self.queues(w)));
@@ -884,7 +886,7 @@
         // where it would load tells by its answer, and is asked only where a load there would end too late.
         let load_fits = |there: &(WorkerId, f64)| limit >= (load + there.1) as Micros;
         let untold = emptiest.filter(load_fits).map(|(there, _)| there);
-        let unsure = homes.first(2 * HOMES).filter(|w| !self.stands(&place_at(w))).map(|w| w.row.worker);
+        let unsure = homes.first(wide).filter(|w| !self.stands(&place_at(w))).map(|w| w.row.worker);
         let unsure: Vec<WorkerId> = unsure.filter(|w| Some(*w) != untold).collect();
         drop(homes);
         if self.terms.orders && self.ask(job.function, &unsure, out) {
