A module is weighed while its fleet still stands

The fleet's memory, once freed, was what the weighed modules got, and the process didn't grow: none was told at 1000 workers.

--- a/crates/sanddrum-lab/src/capacity/router.rs
+++ b/crates/sanddrum-lab/src/capacity/router.rs
@@ -198,6 +198,8 @@
     pub played: Played,
     /// Rounds of the whole play, to play them again.
     pub rounds: Vec<(Micros, sanddrum::Round)>,
+    /// Kept, as its memory, once freed, would be what a module that is weighed gets.
+    pub fleet: Fleet,
 }
 
 /// Plays one router through its warm-up and what is counted, within a bound on real time.
@@ -223,6 +225,7 @@
         links: fleet.links(),
         played,
         rounds: fleet.rounds.take().unwrap_or_default(),
+        fleet,
     }
 }
 
