What a hollow router's own turn brings waits for the next, as in an edge

With the bounded choice the real edge and the hollow router parted in a scenario of few connections: the hollow one had a fifth round in one instant, where an edge has four in a turn and the rest a microsecond later. A full connection had put the router among those that have a turn again at once.

--- a/crates/sanddrum-lab/src/capacity/hollow.rs
+++ b/crates/sanddrum-lab/src/capacity/hollow.rs
@@ -316,6 +316,8 @@
             }
             while let Some(router) = self.touched_routers.pop_first() {
                 self.router_turn(router);
+                // What its own turn brings waits for the next, as in an edge.
+                self.touched_routers.remove(&router);
             }
         }
         self.now = self.now.max(until);
