A worker that was away while suspected counts again as one of most that look ill

Change: a row told of a suspected worker puts it back into the set. A story with workers that drain and come back fails without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -312,6 +312,8 @@
             worker.row.size = 1.0;
         }
         let (told, size) = ((worker.report_at, row.worker), worker.row.size);
+        // Guards against a worker that was away while suspected: it would never count as one of most that look ill.
+        self.suspects.extend(worker.suspect.then_some(row.worker));
         match row.state {
             WorkerState::Ready => self.listed.put(row.worker.0, size),
             WorkerState::Draining | WorkerState::Gone => self.listed.remove(row.worker.0),
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -322,9 +322,10 @@
 }
 
 #[rstest]
-#[case::one_of_three(1, 0)]
-#[case::two_of_three(2, 1)]
-fn most_workers_looking_ill_is_not_believed(#[case] ill: u64, #[case] used: usize) {
+#[case::one_of_three(1, 0, false)]
+#[case::two_of_three(2, 1, false)]
+#[case::two_of_three_that_were_away_meanwhile(2, 1, true)]
+fn most_workers_looking_ill_is_not_believed(#[case] ill: u64, #[case] used: usize, #[case] away: bool) {
     let mut host = Host::new(3, &[("limits.probes", Value::Flag(true))]);
     for job in 0..ill {
         host.job(job, job);
@@ -333,6 +334,12 @@
         host.finish(job, Warmth::BeganLoad, 900_000);
     }
     let suspects: Vec<u64> = (0..3).filter(|w| host.count(|did| *did == Did::Probe(*w)) > 0).collect();
+    if away {
+        host.list(ListKind::Changes, suspects.iter().map(|w| row(*w, WorkerState::Draining, 0)).collect());
+        host.pass(200_000);
+        host.list(ListKind::Changes, suspects.iter().map(|w| row(*w, WorkerState::Ready, 0)).collect());
+        host.pass(200_000);
+    }
     let before = host.log.did.len();
     (10..30).for_each(|job| host.job(job, job));
     let sent = &host.log.did[before..];
