--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -335,8 +335,12 @@
     }
     let suspects: Vec<u64> = (0..3).filter(|w| host.count(|did| *did == Did::Probe(*w)) > 0).collect();
     if away {
-        host.list(ListKind::Changes, suspects.iter().map(|w| row(*w, WorkerState::Draining, 0)).collect());
-        host.pass(200_000);
+        host.list(ListKind::Changes, suspects.iter().map(|w| row(*w, WorkerState::Gone, 0)).collect());
+        for job in 50..60 {
+            host.job(job, job);
+            host.finish(job, Warmth::BeganLoad, 300_000);
+            host.pass(700_000);
+        }
         host.list(ListKind::Changes, suspects.iter().map(|w| row(*w, WorkerState::Ready, 0)).collect());
         host.pass(200_000);
     }
