How long cold starts take is told: the middle one and 99 in 100

The histogram was never made, so that no such figure came out; the short plan's test now looks for it. Checked: the command line's capacity tests.

--- a/crates/sanddrum-cli/tests/capacity.rs
+++ b/crates/sanddrum-cli/tests/capacity.rs
@@ -58,6 +58,7 @@
     for play in ["router among others, orders on", "real edge", "edge process", "many routers, calm"] {
         assert!(slopes.iter().any(|slope| slope["play"] == play), "{play}");
     }
+    assert!(slopes.iter().any(|slope| slope["figure"] == "cold start, 99 in 100"));
     assert_eq!(text.lines().count(), slopes.len());
     let picture = folder.0.join("plots/router-processor-time-a-call-by-workers.svg");
     assert!(std::fs::read_to_string(picture).unwrap().starts_with("<svg"));
--- a/crates/sanddrum-lab/src/capacity/start_target.rs
+++ b/crates/sanddrum-lab/src/capacity/start_target.rs
@@ -162,8 +162,7 @@
         others: None,
         seed: plan.seed,
     });
-    fleet.starts =
-        Starts { from: warm, until, within: l.span("capacity.start-within-us"), ..Starts::default() };
+    fleet.starts = Starts::new(warm, until, l.span("capacity.start-within-us"));
     match day {
         Day::Calm => {}
         Day::Failures => failures(plan, &mut fleet, size, warm, until),
