A cold start is a call that waited for a load; spare copies ordered beside a warm start make none

Any call held while its router ordered a copy of its function had counted, spare copies among them: the middle cold start took 0.6 ms. Now the order must go out before the execution does.

--- a/crates/sanddrum-lab/src/capacity/hollow/routers.rs
+++ b/crates/sanddrum-lab/src/capacity/hollow/routers.rs
@@ -183,14 +183,14 @@
     pub(super) fn give_up(&mut self, router: usize, id: JobId) {
         let Some(job) = self.hosts[router].jobs.get(&id).filter(|job| !job.closed) else { return };
         let (rare, came) = (self.functions.all[job.function].rare, job.came);
-        let loads = self.needed_load(router, job);
+        let loads = self.waited_for_load(router, job, self.now);
         self.starts.call(came, rare, loads, None);
         self.recall(router, id);
     }
-    /// It ordered a copy of the job's function while it held the job.
-    pub(super) fn needed_load(&self, router: usize, job: &HostedJob) -> bool {
+    /// A copy of the job's function was ordered while it was held here, before what is sent at this instant.
+    pub(super) fn waited_for_load(&self, router: usize, job: &HostedJob, sent: Micros) -> bool {
         let function = self.functions.all[job.function].id;
-        self.hosts[router].ordered.get(&function).is_some_and(|at| *at >= job.came)
+        self.hosts[router].ordered.get(&function).is_some_and(|at| (job.came..sent).contains(at))
     }
     /// Closes a job; what still waits to be written for it is not sent any more.
     pub(super) fn recall(&mut self, router: usize, id: JobId) {
@@ -214,7 +214,7 @@
                 if let (End::Finished, Some(job)) = (end, open) {
                     let (rare, came, work) = (self.functions.all[job.function].rare, job.came, job.work);
                     let loads = matches!(warmth, Warmth::BeganLoad | Warmth::WaitedForLoad)
-                        || self.needed_load(router, job);
+                        || self.waited_for_load(router, job, out.sent);
                     let way = self.way(self.hosts[router].zone, self.workers[worker].zone);
                     self.starts.call(came, rare, loads, Some(now - way - work as Micros - came));
                     self.hosts[router].counts.finished += 1;
--- a/crates/sanddrum-lab/src/capacity/starts.rs
+++ b/crates/sanddrum-lab/src/capacity/starts.rs
@@ -27,7 +27,7 @@
     pub within: Micros,
     pub all: Begun,
     pub rare: Begun,
-    /// A load was begun, waited for or ordered for it.
+    /// It had a load begun, waited for one, or was held while one was ordered.
     pub cold: Begun,
     /// Neither.
     pub warm: Begun,
