--- a/src/logic.rs
+++ b/src/logic.rs
@@ -78,8 +78,8 @@
 /// A function gets so many homes that each bears this part of a mean worker's load from it; half of it where
 /// a home wrongly presumed warm costs a miss and not a load.
 const HOME_PART: f64 = 0.5;
-/// Homes looked at for a job, and as many spares beyond them: a few draws find the emptier ones nearly as well as
-/// a look at all. A function with more than both is decided in parts, each with homes of its own.
+/// Homes looked at for a job, and as many spares beyond them: a few draws find the emptier ones nearly as
+/// well as a look at all. A function with more than both is decided in parts, each with homes of its own.
 const HOMES: usize = 4;
 /// They are looked for among this many times as many workers: more where half of them may not be called.
 const LOOKS: usize = 4;
@@ -312,7 +312,7 @@
             worker.row.size = 1.0;
         }
         let (told, size) = ((worker.report_at, row.worker), worker.row.size);
-        // Guards against a worker that was away while suspected: it would never count as one of most that look ill.
+        // Guards against one that was away while suspected: it would never count among most that look ill.
         self.suspects.extend(worker.suspect.then_some(row.worker));
         match row.state {
             WorkerState::Ready => self.listed.put(row.worker.0, size),
@@ -536,7 +536,7 @@
         self.earn_ask(found);
     }
 
-    /// A budget of asks that answers earn, so that a function that stands nowhere costs no more than others pay.
+    /// A budget of asks that answers earn: a function that stands nowhere costs no more than others pay.
     fn earn_ask(&mut self, earned: f64) {
         self.asks = (self.asks + earned).min((self.calls * EARNS_ASK).max(FEW_HOMES as f64));
     }
@@ -653,14 +653,14 @@
         let wanted = sure / self.calls.max(1.0) * fleet as f64 / part;
         (wanted.ceil() as usize).max(FEW_HOMES).min(fleet)
     }
-    /// A draw by which the lowest of several workers is each in proportion to its size over what it holds for it.
+    /// A draw by which the lowest of several workers is each in proportion to its size over what it holds.
     fn drawn(&self, by: u64, w: &Worker) -> f64 {
         let size = w.row.size.max(f64::MIN_POSITIVE);
         let held = 1.0 + w.held_now(self.now, self.middle.held);
         -(tie(FunctionId(by), w.row.worker) as f64 / u64::MAX as f64).ln() / size * held
     }
-    /// A function's homes where a job may go, by draws that favour large workers: all routers find the same ones
-    /// and share copies. Guards against a pass over a large fleet for each job: the next is found when it is
+    /// A function's homes where a job may go, by draws that favour large workers: all routers find the same
+    /// ones and share copies. Guards against a pass over a large fleet for each job: the next is found when it is
     /// needed. Only where hardly any may be called (a keyed job's group) a further try looks at all.
     fn homes<'a>(&'a self, held: &'a Held, key: u64, work: f64) -> impl Iterator<Item = &'a Worker> + 'a {
         let fits = move |w: &&Worker| self.may_get(held, w, work);
@@ -884,7 +884,7 @@
         let ahead = function.waiting.range(..id).count();
         let again = self.terms.orders && function.calls > 1.0 && underway == 0 && !self.loads_pressed();
 
-        // Exception: before a load, ask the function's other homes; other routers' loads are not told. The home
+        // Exception: before a load, ask the function's other homes; other routers' loads are not told. That
         // where it would load tells by its answer, and is asked only where a load there would end too late.
         let load_fits = |there: &(WorkerId, f64)| limit >= (load + there.1) as Micros;
         let untold = emptiest.filter(load_fits).map(|(there, _)| there);
