--- a/src/logic.rs
+++ b/src/logic.rs
@@ -660,8 +660,8 @@
         -(tie(FunctionId(by), w.row.worker) as f64 / u64::MAX as f64).ln() / size * held
     }
     /// A function's homes where a job may go, by draws that favour large workers: all routers find the same
-    /// ones and share copies. Guards against a pass over a large fleet for each job: the next is found when it is
-    /// needed. Only where hardly any may be called (a keyed job's group) a further try looks at all.
+    /// ones and share copies. Guards against a pass over a large fleet for each job: the next is found when
+    /// it is needed. Only where hardly any may be called (a keyed job's group) a further try looks at all.
     fn homes<'a>(&'a self, held: &'a Held, key: u64, work: f64) -> impl Iterator<Item = &'a Worker> + 'a {
         let fits = move |w: &&Worker| self.may_get(held, w, work);
         let drawn = move || self.listed.drawn(key).take(2 * HOMES * LOOKS);
