A start is dated by the feed and by the wall clock as it stands, before and after steps

Cause: EventLoop read the wall clock once (event_loop.rs, epoch) and feed.rs dated a start by it, so that a step made a new server an hour old; List::started (list.rs) compared dates, so that a start with an earlier date was stale news.

Change: Io::wall_clock gives the wall clock as it stands; sanddrum-platform/starts.rs (pure) takes the least age that a start may have, by the wall clock before and after the steps seen and by the feed (what an answer did not hold was told after it), and numbers starts in the order in which they are told. Ruled out: the feed alone, as a start told after a gap would count as new; the wall clock alone, as one that is an hour ahead from the router's start shows no step. Left: a wall clock that is ahead as a router starts, with a cold server in its start configuration: nothing there tells of the clock.

--- a/crates/sanddrum-cli/src/platform.rs
+++ b/crates/sanddrum-cli/src/platform.rs
@@ -41,7 +41,7 @@
 fn serve(mut driver: EventLoop, file: PathBuf, read: &Configuration) -> Result<Shutdown, String> {
     let settings = read.deployment()?;
     let now = driver.now();
-    let platform = Platform { known: read.told(now)?, kinds: read.kinds() };
+    let platform = Platform { known: read.told()?, kinds: read.kinds() };
     let (door, at) = EventLoop::bind(&read.listen).map_err(|e| format!("{}: {e}", read.listen))?;
     tracing::info!(listen = at, feed = read.feed, "a router of the platform begins");
     let start = Start {
--- a/crates/sanddrum-edge/src/feed.rs
+++ b/crates/sanddrum-edge/src/feed.rs
@@ -5,11 +5,14 @@
 use sanddrum::{ListKind, Micros};
 use sanddrum_net::{Conn, Event, Io};
 use sanddrum_platform::feed::{self, Told};
+use sanddrum_platform::starts::{Clocks, Starts};
 use sanddrum_wire::http;
 
 pub(crate) struct Feed {
     address: String,
     kinds: Vec<String>,
+    /// When the listed servers started.
+    starts: Starts,
     /// The last event held; its number is the only thing that a new connection needs.
     last: u64,
     /// The last answer counted an event that it did not bring.
@@ -19,14 +22,17 @@
 
 impl Feed {
     pub fn new(address: &str, kinds: Vec<String>) -> Self {
-        Feed { address: address.to_string(), kinds, last: 0, behind: false, bytes: Vec::new() }
+        let starts = Starts::default();
+        Feed { address: address.to_string(), kinds, starts, last: 0, behind: false, bytes: Vec::new() }
     }
 }
 
 impl Inner {
     /// Takes up events, in order, each once.
-    pub(crate) fn take_told(&mut self, now: Micros, told: Told) {
+    pub(crate) fn take_told(&mut self, clocks: Clocks, told: Told) {
         let Some(feed) = &mut self.feed else { return };
+        let now = clocks.now;
+        feed.starts.look_at_clocks(clocks);
         let held = feed.last;
         let newest = told.changes.iter().map(|change| change.n).max().unwrap_or(held).max(held);
         // An event that an answer counts and does not bring is asked for once more. Guards against one lost for good;
@@ -35,11 +41,15 @@
         feed.last = if behind && feed.behind { told.last } else { newest };
         feed.behind = behind && feed.last < told.last;
         for change in told.changes.into_iter().filter(|change| change.n > held) {
-            let Some((whole, rows)) = change.rows else { continue };
-            let kind = if whole { ListKind::Full } else { ListKind::Changes };
+            let (Some(list), Some(feed)) = (change.members, &mut self.feed) else { continue };
+            let rows = feed.starts.rows(now, list.members, list.complete);
+            let kind = if list.complete { ListKind::Full } else { ListKind::Changes };
             self.take_rows(now, kind, &rows);
             self.list.forget_gone();
         }
+        if let Some(feed) = self.feed.as_mut().filter(|feed| !feed.behind) {
+            feed.starts.all_told(now);
+        }
     }
 
     /// Asks the feed; where it does not answer in time it is called anew.
@@ -111,7 +121,7 @@
                     Ok(Some((answer, _))) if answer.status != 200 => Err(format!("status {}", answer.status)),
                     Ok(Some((answer, _))) => serde_json::from_slice(&answer.body)
                         .map_err(|e| e.to_string())
-                        .and_then(|json| feed::told(&json, &feed.kinds, now)),
+                        .and_then(|json| feed::told(&json, &feed.kinds)),
                     Err(bad) => Err(bad.reason().to_string()),
                 };
                 match told {
@@ -119,7 +129,7 @@
                     Ok(told) => {
                         feed.bytes = Vec::new();
                         self.list.backoff.good();
-                        self.take_told(now, told);
+                        self.take_told(Clocks { now, wall: io.wall_clock(now) }, told);
                         self.ask_feed(now, conn, io);
                     }
                 }
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -37,6 +37,7 @@
 use sanddrum_connect::{Connections, LinkId, Rests};
 use sanddrum_net::{Chance, Conn, Core, Event, Io, Micros};
 use sanddrum_platform::feed::Told;
+use sanddrum_platform::starts::Clocks;
 use sanddrum_settings::Loaded;
 use sanddrum_start::News;
 use speech::Speech;
@@ -320,7 +321,7 @@
         self.inner.began = now;
         self.inner.take_up_kept_list(now);
         if let Some(known) = self.inner.known.take() {
-            self.inner.take_told(now, known);
+            self.inner.take_told(Clocks { now, wall: io.wall_clock(now) }, known);
         }
         if self.inner.on_platform {
             return self.inner.call_for_list(now, io);
--- a/crates/sanddrum-edge/tests/host/mod.rs
+++ b/crates/sanddrum-edge/tests/host/mod.rs
@@ -6,7 +6,7 @@
 use sanddrum::*;
 use sanddrum_edge::{Edge, Module, Platform, Start};
 use sanddrum_net::{Closed, Conn, Core, Door, Event, Io, Peer};
-use sanddrum_platform::feed::{Change, Told};
+use sanddrum_platform::feed::{Change, Member, Members, Told};
 use sanddrum_wire::frame::frame;
 use sanddrum_wire::{http, Done, Ended, Frames, FromList, FromWorker, Hello, Phase, Row, Rows, ToWorker};
 use std::cell::RefCell;
@@ -148,8 +148,9 @@
     }
     /// An edge on the platform: its list as the start configuration told it, with one worker `w`.
     pub fn on_platform(set: &[(&str, &str)]) -> Host {
-        let rows = vec![row("w", 0, Phase::Ready)];
-        let known = Told { last: 1, changes: vec![Change { n: 1, rows: Some((true, rows)) }] };
+        let members = vec![Member { row: row("w", 0, Phase::Ready), up_since_ms: 0 }];
+        let members = Some(Members { complete: true, members });
+        let known = Told { last: 1, changes: vec![Change { n: 1, members }] };
         Host::begun(set, "", None, Some(Platform { known, kinds: vec![] }))
     }
     /// The same where the start configuration told of no list.
--- a/crates/sanddrum-edge/tests/platform_net.rs
+++ b/crates/sanddrum-edge/tests/platform_net.rs
@@ -291,7 +291,7 @@
         kept: None,
         incarnation: 1,
         metrics_page: None,
-        platform: Some(Platform { known: read.told(begun).unwrap(), kinds: read.kinds() }),
+        platform: Some(Platform { known: read.told().unwrap(), kinds: read.kinds() }),
     };
     net.add(0, &[DOOR], Box::new(Edge::with_settings(start, &read.module())));
     let web = Web {
--- a/crates/sanddrum-lab/src/capacity/metered.rs
+++ b/crates/sanddrum-lab/src/capacity/metered.rs
@@ -224,6 +224,9 @@
     fn peer(&self, conn: Conn) -> Option<Peer> {
         self.io.peer(conn)
     }
+    fn wall_clock(&self, now: Micros) -> Micros {
+        self.io.wall_clock(now)
+    }
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         self.outside(|this| {
             let wrote = this.io.write(conn, bytes);
--- a/crates/sanddrum-lab/src/tapped.rs
+++ b/crates/sanddrum-lab/src/tapped.rs
@@ -36,6 +36,9 @@
     fn peer(&self, conn: Conn) -> Option<Peer> {
         self.io.peer(conn)
     }
+    fn wall_clock(&self, now: Micros) -> Micros {
+        self.io.wall_clock(now)
+    }
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let taken = self.io.write(conn, bytes);
         self.recording.went(self.now, self.host, conn, &bytes[..taken]);
--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -138,17 +138,16 @@
 }
 
 impl EventLoop {
-    /// The clock starts at the time of day and only goes forward from there, so that instants kept over a restart
-    /// stay comparable.
+    /// The clock starts at the wall clock's time of day and goes on with the monotonic clock, whatever steps the wall clock
+    /// takes after that.
     pub fn new(tap: Box<dyn Tap>) -> io::Result<Self> {
-        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Ok(EventLoop {
             poller: Poller::new()?,
             sources: Sources::default(),
             hosts: Vec::new(),
             tap,
             begun: Instant::now(),
-            epoch: epoch.as_micros() as Micros,
+            epoch: wall_clock(),
             next_conn: 0,
             refused: Vec::new(),
             broken: Vec::new(),
@@ -450,6 +449,11 @@
     }
 }
 
+/// What the machine's wall clock shows.
+fn wall_clock() -> Micros {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros
+}
+
 /// Stands in a core's place while it is being called.
 struct Away;
 
--- a/crates/sanddrum-net/src/event_loop/sockets.rs
+++ b/crates/sanddrum-net/src/event_loop/sockets.rs
@@ -1,7 +1,7 @@
 //! What a core may ask of the event loop while it is being called.
 
 use super::{EventLoop, Source, Stream, LINGERING};
-use crate::{Conn, HostId, Io, Side};
+use crate::{Conn, HostId, Io, Micros, Side};
 use std::io::{ErrorKind, Write};
 
 pub(super) struct Sockets<'a> {
@@ -31,6 +31,9 @@
         self.driver.tap.opened(now, host, conn, Side::Connected, to);
         conn
     }
+    fn wall_clock(&self, _: Micros) -> Micros {
+        super::wall_clock()
+    }
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let torn = bytes.len() > 1
             && self.driver.hosts[self.host.0].as_mut().is_some_and(|hosted| hosted.torn.remove(&conn));
--- a/crates/sanddrum-net/src/lib.rs
+++ b/crates/sanddrum-net/src/lib.rs
@@ -90,6 +90,12 @@
     fn peer(&self, _conn: Conn) -> Option<Peer> {
         None
     }
+    /// What the machine's wall clock shows as the driver's clock shows `now`: microseconds since 1970. It may be stepped
+    /// at any time and by any span, so that it is only of use for dates that others have set; spans and deadlines are
+    /// of the driver's clock.
+    fn wall_clock(&self, now: Micros) -> Micros {
+        now
+    }
     /// Takes as many bytes as there is room for and says how many; after a short write `Writable` follows. What is
     /// taken may reach the other side; what is not taken never does.
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize;
--- a/crates/sanddrum-platform/src/feed.rs
+++ b/crates/sanddrum-platform/src/feed.rs
@@ -1,15 +1,32 @@
-//! The control feed: numbered events that change the list of workers, asked for over HTTP/1.1.
+//! The control feed: numbered events that change the list of model servers, asked for over HTTP/1.1.
 
 use sanddrum::Micros;
 use sanddrum_wire::{Phase, Row};
 use serde_json::Value as Json;
 
-/// One event that concerns the list.
+/// A model server as the feed describes it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Member {
+    /// All but its start, which [`crate::starts`] works out from the date below.
+    pub row: Row,
+    /// When its process started, in Unix milliseconds by the servers' wall clock; nought: long ago.
+    pub up_since_ms: i64,
+}
+
+/// What an event says of the list.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Members {
+    /// The whole list, or only what has changed.
+    pub complete: bool,
+    pub members: Vec<Member>,
+}
+
+/// One event of the feed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
     pub n: u64,
-    /// The whole list, or only what has changed; none where the event is about something else.
-    pub rows: Option<(bool, Vec<Row>)>,
+    /// None where the event is about something else than the list.
+    pub members: Option<Members>,
 }
 
 /// What the feed has told: the last number, and the events up to it.
@@ -32,29 +49,29 @@
 ///
 /// # Errors
 /// What can't be read, by its name.
-pub fn told(json: &Json, kinds: &[String], now: Micros) -> Result<Told, String> {
+pub fn told(json: &Json, kinds: &[String]) -> Result<Told, String> {
     let last = json["n"].as_u64().ok_or("n: a whole number is wanted")?;
     let events = match &json["events"] {
         Json::Null => &[][..],
         events => events.as_array().ok_or("events: a list is wanted")?,
     };
-    let changes = events.iter().map(|event| change(event, kinds, now)).collect::<Result<_, _>>()?;
+    let changes = events.iter().map(|event| change(event, kinds)).collect::<Result<_, _>>()?;
     Ok(Told { last, changes })
 }
 
-fn change(event: &Json, kinds: &[String], now: Micros) -> Result<Change, String> {
+fn change(event: &Json, kinds: &[String]) -> Result<Change, String> {
     let n = event["n"].as_u64().ok_or("events: n: a whole number is wanted")?;
     let members = &event["members"];
     if members.is_null() {
-        return Ok(Change { n, rows: None });
+        return Ok(Change { n, members: None });
     }
-    let whole = members["complete"].as_bool().unwrap_or(false);
+    let complete = members["complete"].as_bool().unwrap_or(false);
     let list = members["members"].as_array().ok_or("members: a list is wanted")?;
-    let rows = list.iter().map(|member| row(member, kinds, now)).collect::<Result<_, _>>()?;
-    Ok(Change { n, rows: Some((whole, rows)) })
+    let members = list.iter().map(|member| read_member(member, kinds)).collect::<Result<_, _>>()?;
+    Ok(Change { n, members: Some(Members { complete, members }) })
 }
 
-fn row(member: &Json, kinds: &[String], now: Micros) -> Result<Row, String> {
+fn read_member(member: &Json, kinds: &[String]) -> Result<Member, String> {
     let text = |name: &str| member[name].as_str().map(String::from);
     let name = text("id").ok_or("members: id: a text is wanted")?;
     let phase = match member["phase"].as_str() {
@@ -64,17 +81,16 @@
         other => return Err(format!("members: phase: unknown {other:?}")),
     };
     let kind = member["flavor"].as_str().and_then(|flavor| kinds.iter().position(|kind| kind == flavor));
-    let started = member["up_since_ms"].as_i64().unwrap_or(0).max(0);
-    Ok(Row {
+    let row = Row {
         address: text("host_port").unwrap_or_default(),
         zone: text("locality").unwrap_or_default(),
         cell: member["cell"].as_u64().unwrap_or(0) as u32,
         kind: kind.unwrap_or(kinds.len()) as u32,
         size: member["size"].as_f64().unwrap_or(1.0),
         phase,
-        // A later start is a later incarnation.
-        incarnation: started as u64,
-        age_us: if started > 0 { (now - started * 1000).max(0) } else { -1 },
+        incarnation: 0,
+        age_us: -1,
         name,
-    })
+    };
+    Ok(Member { row, up_since_ms: member["up_since_ms"].as_i64().unwrap_or(0).max(0) })
 }
--- a/crates/sanddrum-platform/src/start.rs
+++ b/crates/sanddrum-platform/src/start.rs
@@ -2,7 +2,7 @@
 //! S-expressions and checked as any others. The decision module's map comes from the dialect alone.
 
 use crate::feed::{self, Told};
-use sanddrum::{Micros, Settings};
+use sanddrum::Settings;
 use sanddrum_settings::Loaded;
 use serde_json::Value as Json;
 use std::fmt::Write;
@@ -76,15 +76,15 @@
             settings: json["settings"].clone(),
             module,
         };
-        read.told(0).map_err(|e| format!("known: {e}"))?;
+        read.told().map_err(|e| format!("known: {e}"))?;
         Ok(read)
     }
     /// The list as it stood when the configuration was written.
     ///
     /// # Errors
     /// What can't be read of it.
-    pub fn told(&self, now: Micros) -> Result<Told, String> {
-        feed::told(&self.known, &self.kinds(), now)
+    pub fn told(&self) -> Result<Told, String> {
+        feed::told(&self.known, &self.kinds())
     }
     pub fn kinds(&self) -> Vec<String> {
         sanddrum_dialect::names(&self.settings, "kinds")
--- a/crates/sanddrum-platform/tests/protocol.rs
+++ b/crates/sanddrum-platform/tests/protocol.rs
@@ -2,6 +2,8 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
+use sanddrum_platform::feed::Members;
+use sanddrum_platform::starts::{Clocks, Starts};
 use sanddrum_platform::{feed, frames, Configuration, Frames, Garbled};
 use sanddrum_wire::{Copy, Ended, Phase};
 use serde_json::json;
@@ -105,12 +107,15 @@
         {"n": 9, "members": {"revision": 2, "complete": false,
             "members": [member("a", "terminating", 0), member("b", "in_service", 5_000), member("c", "terminated", 0)]}},
     ]});
-    let told = feed::told(&json, &["slow".to_string(), "fast".to_string()], 7_000_000).unwrap();
+    let told = feed::told(&json, &["slow".to_string(), "fast".to_string()]).unwrap();
     assert_eq!((told.last, told.changes[0].n, told.changes[1].n), (9, 8, 9));
-    let (whole, rows) = told.changes[1].rows.clone().unwrap();
-    assert!(!whole && told.changes[0].rows.as_ref().unwrap().0);
-    let phases: Vec<Phase> = rows.iter().map(|row| row.phase).collect();
+    let Members { complete, members } = told.changes[1].members.clone().unwrap();
+    assert!(!complete && told.changes[0].members.as_ref().unwrap().complete);
+    let phases: Vec<Phase> = members.iter().map(|member| member.row.phase).collect();
     assert_eq!(phases, [Phase::Draining, Phase::Ready, Phase::Gone]);
+    let mut starts = Starts::default();
+    starts.look_at_clocks(Clocks { now: 7_000_000, wall: 7_000_000 });
+    let rows = starts.rows(7_000_000, members, complete);
     assert_eq!((rows[0].age_us, rows[1].age_us, rows[1].kind, rows[1].cell), (-1, 2_000_000, 1, 2));
 }
 
--- a/crates/sanddrum-tls/src/lib.rs
+++ b/crates/sanddrum-tls/src/lib.rs
@@ -329,6 +329,9 @@
             None => self.io.peer(conn),
         }
     }
+    fn wall_clock(&self, now: Micros) -> Micros {
+        self.io.wall_clock(now)
+    }
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         match self.inner.ends.get_mut(&conn) {
             Some(end) => {
