A request that has waited for its connection states the deadline that is left by then

Cause: carry.rs (execute) made the frame with the time left at the decision, and it lay in the link's outbox until its dial was up. Ruled out: holding requests back from the outbox, as all that is told of a broken link rests on what the outbox holds.

--- a/crates/sanddrum-edge/src/carry.rs
+++ b/crates/sanddrum-edge/src/carry.rs
@@ -1,6 +1,7 @@
 //! Carries out what the module decides, as it decides it.
 
-use crate::jobs::{Execution, Refusal};
+use crate::functions::Functions;
+use crate::jobs::{Execution, Job, Refusal};
 use crate::links::{Mark, Piece};
 use crate::{Due, Inner};
 use sanddrum::{Decisions, End, FunctionId, JobId, Micros, PeerId, Warmth, WorkerId};
@@ -12,6 +13,28 @@
     pub now: Micros,
 }
 
+/// What a worker is told of an execution that has so long.
+pub(crate) fn execute_message(
+    functions: &Functions,
+    job: &Job,
+    execution: u64,
+    limit: Micros,
+) -> wire::Execute {
+    let function = functions.get(job.function);
+    wire::Execute {
+        id: execution,
+        workload: functions.workloads.get(job.workload.0).cloned().unwrap_or_default(),
+        function: function.map(|f| f.name.clone()).unwrap_or_default(),
+        limit_us: limit,
+        memory_mb: function.map_or(0.0, |f| f.memory_mb),
+        lanes: function.map_or(1, |f| f.lanes),
+        mark: job.mark.clone(),
+        trace: job.trace.clone(),
+        body: job.body.clone(),
+        customer: job.customer.clone(),
+    }
+}
+
 impl Decisions for Carry<'_> {
     fn execute(&mut self, id: JobId, worker: WorkerId, limit: Micros) {
         let (inner, now) = (&mut *self.inner, self.now);
@@ -21,19 +44,7 @@
         job.executions.push(execution);
         job.out += 1;
         let limit = limit.min(job.due - now).max(0);
-        let function = inner.functions.get(job.function);
-        let message = wire::Execute {
-            id: execution,
-            workload: inner.functions.workloads.get(job.workload.0).cloned().unwrap_or_default(),
-            function: function.map(|f| f.name.clone()).unwrap_or_default(),
-            limit_us: limit,
-            memory_mb: function.map_or(0.0, |f| f.memory_mb),
-            lanes: function.map_or(1, |f| f.lanes),
-            mark: job.mark.clone(),
-            trace: job.trace.clone(),
-            body: job.body.clone(),
-            customer: job.customer.clone(),
-        };
+        let message = execute_message(&inner.functions, job, execution, limit);
         let call = job.number;
         let wire_id = if inner.speech.carries_call_ids() { call } else { execution };
         let closed = job.closed;
@@ -47,7 +58,8 @@
             inner.send(now, worker, piece, due)
         };
         let link = sent.unwrap_or(LinkId(u64::MAX));
-        inner.jobs.executions.insert(execution, Execution { job: id, number, worker, link, sent: now, due });
+        let record = Execution { job: id, number, worker, link, sent: now, stated: now, due };
+        inner.jobs.executions.insert(execution, record);
         tracing::debug!(job = id.0, execution = number, worker = inner.links.name(worker), limit, "executed");
         match sent {
             Ok(_) => {
--- a/crates/sanddrum-edge/src/jobs.rs
+++ b/crates/sanddrum-edge/src/jobs.rs
@@ -83,6 +83,8 @@
     pub worker: WorkerId,
     pub link: LinkId,
     pub sent: Micros,
+    /// When the deadline was worked out that its frame passes on.
+    pub stated: Micros,
     pub due: Micros,
 }
 
--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -3,6 +3,7 @@
 mod ends;
 mod errands;
 mod recall;
+mod restate;
 
 use crate::jobs::report_of;
 use crate::speech::Reader;
--- a/crates/sanddrum-net/src/outbox.rs
+++ b/crates/sanddrum-net/src/outbox.rs
@@ -50,6 +50,22 @@
         self.pieces.iter_mut().skip(n).for_each(|(at, _)| *at -= end - start);
         true
     }
+    /// Puts other bytes in the place of a piece of which nothing was written; true if that was still possible.
+    pub fn replace(&mut self, mark: &M, piece: &[u8]) -> bool {
+        let Some(n) = self.pieces.iter().position(|(_, m)| m == mark) else { return false };
+        if n == 0 && self.begun {
+            return false;
+        }
+        let start = if n == 0 { self.taken } else { self.pieces[n - 1].0 };
+        let end = self.pieces[n].0;
+        self.bytes.splice(start..end, piece.iter().copied());
+        self.pieces.iter_mut().skip(n).for_each(|(at, _)| *at = *at + piece.len() - (end - start));
+        true
+    }
+    /// The marks of pieces of which nothing was written.
+    pub fn unbegun(&self) -> impl Iterator<Item = &M> {
+        self.pieces.iter().skip(usize::from(self.begun)).map(|(_, mark)| mark)
+    }
     /// Writes what the socket takes.
     pub fn flush(&mut self, conn: Conn, io: &mut dyn Io) {
         self.write(self.bytes.len(), conn, io);
--- a/crates/sanddrum-net/tests/outbox.rs
+++ b/crates/sanddrum-net/tests/outbox.rs
@@ -92,3 +92,18 @@
     out.flush(Conn(0), &mut io);
     assert_eq!(io.wrote, b"aaabbb");
 }
+
+#[rstest]
+fn a_piece_that_is_not_begun_is_replaced_in_its_place_and_a_begun_one_is_not() {
+    let (mut out, mut io) = (Outbox::new(100), Narrow { room: 2, wrote: vec![] });
+    for (mark, piece) in [(1, &b"aaaa"[..]), (2, b"bbbbbb"), (3, b"cc")] {
+        out.push(mark, piece).unwrap();
+    }
+    out.flush(Conn(1), &mut io);
+    assert_eq!(out.unbegun().collect::<Vec<_>>(), [&2, &3]);
+    assert!(!out.replace(&1, b"x") && out.replace(&2, b"B") && out.replace(&3, b"CCCC"));
+    out.unblock();
+    io.room = 100;
+    out.flush(Conn(1), &mut io);
+    assert_eq!((io.wrote.as_slice(), out.waiting()), (&b"aaaaBCCCC"[..], 0));
+}
