A story of clients that ask and leave while the router stands still, known to fail

Seen: a router that is stopped for 0.25 s sends the request of a client on whose end lay behind it in the same buffer. Of four cases (kept and new connection, closed and withdrawn) one fails on the code before; a withdrawn request is read with its withdrawal. Cause by reading: streams.rs (read) reads once from a socket and the cores take their turns before the next poll.

--- a/crates/sanddrum-cli/tests/stalls.rs
+++ b/crates/sanddrum-cli/tests/stalls.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 use steered::*;
 
+const LEFT: &str = "00000000000000a1";
 const STAYS: &str = "00000000000000b2";
 /// What a model server may be told beyond what the client has left.
 const SLACK: Duration = Duration::from_millis(150);
@@ -19,6 +20,13 @@
     New,
 }
 
+/// How a client goes while the router stands still.
+#[derive(Clone, Copy)]
+enum Goes {
+    Closes,
+    Withdraws,
+}
+
 fn stalled_router(name: &str) -> (Router, Worker, Web, std::net::TcpStream) {
     let ((mut worker, worker_at), (feeds, feed_at)) = (Worker::listens(), listener());
     let router = Router::start(name, &feed_at, &worker_at, "once");
@@ -34,6 +42,36 @@
     (router, worker, kept, feed)
 }
 
+#[rstest]
+fn a_client_that_asked_and_left_during_a_stall_gets_no_attempt(
+    #[values(On::Kept, On::New)] on: On,
+    #[values(Goes::Closes, Goes::Withdraws)] goes: Goes,
+) {
+    let name = format!("left-{}-{}", on as u8, goes as u8);
+    let (router, mut worker, kept, _feed) = stalled_router(&name);
+    let mut client = if on == On::Kept { kept } else { Web::connects(&router.at) };
+    client.calls(2, LEFT);
+    let client = match goes {
+        Goes::Closes => {
+            drop(client);
+            None
+        }
+        Goes::Withdraws => {
+            client.withdraws(2);
+            Some(client)
+        }
+    };
+    std::thread::sleep(Duration::from_millis(250));
+    router.resume();
+    let mut stays = Web::connects(&router.at);
+    stays.calls(1, STAYS);
+    let next = worker.request();
+    assert_eq!(next.1.body, STAYS.as_bytes(), "an attempt for a client that had left");
+    worker.serve(&next);
+    assert_eq!(stays.answer().unwrap().status(), "200");
+    drop(client);
+}
+
 #[rstest]
 fn a_deadline_passed_on_after_a_stall_is_what_the_client_has_left(#[values(On::Kept, On::New)] on: On) {
     let (router, mut worker, kept, _feed) = stalled_router(&format!("deadline-{}", on as u8));
