Time counts from when bytes may have come, and all of a stall is read before anything is sent

Cause: the loop read once from each socket and then acted (streams.rs, read; event_loop.rs, step), and fronts.rs counted a client's time from the reading. Weighed: the kernel's receive time stamps, which are of the wall clock, want recvmsg with control messages and would be stepped with it; and when the loop last saw a socket empty. The second is taken: the loop looks at least every 40 ms, Io::earliest_arrival tells the look before the bytes came, a router that is never held up pays 25 wake-ups a second and no time of any request (arrival.rs).

After more than 60 ms between looks each socket is read to its end, new connections at once, and the loop looks again before the cores act; a turn during which the process was held up puts its writes off to the next. A listener or connection that the poller can't re-arm is tried again or reset (results were thrown away), one that was accepted and can't be registered is registered later. Ruled out: holding single writes back in the driver, as what gives up an attempt has to go before what follows it.

--- a/crates/sanddrum-edge/src/clients.rs
+++ b/crates/sanddrum-edge/src/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::functions::Unknown;
 use crate::jobs::{Answer, Call, Refusal};
-use crate::{Due, Inner, Owner};
+use crate::{arrival, Due, Inner, Owner};
 use sanddrum::{CustomerId, JobId, Micros};
 use sanddrum_connect::{ClientId, Old};
 use sanddrum_net::{Conn, Event, Io, Outbox};
@@ -33,6 +33,8 @@
     began: Option<Micros>,
     came: Micros,
     active: Micros,
+    /// From when on the time of what has come last counts.
+    from: Micros,
     ending: Ending,
     paused: bool,
     told_to_go_on: bool,
@@ -116,6 +118,7 @@
             began: None,
             came: now,
             active: now,
+            from: now,
             ending: Ending::No,
             paused: false,
             told_to_go_on: false,
@@ -138,6 +141,7 @@
                     client.began = Some(now);
                 }
                 client.bytes.extend_from_slice(bytes);
+                client.from = arrival::counts_from(now, io.earliest_arrival(now));
                 self.read_requests(now, conn, io);
             }
             Event::Writable { .. } => {
@@ -343,7 +347,8 @@
         })?;
         let (of, memory_mb, lanes, load) = (known.workload, known.memory_mb, known.lanes, known.load);
         let whole = self.settings.span(&format!("workloads.{}.time-limit-us", of.0));
-        let limit = limit.map_or(whole, |told| told.min(whole)) - self.limits.answer_ahead;
+        let waited = self.clients.clients.get(&conn).map_or(0, |client| (now - client.from).max(0));
+        let limit = limit.map_or(whole, |told| told.min(whole)) - self.limits.answer_ahead - waited;
         let field = |name: &str| request.field(name).map(String::from);
         let customers = self.settings.count("customers");
         let number = (0..customers)
--- a/crates/sanddrum-edge/src/fronts.rs
+++ b/crates/sanddrum-edge/src/fronts.rs
@@ -3,7 +3,7 @@
 
 use crate::clients::{missed, no_job, NoJob};
 use crate::jobs::{Answer, Call, Refusal};
-use crate::{Due, Inner, Owner};
+use crate::{arrival, Due, Inner, Owner};
 use sanddrum::{JobId, Micros, WorkloadId};
 use sanddrum_fastcgi::{self as fastcgi, Bounds, Request, Responder, Said, Status, Why};
 use sanddrum_net::{Conn, Event, Io, Outbox};
@@ -111,7 +111,8 @@
                 let Some(front) = self.fronts.fronts.get_mut(&conn) else { return };
                 front.active = now;
                 front.requests.take_in(bytes);
-                self.read_front(now, conn, io);
+                let from = arrival::counts_from(now, io.earliest_arrival(now));
+                self.read_front(now, from, conn, io);
             }
             Event::Writable { .. } => {
                 if let Some(front) = self.fronts.fronts.get_mut(&conn) {
@@ -125,7 +126,8 @@
         }
     }
 
-    fn read_front(&mut self, now: Micros, conn: Conn, io: &mut dyn Io) {
+    /// Takes up what has come whole; its clients' time counts from `from` on.
+    fn read_front(&mut self, now: Micros, from: Micros, conn: Conn, io: &mut dyn Io) {
         loop {
             let Some(front) = self.fronts.fronts.get_mut(&conn) else { return };
             let said = match front.requests.next_said() {
@@ -161,7 +163,7 @@
                 }
                 Said::Request { id, request } => {
                     front.spoke = true;
-                    self.take_front_request(now, conn, id, request);
+                    self.take_front_request(now, from, conn, id, request);
                 }
             }
         }
@@ -193,7 +195,7 @@
         }
     }
 
-    fn take_front_request(&mut self, now: Micros, conn: Conn, id: u16, request: Request) {
+    fn take_front_request(&mut self, now: Micros, from: Micros, conn: Conn, id: u16, request: Request) {
         let answer = match request.param("SCRIPT_NAME") {
             Some("/health") => {
                 let ready = !self.list.is_empty() || now >= self.began + READY_WITHOUT_LIST;
@@ -204,6 +206,7 @@
             _ => match self.front_call(now, &request) {
                 Ok(mut call) => {
                     call.body = request.body;
+                    call.limit = (call.limit - (now - from)).max(1);
                     let job = self.take_job(now, conn, u64::from(id), call);
                     if let Some(front) = self.fronts.fronts.get_mut(&conn) {
                         front.jobs.insert(id, job);
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -3,6 +3,7 @@
 //! out as it is decided. The edge itself chooses no worker, repeats nothing and gives no job up but at its own end.
 
 mod admission;
+mod arrival;
 mod carry;
 mod clients;
 mod connect;
@@ -147,6 +148,8 @@
     stop_at: Option<Micros>,
     /// That bound is reached: a request that has come in part is not waited for any more.
     ended: bool,
+    /// What there is to write waits for the next turn, as the process was held up in this one.
+    writes_put_off: bool,
     kept: Option<Vec<u8>>,
 }
 
@@ -229,6 +232,7 @@
             module_wake: None,
             stop_at: None,
             ended: false,
+            writes_put_off: false,
             kept: start.kept,
             settings: start.settings,
         };
@@ -362,13 +366,21 @@
             self.inner.ended = true;
         }
         self.connect(now, io);
+        // Once in a row: a process that is short of its processor would never write. Guards against an attempt that
+        // begins for a client whose end has come since the turn began.
+        self.inner.writes_put_off = !self.inner.writes_put_off && io.is_held_up();
+        if self.inner.writes_put_off {
+            return;
+        }
         self.inner.flush_links(now, io);
         self.inner.flush_clients(now, io);
         self.inner.flush_fronts(now, io);
     }
 
     fn wake(&self) -> Option<Micros> {
-        let news = (self.inner.has_news() || !self.inner.links.news.is_empty()).then_some(0);
+        let inner = &self.inner;
+        let is_due = inner.has_news() || !inner.links.news.is_empty() || inner.writes_put_off;
+        let news = is_due.then_some(0);
         let due = self.inner.due.first().map(|(at, _)| *at);
         due.into_iter().chain(self.inner.module_wake).chain(self.inner.connect_wake).chain(news).min()
     }
--- a/crates/sanddrum-lab/src/tapped.rs
+++ b/crates/sanddrum-lab/src/tapped.rs
@@ -39,6 +39,12 @@
     fn wall_clock(&self, now: Micros) -> Micros {
         self.io.wall_clock(now)
     }
+    fn earliest_arrival(&self, now: Micros) -> Micros {
+        self.io.earliest_arrival(now)
+    }
+    fn is_held_up(&self) -> bool {
+        self.io.is_held_up()
+    }
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let taken = self.io.write(conn, bytes);
         self.recording.went(self.now, self.host, conn, &bytes[..taken]);
--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -25,6 +25,15 @@
 const LINGER: Micros = 500_000;
 /// Connections that are being read out at a time; beyond that the first one goes, whatever is unread.
 const LINGERING: usize = 16;
+/// The loop looks for input at least this often, so that it is known within that when something came.
+const LOOK_EVERY: Micros = 40_000;
+/// Longer than this between two looks, and the process was held up: by a stop, or by others on its processor.
+const HELD_UP: Micros = 60_000;
+/// After such a time the loop looks again before any core acts, but no more often than this in a row: a loop whose
+/// looks themselves take that long has to get on.
+const LOOKS_WHEN_HELD_UP: usize = 3;
+/// Reads in a row from a connection whose input has waited, so that the other side's end behind it is seen.
+const READS_WHEN_HELD_UP: usize = 16;
 /// Looks for what has come meanwhile before the loop ends: somebody who never stops writing does not hold it.
 const LAST_LOOKS: usize = 100;
 
@@ -33,6 +42,8 @@
         host: HostId,
         door: Door,
         listener: TcpListener,
+        /// Connections may have waited here since then; none did when it was last accepted from.
+        unread_since: Option<Micros>,
     },
     Stream(Stream),
     /// Closed here, and read out: to close a socket that holds unread input resets the connection, which can destroy
@@ -74,6 +85,8 @@
     connecting: bool,
     paused: bool,
     wants_write: bool,
+    /// Input may have waited here since then; there was none when it was last read.
+    unread_since: Option<Micros>,
     /// Not in the poller: the other side hung up while nothing may be told of it, which would be told for ever.
     asleep: bool,
 }
@@ -110,6 +123,13 @@
     }
 }
 
+/// When the loop looked for input: what was not there at the last look but one has come since.
+#[derive(Clone, Copy, Debug)]
+struct Looks {
+    last: Micros,
+    before: Micros,
+}
+
 /// Why [`EventLoop::run`] came back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Shutdown {
@@ -127,6 +147,9 @@
     begun: Instant,
     epoch: Micros,
     next_conn: u64,
+    looks: Looks,
+    /// The earliest arrival of what a core is being told of, where it is input.
+    arrival: Option<Micros>,
     /// Connections refused before they began, and torn ones, told once the core is not being called.
     refused: Vec<(HostId, Conn)>,
     broken: Vec<(HostId, Conn)>,
@@ -141,13 +164,16 @@
     /// The clock starts at the wall clock's time of day and goes on with the monotonic clock, whatever steps the wall clock
     /// takes after that.
     pub fn new(tap: Box<dyn Tap>) -> io::Result<Self> {
+        let epoch = wall_clock();
         Ok(EventLoop {
             poller: Poller::new()?,
             sources: Sources::default(),
             hosts: Vec::new(),
             tap,
             begun: Instant::now(),
-            epoch: wall_clock(),
+            epoch,
+            looks: Looks { last: epoch, before: epoch },
+            arrival: None,
             next_conn: 0,
             refused: Vec::new(),
             broken: Vec::new(),
@@ -229,7 +255,8 @@
     }
     fn listen(&mut self, host: HostId, doors: Vec<TcpListener>) -> io::Result<()> {
         for (n, listener) in doors.into_iter().enumerate() {
-            let key = self.sources.insert(Source::Listener { host, door: Door(n), listener });
+            let key =
+                self.sources.insert(Source::Listener { host, door: Door(n), listener, unread_since: None });
             if let Some(Source::Listener { listener, .. }) = self.sources.get(key) {
                 self.poller.add_with_mode(listener, Ready::readable(key), PollMode::Level)?;
             }
@@ -357,21 +384,43 @@
         self.signals > 0
     }
 
-    /// Carries out what has come, waiting for it until this instant or the next due one; how much it was.
+    /// Carries out what has come, waiting for it until this instant or the next due one; how much it was. A process that
+    /// was held up looks once more before it acts on what is due: all that came meanwhile is to be told first.
     fn step(&mut self, until: Option<Micros>) -> io::Result<usize> {
+        let mut came = 0;
+        for looks in 1..=LOOKS_WHEN_HELD_UP {
+            let timeout = if looks == 1 { self.timeout(until) } else { Duration::ZERO };
+            let Some(found) = self.look(timeout)? else { return Ok(came + 1) };
+            came += found;
+            if self.now() - self.looks.before <= HELD_UP {
+                break;
+            }
+        }
+        self.turn();
+        Ok(came)
+    }
+    /// How long to wait for input.
+    fn timeout(&self, until: Option<Micros>) -> Duration {
+        if !(self.refused.is_empty() && self.broken.is_empty()) {
+            return Duration::ZERO;
+        }
         let wakes = self.hosts.iter().flatten().filter(|h| !h.frozen).filter_map(|h| h.core.wake());
         let files = self.hosts.iter().flatten().flat_map(|h| h.watched.iter().map(|w| w.next));
         let lingers = self.lingering.first().map(|(at, _)| *at);
         let next = wakes.chain(files).chain(until).chain(self.accepts_again).chain(lingers).min();
-        let waits = !(self.refused.is_empty() && self.broken.is_empty());
-        let timeout = next.map(|at| Duration::from_micros((at - self.now()).max(0) as u64));
+        let span = next.map_or(LOOK_EVERY, |at| (at - self.now()).clamp(0, LOOK_EVERY));
+        Duration::from_micros(span as u64)
+    }
+    /// Waits for input and tells the cores of it; how much it was, and none where the wait was interrupted.
+    fn look(&mut self, timeout: Duration) -> io::Result<Option<usize>> {
         let mut ready = Vec::new();
-        match self.poller.wait(&mut ready, if waits { Some(Duration::ZERO) } else { timeout }) {
+        match self.poller.wait(&mut ready, Some(timeout)) {
             // Guards against acting on due times before what came in meanwhile is read: a process that was stopped
             // and continued would take all others for silent.
-            Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(1),
+            Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(None),
             other => drop(other?),
         }
+        self.looks = Looks { last: self.now(), before: self.looks.last };
         let came = ready.len();
         for event in ready {
             match self.sources.get(event.key) {
@@ -391,6 +440,10 @@
         for (host, conn) in std::mem::take(&mut self.broken) {
             self.end(host, conn, Closed::Reset);
         }
+        Ok(Some(came))
+    }
+    /// What is due by the clock, and the cores' turns.
+    fn turn(&mut self) {
         if self.accepts_again.is_some_and(|at| at <= self.now()) {
             self.accept_again();
         }
@@ -410,7 +463,6 @@
                 self.call(HostId(n), |core, now, io| core.turn(now, io));
             }
         }
-        Ok(came)
     }
 
     fn signal(&mut self, key: usize) {
--- a/crates/sanddrum-net/src/event_loop/sockets.rs
+++ b/crates/sanddrum-net/src/event_loop/sockets.rs
@@ -1,6 +1,6 @@
 //! What a core may ask of the event loop while it is being called.
 
-use super::{EventLoop, Source, Stream, LINGERING};
+use super::{EventLoop, Source, Stream, HELD_UP, LINGERING};
 use crate::{Conn, HostId, Io, Micros, Side};
 use std::io::{ErrorKind, Write};
 
@@ -34,6 +34,12 @@
     fn wall_clock(&self, _: Micros) -> Micros {
         super::wall_clock()
     }
+    fn earliest_arrival(&self, now: Micros) -> Micros {
+        self.driver.arrival.unwrap_or(now)
+    }
+    fn is_held_up(&self) -> bool {
+        self.driver.now() - self.driver.looks.last > HELD_UP
+    }
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         let torn = bytes.len() > 1
             && self.driver.hosts[self.host.0].as_mut().is_some_and(|hosted| hosted.torn.remove(&conn));
@@ -81,8 +87,11 @@
         self.driver.forget(self.host, conn);
     }
     fn pause(&mut self, conn: Conn, paused: bool) {
+        let now = self.driver.now();
         if let Some((key, s)) = self.stream(conn) {
             s.paused = paused;
+            // Nothing is known of what comes until it is read again.
+            s.unread_since = s.unread_since.or(paused.then_some(now));
             self.driver.attend(key);
         }
     }
--- a/crates/sanddrum-net/src/event_loop/streams.rs
+++ b/crates/sanddrum-net/src/event_loop/streams.rs
@@ -1,7 +1,7 @@
 //! Connections on their sockets: taken in, watched for what they can make use of, read, ended.
 
-use super::{EventLoop, Source, Stream, ACCEPTS_AT_ONCE, ACCEPT_PAUSE, LINGER};
-use crate::{Closed, Conn, Event, HostId, Side};
+use super::{EventLoop, Source, Stream, ACCEPTS_AT_ONCE, ACCEPT_PAUSE, HELD_UP, LINGER, READS_WHEN_HELD_UP};
+use crate::{Closed, Conn, Event, HostId, Micros, Side};
 use polling::{Event as Ready, PollMode};
 use std::io::{ErrorKind, Read};
 use std::net::{Shutdown as Half, SocketAddr, TcpStream};
@@ -9,40 +9,72 @@
 
 impl EventLoop {
     pub(super) fn accept(&mut self, key: usize) {
+        let before = self.looks.before;
+        let Some(Source::Listener { unread_since, .. }) = self.sources.get_mut(key) else { return };
+        let since = *unread_since.get_or_insert(before);
         for _ in 0..ACCEPTS_AT_ONCE {
-            let Some(Source::Listener { host, door, listener }) = self.sources.get(key) else { return };
+            let Some(Source::Listener { host, door, listener, unread_since }) = self.sources.get_mut(key)
+            else {
+                return;
+            };
             let (host, door) = (*host, *door);
-            if self.host(host).is_none_or(|h| h.frozen) {
+            if self.hosts.get(host.0).and_then(Option::as_ref).is_none_or(|h| h.frozen) {
                 // A silent machine's kernel may still take connections; its process does not.
-                self.accepts_again = Some(self.now() + ACCEPT_PAUSE);
-                let _ = self.poller.modify_with_mode(listener, Ready::none(key), PollMode::Level);
-                return;
+                return self.pause_accepting(key);
             }
             match listener.accept() {
                 Ok((socket, _)) => {
                     if let Some(conn) = self.take_in(host, socket, false) {
                         self.tap.opened(self.now(), host, conn, Side::Accepted, "");
                         self.call(host, |core, now, io| core.event(now, Event::Accepted { conn, door }, io));
+                        self.read_accepted(host, conn, since);
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    *unread_since = None;
+                    return;
+                }
                 Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
                 Err(e) => {
                     tracing::warn!(reason = "no-descriptor", error = %e, "accepting pauses; raise the limit of open files");
-                    self.accepts_again = Some(self.now() + ACCEPT_PAUSE);
-                    let _ = self.poller.modify_with_mode(listener, Ready::none(key), PollMode::Level);
-                    return;
+                    return self.pause_accepting(key);
                 }
             }
         }
     }
+    fn pause_accepting(&mut self, key: usize) {
+        self.accepts_again = Some(self.now() + ACCEPT_PAUSE);
+        if let Some(Source::Listener { listener, .. }) = self.sources.get(key) {
+            let _ = self.poller.modify_with_mode(listener, Ready::none(key), PollMode::Level);
+        }
+    }
+    /// What a connection brings may have come as early as the connection itself.
+    fn read_accepted(&mut self, host: HostId, conn: Conn, since: Micros) {
+        let Some(key) = self.host(host).and_then(|h| h.conns.get(&conn)).copied() else { return };
+        if let Some(Source::Stream(s)) = self.sources.get_mut(key) {
+            s.unread_since = Some(since);
+            self.read(key, host, conn);
+        }
+    }
     pub(super) fn accept_again(&mut self) {
         self.accepts_again = None;
+        let mut failed = false;
         for (key, source) in &self.sources.all {
             if let Source::Listener { listener, .. } = source {
-                let _ = self.poller.modify_with_mode(listener, Ready::readable(*key), PollMode::Level);
+                let interest = Ready::readable(*key);
+                failed |= self.poller.modify_with_mode(listener, interest, PollMode::Level).is_err();
             }
         }
+        let asleep = |source: &Source| matches!(source, Source::Stream(s) if s.asleep);
+        let unwatched: Vec<usize> =
+            self.sources.all.iter().filter(|(_, source)| asleep(source)).map(|(key, _)| *key).collect();
+        for key in unwatched {
+            self.attend(key);
+        }
+        // Guards against a listener that stays shut for good because the poller once had no memory.
+        if failed {
+            self.accepts_again = Some(self.now() + ACCEPT_PAUSE);
+        }
     }
     pub(super) fn take_in(&mut self, host: HostId, socket: TcpStream, connecting: bool) -> Option<Conn> {
         socket.set_nonblocking(true).ok()?;
@@ -57,14 +89,23 @@
             connecting,
             paused: false,
             wants_write: connecting,
+            unread_since: None,
             asleep: false,
         };
         let key = self.sources.insert(Source::Stream(stream));
         let Some(Source::Stream(stream)) = self.sources.get(key) else { return None };
         let interest = if connecting { Ready::writable(key) } else { Ready::readable(key) };
-        if self.poller.add_with_mode(&stream.socket, interest, PollMode::Level).is_err() {
-            self.sources.all.remove(&key);
-            return None;
+        if let Err(e) = self.poller.add_with_mode(&stream.socket, interest, PollMode::Level) {
+            tracing::warn!(reason = "poller", error = %e, accepted = !connecting, "a connection can't be watched yet");
+            if connecting {
+                self.sources.all.remove(&key);
+                return None;
+            }
+            // Guards against a request that lies unread on a connection that was accepted: it is watched a little later.
+            if let Some(Source::Stream(stream)) = self.sources.get_mut(key) {
+                stream.asleep = true;
+            }
+            self.accepts_again = Some(self.now() + ACCEPT_PAUSE);
         }
         if let Some(Some(hosted)) = self.hosts.get_mut(host.0) {
             hosted.conns.insert(conn, key);
@@ -81,7 +122,11 @@
             writable: !frozen && s.wants_write,
         };
         if !s.asleep {
-            let _ = self.poller.modify_with_mode(&s.socket, interest, PollMode::Level);
+            if let Err(e) = self.poller.modify_with_mode(&s.socket, interest, PollMode::Level) {
+                // Guards against a connection that waits for ever: nothing more would be heard of it.
+                tracing::warn!(reason = "poller", error = %e, "a connection can't be watched any more and is reset");
+                self.broken.push((s.host, s.conn));
+            }
         } else if interest.readable || interest.writable {
             s.asleep = self.poller.add_with_mode(&s.socket, interest, PollMode::Level).is_err();
         }
@@ -113,24 +158,52 @@
             self.read(event.key, host, conn);
         }
     }
+    /// Reads what has come, and where it may have waited for long all of it, up to the other side's end. Guards against
+    /// what is sent on for somebody whose end lies in the same buffer behind what was asked.
     pub(super) fn read(&mut self, key: usize, host: HostId, conn: Conn) {
-        let Some(Source::Stream(s)) = self.sources.get_mut(key) else { return };
-        if s.conn != conn || s.paused {
-            return;
+        let before = self.looks.before;
+        for _ in 0..READS_WHEN_HELD_UP {
+            let Some(Source::Stream(s)) = self.sources.get_mut(key) else { return };
+            if s.conn != conn || s.paused {
+                return;
+            }
+            let since = *s.unread_since.get_or_insert(before);
+            let is_read = self.read_once(key, host, conn, since);
+            if is_read || self.now() - since <= HELD_UP {
+                return;
+            }
         }
+    }
+    /// One read; true where there is nothing more to read.
+    fn read_once(&mut self, key: usize, host: HostId, conn: Conn, since: Micros) -> bool {
+        let Some(Source::Stream(s)) = self.sources.get_mut(key) else { return true };
         let mut buffer = std::mem::take(&mut self.buffer);
         let read = s.socket.read(&mut buffer);
-        match read {
-            Ok(0) => self.end(host, conn, Closed::InOrder),
+        if read.as_ref().map_or_else(|e| e.kind() == ErrorKind::WouldBlock, |n| *n < buffer.len()) {
+            s.unread_since = None;
+        }
+        let ended = match read {
+            Ok(0) => {
+                self.end(host, conn, Closed::InOrder);
+                true
+            }
             Ok(n) => {
                 let bytes = &buffer[..n];
                 self.tap.came(self.now(), host, conn, bytes);
+                self.arrival = Some(since);
                 self.call(host, |core, now, io| core.event(now, Event::Bytes { conn, bytes }, io));
+                self.arrival = None;
+                false
             }
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
-            Err(_) => self.end(host, conn, Closed::Reset),
-        }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => true,
+            Err(e) if e.kind() == ErrorKind::Interrupted => false,
+            Err(_) => {
+                self.end(host, conn, Closed::Reset);
+                true
+            }
+        };
         self.buffer = buffer;
+        ended
     }
     /// The other side, or the network, ended it.
     pub(super) fn end(&mut self, host: HostId, conn: Conn, how: Closed) {
--- a/crates/sanddrum-net/src/lib.rs
+++ b/crates/sanddrum-net/src/lib.rs
@@ -96,6 +96,16 @@
     fn wall_clock(&self, now: Micros) -> Micros {
         now
     }
+    /// The earliest instant at which what the core is being told of may have come to this machine. It lies before `now`
+    /// where the process was held up and what came meanwhile waited in the kernel's buffers.
+    fn earliest_arrival(&self, now: Micros) -> Micros {
+        now
+    }
+    /// Whether so long has passed since the driver last looked for input that what would be written now may be against
+    /// what has come meanwhile. A core that is told so may put its writes off to its next turn, which comes after a look.
+    fn is_held_up(&self) -> bool {
+        false
+    }
     /// Takes as many bytes as there is room for and says how many; after a short write `Writable` follows. What is
     /// taken may reach the other side; what is not taken never does.
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize;
--- a/crates/sanddrum-tls/src/lib.rs
+++ b/crates/sanddrum-tls/src/lib.rs
@@ -332,6 +332,12 @@
     fn wall_clock(&self, now: Micros) -> Micros {
         self.io.wall_clock(now)
     }
+    fn earliest_arrival(&self, now: Micros) -> Micros {
+        self.io.earliest_arrival(now)
+    }
+    fn is_held_up(&self) -> bool {
+        self.io.is_held_up()
+    }
     fn write(&mut self, conn: Conn, bytes: &[u8]) -> usize {
         match self.inner.ends.get_mut(&conn) {
             Some(end) => {
