--- a/crates/sanddrum-cli/src/main.rs
+++ b/crates/sanddrum-cli/src/main.rs
@@ -1,7 +1,7 @@
 //! The operators' command line.
 
 use clap::{Args, Parser, Subcommand};
-use sanddrum_cli::{call, capacity, certs, config, edge, exit, fail, fleet, keys, lab, load, logs};
+use sanddrum_cli::{call, capacity, certs, config, edge, exit, fail, fleet, keys, lab, load, logs, soak};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -104,6 +104,11 @@
                             (variant \"random\" (decides random))."
     )]
     Experiment(lab::ExperimentArgs),
+    /// Play routers as processes under overlapping troubles, and judge them from what their peers saw
+    #[command(after_help = "Examples:
+  sanddrum lab soak --platform --seed 7           a minute of troubles among 30 routers
+  sanddrum lab soak --platform --replay 7 --keep  the run of a find again, with its logs")]
+    Soak(soak::SoakArgs),
     /// Measure what each part of a deployment costs as it grows, and the slope of each figure
     #[command(after_help = "Examples:
   sanddrum lab capacity --out capacity            all plays at the operators' expected sizes
@@ -156,6 +161,7 @@
         What::Lab(Lab::Load(args)) => load::load(args),
         What::Lab(Lab::Experiment(args)) => lab::experiment(args),
         What::Lab(Lab::Hunt(args)) => lab::hunt(args),
+        What::Lab(Lab::Soak(args)) => soak::run(args),
         What::Lab(Lab::Capacity(args)) => capacity::run(args),
         What::Lab(Lab::Measure(args)) => load::run(args),
         What::Config(Config::Check { file, scenario }) => config::check(file, *scenario),
--- a/crates/sanddrum-faults/src/lib.rs
+++ b/crates/sanddrum-faults/src/lib.rs
@@ -9,7 +9,7 @@
 use layout::{Word, BYTES, CONTROL_VARIABLE};
 use libc::{c_int, c_void, clockid_t, size_t, sockaddr, socklen_t, ssize_t, time_t, timespec, timeval};
 use std::ffi::CStr;
-use std::sync::atomic::{AtomicPtr, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicPtr, AtomicU64, Ordering};
 
 const MICROS: i64 = 1_000_000;
 const MILLION: u64 = 1_000_000;
@@ -118,6 +118,22 @@
     }};
 }
 
+/// Descriptors below this are told apart by who made their connection.
+const DESCRIPTORS: usize = 4096;
+/// Whether a descriptor's connection was made from here. Only those break: one that a client made is the client's, and a
+/// break of it would be the client's loss.
+static MADE_HERE: [AtomicBool; DESCRIPTORS] = [const { AtomicBool::new(false) }; DESCRIPTORS];
+
+fn set_made_here(fd: c_int, made_here: bool) {
+    if let Some(known) = usize::try_from(fd).ok().and_then(|fd| MADE_HERE.get(fd)) {
+        known.store(made_here, Ordering::Relaxed);
+    }
+}
+fn is_made_here(fd: c_int) -> bool {
+    let known = usize::try_from(fd).ok().and_then(|fd| MADE_HERE.get(fd));
+    known.is_some_and(|made_here| made_here.load(Ordering::Relaxed))
+}
+
 /// Whether this is a TCP socket: only those fail, never the pipes by which a process hears its signals.
 fn is_tcp(fd: c_int) -> bool {
     let (mut domain, mut length): (c_int, socklen_t) = (0, 4);
@@ -190,8 +206,8 @@
     [libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EINTR, libc::EPROTO];
 const SOCKET_ERRORS: [c_int; 2] = [libc::ENFILE, libc::ENOBUFS];
 const CONNECT_ERRORS: [c_int; 3] = [libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::ENOBUFS];
-/// Of a failing read or write of a socket: one in so many breaks the connection, half of the rest are interrupted and
-/// half are short.
+/// Of a failing read or write of a socket: one in so many breaks a connection that was made from here, half of the rest are
+/// interrupted and half are short.
 const BREAKS: u64 = 8;
 const BREAK_ERRORS: [c_int; 3] = [libc::ETIMEDOUT, libc::EHOSTUNREACH, libc::ECONNRESET];
 
@@ -208,7 +224,9 @@
         return fail_with(&ACCEPT_ERRORS);
     }
     type Accept = unsafe extern "C" fn(c_int, *mut sockaddr, *mut socklen_t, c_int) -> c_int;
-    real!(c"accept4", Accept)(fd, address, length, flags)
+    let accepted = real!(c"accept4", Accept)(fd, address, length, flags);
+    set_made_here(accepted, false);
+    accepted
 }
 
 /// # Safety
@@ -228,6 +246,7 @@
     if is_tcp(fd) && fails(Word::Connect, Word::ConnectsFailed) {
         return fail_with(&CONNECT_ERRORS);
     }
+    set_made_here(fd, true);
     type Connect = unsafe extern "C" fn(c_int, *const sockaddr, socklen_t) -> c_int;
     real!(c"connect", Connect)(fd, address, length)
 }
@@ -243,7 +262,7 @@
         return None;
     }
     Some(match draw() % BREAKS {
-        0 => {
+        0 if is_made_here(fd) => {
             // A connection that is broken stays so.
             // SAFETY: a descriptor of the caller's.
             unsafe { libc::shutdown(fd, libc::SHUT_RDWR) };
--- a/crates/sanddrum-lab/src/faults.rs
+++ b/crates/sanddrum-lab/src/faults.rs
@@ -55,12 +55,13 @@
         self.file.read_exact_at(&mut bytes, word as u64 * 8)?;
         Ok(u64::from_ne_bytes(bytes))
     }
-    /// Has a process that is about to start load the library with this control block.
+    /// Has a process that is about to start load the library, which is built beside the program that runs now, with this
+    /// control block.
     ///
     /// # Errors
     /// The library is not built.
     pub fn preload(&self, command: &mut Command) -> io::Result<()> {
-        command.env("LD_PRELOAD", library(Path::new(command.get_program()))?);
+        command.env("LD_PRELOAD", library(&std::env::current_exe()?)?);
         command.env(CONTROL_VARIABLE, &self.path);
         Ok(())
     }
@@ -72,10 +73,10 @@
     }
 }
 
-/// The preloaded library, which cargo builds beside the program or one folder below.
+/// The preloaded library, which cargo builds beside a program, or beside its dependencies.
 fn library(program: &Path) -> io::Result<PathBuf> {
     let folder = program.parent().unwrap_or(Path::new(""));
-    let places = [folder.join("deps").join(LIBRARY), folder.join(LIBRARY)];
+    let places = [folder.join(LIBRARY), folder.join("deps").join(LIBRARY)];
     places.into_iter().find(|place| place.exists()).ok_or_else(|| {
         let text = format!("{LIBRARY} is not beside {}: build the workspace", program.display());
         io::Error::new(io::ErrorKind::NotFound, text)
--- a/crates/sanddrum-lab/src/lib.rs
+++ b/crates/sanddrum-lab/src/lib.rs
@@ -23,6 +23,7 @@
 mod scenario;
 mod schema;
 mod sizes;
+pub mod soak;
 mod sockets;
 mod stage;
 mod storm;
--- /dev/null
+++ b/crates/sanddrum-lab/src/soak/environment.rs
@@ -0,0 +1,465 @@
+//! The test environment of a soak run: routers as processes, clients, model servers and the feed on one event loop, and the
+//! troubles carried out between them.
+
+use super::clients::{Clients, Front, Steering as ClientSteering};
+use super::feed::{Feed, Mood as FeedMood, Tale};
+use super::ledger::{Drain, FeedTrouble, RouterId, ServerId, Shared, Span, Start};
+use super::routers::Router;
+use super::servers::{Mood as ServerMood, Server, Steering as ServerSteering};
+use super::settings::{Fleet, Terms};
+use super::troubles::{Moment, Trouble};
+use crate::faults::Word;
+use sanddrum_net::{Chance, Door, EventLoop, HostId, Micros, NoTap};
+use serde_json::{json, Value as Json};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+const S: Micros = 1_000_000;
+/// How often the environment looks at processes and troubles.
+const LOOK_EVERY: Micros = 2_000;
+/// The lab's own loop is late where it comes back so much after that.
+const LATE: Micros = 10_000;
+/// After SIGTERM the front opens new connections for so long, and asks on open ones for so long.
+const CONNECTS_AFTER_TERM: Micros = 300_000;
+const ASKS_AFTER_TERM: Micros = 500_000;
+/// The front learns so long after a kill that a router is gone.
+const KILL_NOTICED: Micros = 300_000;
+/// A killed router is started again after this.
+const KILL_DOWN: Micros = 400_000;
+/// A drained server leaves after this.
+const DRAIN_LASTS: Micros = 2 * S;
+const SERVER_SIZE: f64 = 4.0;
+
+/// A place at which model servers stand, one after the other.
+struct Place {
+    host: HostId,
+    address: String,
+    name: String,
+    server: ServerId,
+    up_since_ms: i64,
+    steering: Rc<RefCell<ServerSteering>>,
+    /// It drains, and is replaced then.
+    leaves_at: Option<Micros>,
+}
+
+/// What happens later to a router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Serving,
+    /// Asked to end, or killed, then.
+    Ending(Micros),
+    StartsAt(Micros),
+}
+
+/// What ends a trouble.
+enum Undo {
+    Resume(usize),
+    CallsWork(usize),
+    Behaves(usize),
+    Thaws(usize),
+    FeedWell,
+    ClientsWell,
+    Rate,
+    HangUp,
+}
+
+pub struct Environment {
+    pub driver: EventLoop,
+    pub fleet: Fleet,
+    pub terms: Terms,
+    pub ledger: Shared,
+    pub routers: Vec<Router>,
+    pub clients: Rc<RefCell<ClientSteering>>,
+    phases: Vec<Phase>,
+    places: Vec<Place>,
+    tale: Rc<RefCell<Tale>>,
+    chance: Chance,
+    program: PathBuf,
+    undo: Vec<(Micros, Undo)>,
+    servers_started: usize,
+    /// How far the servers' wall clock is from the lab's, and each router's.
+    servers_clock: Micros,
+    router_clocks: Vec<Micros>,
+    rate: f64,
+    /// How often each kind of trouble came.
+    pub came: BTreeMap<&'static str, u64>,
+}
+
+/// The part of clients that behave badly all the time.
+const BAD_CLIENTS: f64 = 0.12;
+
+impl Environment {
+    /// Sets the fleet up; routers are started and not yet asked.
+    ///
+    /// # Errors
+    /// A listener, file or process can't be made.
+    pub fn new(
+        fleet: Fleet,
+        terms: Terms,
+        rate: f64,
+        folder: &Path,
+        program: PathBuf,
+        ledger: Shared,
+    ) -> io::Result<Self> {
+        let mut driver = EventLoop::new(Box::new(NoTap))?;
+        let (mut places, mut members) = (Vec::new(), Vec::new());
+        for n in 0..fleet.servers {
+            let (address, name) = (fleet.server_address(n), format!("s-{n:08x}"));
+            let steering =
+                Rc::new(RefCell::new(ServerSteering { mood: ServerMood::Well, was_frozen: false }));
+            let id = ServerId(n);
+            let server = Server::new(id, SERVER_SIZE, None, terms.clone(), ledger.clone(), steering.clone());
+            let host = driver.add(Box::new(server), vec![EventLoop::bind(&address)?.0], None)?;
+            ledger.borrow_mut().starts.push(Start { server: id, at: 0, size: SERVER_SIZE, long_ago: true });
+            members.push(member(&name, &address, "in_service", 0));
+            places.push(Place { host, address, name, server: id, up_since_ms: 0, steering, leaves_at: None });
+        }
+        let tale = Rc::new(RefCell::new(Tale::of(members)));
+        let doors = [0, 1].map(|door| EventLoop::bind(&fleet.feed_address(door)));
+        let [first, second] = doors;
+        driver.add(Box::new(Feed::new(tale.clone())), vec![first?.0, second?.0], None)?;
+        let clients = Rc::new(RefCell::new(ClientSteering {
+            fronts: vec![Front { looks: true, ..Front::default() }; fleet.routers],
+            rate,
+            bad: BAD_CLIENTS,
+            over: false,
+            half_written: 0,
+            answers: 0,
+        }));
+        let core = Clients::new(fleet.clone(), terms.clone(), ledger.clone(), clients.clone());
+        driver.add(Box::new(core), vec![], None)?;
+        let routers = (0..fleet.routers).map(|n| Router::new(RouterId(n), folder));
+        let routers: Vec<Router> = routers.collect::<io::Result<_>>()?;
+        let mut environment = Environment {
+            chance: Chance::new(fleet.seed ^ 0xe71),
+            phases: vec![Phase::Serving; routers.len()],
+            router_clocks: vec![0; routers.len()],
+            servers_started: fleet.servers,
+            driver,
+            fleet,
+            terms,
+            ledger,
+            routers,
+            clients,
+            places,
+            tale,
+            program,
+            undo: Vec::new(),
+            servers_clock: 0,
+            rate,
+            came: BTreeMap::new(),
+        };
+        for n in 0..environment.routers.len() {
+            environment.start_router(n)?;
+        }
+        Ok(environment)
+    }
+    pub fn now(&self) -> Micros {
+        self.driver.now()
+    }
+    /// Whether every router has been ready since its last start.
+    pub fn all_ready(&self) -> bool {
+        self.clients.borrow().fronts.iter().all(|front| front.asks)
+    }
+
+    /// Runs for a moment, and looks at processes and at what ends.
+    ///
+    /// # Errors
+    /// The loop can't go on, or a process can't be started.
+    pub fn step(&mut self) -> io::Result<()> {
+        let until = self.now() + LOOK_EVERY;
+        self.driver.run_until(until)?;
+        let now = self.now();
+        if now > until + LATE {
+            self.ledger.borrow_mut().lab_late.push(Span { from: until, to: now });
+        }
+        for n in 0..self.routers.len() {
+            self.look_at_router(now, n)?;
+        }
+        for n in 0..self.places.len() {
+            if self.places[n].leaves_at.is_some_and(|at| at <= now) {
+                self.replace_server(n, true)?;
+            }
+        }
+        let due: Vec<(Micros, Undo)> = {
+            let (due, later) = std::mem::take(&mut self.undo).into_iter().partition(|(at, _)| *at <= now);
+            self.undo = later;
+            due
+        };
+        due.into_iter().try_for_each(|(_, undo)| self.end_trouble(now, undo))
+    }
+
+    // ---- Routers
+
+    fn start_router(&mut self, n: usize) -> io::Result<()> {
+        let now = self.now();
+        self.routers[n].configure(&self.terms, &self.fleet, self.tale.borrow().known())?;
+        self.routers[n].start(now, &self.program, &self.ledger)?;
+        self.phases[n] = Phase::Serving;
+        self.clients.borrow_mut().fronts[n] = Front { looks: true, ..Front::default() };
+        Ok(())
+    }
+    fn look_at_router(&mut self, now: Micros, n: usize) -> io::Result<()> {
+        self.routers[n].look(now, &self.ledger);
+        let running = self.routers[n].is_running();
+        {
+            let mut clients = self.clients.borrow_mut();
+            let front = &mut clients.fronts[n];
+            if let (Some(at), false, Phase::Serving) = (front.ready_at, front.asks, self.phases[n]) {
+                (front.connects, front.asks, front.looks) = (true, true, false);
+                let mut ledger = self.ledger.borrow_mut();
+                let life = ledger.lives.get_mut(&RouterId(n)).and_then(|lives| lives.last_mut());
+                life.into_iter().for_each(|life| life.ready = life.ready.or(Some(at)));
+            }
+            if let Phase::Ending(since) = self.phases[n] {
+                front.connects &= now < since + CONNECTS_AFTER_TERM;
+                front.asks &= now < since + ASKS_AFTER_TERM;
+            }
+        }
+        match self.phases[n] {
+            Phase::Ending(since) if !running && now >= since + KILL_NOTICED => {
+                self.clients.borrow_mut().fronts[n] = Front::default();
+                self.phases[n] = Phase::StartsAt(now + KILL_DOWN);
+            }
+            Phase::StartsAt(at) if at <= now && !self.clients.borrow().over => self.start_router(n)?,
+            _ => {}
+        }
+        Ok(())
+    }
+    /// Routers that serve, drawn, so many at the most.
+    fn some_routers(&mut self, count: usize) -> Vec<usize> {
+        let serving = |n: &usize| self.phases[*n] == Phase::Serving && self.routers[*n].is_running();
+        let mut all: Vec<usize> = (0..self.routers.len()).filter(serving).collect();
+        let mut drawn = Vec::new();
+        while drawn.len() < count && !all.is_empty() {
+            drawn.push(all.remove(self.chance.below(all.len())));
+        }
+        drawn
+    }
+
+    // ---- Model servers and the feed
+
+    fn wall_ms(&self, now: Micros) -> i64 {
+        (now + self.servers_clock) / 1000
+    }
+    fn some_places(&mut self, count: usize) -> Vec<usize> {
+        let stands = |n: &usize| self.places[*n].leaves_at.is_none();
+        let mut all: Vec<usize> = (0..self.places.len()).filter(stands).collect();
+        let mut drawn = Vec::new();
+        while drawn.len() < count && all.len() > self.places.len() / 2 {
+            drawn.push(all.remove(self.chance.below(all.len())));
+        }
+        drawn
+    }
+    /// The server at a place goes, and another one starts there, or at another address; the feed tells both.
+    fn replace_server(&mut self, n: usize, same_address: bool) -> io::Result<()> {
+        let now = self.now();
+        self.servers_started += 1;
+        let id = ServerId(self.servers_started);
+        let address = match same_address {
+            true => self.places[n].address.clone(),
+            false => self.fleet.server_address(self.fleet.servers + self.servers_started % 100),
+        };
+        let steering = Rc::new(RefCell::new(ServerSteering { mood: ServerMood::Well, was_frozen: false }));
+        let (terms, ledger) = (self.terms.clone(), self.ledger.clone());
+        let server = Server::new(id, SERVER_SIZE, Some(now), terms, ledger, steering.clone());
+        self.driver.kill(self.places[n].host);
+        let door = EventLoop::bind(&address)?.0;
+        self.driver.replace(self.places[n].host, Box::new(server), vec![door], None)?;
+        let (host, up_since_ms) = (self.places[n].host, self.wall_ms(now));
+        let name = format!("s-{:08x}", id.0);
+        let old = &self.places[n];
+        let gone = member(&old.name, &old.address, "terminated", old.up_since_ms);
+        let new = member(&name, &address, "in_service", up_since_ms);
+        self.tale.borrow_mut().change(vec![gone, new]);
+        {
+            let mut ledger = self.ledger.borrow_mut();
+            ledger.drains.push(Drain { server: old.server, told: now });
+            ledger.starts.push(Start { server: id, at: now, size: SERVER_SIZE, long_ago: false });
+        }
+        self.places[n] = Place { host, address, name, server: id, up_since_ms, steering, leaves_at: None };
+        Ok(())
+    }
+    fn drain_server(&mut self, now: Micros, n: usize) {
+        let place = &mut self.places[n];
+        place.leaves_at = Some(now + DRAIN_LASTS);
+        let drains = member(&place.name, &place.address, "terminating", place.up_since_ms);
+        self.tale.borrow_mut().change(vec![drains]);
+        self.ledger.borrow_mut().drains.push(Drain { server: place.server, told: now });
+    }
+    fn feed_trouble(&mut self, now: Micros, mood: FeedMood, span: Micros, told_after: Micros) {
+        self.tale.borrow_mut().mood = mood;
+        // What was told shortly before may be under way in an answer that is cut or late.
+        let span_of = Span { from: now - S / 2, to: now + span + S / 2 };
+        self.ledger.borrow_mut().feed_troubles.push(FeedTrouble { span: span_of, told_after });
+        self.undo.push((now + span, Undo::FeedWell));
+    }
+    /// The feed moves to its other address, and all routers are told by a new configuration.
+    fn move_feed(&mut self, now: Micros) -> io::Result<()> {
+        self.fleet.feed_door = 1 - self.fleet.feed_door;
+        self.tale.borrow_mut().door = Door(self.fleet.feed_door);
+        let span = Span { from: now - S / 2, to: now + S };
+        self.ledger.borrow_mut().feed_troubles.push(FeedTrouble { span, told_after: 4 * S });
+        for router in &self.routers {
+            router.configure(&self.terms, &self.fleet, self.tale.borrow().known())?;
+            if router.is_running() {
+                router.hang_up();
+            }
+        }
+        Ok(())
+    }
+
+    // ---- Troubles
+
+    /// How often a moment was seen.
+    pub fn seen(&self, moment: Moment) -> u64 {
+        match moment {
+            Moment::Dial => self.ledger.borrow().connections_to_servers,
+            Moment::HalfWritten => self.clients.borrow().half_written,
+            Moment::Answer => self.clients.borrow().answers,
+            Moment::Watch => self.tale.borrow().asked,
+            Moment::Close => self.ledger.borrow().closes_by_clients,
+        }
+    }
+    /// Begins a trouble.
+    ///
+    /// # Errors
+    /// A process, file or listener can't be made.
+    pub fn begin(&mut self, trouble: Trouble) -> io::Result<()> {
+        let now = self.now();
+        let mut came = 1;
+        match trouble {
+            Trouble::Stop { routers, span } => {
+                let drawn = self.some_routers(routers);
+                came = drawn.len() as u64;
+                for n in drawn {
+                    self.routers[n].stop(now);
+                    self.undo.push((now + span, Undo::Resume(n)));
+                }
+            }
+            Trouble::Restart { routers } => {
+                for n in self.some_routers(routers) {
+                    self.routers[n].ask_to_end(now, &self.ledger);
+                    self.phases[n] = Phase::Ending(now);
+                }
+            }
+            Trouble::Kill { routers } => {
+                for n in self.some_routers(routers) {
+                    self.routers[n].kill(now, &self.ledger);
+                    self.phases[n] = Phase::Ending(now);
+                }
+            }
+            Trouble::HangUps { count, gap } => {
+                for n in 0..count as Micros {
+                    self.undo.push((now + n * gap, Undo::HangUp));
+                }
+            }
+            Trouble::StepAllClocks { by } => {
+                self.servers_clock += by;
+                for n in 0..self.routers.len() {
+                    self.step_clock(n, by)?;
+                }
+            }
+            Trouble::StepSomeClocks { routers, by } => {
+                for n in self.some_routers(routers) {
+                    self.step_clock(n, by)?;
+                }
+            }
+            Trouble::FailingCalls { routers, rate, span } => {
+                for n in self.some_routers(routers) {
+                    self.set_failing(n, rate)?;
+                    self.undo.push((now + span, Undo::CallsWork(n)));
+                }
+            }
+            Trouble::Replace { servers, same_address } => {
+                for n in self.some_places(servers) {
+                    self.replace_server(n, same_address)?;
+                }
+            }
+            Trouble::Drain { servers } => {
+                self.some_places(servers).into_iter().for_each(|n| self.drain_server(now, n));
+            }
+            Trouble::Misbehave { servers, mood, span } => {
+                for n in self.some_places(servers) {
+                    self.places[n].steering.borrow_mut().mood = mood;
+                    self.undo.push((now + span, Undo::Behaves(n)));
+                }
+            }
+            Trouble::Freeze { servers, span } => {
+                for n in self.some_places(servers) {
+                    self.driver.freeze(self.places[n].host, true);
+                    self.undo.push((now + span, Undo::Thaws(n)));
+                }
+            }
+            Trouble::FeedSilent { span } => self.feed_trouble(now, FeedMood::Silent, span, 7 * S),
+            Trouble::FeedLate { by, span } => self.feed_trouble(now, FeedMood::Late(by), span, 7 * S),
+            Trouble::FeedCuts { span } => self.feed_trouble(now, FeedMood::Cuts, span, span + 2 * S),
+            Trouble::BadClients { part, span } => {
+                self.clients.borrow_mut().bad = part;
+                self.undo.push((now + span, Undo::ClientsWell));
+            }
+            Trouble::Burst { times, span } => {
+                self.clients.borrow_mut().rate = self.rate * times;
+                self.undo.push((now + span, Undo::Rate));
+            }
+        }
+        *self.came.entry(trouble.name()).or_default() += came;
+        Ok(())
+    }
+    fn step_clock(&mut self, n: usize, by: Micros) -> io::Result<()> {
+        self.router_clocks[n] += by;
+        self.routers[n].faults.step_wall_clock(self.router_clocks[n])
+    }
+    fn set_failing(&self, n: usize, rate: u64) -> io::Result<()> {
+        let words = [Word::Accept, Word::Socket, Word::Connect, Word::Receive, Word::Send];
+        words.into_iter().try_for_each(|word| self.routers[n].faults.set(word, rate))
+    }
+    fn end_trouble(&mut self, now: Micros, undo: Undo) -> io::Result<()> {
+        match undo {
+            Undo::Resume(n) => self.routers[n].resume(now, &self.ledger),
+            Undo::CallsWork(n) => self.set_failing(n, 0)?,
+            Undo::Behaves(n) => self.places[n].steering.borrow_mut().mood = ServerMood::Well,
+            Undo::Thaws(n) => {
+                self.places[n].steering.borrow_mut().was_frozen = true;
+                self.driver.freeze(self.places[n].host, false);
+            }
+            Undo::FeedWell => self.tale.borrow_mut().mood = FeedMood::Well,
+            Undo::ClientsWell => self.clients.borrow_mut().bad = BAD_CLIENTS,
+            Undo::Rate => self.clients.borrow_mut().rate = self.rate,
+            Undo::HangUp => self.move_feed(now)?,
+        }
+        Ok(())
+    }
+    /// Ends every trouble that still goes on.
+    ///
+    /// # Errors
+    /// A control block can't be written.
+    pub fn end_all(&mut self) -> io::Result<()> {
+        let now = self.now();
+        let undo = std::mem::take(&mut self.undo);
+        undo.into_iter()
+            .filter(|(_, undo)| !matches!(undo, Undo::HangUp))
+            .try_for_each(|(_, undo)| self.end_trouble(now, undo))
+    }
+    /// Asks all routers to end.
+    pub fn ask_all_to_end(&mut self) {
+        let now = self.now();
+        for n in 0..self.routers.len() {
+            if self.phases[n] == Phase::Serving && self.routers[n].is_running() {
+                self.routers[n].ask_to_end(now, &self.ledger);
+                self.phases[n] = Phase::Ending(now);
+            }
+        }
+    }
+    pub fn any_running(&self) -> bool {
+        self.routers.iter().any(Router::is_running)
+    }
+}
+
+fn member(name: &str, address: &str, phase: &str, up_since_ms: i64) -> Json {
+    json!({"id": name, "host_port": address, "locality": "here", "flavor": "std", "cell": 0,
+           "phase": phase, "size": SERVER_SIZE, "up_since_ms": up_since_ms})
+}
