--- a/crates/sanddrum-lab/src/soak/judge.rs
+++ b/crates/sanddrum-lab/src/soak/judge.rs
@@ -205,11 +205,33 @@
         let has_left = request.sent + request.patience - attempt.at;
         let beyond = attempt.deadline - has_left.max(0) - ledger.late_between(request.sent, attempt.at);
         if beyond > DEADLINE_SLACK {
-            add(Rule::Deadline, format!("{name}: told {:.3} s more than is left", seconds(beyond)));
+            let came = context(ledger, request, attempt);
+            add(Rule::Deadline, format!("{name}: told {:.3} s more than is left; {came}", seconds(beyond)));
         }
     }
 }
 
+/// How an attempt came about, for whoever looks into a break.
+fn context(ledger: &Ledger, request: &Request, attempt: &Attempt) -> String {
+    let stopped = ledger.stopped_between(request.router, request.sent, attempt.at);
+    let all = ledger.attempts.iter().filter(|other| other.call == attempt.call);
+    let told = |other: &Attempt| {
+        let (after, deadline) = (seconds(other.at - request.sent), seconds(other.deadline));
+        let arrival = if other.arrival_unknown { " or before" } else { "" };
+        format!("{after:.3}{arrival} at server {} with {deadline:.3}", other.server.0)
+    };
+    let all: Vec<String> = all.map(told).collect();
+    format!(
+        "router {}, {:.3} s after its sending with {:.3} s of patience, stopped for {:.3} s of that, attempts {}, {}",
+        request.router.0,
+        seconds(attempt.at - request.sent),
+        seconds(request.patience),
+        seconds(stopped),
+        all.join(", "),
+        if request.first_on_connection { "a new connection" } else { "a kept connection" }
+    )
+}
+
 fn seconds(span: Micros) -> f64 {
     span as f64 / 1e6
 }
--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -26,7 +26,9 @@
 /// Connections that are being read out at a time; beyond that the first one goes, whatever is unread.
 const LINGERING: usize = 16;
 /// The loop looks for input at least this often, so that it is known within that when something came.
-const LOOK_EVERY: Micros = 40_000;
+const LOOK_EVERY: Micros = 25_000;
+/// A wait for input comes back within this after its time-out, or the process was held up in it.
+const WAIT_SLACK: Micros = 5_000;
 /// Longer than this between two looks, and the process was held up: by a stop, or by others on its processor.
 const HELD_UP: Micros = 60_000;
 /// After such a time the loop looks again before any core acts, but no more often than this in a row: a loop whose
@@ -414,13 +416,18 @@
     /// Waits for input and tells the cores of it; how much it was, and none where the wait was interrupted.
     fn look(&mut self, timeout: Duration) -> io::Result<Option<usize>> {
         let mut ready = Vec::new();
+        let began = self.now();
         match self.poller.wait(&mut ready, Some(timeout)) {
             // Guards against acting on due times before what came in meanwhile is read: a process that was stopped
             // and continued would take all others for silent.
             Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(None),
             other => drop(other?),
         }
-        self.looks = Looks { last: self.now(), before: self.looks.last };
+        // Where the process was held up within the wait it is not known at which end of it the looking was done: a process
+        // that is stopped as it is being woken has looked before the stop.
+        let ended = self.now();
+        let held_up = ended - began > timeout.as_micros() as Micros + WAIT_SLACK;
+        self.looks = Looks { last: if held_up { began } else { ended }, before: self.looks.last };
         let came = ready.len();
         for event in ready {
             match self.sources.get(event.key) {
