Stories of requests in turn, the largest list and a half-written configuration, known to fail

Found by reading the protocol page against its paths. 24 requests with bodies of 16 KiB, whose records come in turn on one connection (32 may be open): the connection is reset with all that is open. A configuration that is half written when SIGHUP comes: the feed's move is never heard of. Cause by reading: fronts.rs holds 4 * (head + body) of what is not whole on a connection; feed.rs bounds an answer by largest-frame, 256 KB; files.rs looks at a file once at its signal.

--- /dev/null
+++ b/crates/sanddrum-cli/tests/hunt.rs
@@ -0,0 +1,100 @@
+//! Faults of the router as a process that were found by going through the rules one by one: each story had failed before.
+
+mod steered;
+
+use rstest::rstest;
+use sanddrum_fastcgi::{begin, header, params, stream, Kind};
+use serde_json::{json, Value};
+use std::io::Write;
+use steered::*;
+
+const A: &str = "00000000000000a1";
+
+// ---- Clients
+
+/// The largest body, as the protocol allows.
+const LARGEST_BODY: usize = 16 * 1024;
+
+#[rstest]
+fn requests_that_come_in_turn_on_one_connection_are_all_served() {
+    let ((mut worker, worker_at), (feeds, feed_at)) = (Worker::listens(), listener());
+    let router = Router::start("in-turn", &feed_at, &worker_at, "once");
+    let mut feed = accept(&feeds);
+    question(&mut feed);
+    let mut web = Web::connects(&router.at);
+    let requests = 1..=24u16;
+    let body = vec![b'x'; LARGEST_BODY];
+    for id in requests.clone() {
+        let (call, mut out) = (format!("{id:016x}"), Vec::new());
+        let pairs = [
+            ("SCRIPT_NAME", "/rpc/job"),
+            ("HTTP_X_CALL_ID", call.as_str()),
+            ("HTTP_X_PATIENCE_MS", "8000"),
+            ("HTTP_X_ENTITY", "7f3a9c21e0b4d655"),
+            ("HTTP_X_INFO", "memory_mb:100;lanes:40;load_ms:300"),
+        ];
+        begin(&mut out, id, true);
+        stream(&mut out, Kind::Params, id, &params(&pairs));
+        web.says(&out);
+    }
+    // A record of each body in turn, so that none is whole before all nearly are.
+    for id in requests.clone() {
+        let mut out = header(Kind::Stdin, id, body.len()).to_vec();
+        out.extend_from_slice(&body);
+        web.says(&out);
+    }
+    requests.clone().for_each(|id| web.says(&header(Kind::Stdin, id, 0)));
+    for _ in requests {
+        let next = worker.request();
+        assert_eq!(next.1.body.len(), LARGEST_BODY);
+        worker.serve(&next);
+        assert_eq!(web.answer().expect("no connection is closed with requests open").status(), "200");
+    }
+}
+
+// ---- Discovery
+
+#[rstest]
+fn a_whole_list_of_the_largest_fleet_is_taken() {
+    let ((_first, first_at), (mut second, second_at), (feeds, feed_at)) =
+        (listener(), Worker::listens(), listener());
+    let router = Router::start("large-list", &feed_at, &first_at, "once");
+    let mut feed = accept(&feeds);
+    question(&mut feed);
+    // The largest fleet has 3,200 model servers; all of them but one drain.
+    let drains = |n: usize| {
+        let at = format!("10.{}.{}.9:8080", n / 250, n % 250);
+        let mut drains = member(&format!("s-{n:08x}"), &at, "terminating");
+        drains["flavor"] = json!("std");
+        drains["cell"] = json!(n / 8);
+        drains["up_since_ms"] = json!(1_700_000_000_000_i64 + n as i64);
+        drains
+    };
+    let mut members: Vec<Value> = (0..3_200).map(drains).collect();
+    members.push(member("stands", &second_at, "in_service"));
+    let list = json!({"n": 2, "members": {"revision": 2, "complete": true, "members": members}});
+    feed.write_all(&told(2, json!([list]))).unwrap();
+    assert_eq!(question(&mut feed), 2, "the list is taken, and the next one asked for");
+    let mut web = Web::connects(&router.at);
+    web.calls(1, A);
+    let next = second.request();
+    second.serve(&next);
+    assert_eq!(web.answer().unwrap().status(), "200");
+}
+
+#[rstest]
+fn a_configuration_that_is_half_written_at_its_signal_is_read_once_it_is_whole() {
+    let ((_worker, worker_at), (feeds, feed_at), (moved, moved_at)) = (listener(), listener(), listener());
+    let router = Router::start("half-configured", &feed_at, &worker_at, "once");
+    let mut feed = accept(&feeds);
+    question(&mut feed);
+    let whole = configuration(&moved_at, &worker_at, "once").to_string();
+    std::fs::write(&router.file, &whole[..whole.len() / 2]).unwrap();
+    router.signal("HUP");
+    // Its log tells that the half was read.
+    while !router.said_so_far().contains("a configuration is refused") {
+        std::thread::yield_now();
+    }
+    std::fs::write(&router.file, &whole).unwrap();
+    assert_eq!(question(&mut accept(&moved)), 1);
+}
--- a/crates/sanddrum-cli/tests/steered/mod.rs
+++ b/crates/sanddrum-cli/tests/steered/mod.rs
@@ -391,6 +391,10 @@
     pub fn ends(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
+    /// What it has logged by now.
+    pub fn said_so_far(&self) -> String {
+        self.said.lock().unwrap().clone()
+    }
     /// What it logged until its end.
     pub fn log(&mut self) -> String {
         self.reader.take().into_iter().for_each(|reader| reader.join().unwrap());
