--- a/crates/sanddrum-edge/src/feed.rs
+++ b/crates/sanddrum-edge/src/feed.rs
@@ -116,7 +116,7 @@
                 let Some(feed) = &mut self.feed else { return };
                 feed.bytes.extend_from_slice(bytes);
                 let told = match http::answer(&feed.bytes) {
-                    Ok(None) if feed.bytes.len() <= self.limits.largest_frame => return,
+                    Ok(None) if feed.bytes.len() <= self.limits.largest_list => return,
                     Ok(None) => Err("an answer without end".to_string()),
                     Ok(Some((answer, _))) if answer.status != 200 => Err(format!("status {}", answer.status)),
                     Ok(Some((answer, _))) => serde_json::from_slice(&answer.body)
--- a/crates/sanddrum-edge/src/fronts.rs
+++ b/crates/sanddrum-edge/src/fronts.rs
@@ -24,6 +24,8 @@
     spoke: bool,
     /// Since when something is begun and not whole.
     began: Option<Micros>,
+    /// Bytes held of what is not whole.
+    partial: usize,
     /// Nothing more is read; it ends once what is owed is written, and then at the latest.
     ends: Option<Micros>,
 }
@@ -32,6 +34,8 @@
 pub(crate) struct Fronts {
     fronts: BTreeMap<Conn, Front>,
     dirty: BTreeSet<Conn>,
+    /// Bytes held of requests that are not whole, on all connections.
+    partial: usize,
 }
 
 impl Fronts {
@@ -86,8 +90,8 @@
             open: self.limits.pipelined,
             params: self.limits.largest_head,
             body: self.limits.largest_body,
-            // Requests come one after the other, or a few of them in turn.
-            held: 4 * (self.limits.largest_head + self.limits.largest_body),
+            // All of them may come in turn; what all connections hold together is bounded besides.
+            held: self.limits.pipelined * (self.limits.largest_head + self.limits.largest_body),
         };
         let front = Front {
             requests: Responder::new(bounds),
@@ -97,6 +101,7 @@
             active: now,
             spoke: false,
             began: None,
+            partial: 0,
             ends: None,
         };
         self.owners.insert(conn, Owner::Client);
@@ -113,6 +118,7 @@
                 front.requests.take_in(bytes);
                 let from = arrival::counts_from(now, io.earliest_arrival(now));
                 self.read_front(now, from, conn, io);
+                self.bound_partial(conn);
             }
             Event::Writable { .. } => {
                 if let Some(front) = self.fronts.fronts.get_mut(&conn) {
@@ -169,6 +175,22 @@
         }
     }
 
+    /// Keeps what is held of requests that are not whole, on all connections together, within what bodies may take: those
+    /// of this connection, which has just brought more, are refused where it is too much. They were never taken up.
+    fn bound_partial(&mut self, conn: Conn) {
+        let Some(front) = self.fronts.fronts.get_mut(&conn) else { return };
+        let held = front.requests.held();
+        self.fronts.partial = self.fronts.partial + held - std::mem::replace(&mut front.partial, held);
+        if self.fronts.partial <= self.limits.held_bodies {
+            return;
+        }
+        self.figures.limit_hit("held-bodies");
+        self.fronts.partial -= std::mem::take(&mut front.partial);
+        for id in front.requests.drop_partial() {
+            self.write_front(conn, &fastcgi::end_all(id, Status::Overloaded));
+        }
+    }
+
     fn refuse_unread(&mut self, now: Micros, conn: Conn, id: u16, why: Why, io: &mut dyn Io) {
         let (status, reason, reads_on) = match why {
             Why::TooMany => {
@@ -357,6 +379,7 @@
     fn front_left(&mut self, now: Micros, conn: Conn) {
         let Some(front) = self.fronts.fronts.remove(&conn) else { return };
         self.fronts.dirty.remove(&conn);
+        self.fronts.partial -= front.partial;
         self.figures.clients_open.decrement(1.0);
         front.jobs.into_values().for_each(|job| self.give_job_up(now, job));
     }
--- a/crates/sanddrum-edge/src/limits.rs
+++ b/crates/sanddrum-edge/src/limits.rs
@@ -23,6 +23,7 @@
     pub waiting_per_client: usize,
     pub waiting_per_worker: usize,
     pub largest_frame: usize,
+    pub largest_list: usize,
     pub streams: usize,
     pub streams_wanted: usize,
     pub connections: usize,
@@ -64,6 +65,7 @@
             waiting_per_client: bytes("waiting-per-client"),
             waiting_per_worker: bytes("waiting-per-worker"),
             largest_frame: bytes("largest-frame"),
+            largest_list: bytes("largest-list"),
             streams: count("streams"),
             streams_wanted: if l.has("limits.streams-wanted") {
                 count("streams-wanted")
--- a/crates/sanddrum-edge/tests/platform.rs
+++ b/crates/sanddrum-edge/tests/platform.rs
@@ -360,3 +360,25 @@
     assert_eq!(statuses(&host, front), [(1, "Status: 200".to_string())]);
     assert_eq!(host.ends(), [End::Reset, End::Finished]);
 }
+
+#[rstest]
+fn what_is_held_of_requests_that_are_not_whole_is_bounded_over_all_connections() {
+    let mut host = Host::on_platform(&[("limits.held-bodies", "30KB"), ("limits.largest-body", "16KB")]);
+    let (first, second) = (host.client(), host.client());
+    let whole = |id, call| request(id, &usual(call), &[b'x'; 16 * 1024]);
+    let (one, other) = (whole(1, CALL), whole(1, OTHER));
+    host.says(first, &one[..one.len() - HEADER]);
+    host.says(second, &other[..other.len() - HEADER]);
+    // The one that brought too much is refused, as never taken up; the other comes whole and is asked.
+    assert_eq!(
+        answers(&host, second).iter().map(|(id, _, status)| (*id, *status)).collect::<Vec<_>>(),
+        [(1, 2)]
+    );
+    host.says(second, &other[other.len() - HEADER..]);
+    host.says(first, &one[one.len() - HEADER..]);
+    assert_eq!(host.strings.borrow().jobs.len(), 1);
+    // Its place is free again for the next.
+    let again = request(2, &usual(OTHER), b"in");
+    host.says(second, &again);
+    assert_eq!(host.strings.borrow().jobs.len(), 2);
+}
--- a/crates/sanddrum-fastcgi/src/responder.rs
+++ b/crates/sanddrum-fastcgi/src/responder.rs
@@ -106,6 +106,18 @@
     pub fn open(&self) -> usize {
         self.open.len()
     }
+    /// Bytes held of requests that have not come whole.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+    /// Gives up all requests that have not come whole; what still comes of them is skipped. Their numbers are free.
+    pub fn drop_partial(&mut self) -> Vec<u16> {
+        let partial: Vec<u16> = self.open.iter().filter(|(_, open)| !open.whole).map(|(id, _)| *id).collect();
+        for id in &partial {
+            self.closes |= self.drop_open(*id).is_some_and(|open| !open.keep);
+        }
+        partial
+    }
     /// Whether something has begun and is not whole.
     pub fn in_part(&self) -> bool {
         self.bytes.len() > self.read || self.open.values().any(|open| !open.whole)
--- a/crates/sanddrum-settings/src/schema.rs
+++ b/crates/sanddrum-settings/src/schema.rs
@@ -390,6 +390,7 @@
                 "bytes that one connection to a worker is slow to take",
             ),
             key("largest-frame", Kind::Bytes, Some("16MB"), "of the worker protocol"),
+            key("largest-list", Kind::Bytes, Some("16MB"), "an answer of the platform's control feed"),
             key(
                 "streams",
                 Kind::Whole(1.0, 1e5),
