--- a/crates/sanddrum-cli/tests/hunt.rs
+++ b/crates/sanddrum-cli/tests/hunt.rs
@@ -4,11 +4,15 @@
 
 use rstest::rstest;
 use sanddrum_fastcgi::{begin, header, params, stream, Kind};
+use sanddrum_platform::frames;
 use serde_json::{json, Value};
 use std::io::Write;
+use std::process::Stdio;
+use std::time::Duration;
 use steered::*;
 
 const A: &str = "00000000000000a1";
+const B: &str = "00000000000000b2";
 
 // ---- Clients
 
@@ -98,3 +102,54 @@
     std::fs::write(&router.file, &whole).unwrap();
     assert_eq!(question(&mut accept(&moved)), 1);
 }
+
+// ---- The process
+
+#[rstest]
+fn a_log_that_nobody_reads_holds_nobody_up() {
+    let ((mut worker, worker_at), (feeds, feed_at)) = (Worker::listens(), listener());
+    let (free, at) = listener();
+    drop(free);
+    let mut json = configuration(&feed_at, &worker_at, "once");
+    json["listen"] = json!(at);
+    let file = std::env::temp_dir().join(format!("sanddrum-hunt-log-{}.json", std::process::id()));
+    std::fs::write(&file, json.to_string()).unwrap();
+    let mut command = Router::command(&file);
+    let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+    let unread = child.stderr.take().unwrap();
+    let mut feed = accept(&feeds);
+    question(&mut feed);
+    let mut web = Web::connects(&at);
+    // At this level some lines a request are logged, far more in all than a pipe holds.
+    for n in 1..=400u64 {
+        web.calls(1, &format!("{n:016x}"));
+        let next = worker.request();
+        worker.serve(&next);
+        assert_eq!(web.answer().unwrap().status(), "200");
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+    drop(unread);
+    std::fs::remove_file(file).unwrap();
+}
+
+#[rstest]
+fn a_second_signal_to_end_takes_no_request_with_it() {
+    let ((mut worker, worker_at), (feeds, feed_at)) = (Worker::listens(), listener());
+    let mut router = Router::start("twice", &feed_at, &worker_at, "once");
+    let mut feed = accept(&feeds);
+    question(&mut feed);
+    let mut web = Web::connects(&router.at);
+    web.calls(1, A);
+    let out = worker.request();
+    router.signal("TERM");
+    router.signal("TERM");
+    web.calls(2, B);
+    let also = worker.request();
+    std::thread::sleep(Duration::from_millis(50));
+    worker.says(out.0, &frames::answer(97, out.1.id, "remark=hot", &out.1.body));
+    worker.serve(&also);
+    assert_eq!(web.answer().unwrap().status(), "200");
+    assert_eq!(web.answer().unwrap().status(), "200");
+    assert_eq!(router.ends().code(), Some(0));
+}
