--- a/crates/sanddrum-cli/src/platform.rs
+++ b/crates/sanddrum-cli/src/platform.rs
@@ -33,7 +33,7 @@
     };
     match serve(driver, file, &read) {
         Ok(Shutdown::InOrder) => ExitCode::from(exit::GOOD),
-        Ok(Shutdown::AtOnce) => fail(exit::TROUBLE, "ended at once, as a second signal came"),
+        Ok(Shutdown::AtOnce) => fail(exit::TROUBLE, "ended at once"),
         Err(e) => fail(exit::TROUBLE, e),
     }
 }
@@ -55,5 +55,6 @@
     let edge = Edge::with_settings(start, &read.module());
     let host = driver.add(Box::new(edge), vec![door], None).map_err(|e| e.to_string())?;
     driver.watch(host, CONFIGURATION, file, LOOK_EVERY);
+    driver.end_in_order_only();
     driver.run().map_err(|e| e.to_string())
 }
--- a/crates/sanddrum-cli/tests/hunt.rs
+++ b/crates/sanddrum-cli/tests/hunt.rs
@@ -143,6 +143,10 @@
     web.calls(1, A);
     let out = worker.request();
     router.signal("TERM");
+    // Two that come together are one; the second comes once the first is heard.
+    while !router.said_so_far().contains("asked to end") {
+        std::thread::yield_now();
+    }
     router.signal("TERM");
     web.calls(2, B);
     let also = worker.request();
--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -13,6 +13,8 @@
 use std::net::{TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Bytes read from one connection before the others have their turn.
@@ -159,6 +161,11 @@
     /// Until when each is read out that was closed here.
     lingering: BTreeSet<(Micros, usize)>,
     signals: u32,
+    /// Set by the signals' handlers beside what they write to their pipes, should a pipe take nothing.
+    asked_to_end: Arc<AtomicBool>,
+    asked_to_reload: Arc<AtomicBool>,
+    /// A second signal to end changes nothing.
+    ends_in_order_only: bool,
     buffer: Vec<u8>,
 }
 
@@ -182,6 +189,9 @@
             accepts_again: None,
             lingering: BTreeSet::new(),
             signals: 0,
+            asked_to_end: Arc::default(),
+            asked_to_reload: Arc::default(),
+            ends_in_order_only: false,
             buffer: vec![0; READ_AT_ONCE],
         })
     }
@@ -197,9 +207,13 @@
         ours.set_nonblocking(true)?;
         signal_hook::low_level::pipe::register(SIGTERM, theirs.try_clone()?)?;
         signal_hook::low_level::pipe::register(SIGINT, theirs)?;
+        for signal in [SIGTERM, SIGINT] {
+            signal_hook::flag::register(signal, self.asked_to_end.clone())?;
+        }
         let (reload, asks) = UnixStream::pair()?;
         reload.set_nonblocking(true)?;
         signal_hook::low_level::pipe::register(SIGHUP, asks)?;
+        signal_hook::flag::register(SIGHUP, self.asked_to_reload.clone())?;
         for source in [Source::Signals(ours), Source::Reload(reload)] {
             let key = self.sources.insert(source);
             if let Some(Source::Signals(pipe) | Source::Reload(pipe)) = self.sources.get(key) {
@@ -208,6 +222,11 @@
         }
         Ok(())
     }
+    /// From now on a second signal to end changes nothing, as whoever repeats it would take what is open with it: there is
+    /// SIGKILL for who can't wait.
+    pub fn end_in_order_only(&mut self) {
+        self.ends_in_order_only = true;
+    }
     /// Lines of this core's audit go to a file, and to one more of the same size once that is full.
     pub fn audit_to(&mut self, host: HostId, file: PathBuf, most: u64) {
         if let Some(Some(hosted)) = self.hosts.get_mut(host.0) {
@@ -336,7 +355,7 @@
             let done = self.hosts.iter().flatten().all(|h| h.core.done());
             looks = if done { looks + 1 } else { 0 };
             let came = self.step(done.then(|| self.now()))?;
-            if self.signals > 1 {
+            if self.signals > 1 && !self.ends_in_order_only {
                 return Ok(Shutdown::AtOnce);
             }
             if done && (came == 0 || looks >= LAST_LOOKS) {
@@ -439,6 +458,7 @@
                 None => {}
             }
         }
+        self.heed_flags();
         for (host, conn) in std::mem::take(&mut self.refused) {
             self.call(host, |core, now, io| {
                 core.event(now, Event::Closed { conn, how: Closed::Refused }, io)
@@ -472,10 +492,27 @@
         }
     }
 
+    /// Hears signals whose handlers could not write to their pipes.
+    fn heed_flags(&mut self) {
+        if self.asked_to_end.swap(false, Ordering::Relaxed) {
+            // The pipe is read first, or what lies in it would count as a second signal.
+            let is_pipe = |source: &Source| matches!(source, Source::Signals(_));
+            let pipe = self.sources.all.iter().find(|(_, source)| is_pipe(source)).map(|(key, _)| *key);
+            pipe.into_iter().for_each(|key| self.signal(key));
+            self.signals = self.signals.max(1);
+            self.ask_to_end();
+        }
+        if self.asked_to_reload.swap(false, Ordering::Relaxed) {
+            (0..self.hosts.len()).for_each(|n| self.look_at_files(HostId(n), true));
+        }
+    }
     fn signal(&mut self, key: usize) {
         let Some(Source::Signals(pipe)) = self.sources.get_mut(key) else { return };
         let mut bytes = [0; 16];
         self.signals += pipe.read(&mut bytes).unwrap_or(0) as u32;
+        self.ask_to_end();
+    }
+    fn ask_to_end(&mut self) {
         for n in 0..self.hosts.len() {
             if let Some(hosted) = self.hosts[n].as_mut().filter(|h| !h.stopping) {
                 hosted.stopping = true;
@@ -493,7 +530,7 @@
     fn reload(&mut self, key: usize) {
         let Some(Source::Reload(pipe)) = self.sources.get_mut(key) else { return };
         let _ = pipe.read(&mut [0; 16]);
-        (0..self.hosts.len()).for_each(|n| self.look_at_files(HostId(n), true));
+        self.asked_to_reload.store(true, Ordering::Relaxed);
     }
 
     fn call(&mut self, host: HostId, what: impl FnOnce(&mut dyn Core, Micros, &mut dyn Io)) {
