--- a/crates/sanddrum-faults/src/layout.rs
+++ b/crates/sanddrum-faults/src/layout.rs
@@ -22,6 +22,8 @@
     Send = 6,
     /// Not nought: writes and syncs of regular files fail.
     Disk = 7,
+    /// Calls in a million, as above: waits for input that are interrupted.
+    Wait = 8,
     /// From here on: how often each fault came.
     WallReadsStepped = 16,
     AcceptsFailed = 17,
@@ -30,6 +32,7 @@
     ReceivesFailed = 20,
     SendsFailed = 21,
     DiskWritesFailed = 22,
+    WaitsInterrupted = 23,
 }
 
 /// Size of the control block in bytes.
--- a/crates/sanddrum-faults/src/lib.rs
+++ b/crates/sanddrum-faults/src/lib.rs
@@ -229,6 +229,22 @@
     accepted
 }
 
+/// # Safety
+/// As the C library's.
+#[no_mangle]
+pub unsafe extern "C" fn epoll_wait(
+    poller: c_int,
+    events: *mut libc::epoll_event,
+    most: c_int,
+    timeout: c_int,
+) -> c_int {
+    if fails(Word::Wait, Word::WaitsInterrupted) {
+        return fail_with(&[libc::EINTR]);
+    }
+    type Wait = unsafe extern "C" fn(c_int, *mut libc::epoll_event, c_int, c_int) -> c_int;
+    real!(c"epoll_wait", Wait)(poller, events, most, timeout)
+}
+
 /// # Safety
 /// As the C library's.
 #[no_mangle]
--- a/crates/sanddrum-lab/src/soak/environment.rs
+++ b/crates/sanddrum-lab/src/soak/environment.rs
@@ -421,7 +421,7 @@
         self.routers[n].faults.step_wall_clock(self.router_clocks[n])
     }
     fn set_failing(&self, n: usize, rate: u64) -> io::Result<()> {
-        let words = [Word::Accept, Word::Socket, Word::Connect, Word::Receive, Word::Send];
+        let words = [Word::Accept, Word::Socket, Word::Connect, Word::Receive, Word::Send, Word::Wait];
         words.into_iter().try_for_each(|word| self.routers[n].faults.set(word, rate))
     }
     fn end_trouble(&mut self, now: Micros, undo: Undo) -> io::Result<()> {
--- a/crates/sanddrum-lab/src/soak/mod.rs
+++ b/crates/sanddrum-lab/src/soak/mod.rs
@@ -200,6 +200,7 @@
         (Word::ConnectsFailed, "connects-failed"),
         (Word::ReceivesFailed, "receives-failed"),
         (Word::SendsFailed, "sends-failed"),
+        (Word::WaitsInterrupted, "waits-interrupted"),
     ];
     let mut faults = BTreeMap::new();
     for (word, name) in words {
