A story of a request that waits unread as a new client wants its place, known to fail

Seen: after a stall of 0.2 s the connection that has been idle for longest is closed for a newcomer's, with its request unread in the kernel's buffer: lost by the rule on requests taken, as it lay there for far longer than the 50 ms in which it may cross a close. Cause by reading: event_loop.rs (look) serves sources in the poller's order; fronts.rs (front_came) makes room by what was read. Measured: the story fails.

--- a/crates/sanddrum-cli/tests/stalls.rs
+++ b/crates/sanddrum-cli/tests/stalls.rs
@@ -111,3 +111,34 @@
     worker.serve(&next);
     assert_eq!(client.answer().unwrap().status(), "200");
 }
+
+#[rstest]
+fn a_request_that_waits_unread_keeps_its_connection_though_a_new_client_wants_the_place() {
+    let ((mut worker, worker_at), (feeds, feed_at)) = (Worker::listens(), listener());
+    let mut configuration = configuration(&feed_at, &worker_at, "once");
+    configuration["limits"]["sockets"] = serde_json::json!(64);
+    let places = 64 / 3;
+    let router = Router::start_with("place", &configuration, None);
+    let mut feed = accept(&feeds);
+    question(&mut feed);
+    // As many as there are places for, each with a request behind it; the first has been idle for longest.
+    let mut clients: Vec<Web> = (0..places).map(|_| Web::connects(&router.at)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.calls(1, &format!("{:016x}", n + 1));
+        let next = worker.request();
+        worker.serve(&next);
+        assert_eq!(client.answer().unwrap().status(), "200");
+    }
+    router.stall();
+    let mut new = Web::connects(&router.at);
+    new.calls(1, LEFT);
+    clients[0].calls(2, STAYS);
+    std::thread::sleep(Duration::from_millis(200));
+    router.resume();
+    for _ in 0..2 {
+        let next = worker.request();
+        worker.serve(&next);
+    }
+    assert_eq!(new.answer().unwrap().status(), "200");
+    assert_eq!(clients[0].answer().expect("not closed with its request unread").status(), "200");
+}
