Connections whose input is there are read before new ones are accepted

Change: of what one poll finds listeners come last (event_loop.rs, look). Ruled out: looking at the socket before it is closed for another one, as all others would still be judged by what was read of them.

--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -448,6 +448,8 @@
         let held_up = ended - began > timeout.as_micros() as Micros + WAIT_SLACK;
         self.looks = Looks { last: if held_up { began } else { ended }, before: self.looks.last };
         let came = ready.len();
+        // Listeners last. Guards against a newcomer that is given the place of a connection whose input is there already.
+        ready.sort_by_key(|event| matches!(self.sources.get(event.key), Some(Source::Listener { .. })));
         for event in ready {
             match self.sources.get(event.key) {
                 Some(Source::Listener { .. }) => self.accept(event.key),
