Stories of a start without sockets and of a poller that fails, known to fail

Cause by reading: platform.rs (serve) binds its door once; a socket call that fails for a moment ends the start. In the same family, with the fault library's new failures of epoll_ctl: event_loop.rs (look) gives any error of the wait but EINTR back, and the process ends.

--- a/crates/sanddrum-cli/tests/hunt.rs
+++ b/crates/sanddrum-cli/tests/hunt.rs
@@ -4,6 +4,7 @@
 
 use rstest::rstest;
 use sanddrum_fastcgi::{begin, header, params, stream, Kind};
+use sanddrum_lab::faults::{FaultControl, Word};
 use sanddrum_platform::frames;
 use serde_json::{json, Value};
 use std::io::Write;
@@ -96,9 +97,7 @@
     std::fs::write(&router.file, &whole[..whole.len() / 2]).unwrap();
     router.signal("HUP");
     // Its log tells that the half was read.
-    while !router.said_so_far().contains("a configuration is refused") {
-        std::thread::yield_now();
-    }
+    until(|| router.said_so_far().contains("a configuration is refused"));
     std::fs::write(&router.file, &whole).unwrap();
     assert_eq!(question(&mut accept(&moved)), 1);
 }
@@ -144,9 +143,7 @@
     let out = worker.request();
     router.signal("TERM");
     // Two that come together are one; the second comes once the first is heard.
-    while !router.said_so_far().contains("asked to end") {
-        std::thread::yield_now();
-    }
+    until(|| router.said_so_far().contains("asked to end"));
     router.signal("TERM");
     web.calls(2, B);
     let also = worker.request();
@@ -157,3 +154,57 @@
     assert_eq!(web.answer().unwrap().status(), "200");
     assert_eq!(router.ends().code(), Some(0));
 }
+
+// ---- System calls that fail
+
+#[rstest]
+fn a_router_that_can_make_no_socket_for_a_moment_starts_all_the_same() {
+    let ((mut worker, worker_at), (feeds, feed_at)) = (Worker::listens(), listener());
+    let file = std::env::temp_dir().join(format!("sanddrum-hunt-socket-{}", std::process::id()));
+    let faults = FaultControl::create(&file).unwrap();
+    faults.set(Word::Socket, 1_000_000).unwrap();
+    let starts = std::thread::spawn({
+        let configuration = configuration(&feed_at, &worker_at, "once");
+        move || {
+            let router = Router::start_with("no-socket", &configuration, Some(&faults));
+            (router, faults)
+        }
+    });
+    // The block is a file: it is opened anew here to see that the fault has come, and to end it.
+    let control = FaultControl::open(&file).unwrap();
+    until(|| control.get(Word::SocketsFailed).unwrap() > 0);
+    control.set(Word::Socket, 0).unwrap();
+    let (router, _faults) = starts.join().unwrap();
+    question(&mut accept(&feeds));
+    let mut web = Web::connects(&router.at);
+    web.calls(1, A);
+    let next = worker.request();
+    worker.serve(&next);
+    assert_eq!(web.answer().unwrap().status(), "200");
+}
+
+#[rstest]
+fn a_poller_that_fails_for_a_while_ends_no_router_and_takes_no_request_with_it() {
+    let ((mut worker, worker_at), (feeds, feed_at)) = (Worker::listens(), listener());
+    let file = std::env::temp_dir().join(format!("sanddrum-hunt-poller-{}", std::process::id()));
+    let faults = FaultControl::create(&file).unwrap();
+    let router = Router::start_with("poller", &configuration(&feed_at, &worker_at, "once"), Some(&faults));
+    let mut feed = accept(&feeds);
+    question(&mut feed);
+    let mut web = Web::connects(&router.at);
+    web.calls(1, A);
+    let out = worker.request();
+    faults.set(Word::Control, 1_000_000).unwrap();
+    faults.set(Word::Wait, 1_000_000).unwrap();
+    until(|| faults.get(Word::ControlsFailed).unwrap() >= 20);
+    faults.set(Word::Wait, 0).unwrap();
+    faults.set(Word::Control, 0).unwrap();
+    worker.serve(&out);
+    assert_eq!(web.answer().unwrap().status(), "200");
+    // A new client, too: its listener is watched still.
+    let mut new = Web::connects(&router.at);
+    new.calls(1, B);
+    let next = worker.request();
+    worker.serve(&next);
+    assert_eq!(new.answer().unwrap().status(), "200");
+}
--- a/crates/sanddrum-cli/tests/steered/mod.rs
+++ b/crates/sanddrum-cli/tests/steered/mod.rs
@@ -19,6 +19,14 @@
 /// What does not come within this does not come.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Waits until it is so; a story that would wait for ever fails.
+pub fn until(so: impl Fn() -> bool) {
+    let begun = std::time::Instant::now();
+    while !so() {
+        assert!(begun.elapsed() < PATIENCE, "it never came about");
+        std::thread::yield_now();
+    }
+}
 pub fn listener() -> (TcpListener, String) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = listener.local_addr().unwrap().to_string();
@@ -376,10 +384,7 @@
     pub fn stall(&self) {
         self.signal("STOP");
         let stat = format!("/proc/{}/stat", self.child.id());
-        let stopped = || std::fs::read_to_string(&stat).unwrap().contains(") T ");
-        while !stopped() {
-            std::thread::yield_now();
-        }
+        until(|| std::fs::read_to_string(&stat).unwrap().contains(") T "));
     }
     pub fn resume(&self) {
         self.signal("CONT");
--- a/crates/sanddrum-faults/src/layout.rs
+++ b/crates/sanddrum-faults/src/layout.rs
@@ -24,6 +24,8 @@
     Disk = 7,
     /// Calls in a million, as above: waits for input that are interrupted.
     Wait = 8,
+    /// Changes of what the poller watches that fail.
+    Control = 9,
     /// From here on: how often each fault came.
     WallReadsStepped = 16,
     AcceptsFailed = 17,
@@ -33,6 +35,7 @@
     SendsFailed = 21,
     DiskWritesFailed = 22,
     WaitsInterrupted = 23,
+    ControlsFailed = 24,
 }
 
 /// Size of the control block in bytes.
--- a/crates/sanddrum-faults/src/lib.rs
+++ b/crates/sanddrum-faults/src/lib.rs
@@ -245,6 +245,24 @@
     real!(c"epoll_wait", Wait)(poller, events, most, timeout)
 }
 
+const CONTROL_ERRORS: [c_int; 2] = [libc::ENOMEM, libc::ENOSPC];
+
+/// # Safety
+/// As the C library's.
+#[no_mangle]
+pub unsafe extern "C" fn epoll_ctl(
+    poller: c_int,
+    operation: c_int,
+    fd: c_int,
+    event: *mut libc::epoll_event,
+) -> c_int {
+    if operation != libc::EPOLL_CTL_DEL && fails(Word::Control, Word::ControlsFailed) {
+        return fail_with(&CONTROL_ERRORS);
+    }
+    type Control = unsafe extern "C" fn(c_int, c_int, c_int, *mut libc::epoll_event) -> c_int;
+    real!(c"epoll_ctl", Control)(poller, operation, fd, event)
+}
+
 /// # Safety
 /// As the C library's.
 #[no_mangle]
--- a/crates/sanddrum-lab/src/faults.rs
+++ b/crates/sanddrum-lab/src/faults.rs
@@ -20,6 +20,8 @@
 pub struct FaultControl {
     file: File,
     path: PathBuf,
+    /// It made the file, which goes with it.
+    owns: bool,
 }
 
 impl FaultControl {
@@ -30,7 +32,15 @@
     pub fn create(path: &Path) -> io::Result<Self> {
         let file = OpenOptions::new().read(true).write(true).create(true).truncate(true).open(path)?;
         file.write_all_at(&[0; BYTES], 0)?;
-        Ok(FaultControl { file, path: path.to_path_buf() })
+        Ok(FaultControl { file, path: path.to_path_buf(), owns: true })
+    }
+    /// The control block that another one has made.
+    ///
+    /// # Errors
+    /// There is none.
+    pub fn open(path: &Path) -> io::Result<Self> {
+        let file = OpenOptions::new().read(true).write(true).open(path)?;
+        Ok(FaultControl { file, path: path.to_path_buf(), owns: false })
     }
     /// Sets a word; the process sees it from its next call on.
     ///
@@ -69,7 +79,9 @@
 
 impl Drop for FaultControl {
     fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.path);
+        if self.owns {
+            let _ = std::fs::remove_file(&self.path);
+        }
     }
 }
 
--- a/crates/sanddrum-lab/src/soak/environment.rs
+++ b/crates/sanddrum-lab/src/soak/environment.rs
@@ -34,6 +34,8 @@
 /// A drained server leaves after this.
 const DRAIN_LASTS: Micros = 2 * S;
 const SERVER_SIZE: f64 = 4.0;
+/// Changes of what a router's poller watches fail so many times less often than its other calls.
+const CONTROLS_FAIL_LESS: u64 = 50;
 
 /// A place at which model servers stand, one after the other.
 struct Place {
@@ -422,6 +424,8 @@
     }
     fn set_failing(&self, n: usize, rate: u64) -> io::Result<()> {
         let words = [Word::Accept, Word::Socket, Word::Connect, Word::Receive, Word::Send, Word::Wait];
+        // What the poller watches is changed with every wait, and a failure costs a whole connection.
+        self.routers[n].faults.set(Word::Control, rate / CONTROLS_FAIL_LESS)?;
         words.into_iter().try_for_each(|word| self.routers[n].faults.set(word, rate))
     }
     fn end_trouble(&mut self, now: Micros, undo: Undo) -> io::Result<()> {
--- a/crates/sanddrum-lab/src/soak/mod.rs
+++ b/crates/sanddrum-lab/src/soak/mod.rs
@@ -201,6 +201,7 @@
         (Word::ReceivesFailed, "receives-failed"),
         (Word::SendsFailed, "sends-failed"),
         (Word::WaitsInterrupted, "waits-interrupted"),
+        (Word::ControlsFailed, "controls-failed"),
     ];
     let mut faults = BTreeMap::new();
     for (word, name) in words {
--- a/crates/sanddrum-lab/src/soak/servers.rs
+++ b/crates/sanddrum-lab/src/soak/servers.rs
@@ -200,7 +200,7 @@
         };
         let never_ran = |code: u8, this: &mut Self| {
             this.ledger.borrow_mut().attempts[index].never_ran = true;
-            let fields = this.report();
+            let fields = this.load_report();
             this.says(now, conn, frame.id, code, &fields, b"");
         };
         let function = frame.field("thing").unwrap_or_default().to_string();
@@ -230,7 +230,7 @@
         self.cores[core] = ends;
         self.held += 1;
         let fails = self.mood() == Mood::Failing && self.chance.is_below(0.5);
-        let fields = format!("remark={remark},{}", self.report());
+        let fields = format!("remark={remark},{}", self.load_report());
         let bytes = match fails {
             true => frames::answer(CODE_ERROR, frame.id, &fields, b""),
             false => frames::answer(CODE_OK, frame.id, &fields, &made_of(call, &frame.body)),
@@ -240,7 +240,7 @@
             peer.open += 1;
         }
     }
-    fn report(&self) -> String {
+    fn load_report(&self) -> String {
         let waiting = self.held.saturating_sub(self.cores.len());
         format!("report=queue:{waiting};inflight:{}", self.held)
     }
