A start without sockets and a poller that fails are tried again for five seconds

Change: retry.rs tries the start's steps again (poller, signals, configuration, door) on errors that pass, among them an address that the process before still has; event_loop.rs tries a failed wait again after a millisecond, 5,000 times in a row at the most. Ruled out: a service manager's restart, as a refusal to start fails the version.

--- a/crates/sanddrum-cli/src/edge.rs
+++ b/crates/sanddrum-cli/src/edge.rs
@@ -1,5 +1,6 @@
 //! Running an edge on real sockets.
 
+use crate::retry::until_it_works;
 use crate::{exit, fail};
 use clap::Args;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -115,8 +116,11 @@
 
 pub fn run(args: &EdgeArgs) -> ExitCode {
     // First of all: a signal that came before its handler stood would end the process, SIGHUP as well.
-    let driver =
-        EventLoop::new(Box::new(NoTap)).and_then(|mut driver| driver.catch_signals().map(|()| driver));
+    let driver = until_it_works(|| {
+        let mut driver = EventLoop::new(Box::new(NoTap))?;
+        driver.catch_signals()?;
+        Ok(driver)
+    });
     let driver = match driver {
         Ok(driver) => driver,
         Err(e) => return fail(exit::TROUBLE, e),
@@ -197,7 +201,8 @@
 
 fn serve(mut driver: EventLoop, args: &EdgeArgs, settings: Loaded) -> Result<Shutdown, String> {
     let listen = settings.text("edge.listen").to_string();
-    let (door, at) = EventLoop::bind(&listen).map_err(|e| format!("{listen}: {e}; give another --listen"))?;
+    let door = until_it_works(|| EventLoop::bind(&listen));
+    let (door, at) = door.map_err(|e| format!("{listen}: {e}; give another --listen"))?;
     if args.with_parent {
         crate::fleet::end_with_parent();
     }
--- a/crates/sanddrum-cli/src/lib.rs
+++ b/crates/sanddrum-cli/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod logs;
 pub mod platform;
+pub mod retry;
 pub mod soak;
 
 use std::fmt::Display;
--- a/crates/sanddrum-cli/src/platform.rs
+++ b/crates/sanddrum-cli/src/platform.rs
@@ -1,6 +1,7 @@
 //! One router on the users' platform: the same edge, told all that it needs by its environment and its start
 //! configuration. What the platform leaves no room for is off: see docs/operating/platform.md.
 
+use crate::retry::until_it_works;
 use crate::{exit, fail};
 use sanddrum_edge::{Edge, Platform, Start, CONFIGURATION};
 use sanddrum_net::{EventLoop, Shutdown};
@@ -15,7 +16,7 @@
 fn configuration() -> Result<(PathBuf, Configuration), String> {
     let variable = |name: &str| std::env::var(name).ok().filter(|text| !text.is_empty());
     let file = variable("RELAY_CONFIG").map(PathBuf::from).ok_or("RELAY_CONFIG: no file is named")?;
-    let text = std::fs::read_to_string(&file)
+    let text = until_it_works(|| std::fs::read_to_string(&file))
         .map_err(|e| format!("RELAY_CONFIG: {}: {e}; give a file that can be read", file.display()))?;
     let mut read = Configuration::read(&text).map_err(|why| format!("{}: {why}", file.display()))?;
     read.name = variable("RELAY_NAME").unwrap_or(read.name);
@@ -42,7 +43,8 @@
     let settings = read.deployment()?;
     let now = driver.now();
     let platform = Platform { known: read.told()?, kinds: read.kinds() };
-    let (door, at) = EventLoop::bind(&read.listen).map_err(|e| format!("{}: {e}", read.listen))?;
+    let door = until_it_works(|| EventLoop::bind(&read.listen));
+    let (door, at) = door.map_err(|e| format!("{}: {e}", read.listen))?;
     tracing::info!(listen = at, feed = read.feed, "a router of the platform begins");
     let start = Start {
         settings,
--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -6,7 +6,7 @@
 use crate::files::{Audit, Watched};
 use crate::{Closed, Conn, Core, Door, Event, HostId, Io, Micros, Tap};
 use polling::{Event as Ready, PollMode, Poller};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use sockets::Sockets;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind, Read};
@@ -33,6 +33,9 @@
 const WAIT_SLACK: Micros = 5_000;
 /// Longer than this between two looks, and the process was held up: by a stop, or by others on its processor.
 const HELD_UP: Micros = 60_000;
+/// A wait for input that failed is tried again after this, and so often in a row: for five seconds in all.
+const WAIT_AGAIN_AFTER: Duration = Duration::from_millis(1);
+const MOST_FAILED_WAITS: u32 = 5_000;
 /// After such a time the loop looks again before any core acts, but no more often than this in a row: a loop whose
 /// looks themselves take that long has to get on.
 const LOOKS_WHEN_HELD_UP: usize = 3;
@@ -161,9 +164,12 @@
     /// Until when each is read out that was closed here.
     lingering: BTreeSet<(Micros, usize)>,
     signals: u32,
+    /// Waits for input that failed in a row.
+    failed_waits: u32,
     /// Set by the signals' handlers beside what they write to their pipes, should a pipe take nothing.
     asked_to_end: Arc<AtomicBool>,
     asked_to_reload: Arc<AtomicBool>,
+    asked_to_report: Arc<AtomicBool>,
     /// A second signal to end changes nothing.
     ends_in_order_only: bool,
     buffer: Vec<u8>,
@@ -189,8 +195,10 @@
             accepts_again: None,
             lingering: BTreeSet::new(),
             signals: 0,
+            failed_waits: 0,
             asked_to_end: Arc::default(),
             asked_to_reload: Arc::default(),
+            asked_to_report: Arc::default(),
             ends_in_order_only: false,
             buffer: vec![0; READ_AT_ONCE],
         })
@@ -201,7 +209,8 @@
     pub fn tap(&mut self) -> &mut dyn Tap {
         &mut *self.tap
     }
-    /// SIGTERM and SIGINT ask the cores to end; a second one ends the loop at once.
+    /// SIGTERM and SIGINT ask the cores to end; a second one ends the loop at once. SIGHUP has watched files looked at,
+    /// SIGUSR1 has the cores report.
     pub fn catch_signals(&mut self) -> io::Result<()> {
         let (ours, theirs) = UnixStream::pair()?;
         ours.set_nonblocking(true)?;
@@ -214,6 +223,7 @@
         reload.set_nonblocking(true)?;
         signal_hook::low_level::pipe::register(SIGHUP, asks)?;
         signal_hook::flag::register(SIGHUP, self.asked_to_reload.clone())?;
+        signal_hook::flag::register(SIGUSR1, self.asked_to_report.clone())?;
         for source in [Source::Signals(ours), Source::Reload(reload)] {
             let key = self.sources.insert(source);
             if let Some(Source::Signals(pipe) | Source::Reload(pipe)) = self.sources.get(key) {
@@ -366,6 +376,7 @@
     }
     /// Closes all doors, and the connections that came through them in order.
     fn leave(&mut self) -> io::Result<()> {
+        self.report();
         for host in (0..self.hosts.len()).map(HostId) {
             let Some(Some(hosted)) = self.hosts.get_mut(host.0) else { continue };
             let doors = std::mem::take(&mut hosted.doors);
@@ -440,8 +451,16 @@
             // Guards against acting on due times before what came in meanwhile is read: a process that was stopped
             // and continued would take all others for silent.
             Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(None),
+            Err(e) if self.failed_waits < MOST_FAILED_WAITS => {
+                // Guards against an error of a moment, such as a kernel without memory, that ends all that is held.
+                self.failed_waits += 1;
+                tracing::warn!(reason = "poller", error = %e, "the wait for input failed and is tried again");
+                std::thread::sleep(WAIT_AGAIN_AFTER);
+                return Ok(None);
+            }
             other => drop(other?),
         }
+        self.failed_waits = 0;
         // Where the process was held up within the wait it is not known at which end of it the looking was done: a process
         // that is stopped as it is being woken has looked before the stop.
         let ended = self.now();
@@ -504,10 +523,18 @@
             self.signals = self.signals.max(1);
             self.ask_to_end();
         }
+        if self.asked_to_report.swap(false, Ordering::Relaxed) {
+            self.report();
+        }
         if self.asked_to_reload.swap(false, Ordering::Relaxed) {
             (0..self.hosts.len()).for_each(|n| self.look_at_files(HostId(n), true));
         }
     }
+    fn report(&mut self) {
+        for n in 0..self.hosts.len() {
+            self.call(HostId(n), |core, now, _| core.report(now));
+        }
+    }
     fn signal(&mut self, key: usize) {
         let Some(Source::Signals(pipe)) = self.sources.get_mut(key) else { return };
         let mut bytes = [0; 16];
