One module says whether an attempt may be sent or a connection closed, and counts violations

What fails is taken back, counted by rule (sanddrum_violations_total), logged, and fails a debug build; the counts stand in the log at the end and on SIGUSR1. Close lines bear the connection's id.

Tests replaced: two of the broken edges of the lab's checker can't break their rule any more, as the edge takes back what a broken module sends; those edges are built with violations let pass, so that the checker still has to see them. Two stories show that the guard catches them. Left: the slow-start budget and the HTTP door's closes are not asked here.

--- a/crates/sanddrum-edge/src/figures.rs
+++ b/crates/sanddrum-edge/src/figures.rs
@@ -68,6 +68,10 @@
         self.links_waiting.set(connections.waiting() as f64);
         self.handshake_us.set(connections.costs().full() as f64);
     }
+    /// A client's connection was closed from here.
+    pub fn client_closed(&self, reason: &'static str) {
+        counter!("sanddrum_client_closes_total", "reason" => reason).increment(1);
+    }
     /// A named limit was reached.
     pub fn limit_hit(&self, limit: &'static str) {
         counter!("sanddrum_limit_hits_total", "limit" => limit).increment(1);
--- a/crates/sanddrum-edge/src/fronts.rs
+++ b/crates/sanddrum-edge/src/fronts.rs
@@ -3,6 +3,7 @@
 
 use crate::clients::{missed, no_job, NoJob};
 use crate::jobs::{Answer, Call, Refusal};
+use crate::permits::{may_close, CloseReason};
 use crate::{arrival, Due, Inner, Owner};
 use sanddrum::{JobId, Micros, WorkloadId};
 use sanddrum_fastcgi::{self as fastcgi, Bounds, Request, Responder, Said, Status, Why};
@@ -82,7 +83,7 @@
         if self.fronts.fronts.len() >= self.limits.max_clients {
             self.figures.limit_hit("max-clients");
             match self.fronts.least_missed(now, self.limits.time_to_speak) {
-                Some(other) => self.drop_front(now, other, io, true),
+                Some(other) => self.drop_front(now, other, io, CloseReason::MakesRoom),
                 None => return io.reset(conn),
             }
         }
@@ -150,8 +151,8 @@
                 }
                 Err(broken) => {
                     self.figures.refused("refused", "unreadable");
-                    tracing::debug!(reason = "unreadable", problem = %broken, "a client's connection is ended");
-                    return self.drop_front(now, conn, io, false);
+                    tracing::debug!(conn = conn.0, reason = "unreadable", problem = %broken, "a client can't be read");
+                    return self.drop_front(now, conn, io, CloseReason::Unreadable);
                 }
             };
             match said {
@@ -358,19 +359,33 @@
             }
             let written = front.out.waiting() == 0 && front.jobs.is_empty();
             match front.ends {
-                Some(0) => self.drop_front(now, conn, io, false),
-                Some(_) if written => self.drop_front(now, conn, io, true),
+                Some(0) => self.drop_front(now, conn, io, CloseReason::ReadsNothing),
+                Some(_) if written => self.drop_front(now, conn, io, CloseReason::Answered),
                 _ => {}
             }
         }
     }
 
-    fn drop_front(&mut self, now: Micros, conn: Conn, io: &mut dyn Io, in_order: bool) {
+    /// Closes a web server's connection: in order, unless it could not read what is left.
+    fn drop_front(&mut self, now: Micros, conn: Conn, io: &mut dyn Io, reason: CloseReason) {
+        if let Some(front) = self.fronts.fronts.get(&conn) {
+            let (open, unwritten) = (front.jobs.len(), front.out.waiting());
+            tracing::debug!(
+                conn = conn.0,
+                reason = reason.name(),
+                open,
+                unwritten,
+                "a client's connection is closed"
+            );
+            if let Err(rule) = may_close(reason, open, unwritten) {
+                self.violated(rule, reason.name());
+            }
+        }
+        self.figures.client_closed(reason.name());
         self.owners.remove(&conn);
-        if in_order {
-            io.close(conn);
-        } else {
-            io.reset(conn);
+        match reason {
+            CloseReason::Unreadable | CloseReason::ReadsNothing => io.reset(conn),
+            _ => io.close(conn),
         }
         self.front_left(now, conn);
     }
@@ -387,8 +402,11 @@
     /// Looks whether a connection has said nothing sensible, is slow with a request, asks nothing or does not read.
     pub(crate) fn look_at_front(&mut self, now: Micros, conn: Conn, io: &mut dyn Io) {
         let Some(front) = self.fronts.fronts.get(&conn) else { return };
+        let (open, unwritten) = (front.jobs.len(), front.out.waiting());
         if front.ends.is_some_and(|at| at <= now) {
-            return self.drop_front(now, conn, io, true);
+            let reason =
+                if open == 0 && unwritten == 0 { CloseReason::Answered } else { CloseReason::ReadsNothing };
+            return self.drop_front(now, conn, io, reason);
         }
         let patience = self.limits.head_time_out;
         let silent = (!front.spoke).then_some(front.came + patience);
@@ -405,7 +423,12 @@
         }
         let next = silent.into_iter().chain(slow).chain(idle).min();
         if next.is_some_and(|at| at <= now) {
-            return self.drop_front(now, conn, io, front.out.waiting() == 0);
+            let reason = match () {
+                () if unwritten > 0 => CloseReason::ReadsNothing,
+                () if silent.or(slow).is_some_and(|at| at <= now) => CloseReason::TimeToSpeakOver,
+                () => CloseReason::Idle,
+            };
+            return self.drop_front(now, conn, io, reason);
         }
         self.due.insert((next.unwrap_or(now + self.limits.client_idle).max(now + 1), Due::Client(conn)));
     }
--- a/crates/sanddrum-edge/src/functions.rs
+++ b/crates/sanddrum-edge/src/functions.rs
@@ -32,6 +32,8 @@
     /// The longest first.
     patterns: Vec<Pattern>,
     pub workloads: Vec<String>,
+    /// Workloads whose jobs may run once only.
+    run_once: Vec<bool>,
     known: BTreeMap<FunctionId, Function>,
     /// How long one that no job names is known, and when to look for such.
     kept_for: Micros,
@@ -69,7 +71,14 @@
         patterns.sort_by_key(|p| (p.any_end, std::cmp::Reverse(p.name.len())));
         // The module forgets one well before, so that none of its decisions names one that is unknown here.
         let kept_for = KEEPS * l.span("copies.keep-alive-us");
-        Functions { patterns, workloads: l.names("workloads"), known: BTreeMap::new(), kept_for, look: 0 }
+        let workloads = l.names("workloads");
+        let effect = |n: usize| l.text(&format!("workloads.{n}.effect"));
+        let run_once = (0..workloads.len()).map(|n| effect(n) == "run-once").collect();
+        Functions { patterns, workloads, run_once, known: BTreeMap::new(), kept_for, look: 0 }
+    }
+    /// Whether jobs of a workload may run once only; so may those of one that is not set.
+    pub fn runs_once(&self, workload: WorkloadId) -> bool {
+        self.run_once.get(workload.0).copied().unwrap_or(true)
     }
     /// A function that its jobs tell of; none where the bound on known functions is reached.
     pub fn take_up(
--- a/crates/sanddrum-edge/src/jobs.rs
+++ b/crates/sanddrum-edge/src/jobs.rs
@@ -28,6 +28,8 @@
     /// Executions by number; those that are out still have their entry.
     pub executions: Vec<u64>,
     pub out: usize,
+    /// An execution that has ended has run, or may have.
+    pub may_have_run: bool,
     /// It has its final answer, or its client has left.
     pub closed: bool,
 }
@@ -284,6 +286,7 @@
         let settled = match self.jobs.jobs.get_mut(&e.job) {
             Some(job) => {
                 job.out = job.out.saturating_sub(1);
+                job.may_have_run |= !matches!(end, End::Full | End::NoConnection | End::Moot | End::Miss);
                 job.closed
             }
             None => true,
@@ -364,6 +367,7 @@
             admitted: false,
             executions: Vec::new(),
             out: 0,
+            may_have_run: false,
             closed: false,
         });
         self.figures.taken.increment(1);
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -17,12 +17,14 @@
 mod limits;
 mod links;
 mod list;
+mod permits;
 mod speech;
 pub mod state;
 
 pub use figures::Figures;
 pub use identity::rights_of;
 pub use known::Known;
+pub use permits::Rule;
 
 use admission::Admission;
 use clients::Clients;
@@ -34,6 +36,7 @@
 use limits::Limits;
 use links::Links;
 use list::List;
+use permits::Violations;
 use sanddrum::{Decisions, Round, Router, Settings};
 use sanddrum_connect::{Connections, LinkId, Rests};
 use sanddrum_net::{Chance, Conn, Core, Event, Io, Micros};
@@ -150,6 +153,8 @@
     ended: bool,
     /// What there is to write waits for the next turn, as the process was held up in this one.
     writes_put_off: bool,
+    violations: Violations,
+    violations_pass: bool,
     kept: Option<Vec<u8>>,
 }
 
@@ -233,12 +238,21 @@
             stop_at: None,
             ended: false,
             writes_put_off: false,
+            violations: Violations::default(),
+            violations_pass: false,
             kept: start.kept,
             settings: start.settings,
         };
         Edge { module, connections, inner }
     }
 
+    /// The same edge, in which violations of the rules of [`Rule`] are counted and let pass: a checker that judges from
+    /// the traffic has to see them.
+    pub fn letting_violations_pass(mut self) -> Self {
+        self.inner.violations_pass = true;
+        self
+    }
+
     fn connect(&mut self, now: Micros, io: &mut dyn Io) {
         let due = self.inner.connect_wake.is_some_and(|at| at <= now);
         if !due && self.inner.links.news.is_empty() {
@@ -411,6 +425,16 @@
         }
     }
 
+    fn report(&mut self, _: Micros) {
+        let held = self.held();
+        let (open, violations) = (self.inner.jobs.open(), self.inner.violations.text());
+        let Held { clients, links, workers, functions, .. } = held;
+        match self.inner.violations.all() {
+            0 => tracing::info!(open, clients, links, workers, functions, violations, "as it stands"),
+            _ => tracing::error!(open, clients, links, workers, functions, violations, "as it stands"),
+        }
+    }
+
     fn still_listens(&self) -> bool {
         self.inner.stop_at.is_some() && self.inner.limits.late_arrivals > 0
     }
--- a/crates/sanddrum-edge/src/links.rs
+++ b/crates/sanddrum-edge/src/links.rs
@@ -2,6 +2,7 @@
 
 mod ends;
 mod errands;
+mod guard;
 mod recall;
 mod restate;
 
--- a/crates/sanddrum-edge/src/links/ends.rs
+++ b/crates/sanddrum-edge/src/links/ends.rs
@@ -81,6 +81,7 @@
     /// further attempt that is out on one connection before the first one is given up on another.
     pub(crate) fn flush_links(&mut self, now: Micros, io: &mut dyn Io) {
         for id in std::mem::take(&mut self.links.first) {
+            self.guard_writes(now, id);
             self.restate_deadlines(now, id);
             let Some(link) = self.links.links.get_mut(&id).filter(|link| link.up) else { continue };
             if let Some(conn) = link.conn {
@@ -93,6 +94,7 @@
             }
         }
         for id in std::mem::take(&mut self.links.dirty) {
+            self.guard_writes(now, id);
             self.restate_deadlines(now, id);
             let Some(link) = self.links.links.get_mut(&id).filter(|link| link.up) else { continue };
             if let Some(conn) = link.conn {
--- a/crates/sanddrum-edge/src/list.rs
+++ b/crates/sanddrum-edge/src/list.rs
@@ -48,6 +48,10 @@
     pub fn is_empty(&self) -> bool {
         self.rows.is_empty()
     }
+    /// What a worker was last listed as.
+    pub fn phase(&self, worker: WorkerId) -> Option<Phase> {
+        self.rows.get(&worker).map(|(row, _)| row.phase)
+    }
     /// Workers that have gone are not remembered where none comes back under its name.
     pub fn forget_gone(&mut self) {
         self.rows.retain(|_, (row, _)| row.phase != Phase::Gone);
--- a/crates/sanddrum-edge/tests/platform.rs
+++ b/crates/sanddrum-edge/tests/platform.rs
@@ -382,3 +382,11 @@
     host.says(second, &again);
     assert_eq!(host.strings.borrow().jobs.len(), 2);
 }
+
+#[rstest]
+#[should_panic(expected = "violation of endpoint-listed")]
+fn an_attempt_that_is_decided_for_a_worker_that_drains_is_caught_before_it_is_written() {
+    let mut host = Host::on_platform(&[]);
+    told(&mut host, 2, member("w", "terminating"));
+    job_out(&mut host);
+}
--- a/crates/sanddrum-edge/tests/workers.rs
+++ b/crates/sanddrum-edge/tests/workers.rs
@@ -379,3 +379,18 @@
     assert_eq!(h.executions_read(slow).len(), 0);
     assert_eq!(h.ends(), [End::Moot]);
 }
+
+#[rstest]
+#[should_panic(expected = "violation of effect-once")]
+fn a_second_attempt_of_what_may_run_once_is_caught_before_it_is_written() {
+    let more = r#"(workload "once" (time-limit 10s) (effect run-once)) (function "g*" (workload "once"))"#;
+    let mut host = Host::with(&[], more);
+    let client = host.client();
+    host.strings.borrow_mut().deeds.push(Do::Execute(0, S));
+    host.says(client, &sanddrum_wire::http::write_request("POST", "/v1/calls/once/g1", &[], b"in"));
+    let worker = host.io.connects.last().unwrap().0;
+    host.up(worker);
+    let first = host.executions_read(worker)[0];
+    host.done(worker, first, Ended::Error);
+    host.decide(Do::Execute(0, S));
+}
--- a/crates/sanddrum-lab/tests/broken_edges.rs
+++ b/crates/sanddrum-lab/tests/broken_edges.rs
@@ -94,7 +94,8 @@
             _ => {}
         }
         let module = Broken { router: Router::new(start.seed, &settings), how };
-        Box::new(Edge::with_module(start, module))
+        // The edge itself keeps some of the rules whatever its module decides; the checker has to see them broken.
+        Box::new(Edge::with_module(start, module).letting_violations_pass())
     })
 }
 
--- a/crates/sanddrum-net/src/lib.rs
+++ b/crates/sanddrum-net/src/lib.rs
@@ -135,6 +135,8 @@
     fn stale(&mut self, _now: Micros, _conn: Conn, _denied: bool, _io: &mut dyn Io) {}
     /// Asked to end: takes nothing new and gets `done` once it owes nothing.
     fn stop(&mut self, _now: Micros, _io: &mut dyn Io) {}
+    /// Tells its log how it stands: asked for by SIGUSR1, and at the end.
+    fn report(&mut self, _now: Micros) {}
     /// Asked to end, it is still to be told of what connects.
     fn still_listens(&self) -> bool {
         false
@@ -166,6 +168,9 @@
     fn stop(&mut self, now: Micros, io: &mut dyn Io) {
         (**self).stop(now, io);
     }
+    fn report(&mut self, now: Micros) {
+        (**self).report(now);
+    }
     fn still_listens(&self) -> bool {
         (**self).still_listens()
     }
--- a/crates/sanddrum-tls/src/lib.rs
+++ b/crates/sanddrum-tls/src/lib.rs
@@ -296,6 +296,9 @@
         self.core.stop(now, &mut Inside { inner: &mut self.inner, io, now });
         self.settle(now, io);
     }
+    fn report(&mut self, now: Micros) {
+        self.core.report(now);
+    }
     fn done(&self) -> bool {
         self.core.done() && self.inner.ends.values().all(End::is_flushed)
     }
