--- a/crates/sanddrum-cli/src/fleet.rs
+++ b/crates/sanddrum-cli/src/fleet.rs
@@ -1,11 +1,11 @@
 //! `sanddrum lab fleet`: a scenario with every part as a process of its own, and the stand-ins as those processes.
 
-use crate::lab::{read_scenario, tell, Folder};
+use crate::lab::{read_scenario, tell, Folder, Shipped, DEMO};
 use crate::{exit, fail};
 use clap::{Args, ValueEnum};
 use sanddrum_lab::{
-    play, MakeProcess, Outcome, ProcessStage, ProcessStart, Recording, Scenario, Steered, Who, FAULTS, LATE,
-    OURS,
+    play, MakeProcess, Outcome, ProcessStage, ProcessStart, Recording, Scenario, Steered, Who, FAULTS,
+    FLEET_DAY, LATE, OURS,
 };
 use sanddrum_net::{Core, EventLoop, NoTap};
 use sanddrum_worker::{ListService, Marks, Shared, Store, Worker};
@@ -15,9 +15,12 @@
 use std::process::{Command, ExitCode};
 use std::rc::Rc;
 
+/// What is played where no scenario is given.
+const FLEET: Shipped = Shipped { name: "fleet-day.sx", text: FLEET_DAY };
+
 #[derive(Args, Clone, Debug)]
 pub struct FleetArgs {
-    /// The scenario; the bad day of the demo where none is given
+    /// The scenario; half a minute of restarts and broken links where none is given
     pub file: Option<PathBuf>,
     /// So many edges instead of the scenario's
     #[arg(long)]
@@ -76,7 +79,8 @@
 }
 
 pub fn run(args: &FleetArgs) -> ExitCode {
-    let (name, scenario) = match read_scenario(args.file.as_deref(), args.seed, &args.set, args.edges) {
+    let (name, scenario) = match read_scenario(FLEET, args.file.as_deref(), args.seed, &args.set, args.edges)
+    {
         Ok(read) => read,
         Err(problem) => return fail(exit::USAGE, problem),
     };
@@ -147,7 +151,7 @@
 }
 
 pub fn sizes(args: &SizesArgs) -> ExitCode {
-    let (_, scenario) = match read_scenario(Some(&args.file), args.seed, &[], None) {
+    let (_, scenario) = match read_scenario(DEMO, Some(&args.file), args.seed, &[], None) {
         Ok(read) => read,
         Err(problem) => return fail(exit::USAGE, problem),
     };
@@ -257,7 +261,7 @@
 
 fn stand_in(args: &PartArgs) -> Result<(), String> {
     end_with_parent();
-    let (_, scenario) = read_scenario(Some(&args.file), args.seed, &args.set, None)?;
+    let (_, scenario) = read_scenario(DEMO, Some(&args.file), args.seed, &args.set, None)?;
     let (door, at) = EventLoop::bind(&args.listen).map_err(|e| format!("{}: {e}", args.listen))?;
     let mut driver = EventLoop::new(Box::new(NoTap)).map_err(|e| e.to_string())?;
     driver.catch_signals().map_err(|e| e.to_string())?;
--- a/crates/sanddrum-cli/src/lab.rs
+++ b/crates/sanddrum-cli/src/lab.rs
@@ -32,12 +32,23 @@
 /// The settings that have a scenario speak TLS to its workers.
 pub const TLS: [&str; 2] = ["tls.roots-file=roots.pem", "tls.workers=verified"];
 
-/// A scenario's name and what it says, the demo's where no file is given, with these settings and so many edges over its
-/// own.
+/// A scenario that the program brings along.
+#[derive(Clone, Copy, Debug)]
+pub struct Shipped {
+    pub name: &'static str,
+    pub text: &'static str,
+}
+
+/// The demo's.
+pub const DEMO: Shipped = Shipped { name: "bad-day.sx", text: BAD_DAY };
+
+/// A scenario's name and what it says, the shipped one's where no file is given, with these settings and so many edges
+/// over its own.
 ///
 /// # Errors
 /// What is wrong with it.
 pub fn read_scenario(
+    shipped: Shipped,
     file: Option<&Path>,
     seed: u64,
     set: &[String],
@@ -47,7 +58,7 @@
         return Err("--edges and --set fleet.edges both say how many edges there are: give one".into());
     }
     let (name, text) = match file {
-        None => ("bad-day.sx".to_string(), BAD_DAY.to_string()),
+        None => (shipped.name.to_string(), shipped.text.to_string()),
         Some(file) => {
             let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
             (file.display().to_string(), text)
@@ -59,7 +70,7 @@
 }
 
 pub fn run(args: &RunArgs) -> ExitCode {
-    let (name, scenario) = match read_scenario(args.file.as_deref(), args.seed, &args.set, args.edges) {
+    let (name, scenario) = match read_scenario(DEMO, args.file.as_deref(), args.seed, &args.set, args.edges) {
         Ok(read) => read,
         Err(problem) => return fail(exit::USAGE, problem),
     };
--- a/crates/sanddrum-lab/src/lib.rs
+++ b/crates/sanddrum-lab/src/lib.rs
@@ -59,6 +59,9 @@
 /// The bad day that the demo plays.
 pub const BAD_DAY: &str = include_str!("../scenarios/bad-day.sx");
 
+/// What is played by a fleet of processes where no scenario is given: the bad day has parts that processes don't play.
+pub const FLEET_DAY: &str = include_str!("../scenarios/fleet-day.sx");
+
 /// Plays a scenario in virtual time.
 ///
 /// # Errors
--- a/crates/sanddrum-lab/src/soak/mod.rs
+++ b/crates/sanddrum-lab/src/soak/mod.rs
@@ -16,7 +16,7 @@
 use environment::Environment;
 use judge::{judge, leavings, Break};
 use ledger::{Ledger, Shared};
-use sanddrum_net::{Chance, Micros};
+use sanddrum_net::{Chance, EventLoop, Micros};
 use serde_json::json;
 use settings::{Fleet, Terms};
 use std::collections::BTreeMap;
@@ -95,7 +95,7 @@
 pub fn soak(spec: &SoakSpec) -> io::Result<SoakReport> {
     let mut chance = Chance::new(spec.seed);
     let terms = Terms::drawn(&mut chance);
-    let fleet = Fleet { seed: spec.seed, routers: spec.routers, servers: spec.servers, feed_door: 0 };
+    let fleet = free_fleet(spec)?;
     let length = spec.seconds as Micros * S;
     let planned = plan(&mut chance, length, spec.routers, spec.servers);
     let ledger = Shared::default();
@@ -111,6 +111,16 @@
     report(spec.seed, &environment, &planned, &ledger, breaks)
 }
 
+/// A fleet at addresses that no other run has: its feed's first one is free.
+fn free_fleet(spec: &SoakSpec) -> io::Result<Fleet> {
+    let (routers, servers, feed_door) = (spec.routers, spec.servers, 0);
+    let first = Fleet::NETS.start + (spec.seed % Fleet::NETS.len() as u64) as u8;
+    let nets = (first..Fleet::NETS.end).chain(Fleet::NETS.start..first);
+    let mut fleets = nets.map(|net| Fleet { seed: spec.seed, net, routers, servers, feed_door });
+    let free = fleets.find(|fleet| EventLoop::bind(&fleet.feed_address(0)).is_ok());
+    free.ok_or_else(|| io::Error::other("no addresses are free: too many runs at a time"))
+}
+
 fn wait_until_ready(environment: &mut Environment) -> io::Result<()> {
     let until = environment.now() + ALL_READY_WITHIN;
     while !environment.all_ready() {
--- a/crates/sanddrum-lab/src/soak/settings.rs
+++ b/crates/sanddrum-lab/src/soak/settings.rs
@@ -102,6 +102,8 @@
 #[derive(Clone, Debug)]
 pub struct Fleet {
     pub seed: u64,
+    /// The second number of all addresses, so that runs at a time keep apart.
+    pub net: u8,
     pub routers: usize,
     pub servers: usize,
     /// Which of the feed's two addresses is the one in force.
@@ -109,17 +111,16 @@
 }
 
 impl Fleet {
-    fn net(&self) -> u64 {
-        64 + self.seed % 128
-    }
+    /// Numbers of addresses that runs may take.
+    pub const NETS: std::ops::Range<u8> = 64..192;
     pub fn router_address(&self, router: RouterId) -> String {
-        format!("127.{}.1.{}:7100", self.net(), router.0 + 1)
+        format!("127.{}.1.{}:7100", self.net, router.0 + 1)
     }
     /// A place at which model servers listen, one after the other.
     pub fn server_address(&self, place: usize) -> String {
-        format!("127.{}.2.{}:7200", self.net(), place + 1)
+        format!("127.{}.2.{}:7200", self.net, place + 1)
     }
     pub fn feed_address(&self, door: usize) -> String {
-        format!("127.{}.3.{}:7300", self.net(), door + 1)
+        format!("127.{}.3.{}:7300", self.net, door + 1)
     }
 }
