--- a/crates/sanddrum-edge/tests/workers.rs
+++ b/crates/sanddrum-edge/tests/workers.rs
@@ -394,3 +394,14 @@
     host.done(worker, first, Ended::Error);
     host.decide(Do::Execute(0, S));
 }
+
+#[rstest]
+#[case::the_clock_went_on_by_an_hour(-3600 * S)]
+#[case::the_clock_went_back_by_an_hour(3600 * S)]
+fn a_worker_that_was_young_as_the_list_was_kept_is_no_older_for_a_step_of_the_clock(#[case] kept_at: i64) {
+    use sanddrum_edge::state::{write, Kept};
+    let young = sanddrum_wire::Row { age_us: 500_000, ..row("w", 1, Phase::Ready) };
+    let kept = Kept { at: 1000 * S + kept_at, run: 1, version: 1, rows: vec![young], ..Kept::default() };
+    let h = Host::bare(&[], Some(write(&kept)));
+    assert_eq!(h.strings.borrow().lists[0].rows[0].started, 1000 * S - 500_000);
+}
