A kept list makes no worker older than it was as it was kept

Change: state.rs adds no time to the ages of a kept list; what has passed since only a wall clock tells, and a worker that is taken for younger than it is gets less than it could for the rest of its slow start. Kept.at stays for people. Ruled out: the monotonic clock with the boot's id, as a kept list may move with its disk.

--- a/crates/sanddrum-edge/src/list.rs
+++ b/crates/sanddrum-edge/src/list.rs
@@ -118,13 +118,14 @@
             Ok(kept) => {
                 self.list.known = Known { run: kept.run, version: kept.version };
                 self.identity.remember_floor(&kept);
-                let rows = state::aged(&kept, now);
+                // No time is added that has passed since: nothing tells it but a wall clock, which may have been stepped.
+                let rows = &kept.rows;
                 tracing::info!(
                     workers = rows.len(),
                     version = kept.version,
                     "the kept worker list is taken up"
                 );
-                self.take_rows(now, ListKind::Cached, &rows);
+                self.take_rows(now, ListKind::Cached, rows);
             }
             Err(why) => tracing::warn!(reason = "kept-list", why, "the kept worker list is not used"),
         }
--- a/crates/sanddrum-edge/src/state.rs
+++ b/crates/sanddrum-edge/src/state.rs
@@ -1,7 +1,6 @@
 //! What an edge keeps over a restart: the last worker list, with a mark of what it is and a checksum.
 
 use minicbor::{Decode, Encode};
-use sanddrum_net::Micros;
 use sanddrum_wire::Row;
 
 const MAGIC: &[u8] = b"sanddrum worker list 1\n";
@@ -9,14 +8,15 @@
 #[derive(Clone, Debug, PartialEq, Default, Encode, Decode)]
 #[cbor(map)]
 pub struct Kept {
-    /// When it was kept, by the clock that goes on over restarts.
+    /// When it was kept, by the wall clock. Told for people only: a wall clock is stepped, and a worker that it made older
+    /// than it is would be overloaded in its slow start.
     #[n(0)]
     pub at: i64,
     #[n(1)]
     pub run: u64,
     #[n(2)]
     pub version: u64,
-    /// Ages are as of `at`.
+    /// Ages are those at the time of keeping, which are the least that they can be later.
     #[n(3)]
     pub rows: Vec<Row>,
     /// The highest version of the keys that was in force, and the keys that were revoked.
@@ -49,12 +49,3 @@
     minicbor::decode(content).map_err(|_| "it can't be read")
 }
 
-/// Rows kept at one instant as they stand at another.
-pub fn aged(kept: &Kept, now: Micros) -> Vec<Row> {
-    let since = (now - kept.at).max(0);
-    let older = |row: &Row| Row {
-        age_us: if row.age_us < 0 { row.age_us } else { row.age_us + since },
-        ..row.clone()
-    };
-    kept.rows.iter().map(older).collect()
-}
