--- a/crates/sanddrum-edge/src/state.rs
+++ b/crates/sanddrum-edge/src/state.rs
@@ -48,4 +48,3 @@
     }
     minicbor::decode(content).map_err(|_| "it can't be read")
 }
-
