The judge lets a request cross the end of a connection that rested, new or kept, and no other

Change: a connection that carried nothing for a second rests, be it new; a kept one that did not is no longer excused.

--- a/crates/sanddrum-lab/src/soak/clients.rs
+++ b/crates/sanddrum-lab/src/soak/clients.rs
@@ -89,6 +89,8 @@
     effect: Effect,
     patience: Micros,
     first_on_connection: bool,
+    /// Since when its connection had carried nothing.
+    quiet_since: Micros,
 }
 
 /// All clients of all routers.
@@ -202,6 +204,7 @@
         let Some(id) = connection.free.pop() else { return };
         let bytes = request_bytes(id, call, effect, patience, function);
         let first_on_connection = connection.asked == 0;
+        let quiet_since = if connection.open.is_empty() { connection.idle_since } else { now };
         connection.asked += 1;
         match manner {
             Manner::Pieces => {
@@ -231,7 +234,7 @@
             Manner::Resets(after) => Some((now + after, Then::Reset)),
             _ => connection.then.take(),
         };
-        self.unsent.insert(call, Unsent { effect, patience, first_on_connection });
+        self.unsent.insert(call, Unsent { effect, patience, first_on_connection, quiet_since });
     }
     fn send_garbage(&mut self, now: Micros, conn: Conn) {
         let length = 1 + self.chance.below(4000);
@@ -274,6 +277,7 @@
                     patience: unsent.patience,
                     sent: now,
                     first_on_connection: unsent.first_on_connection,
+                    rested: now - unsent.quiet_since,
                     left: None,
                     answers: Vec::new(),
                     cut: None,
--- a/crates/sanddrum-lab/src/soak/judge.rs
+++ b/crates/sanddrum-lab/src/soak/judge.rs
@@ -87,6 +87,8 @@
 const DEADLINE_SLACK: Micros = 150_000;
 /// A request that crosses the end of a resting connection within this is sent again by its client.
 const CROSSING: Micros = 50_000;
+/// A connection that has carried nothing for so long rests, be it new: its router may close it.
+const RESTS: Micros = 1_000_000;
 /// Requests that came later after SIGTERM are not owed an answer.
 const OWED_AFTER_TERM: Micros = 700_000;
 /// SIGKILL comes no sooner than the longest deadline, this at the most, and so much.
@@ -164,7 +166,7 @@
         return (late > 0).then(|| format!("answered {:.3} s too late", late as f64 / 1e6));
     }
     if let Some(cut) = request.cut {
-        let crossed = !request.first_on_connection && cut - request.sent <= CROSSING;
+        let crossed = request.rested >= RESTS && cut - request.sent <= CROSSING;
         let after = (cut - request.sent) as f64 / 1e6;
         return (!crossed).then(|| format!("its connection ended unanswered after {after:.3} s"));
     }
--- a/crates/sanddrum-lab/src/soak/ledger.rs
+++ b/crates/sanddrum-lab/src/soak/ledger.rs
@@ -68,6 +68,8 @@
     pub sent: Micros,
     /// It was the first on its connection.
     pub first_on_connection: bool,
+    /// How long its connection had carried nothing before it was sent.
+    pub rested: Micros,
     pub left: Option<(Micros, Leaving)>,
     pub answers: Vec<Answer>,
     /// The router, or the machine, ended its connection before it was answered.
