The story of the end no longer counts what comes behind an answer as another request

Cause: its core takes one from a count for each piece that is told, and the client's second piece, which is nobody's, is told as well when it comes before the loop's last look (event_loop.rs, run: it ends after a look that finds nothing). The loop is right to tell it. The story was wrong there and is replaced by one as strict: connections are kept by id, only the first piece is answered, and the client now also asserts that nothing follows its answer.

--- a/crates/sanddrum-net/tests/stopping.rs
+++ b/crates/sanddrum-net/tests/stopping.rs
@@ -3,26 +3,25 @@
 use rstest::rstest;
 use sanddrum_net::*;
 use signal_hook::consts::SIGTERM;
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
 
-/// Answers whatever is said, and ends once asked to and idle.
+/// Answers what each connection says first, and ends once asked to and idle.
 #[derive(Default)]
 struct Echo {
     stopping: bool,
-    open: u32,
+    open: BTreeSet<Conn>,
 }
 
 impl Core for Echo {
     fn start(&mut self, _: Micros, _: &mut dyn Io) {}
     fn event(&mut self, _: Micros, event: Event<'_>, io: &mut dyn Io) {
         match event {
-            Event::Accepted { .. } => self.open += 1,
-            Event::Bytes { conn, bytes } => {
-                io.write(conn, bytes);
-                self.open -= 1;
-            }
+            Event::Accepted { conn, .. } => drop(self.open.insert(conn)),
+            // What is said behind that may still be told, if it comes before the loop's last look.
+            Event::Bytes { conn, bytes } if self.open.remove(&conn) => drop(io.write(conn, bytes)),
             _ => {}
         }
     }
@@ -34,7 +33,7 @@
         self.stopping = true;
     }
     fn done(&self) -> bool {
-        self.stopping && self.open == 0
+        self.stopping && self.open.is_empty()
     }
 }
 
@@ -58,6 +57,7 @@
         // What is said behind the answer is nobody's any more, but destroys nothing.
         client.write_all(b"more").unwrap();
         client.read_to_end(&mut got).unwrap();
+        assert!(got.is_empty(), "an orderly end, and nothing behind the answer");
         piece
     });
     assert_eq!(driver.run().unwrap(), Shutdown::InOrder);
