Logs and status say what a router did and why; the age of the endpoint list is known

Change: the control feed's client keeps the instant up to which the list is confirmed (endpoint_freshness.rs); its loss for two seconds and its return are warnings with the reason, the age and the last event. The first poll of a connection asks for an answer at once, so that its answer confirms the list. Ruled out: logging each request at warn, which costs a part of the one core.

--- a/crates/sanddrum-edge/src/context.rs
+++ b/crates/sanddrum-edge/src/context.rs
@@ -1,5 +1,6 @@
 //! Services that all parts of the edge share.
 
+use crate::event_counts::EventCounts;
 use crate::invariants::Violations;
 use crate::limits::Limits;
 use crate::metrics::EdgeMetrics;
@@ -25,6 +26,8 @@
     pub limits: Limits,
     /// Counters and gauges.
     pub metrics: EdgeMetrics,
+    /// What was done and why, for the status line.
+    pub counts: EventCounts,
     /// Timers of all parts.
     pub timers: Timers,
     /// Violations of invariants.
--- a/crates/sanddrum-edge/src/control_feed.rs
+++ b/crates/sanddrum-edge/src/control_feed.rs
@@ -1,10 +1,11 @@
 //! The client of the platform's control feed: one long poll is always outstanding. Its events change the endpoint list.
 
 use crate::context::{ConnectionOwner, EdgeContext};
+use crate::endpoint_freshness::{EndpointFreshness, FreshnessChange, Poll};
 use crate::timers::Timer;
 use sanddrum::{EndpointListKind, Micros};
 use sanddrum_net::{ConnectionId, Io, Rng};
-use sanddrum_platform::control_feed::{self, FeedEvent, FeedEvents};
+use sanddrum_platform::control_feed::{self, FeedEvent, FeedEvents, NOTIFIED_AFTER};
 use sanddrum_platform::start_times::{ClockReading, StartTimes};
 use sanddrum_settings::LoadedSettings;
 use sanddrum_upstream::Backoff;
@@ -64,6 +65,13 @@
     missed_event: bool,
     conn: Option<ConnectionId>,
     received: Vec<u8>,
+    /// The poll that has not been answered.
+    poll: Option<Poll>,
+    freshness: EndpointFreshness,
+    /// The connection has not been polled on.
+    has_just_connected: bool,
+    /// Why the feed was lost, since its last answer.
+    last_loss: Option<String>,
     backoff: Backoff,
     rng: Rng,
     /// When to connect, or to give the connection up; timers for earlier instants are obsolete.
@@ -82,12 +90,54 @@
             missed_event: false,
             conn: None,
             received: Vec::new(),
+            poll: None,
+            freshness: EndpointFreshness::new(NOTIFIED_AFTER),
+            has_just_connected: false,
+            last_loss: None,
             backoff: Backoff::new(backoff("least"), backoff("most")),
             rng: Rng::new(seed),
             next_check: 0,
         }
     }
 
+    /// The list is that of the startup configuration.
+    pub fn start(&mut self, now: Micros) {
+        self.freshness.start(now);
+    }
+
+    /// All changes of the endpoint list until this instant are known.
+    pub fn confirmed_at(&self) -> Micros {
+        self.freshness.confirmed_at()
+    }
+
+    /// The number of the last event that was applied.
+    pub fn last_event(&self) -> u64 {
+        self.last_event
+    }
+
+    /// Records what an answer shows of the list's age. An answer that leaves an event out shows nothing.
+    pub fn record_answer(
+        &mut self,
+        now: Micros,
+        has_events: bool,
+        is_delayed: bool,
+    ) -> Option<FreshnessChange> {
+        let poll = self.poll.take()?;
+        if self.missed_event {
+            return None;
+        }
+        self.freshness.answered(now, poll, has_events, is_delayed);
+        self.last_loss = None;
+        self.freshness.change(now)
+    }
+
+    /// Whether the list has become stale since this was last asked, and why the feed was lost.
+    pub fn check_freshness(&mut self, now: Micros) -> Option<(FreshnessChange, String)> {
+        let change = self.freshness.change(now)?;
+        let reason = self.last_loss.clone();
+        Some((change, reason.unwrap_or_else(|| "no answer".to_string())))
+    }
+
     /// Applies events, in order and each once. Returns the changes of the endpoint list.
     pub fn apply(&mut self, clocks: ClockReading, events: FeedEvents) -> Vec<EndpointChange> {
         self.start_times.observe_clocks(clocks);
@@ -140,6 +190,8 @@
             return self.give_up(context, now, &FeedError::TimedOut, io);
         }
         self.received = Vec::new();
+        self.poll = None;
+        self.has_just_connected = true;
         let conn = io.connect(&self.address);
         context
             .connection_owners
@@ -156,12 +208,22 @@
     /// Polls for the events after the last one.
     pub fn poll(&mut self, context: &mut EdgeContext, now: Micros, io: &mut dyn Io) {
         let Some(conn) = self.conn else { return };
-        let wait = context.limits.feed_poll_wait;
+        let longest_wait = context.limits.feed_poll_wait;
+        // The first poll of a connection is answered at once: what has been missed is then known without another wait.
+        let wait = if std::mem::take(&mut self.has_just_connected) {
+            0
+        } else {
+            self.freshness.next_wait(longest_wait)
+        };
         let request = control_feed::poll_request(&self.address, self.last_event, wait);
         if io.write(conn, &request) < request.len() {
             return self.give_up(context, now, &FeedError::NotReading, io);
         }
-        self.check_at(context, now + wait + context.limits.feed_answer_timeout);
+        self.poll = Some(Poll { sent_at: now, wait });
+        let answer_due = now + longest_wait + context.limits.feed_answer_timeout;
+        self.check_at(context, answer_due);
+        let stale_at = self.confirmed_at() + NOTIFIED_AFTER + 1;
+        context.timers.schedule(stale_at, Timer::Discovery);
     }
 
     /// Closes the connection, if there is one, and reconnects after a backoff.
@@ -173,11 +235,14 @@
         io: &mut dyn Io,
     ) {
         self.disconnect(context, io);
+        self.last_loss = Some(error.to_string());
         let until = self.backoff.record_failure(now, 0, self.rng.next_f64());
         tracing::info!(
             reason = "feed-away",
             why = %error,
             wait_us = until - now,
+            last_event = self.last_event,
+            list_age_us = now - self.confirmed_at(),
             "reconnecting to the control feed"
         );
         context.metrics.discovery_losses.increment(1);
--- a/crates/sanddrum-edge/src/edge_state.rs
+++ b/crates/sanddrum-edge/src/edge_state.rs
@@ -27,6 +27,7 @@
 use crate::control_feed::ControlFeed;
 use crate::discovery::DiscoveryClient;
 use crate::endpoint_table::EndpointTable;
+use crate::event_counts::EventCounts;
 use crate::fastcgi_listener::FastCgiListener;
 use crate::functions::Functions;
 use crate::http_listener::HttpListener;
@@ -314,6 +315,8 @@
         } = self.resource_counts();
         let open_requests = self.requests.open_count();
         let violations = self.context.violations.summary();
+        let counts = self.context.counts.to_string();
+        let last_event = self.control_feed.as_ref().map(ControlFeed::last_event);
         if self.context.violations.total() == 0 {
             tracing::info!(
                 open_requests,
@@ -322,6 +325,8 @@
                 workers,
                 functions,
                 violations,
+                counts,
+                last_event,
                 "edge status"
             );
         } else {
@@ -332,6 +337,8 @@
                 workers,
                 functions,
                 violations,
+                counts,
+                last_event,
                 "edge status"
             );
         }
@@ -342,6 +349,7 @@
     EdgeContext {
         limits: Limits::from_settings(settings),
         metrics: EdgeMetrics::default(),
+        counts: EventCounts::default(),
         timers: Timers::default(),
         violations: Violations::default(),
         connection_owners: BTreeMap::new(),
--- a/crates/sanddrum-edge/src/edge_state/attempts.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempts.rs
@@ -1,8 +1,10 @@
 //! The life of an attempt: dispatched to a worker, then ended with exactly one outcome.
 
 use super::EdgeState;
+use crate::event_counts::CountedEvent;
 use crate::functions::Functions;
 use crate::message::{AttemptId, MessageKey, OutboundMessage};
+use crate::metrics::outcome_label;
 use crate::requests::{Attempt, PendingRequest};
 use crate::timers::Timer;
 use crate::worker_connections::WorkerConnections;
@@ -114,6 +116,11 @@
             return;
         };
         let customer = request.call.customer_id;
+        let call_id = request.call.call_id;
+        let retry_after = request.last_outcome.map(outcome_label);
+        if let Some(reason) = retry_after {
+            self.context.counts.record(CountedEvent::Retried, reason);
+        }
         let time_limit = time_limit.min(request.deadline - now).max(0);
         let deadline = now + time_limit;
         let sent = self.send_attempt(now, id, attempt, worker, time_limit);
@@ -129,7 +136,9 @@
         self.requests.insert_attempt(attempt, record);
         tracing::debug!(
             request = id.0,
+            call = %format_args!("{call_id:016x}"),
             attempt = index,
+            retry_after,
             worker = self.worker_connections.worker_name(worker),
             limit_us = time_limit,
             "attempt dispatched"
--- a/crates/sanddrum-edge/src/edge_state/control_commands.rs
+++ b/crates/sanddrum-edge/src/edge_state/control_commands.rs
@@ -2,8 +2,10 @@
 
 use super::EdgeState;
 use crate::control_commands::{PendingCommand, PendingLoad};
+use crate::event_counts::CountedEvent;
 use crate::functions::Function;
 use crate::message::{CommandId, MessageKey, OutboundMessage};
+use crate::metrics::outcome_label;
 use crate::timers::Timer;
 use crate::worker_connections::WorkerConnections;
 use sanddrum::{FunctionId, HealthCheckResult, LoadReport, LoadResult, Micros, Outcome, WorkerId};
@@ -26,6 +28,13 @@
         if instances > 0 {
             self.context.metrics.load_commands.increment(1);
         }
+        tracing::debug!(
+            command = id.0,
+            worker = self.worker_connections.worker_name(worker),
+            function = known.name,
+            instances,
+            "load command"
+        );
         let message = OutboundMessage {
             key: MessageKey::Load(id),
             wire_id: id.0,
@@ -84,6 +93,17 @@
             return;
         };
         let command = load.command;
+        let end = outcome_label(outcome);
+        if outcome != Outcome::Finished {
+            self.context.counts.record(CountedEvent::LoadNotDone, end);
+        }
+        tracing::debug!(
+            command = id.0,
+            worker = self.worker_connections.worker_name(command.worker),
+            end,
+            instances,
+            "load command ended"
+        );
         let timer = Timer::LoadTimeout(id);
         self.release_command(now, &command, timer, MessageKey::Load(id));
         self.batch.load_results.push(LoadResult {
--- a/crates/sanddrum-edge/src/edge_state/discovery.rs
+++ b/crates/sanddrum-edge/src/edge_state/discovery.rs
@@ -3,6 +3,7 @@
 use super::EdgeState;
 use crate::discovery_version::DiscoveryVersion;
 use crate::endpoint_cache::{self, CachedState};
+use crate::endpoint_freshness::FreshnessChange;
 use crate::endpoint_table::WorkerStart;
 use crate::timers::Timer;
 use sanddrum::{EndpointList, EndpointListKind, Micros, WorkerId};
@@ -22,6 +23,9 @@
         if let Some(events) = self.initial_events.take() {
             self.apply_feed_events(now, events, io);
         }
+        if let Some(feed) = &mut self.control_feed {
+            feed.start(now);
+        }
         if self.is_on_platform() {
             return self.check_discovery(now, io);
         }
@@ -155,7 +159,10 @@
     /// The timer of the discovery service or the control feed has fired.
     pub(super) fn check_discovery(&mut self, now: Micros, io: &mut dyn Io) {
         match &mut self.control_feed {
-            Some(feed) => feed.check(&mut self.context, now, io),
+            Some(feed) => {
+                feed.check(&mut self.context, now, io);
+                self.report_stale_endpoints(now);
+            }
             None => self.discovery.check(&mut self.context, now, io),
         }
     }
@@ -272,12 +279,46 @@
     }
 
     fn on_feed_answer(&mut self, now: Micros, events: FeedEvents, io: &mut dyn Io) {
+        let has_events = !events.events.is_empty();
         self.apply_feed_events(now, events, io);
+        self.record_feed_answer(now, has_events, io.is_delayed());
         if let Some(feed) = &mut self.control_feed {
             feed.poll(&mut self.context, now, io);
         }
     }
 
+    fn record_feed_answer(&mut self, now: Micros, has_events: bool, is_delayed: bool) {
+        let Some(feed) = &mut self.control_feed else {
+            return;
+        };
+        let change = feed.record_answer(now, has_events, is_delayed);
+        if let Some(FreshnessChange::Current) = change {
+            tracing::warn!(
+                reason = "list-current",
+                last_event = feed.last_event(),
+                counts = %self.context.counts,
+                "the control feed answers again; the endpoint list is current"
+            );
+        }
+    }
+
+    /// Logs once for each outage that the endpoint list has become stale.
+    fn report_stale_endpoints(&mut self, now: Micros) {
+        let Some(feed) = &mut self.control_feed else {
+            return;
+        };
+        if let Some((FreshnessChange::Stale { age }, why)) = feed.check_freshness(now) {
+            tracing::warn!(
+                reason = "list-stale",
+                why,
+                age_us = age,
+                last_event = feed.last_event(),
+                counts = %self.context.counts,
+                "the control feed is unavailable; the endpoint list is stale"
+            );
+        }
+    }
+
     /// Applies events of the control feed, in order and each once.
     fn apply_feed_events(&mut self, now: Micros, events: FeedEvents, io: &dyn Io) {
         let Some(feed) = &mut self.control_feed else {
--- a/crates/sanddrum-edge/src/edge_state/dispatcher.rs
+++ b/crates/sanddrum-edge/src/edge_state/dispatcher.rs
@@ -1,7 +1,7 @@
 //! Carries out the decisions of the decision module as it makes them.
 
 use super::EdgeState;
-use sanddrum::{Decisions, FunctionId, Micros, PeerId, RequestId, WorkerId};
+use sanddrum::{AnswerReason, Decisions, FunctionId, Micros, PeerId, RequestId, WorkerId};
 
 /// Receives the decisions of one run.
 pub(crate) struct Dispatcher<'a> {
@@ -34,6 +34,10 @@
         self.state.fail_request(self.now, request);
     }
 
+    fn explain(&mut self, request: RequestId, reason: AnswerReason) {
+        self.state.explain_answer(request, reason);
+    }
+
     fn load(&mut self, worker: WorkerId, function: FunctionId, instances: u32) {
         self.state.send_load(self.now, worker, function, instances);
     }
--- a/crates/sanddrum-edge/src/edge_state/requests.rs
+++ b/crates/sanddrum-edge/src/edge_state/requests.rs
@@ -1,10 +1,11 @@
 //! The life of a request: accepted, then closed with exactly one final response or cancelled by its client.
 
 use super::EdgeState;
+use crate::event_counts::CountedEvent;
 use crate::message::{AttemptId, MessageKey};
 use crate::requests::{Call, PendingRequest};
 use crate::responses::{ErrorKind, ErrorResponse, FinalResponse};
-use sanddrum::{Micros, Outcome, RequestId, Warmth};
+use sanddrum::{AnswerReason, Micros, Outcome, RequestId, Warmth};
 use sanddrum_net::ConnectionId;
 
 impl EdgeState {
@@ -96,7 +97,14 @@
         let (client, slot) = (request.client, request.slot);
         let (status, reason) = (response.status, response.reason);
         let end = response.kind.name();
-        tracing::debug!(request = id.0, status, reason, end, "request not finished");
+        tracing::debug!(
+            request = id.0,
+            call = %format_args!("{:016x}", request.call.call_id),
+            status,
+            reason,
+            end,
+            "request not finished"
+        );
         self.context
             .metrics
             .record_error_response(response.kind, reason);
@@ -159,6 +167,20 @@
         }
     }
 
+    /// Why the decision module ends a request without another attempt.
+    pub(super) fn explain_answer(&mut self, id: RequestId, reason: AnswerReason) {
+        let cause = reason.name();
+        self.context.counts.record(CountedEvent::NotFinished, cause);
+        let request = self.requests.get(id);
+        tracing::debug!(
+            request = id.0,
+            call = %format_args!("{:016x}", request.map_or(0, |request| request.call.call_id)),
+            attempts = request.map_or(0, |request| request.attempts.len()),
+            cause,
+            "request is not attempted any more"
+        );
+    }
+
     /// Closes a request for which the decision module found no time.
     pub(super) fn reject_request(&mut self, now: Micros, id: RequestId, retry_after: Micros) {
         let response = ErrorResponse {
--- a/crates/sanddrum-edge/src/fastcgi_listener/closing.rs
+++ b/crates/sanddrum-edge/src/fastcgi_listener/closing.rs
@@ -2,6 +2,7 @@
 
 use super::{CloseState, FastCgiConnection, FastCgiListener};
 use crate::context::EdgeContext;
+use crate::event_counts::CountedEvent;
 use crate::invariants::{may_close, CloseReason};
 use crate::listener::ClosedClient;
 use crate::timers::Timer;
@@ -113,6 +114,9 @@
             }
         }
         context.metrics.record_client_close(reason.name());
+        context
+            .counts
+            .record(CountedEvent::ClientClosed, reason.name());
         context.connection_owners.remove(&conn);
         match reason {
             CloseReason::Unreadable | CloseReason::NotReading => io.reset(conn),
--- a/crates/sanddrum-edge/src/metrics.rs
+++ b/crates/sanddrum-edge/src/metrics.rs
@@ -18,6 +18,14 @@
     (Outcome::ColdMiss, "miss"),
 ];
 
+/// The name of an outcome in metrics and logs.
+pub(crate) fn outcome_label(outcome: Outcome) -> &'static str {
+    let found = OUTCOME_LABELS
+        .iter()
+        .find(|(labelled, _)| *labelled == outcome);
+    found.map_or("", |(_, label)| label)
+}
+
 /// All metrics that are updated often.
 pub(crate) struct EdgeMetrics {
     /// Requests accepted.
--- a/crates/sanddrum-edge/src/requests.rs
+++ b/crates/sanddrum-edge/src/requests.rs
@@ -57,6 +57,8 @@
     pub in_flight: usize,
     /// An attempt that has ended has run, or may have.
     pub may_have_run: bool,
+    /// How the last attempt that has ended did so; the reason of a retry.
+    pub last_outcome: Option<Outcome>,
     /// It has its final response, or its client has disconnected.
     pub is_closed: bool,
 }
@@ -73,6 +75,7 @@
             attempts: Vec::new(),
             in_flight: 0,
             may_have_run: false,
+            last_outcome: None,
             is_closed: false,
         }
     }
@@ -253,6 +256,7 @@
         };
         request.in_flight = request.in_flight.saturating_sub(1);
         request.may_have_run |= may_have_run(outcome);
+        request.last_outcome = Some(outcome);
         let is_closed = request.is_closed;
         self.remove_if_done(id);
         is_closed
--- a/crates/sanddrum-edge/src/responses.rs
+++ b/crates/sanddrum-edge/src/responses.rs
@@ -79,7 +79,7 @@
     /// Whether the request was rejected, failed or is not valid.
     pub kind: ErrorKind,
     /// The name of the reason on the wire and in metrics.
-    pub reason: &'a str,
+    pub reason: &'static str,
     /// The reason for people.
     pub detail: &'a str,
     /// How long the client is asked to wait before it retries.
--- a/crates/sanddrum-edge/src/worker_connections/closing.rs
+++ b/crates/sanddrum-edge/src/worker_connections/closing.rs
@@ -2,6 +2,7 @@
 
 use super::{ConnectionLoss, MessageOutcome, Transport, WorkerConnection, WorkerConnections};
 use crate::context::EdgeContext;
+use crate::event_counts::CountedEvent;
 use crate::message::{AttemptId, MessageKey};
 use crate::timers::Timer;
 use crate::worker_protocol::WorkerProtocol;
@@ -24,6 +25,9 @@
         let cause = loss.cause();
         if !connection.is_idle() {
             self.log_loss(connection, cause);
+            context
+                .counts
+                .record(CountedEvent::WorkerLost, loss_label(cause));
             let was_open = connection.transport.is_connected() && cause != CloseCause::Refused;
             if was_open && loss != ConnectionLoss::ProtocolError {
                 let busy_for = now - connection.busy_since;
@@ -179,6 +183,15 @@
     }
 }
 
+/// The name in the status line of how a connection was lost.
+fn loss_label(cause: CloseCause) -> &'static str {
+    match cause {
+        CloseCause::Orderly => "closed",
+        CloseCause::Reset => "reset",
+        CloseCause::Refused => "refused",
+    }
+}
+
 /// The outcome of a message that was in flight when its connection was lost.
 fn outcome_after_loss(
     connection: &WorkerConnection,
--- a/crates/sanddrum-platform/src/control_feed.rs
+++ b/crates/sanddrum-platform/src/control_feed.rs
@@ -10,6 +10,11 @@
 /// The capacity of a worker whose size the feed does not state, relative to other workers.
 const DEFAULT_SIZE: f64 = 1.0;
 
+/// What the feed would have told counts as told this long after its connection broke, or after the end of the wait of a poll
+/// that it did not answer (the platform's page of the days that count, *Bad peers*), in microseconds. The page allows seven
+/// seconds at the most where a poll asks for a longer wait than ours.
+pub const NOTIFIED_AFTER: Micros = 2_000_000;
+
 /// A worker as the feed describes it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Member {
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -1,6 +1,6 @@
 //! The writer through which the decision module notifies its host of decisions.
 
-use crate::{FunctionId, Micros, PeerId, RequestId, WorkerId};
+use crate::{AnswerReason, FunctionId, Micros, PeerId, RequestId, WorkerId};
 
 /// Receives the module's decisions; they take effect in the order in which they are written.
 pub trait Decisions {
@@ -12,6 +12,8 @@
     fn reject(&mut self, request: RequestId, retry_after: Micros);
     /// Final answer: failed. The request may have run.
     fn fail(&mut self, request: RequestId);
+    /// Why the final answer that follows is given; for logs and metrics only.
+    fn explain(&mut self, _request: RequestId, _reason: AnswerReason) {}
     /// Load command: at least so many instances are to be loaded at the worker; zero only queries how many are.
     fn load(&mut self, worker: WorkerId, function: FunctionId, instances: u32);
     /// Has the idle instances of a function unloaded.
--- a/src/events.rs
+++ b/src/events.rs
@@ -105,6 +105,37 @@
     ColdMiss,
 }
 
+/// Why a request is rejected or fails without another attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum AnswerReason {
+    /// Requests are shed, as the fleet is overloaded.
+    Overloaded,
+    /// No worker may get another attempt of it.
+    NoWorker,
+    /// The wait for an instance or for capacity would be too long.
+    WaitTooLong,
+    /// A load would take too long.
+    LoadTooLong,
+    /// Its deadline has come.
+    DeadlinePassed,
+    /// The host shuts down.
+    ShuttingDown,
+}
+
+impl AnswerReason {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            AnswerReason::Overloaded => "overloaded",
+            AnswerReason::NoWorker => "no-worker",
+            AnswerReason::WaitTooLong => "wait-too-long",
+            AnswerReason::LoadTooLong => "load-too-long",
+            AnswerReason::DeadlinePassed => "deadline-passed",
+            AnswerReason::ShuttingDown => "shutting-down",
+        }
+    }
+}
+
 /// What an attempt's answer reveals of the instance that served it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Warmth {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,8 +17,9 @@
 
 pub use decisions::Decisions;
 pub use events::{
-    AttemptResult, Endpoint, EndpointList, EndpointListKind, EventBatch, GossipMessage,
-    HealthCheckResult, LoadReport, LoadResult, Outcome, Request, Warmth, WorkerState,
+    AnswerReason, AttemptResult, Endpoint, EndpointList, EndpointListKind, EventBatch,
+    GossipMessage, HealthCheckResult, LoadReport, LoadResult, Outcome, Request, Warmth,
+    WorkerState,
 };
 pub use ids::{
     CellId, CustomerId, FunctionId, KindId, PeerId, RequestId, WorkerId, WorkloadId, ZoneId,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,7 +34,9 @@
     RunningMean, Timer, Worker,
 };
 use crate::statistics::hash_of;
-use crate::{Decisions, EventBatch, Micros, RequestId, Settings, WorkerId, WorkloadId};
+use crate::{
+    AnswerReason, Decisions, EventBatch, Micros, RequestId, Settings, WorkerId, WorkloadId,
+};
 use constants::{EVICTION_KEEP_ALIVES, MIN_PREFERRED, SWEEPS_PER_OBJECTIVE};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -139,7 +141,9 @@
         }
         if batch.shutting_down {
             let pending: Vec<_> = self.requests.keys().copied().collect();
-            pending.into_iter().for_each(|id| self.answer_now(id, out));
+            for id in pending {
+                self.answer_now(id, AnswerReason::ShuttingDown, out);
+            }
         }
         self.schedule_wake(out);
     }
@@ -172,6 +176,7 @@
             };
             match timer {
                 Timer::Deadline(id) if self.requests.contains_key(&id) => {
+                    out.explain(id, AnswerReason::DeadlinePassed);
                     out.fail(id);
                     self.forget_request(id);
                 }
--- a/src/logic/cold_start.rs
+++ b/src/logic/cold_start.rs
@@ -5,7 +5,7 @@
 use super::placement::PlacementRequest;
 use super::Router;
 use crate::state::{InstanceCommand, InstanceState, Worker};
-use crate::{Decisions, FunctionId, Micros, WorkerId};
+use crate::{AnswerReason, Decisions, FunctionId, Micros, WorkerId};
 
 /// Where the function would be loaded.
 #[derive(Clone, Copy)]
@@ -127,7 +127,7 @@
         if plan.is_load_underway {
             let is_late = placement.time_budget < placement.median_work_us as Micros;
             if !placement.is_hedge && is_late {
-                return self.give_up(id, out);
+                return self.give_up(id, AnswerReason::WaitTooLong, out);
             }
             return self.wait(id);
         }
@@ -141,7 +141,7 @@
                 if plan.loads_for_followers {
                     self.command_load(target.worker, function, 1, out);
                 }
-                self.give_up(id, out);
+                self.give_up(id, AnswerReason::LoadTooLong, out);
             }
         }
     }
--- a/src/logic/dispatch.rs
+++ b/src/logic/dispatch.rs
@@ -3,7 +3,7 @@
 use super::constants::{IN_TIME_MARGIN, OVERDUE_FACTOR};
 use super::Router;
 use crate::state::{Attempt, AttemptStatus, InFlightAttempt, Timer};
-use crate::{Decisions, Micros, RequestId, WorkerId};
+use crate::{AnswerReason, Decisions, Micros, RequestId, WorkerId};
 
 impl Router {
     /// Dispatches an attempt that is expected to take so many microseconds without congestion.
@@ -83,6 +83,6 @@
         if self.now + expected < objective_at {
             return self.wait(id);
         }
-        self.give_up(id, out);
+        self.give_up(id, AnswerReason::WaitTooLong, out);
     }
 }
--- a/src/logic/placement.rs
+++ b/src/logic/placement.rs
@@ -6,7 +6,7 @@
 use super::warm_first::WarmChoice;
 use super::Router;
 use crate::state::PendingRequest;
-use crate::{Decisions, Micros, Request, RequestId};
+use crate::{AnswerReason, Decisions, Micros, Request, RequestId};
 
 /// A request to be placed, with what its placement depends on.
 pub(super) struct PlacementRequest {
@@ -52,7 +52,7 @@
             return;
         };
         if !self.admits(&placement) {
-            return self.give_up(id, out);
+            return self.give_up(id, AnswerReason::Overloaded, out);
         }
         let draw = self.random_draw();
         let now = self.now;
@@ -65,7 +65,7 @@
             return;
         };
         match choice {
-            Choice::NoWorker => self.give_up(id, out),
+            Choice::NoWorker => self.give_up(id, AnswerReason::NoWorker, out),
             Choice::Warm(choice) => self.dispatch_warm(&placement, &choice, out),
             Choice::Cold(cold_start) => self.start_cold(&placement, &cold_start, out),
         }
--- a/src/logic/rejection.rs
+++ b/src/logic/rejection.rs
@@ -2,23 +2,34 @@
 
 use super::Router;
 use crate::statistics::unit_interval;
-use crate::{Decisions, Micros, Request, RequestId};
+use crate::{AnswerReason, Decisions, Micros, Request, RequestId};
 
 impl Router {
     /// The final answer of a request that is not going to be in time, at once, unless an attempt is in flight.
-    pub(super) fn give_up(&mut self, id: RequestId, out: &mut impl Decisions) {
+    pub(super) fn give_up(
+        &mut self,
+        id: RequestId,
+        reason: AnswerReason,
+        out: &mut impl Decisions,
+    ) {
         let pending = self.requests.get(&id);
         if !pending.is_some_and(|pending| pending.is_in_flight()) {
-            self.answer_now(id, out);
+            self.answer_now(id, reason, out);
         }
     }
 
     /// The final answer of a request that has not finished: rejected if the client may safely repeat it, else failed.
-    pub(super) fn answer_now(&mut self, id: RequestId, out: &mut impl Decisions) {
+    pub(super) fn answer_now(
+        &mut self,
+        id: RequestId,
+        reason: AnswerReason,
+        out: &mut impl Decisions,
+    ) {
         let Some(pending) = self.requests.get(&id) else {
             return;
         };
         let request = pending.request;
+        out.explain(id, reason);
         if self.is_repeatable_by_client(pending) {
             let retry_after = self.retry_after(&request);
             out.reject(id, retry_after);
