Workers are used without news of discovery no longer than a readiness lease

Class: the absence of news taken for news that nothing has changed; state of another system without an expiry. Ruled out by trials: asking the workers; queries and load commands of loaded instances succeed while they drain. Change: the edge states until when its list is confirmed (EventBatch::endpoint_confirmation, with the platform's two clocks). src/logic/readiness_lease.rs decides: from 2 s on a worker that rejected since and accepted nothing later gets nothing new; once all changes count as told (7 s, less what a connect time-out exceeds the grace by) a worker needs a lease of its own, which an accepted attempt gives for 2 s from its dispatch; the same for load commands. Where nobody holds one, leases are extended once to workers that accepted in the outage, else requests are rejected at once. A stalled process counts an answer by when the feed can have sent it. Related, mended with it (slow_start.rs): a restart that the list could not tell was missed as well; a worker that was lost and answers again while the list is overdue is taken for cold.

--- a/crates/sanddrum-edge/src/control_feed.rs
+++ b/crates/sanddrum-edge/src/control_feed.rs
@@ -3,9 +3,11 @@
 use crate::context::{ConnectionOwner, EdgeContext};
 use crate::endpoint_freshness::{EndpointFreshness, FreshnessChange, Poll};
 use crate::timers::Timer;
-use sanddrum::{EndpointListKind, Micros};
+use sanddrum::{EndpointConfirmation, EndpointListKind, Micros};
 use sanddrum_net::{ConnectionId, Io, Rng};
-use sanddrum_platform::control_feed::{self, FeedEvent, FeedEvents, NOTIFIED_AFTER};
+use sanddrum_platform::control_feed::{
+    self, FeedEvent, FeedEvents, NOTIFIED_AFTER, NOTIFIED_WITHIN,
+};
 use sanddrum_platform::start_times::{ClockReading, StartTimes};
 use sanddrum_settings::LoadedSettings;
 use sanddrum_upstream::Backoff;
@@ -105,9 +107,13 @@
         self.freshness.start(now);
     }
 
-    /// All changes of the endpoint list until this instant are known.
-    pub fn confirmed_at(&self) -> Micros {
-        self.freshness.confirmed_at()
+    /// Until when the endpoint list is confirmed, with the platform's terms on what the feed does not tell.
+    pub fn confirmation(&self) -> EndpointConfirmation {
+        EndpointConfirmation {
+            confirmed_at: self.freshness.confirmed_at(),
+            notified_after: NOTIFIED_AFTER,
+            notified_within: NOTIFIED_WITHIN,
+        }
     }
 
     /// The number of the last event that was applied.
@@ -222,7 +228,7 @@
         self.poll = Some(Poll { sent_at: now, wait });
         let answer_due = now + longest_wait + context.limits.feed_answer_timeout;
         self.check_at(context, answer_due);
-        let stale_at = self.confirmed_at() + NOTIFIED_AFTER + 1;
+        let stale_at = self.freshness.confirmed_at() + NOTIFIED_AFTER + 1;
         context.timers.schedule(stale_at, Timer::Discovery);
     }
 
@@ -242,7 +248,7 @@
             why = %error,
             wait_us = until - now,
             last_event = self.last_event,
-            list_age_us = now - self.confirmed_at(),
+            list_age_us = now - self.freshness.confirmed_at(),
             "reconnecting to the control feed"
         );
         context.metrics.discovery_losses.increment(1);
--- a/crates/sanddrum-edge/src/edge_state.rs
+++ b/crates/sanddrum-edge/src/edge_state.rs
@@ -166,6 +166,7 @@
     fn has_events(&self) -> bool {
         let batch = &self.batch;
         let is_empty = batch.endpoint_lists.is_empty()
+            && batch.endpoint_confirmation.is_none()
             && batch.requests.is_empty()
             && batch.attempt_results.is_empty()
             && batch.load_results.is_empty()
--- a/crates/sanddrum-edge/src/edge_state/discovery.rs
+++ b/crates/sanddrum-edge/src/edge_state/discovery.rs
@@ -25,6 +25,7 @@
         }
         if let Some(feed) = &mut self.control_feed {
             feed.start(now);
+            self.batch.endpoint_confirmation = Some(feed.confirmation());
         }
         if self.is_on_platform() {
             return self.check_discovery(now, io);
@@ -292,6 +293,7 @@
             return;
         };
         let change = feed.record_answer(now, has_events, is_delayed);
+        self.batch.endpoint_confirmation = Some(feed.confirmation());
         if let Some(FreshnessChange::Current) = change {
             tracing::warn!(
                 reason = "list-current",
--- a/crates/sanddrum-edge/tests/control_feed.rs
+++ b/crates/sanddrum-edge/tests/control_feed.rs
@@ -6,7 +6,7 @@
 use harness::scripted_module::Decision;
 use harness::{EdgeHarness, SECOND};
 use rstest::rstest;
-use sanddrum::{Outcome, WorkerState};
+use sanddrum::{Micros, Outcome, WorkerState};
 use sanddrum_edge::CONFIGURATION_FILE;
 use sanddrum_net::{CloseCause, Core, Event};
 use serde_json::json;
@@ -212,3 +212,70 @@
         "the event numbers continue"
     );
 }
+
+/// Until when the endpoint list is confirmed, as the decision module was notified last.
+fn confirmed_at(harness: &EdgeHarness) -> Micros {
+    harness
+        .script
+        .borrow()
+        .confirmations
+        .last()
+        .unwrap()
+        .confirmed_at
+}
+
+#[rstest]
+fn the_first_poll_of_a_connection_is_to_be_answered_at_once() {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    assert!(harness.last_poll().contains("wait=0 "));
+    harness.receive_events(1, json!([]));
+    assert!(!harness.last_poll().contains("wait=0 "));
+}
+
+#[rstest]
+fn an_answer_without_events_confirms_the_list_until_the_end_of_its_wait() {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    let start = confirmed_at(&harness);
+    harness.receive_events(1, json!([]));
+    let polled_at = harness.now;
+    harness.advance(SECOND);
+    assert_eq!(confirmed_at(&harness).max(start), polled_at);
+    harness.receive_events(1, json!([]));
+    assert_eq!(confirmed_at(&harness), polled_at + SECOND);
+}
+
+#[rstest]
+fn an_answer_that_was_read_late_confirms_no_more_than_the_feed_could_know() {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    harness.receive_events(1, json!([]));
+    let polled_at = harness.now;
+    // The process stands still, and finds the answer to a wait of one second after three.
+    harness.now += 3 * SECOND;
+    harness.receive_events(1, json!([]));
+    assert_eq!(confirmed_at(&harness), polled_at + SECOND);
+}
+
+#[rstest]
+fn a_lost_feed_confirms_nothing() {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    harness.receive_events(1, json!([]));
+    let confirmed = confirmed_at(&harness);
+    harness.event(Event::Closed {
+        conn: harness.discovery,
+        cause: CloseCause::Reset,
+    });
+    harness.advance(5 * SECOND);
+    assert_eq!(confirmed_at(&harness), confirmed);
+}
+
+#[rstest]
+fn polls_of_a_slow_feed_wait_for_less() {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    harness.now += 400_000;
+    harness.receive_events(1, json!([]));
+    assert!(
+        harness.last_poll().contains("wait=600 "),
+        "{}",
+        harness.last_poll()
+    );
+}
--- a/crates/sanddrum-edge/tests/harness/scripted_module.rs
+++ b/crates/sanddrum-edge/tests/harness/scripted_module.rs
@@ -2,8 +2,8 @@
 
 use super::worker_id;
 use sanddrum::{
-    AttemptResult, Decisions, EndpointList, EventBatch, FunctionId, HealthCheckResult, LoadResult,
-    Micros, Request, RequestId, WorkerId,
+    AttemptResult, Decisions, EndpointConfirmation, EndpointList, EventBatch, FunctionId,
+    HealthCheckResult, LoadResult, Micros, Request, RequestId, WorkerId,
 };
 use sanddrum_edge::DecisionModule;
 use sanddrum_wire::stable_id;
@@ -39,11 +39,13 @@
     pub requests: Vec<Request>,
     pub cancelled: Vec<RequestId>,
     pub endpoint_lists: Vec<EndpointList>,
+    pub confirmations: Vec<EndpointConfirmation>,
 }
 
 impl Script {
     fn record(&mut self, batch: &EventBatch) {
         self.attempt_results.extend(&batch.attempt_results);
+        self.confirmations.extend(batch.endpoint_confirmation);
         self.load_results.extend(&batch.load_results);
         self.health_check_results
             .extend(&batch.health_check_results);
--- a/crates/sanddrum-platform/src/control_feed.rs
+++ b/crates/sanddrum-platform/src/control_feed.rs
@@ -10,11 +10,14 @@
 /// The capacity of a worker whose size the feed does not state, relative to other workers.
 const DEFAULT_SIZE: f64 = 1.0;
 
-/// What the feed would have told counts as told this long after its connection broke, or after the end of the wait of a poll
-/// that it did not answer (the platform's page of the days that count, *Bad peers*), in microseconds. The page allows seven
-/// seconds at the most where a poll asks for a longer wait than ours.
+/// What the feed would have told may count as told this long after its connection broke, or after the end of the wait of a
+/// poll that it did not answer (the platform's page of the days that count, *Bad peers*), in microseconds.
 pub const NOTIFIED_AFTER: Micros = 2_000_000;
 
+/// What the feed would have told counts as told this long after it broke off or went silent, at the latest (the platform's
+/// protocol page, *Figures*), in microseconds.
+pub const NOTIFIED_WITHIN: Micros = 7_000_000;
+
 /// A worker as the feed describes it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Member {
--- a/src/config.rs
+++ b/src/config.rs
@@ -108,6 +108,10 @@
     pub slow_start_initial_fraction: f64,
     /// How long a worker can be overloaded before it collapses, in microseconds; at least one.
     pub collapse_window_us: f64,
+    /// How long after a drain counts as told a worker may still get something new.
+    pub drain_grace: Micros,
+    /// How long a connection to a worker may take to be opened.
+    pub connect_timeout: Micros,
     /// How often endpoint lists are to be polled.
     pub endpoint_poll_interval: Micros,
 }
@@ -208,6 +212,8 @@
             slow_start_window: reader.span("rules.cold-us", 0),
             slow_start_initial_fraction: reader.number("rules.cold-from", 1.0),
             collapse_window_us: collapse_window.max(1) as f64,
+            drain_grace: reader.span("rules.drain-grace-us", 0),
+            connect_timeout: reader.span("limits.connect-timeout-us", 0),
             endpoint_poll_interval: reader
                 .span("rules.ask-every-us", DEFAULT_ENDPOINT_POLL_INTERVAL),
         }
--- a/src/events.rs
+++ b/src/events.rs
@@ -82,6 +82,18 @@
     pub endpoints: Vec<Endpoint>,
 }
 
+/// Until when an endpoint list is confirmed, and from when on later changes count as told to this router though it has not
+/// received them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointConfirmation {
+    /// All changes before this instant are known.
+    pub confirmed_at: Micros,
+    /// So long after that later changes may count as told.
+    pub notified_after: Micros,
+    /// So long after that they count as told at the latest.
+    pub notified_within: Micros,
+}
+
 /// How an attempt, a load command or a health check ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -112,6 +124,8 @@
     Overloaded,
     /// No worker may get another attempt of it.
     NoWorker,
+    /// The endpoint list is stale, and no worker has accepted anything lately.
+    EndpointsStale,
     /// The wait for an instance or for capacity would be too long.
     WaitTooLong,
     /// A load would take too long.
@@ -128,6 +142,7 @@
         match self {
             AnswerReason::Overloaded => "overloaded",
             AnswerReason::NoWorker => "no-worker",
+            AnswerReason::EndpointsStale => "endpoints-stale",
             AnswerReason::WaitTooLong => "wait-too-long",
             AnswerReason::LoadTooLong => "load-too-long",
             AnswerReason::DeadlinePassed => "deadline-passed",
@@ -237,6 +252,9 @@
 pub struct EventBatch {
     /// Endpoint lists, oldest first.
     pub endpoint_lists: Vec<EndpointList>,
+    /// Until when the endpoint list, with the lists of this batch, is confirmed. Absent where there is nothing new to state,
+    /// and always where lists come by themselves and their age is not known.
+    pub endpoint_confirmation: Option<EndpointConfirmation>,
     /// New requests.
     pub requests: Vec<Request>,
     /// Attempts that ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,8 +17,8 @@
 
 pub use decisions::Decisions;
 pub use events::{
-    AnswerReason, AttemptResult, Endpoint, EndpointList, EndpointListKind, EventBatch,
-    GossipMessage, HealthCheckResult, LoadReport, LoadResult, Outcome, Request, Warmth,
+    AnswerReason, AttemptResult, Endpoint, EndpointConfirmation, EndpointList, EndpointListKind,
+    EventBatch, GossipMessage, HealthCheckResult, LoadReport, LoadResult, Outcome, Request, Warmth,
     WorkerState,
 };
 pub use ids::{
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,6 +21,7 @@
 mod outlier_detection;
 mod overload;
 mod placement;
+mod readiness_lease;
 mod rejection;
 mod retry_policy;
 mod slow_start;
@@ -35,7 +36,8 @@
 };
 use crate::statistics::hash_of;
 use crate::{
-    AnswerReason, Decisions, EventBatch, Micros, RequestId, Settings, WorkerId, WorkloadId,
+    AnswerReason, Decisions, EndpointConfirmation, EventBatch, Micros, RequestId, Settings,
+    WorkerId, WorkloadId,
 };
 use constants::{EVICTION_KEEP_ALIVES, MIN_PREFERRED, SWEEPS_PER_OBJECTIVE};
 use std::collections::{BTreeMap, BTreeSet};
@@ -60,6 +62,13 @@
     /// As of the last sweep: for each request it would cost too much.
     fleet: FleetView,
 
+    /// How recent the endpoint list is; none where the host does not state it.
+    endpoint_confirmation: Option<EndpointConfirmation>,
+    /// The dispatch of the newest attempt that any worker accepted.
+    last_accepted_at: Micros,
+    /// Workers' readiness leases that have ended are extended until then.
+    leases_extended_until: Micros,
+
     functions: Functions,
     requests: BTreeMap<RequestId, PendingRequest>,
     /// Requests to be placed in this batch.
@@ -132,6 +141,7 @@
     pub fn handle(&mut self, now: Micros, batch: &EventBatch, out: &mut impl Decisions) {
         self.now = now;
         self.record_events(batch);
+        self.extend_leases();
         self.fire_timers(out);
         if now >= self.next_sweep_at {
             self.sweep();
@@ -152,6 +162,9 @@
         for list in &batch.endpoint_lists {
             self.record_endpoint_list(list);
         }
+        if let Some(confirmation) = batch.endpoint_confirmation {
+            self.record_confirmation(confirmation);
+        }
         for request in &batch.requests {
             self.record_request(request);
         }
--- a/src/logic/candidates.rs
+++ b/src/logic/candidates.rs
@@ -175,7 +175,7 @@
 
     /// The endpoints that may get a request, in an order that favours large workers and that all routers agree on, so
     /// that they share instances. Only if hardly any of the first ones may be called (in the scope of an idempotency
-    /// key), a retry inspects the whole fleet.
+    /// key, or as few workers hold a readiness lease), the whole fleet is inspected.
     fn preferred_endpoints<'a>(
         &'a self,
         pending: &'a PendingRequest,
@@ -191,7 +191,8 @@
                 .filter(may_dispatch)
         };
         let is_retry = !pending.attempts.is_empty();
-        let inspects_all = is_retry && ranked().nth(MIN_PREFERRED - 1).is_none();
+        let is_restricted = is_retry || self.are_endpoints_stale();
+        let inspects_all = is_restricted && ranked().nth(MIN_PREFERRED - 1).is_none();
         let all = self.workers.values();
         ranked().chain(all.filter(move |worker| inspects_all && may_dispatch(worker)))
     }
--- a/src/logic/constants.rs
+++ b/src/logic/constants.rs
@@ -13,6 +13,12 @@
 /// How often endpoint lists are polled.
 pub(crate) const DEFAULT_ENDPOINT_POLL_INTERVAL: Micros = 10_000_000;
 
+// ---- Readiness leases
+
+/// A readiness lease is at least this part of the time after which changes count as told: a shorter one would end between
+/// two attempts of a router with little traffic.
+pub(super) const SHORTEST_LEASE_DIVISOR: Micros = 2;
+
 // ---- Intervals
 
 /// Waiting requests are reconsidered, and the fleet's medians updated, this often in the tightest latency objective.
--- a/src/logic/endpoint_list.rs
+++ b/src/logic/endpoint_list.rs
@@ -68,7 +68,6 @@
             worker.slow_start_budget_at = now;
         }
         worker.endpoint = *endpoint;
-        worker.warm_at = self.config.warm_at(endpoint.started_at);
         // Live sizes would move the preferred endpoints with every list, so that no two routers agree on them.
         if self.config.sizes_are_live {
             worker.endpoint.size = 1.0;
--- a/src/logic/load_budget.rs
+++ b/src/logic/load_budget.rs
@@ -6,7 +6,7 @@
 use crate::{Decisions, FunctionId, WorkerId};
 
 impl Router {
-    /// Commands a worker to load, if the load budget allows it and no command for the function is in flight there.
+    /// Commands a worker to load, if its readiness lease and the load budget allow it and no command for the function is in flight there.
     pub(super) fn command_load(
         &mut self,
         worker: WorkerId,
@@ -14,7 +14,11 @@
         instances: u32,
         out: &mut impl Decisions,
     ) -> bool {
-        if !self.config.may_command_loads || !self.has_load_budget() {
+        let is_ready = self
+            .workers
+            .get(&worker)
+            .is_some_and(|w| self.holds_readiness_lease(w));
+        if !self.config.may_command_loads || !is_ready || !self.has_load_budget() {
             return false;
         }
         let mut instance = self.functions.instance(id, worker);
--- a/src/logic/load_results.rs
+++ b/src/logic/load_results.rs
@@ -20,6 +20,10 @@
         if has_answered {
             if let Some(worker) = self.workers.get_mut(&result.worker) {
                 worker.record_response(now);
+                if result.outcome == Outcome::Rejected {
+                    worker.rejected_at = worker.rejected_at.max(now - result.latency);
+                }
+                self.presume_restart(result.worker);
             }
         }
         let Some(function) = self.functions.get_mut(result.function) else {
--- a/src/logic/observations.rs
+++ b/src/logic/observations.rs
@@ -122,7 +122,11 @@
             if result.outcome == Outcome::Rejected {
                 worker.congested_until = now + REPORT_DECAY_US as Micros;
             }
+            self.record_readiness(id, &entry, result.outcome);
         }
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
         if let Some(report) = result.report {
             if self.by_report_time.remove(&(worker.reported_at, id)) {
                 self.by_report_time.insert((now, id));
@@ -133,9 +137,11 @@
         match result.outcome {
             Outcome::Finished | Outcome::Error | Outcome::Rejected | Outcome::ColdMiss => {
                 worker.record_response(now);
+                self.presume_restart(id);
             }
             Outcome::Reset | Outcome::NoConnection => {
                 worker.is_ejected = true;
+                worker.lost_at = now;
                 worker.unanswered_checks = worker.unanswered_checks.max(1);
                 self.ejected_workers.insert(id);
                 self.timers.insert((now, Timer::WorkerOverdue(id)));
@@ -193,6 +199,7 @@
         }
         if let Some(worker) = self.workers.get_mut(&result.worker) {
             worker.record_response(self.now);
+            self.presume_restart(result.worker);
         }
     }
 
--- a/src/logic/placement.rs
+++ b/src/logic/placement.rs
@@ -36,6 +36,8 @@
 
 /// The choice made among the candidates.
 pub(super) enum Choice {
+    /// The endpoint list is stale and no worker holds a readiness lease.
+    EndpointsStale,
     /// No worker may get an attempt.
     NoWorker,
     /// An instance with capacity.
@@ -65,6 +67,10 @@
             return;
         };
         match choice {
+            Choice::EndpointsStale if self.may_be_confirmed_soon() => {
+                self.wait_or_give_up(id, out);
+            }
+            Choice::EndpointsStale => self.give_up(id, AnswerReason::EndpointsStale, out),
             Choice::NoWorker => self.give_up(id, AnswerReason::NoWorker, out),
             Choice::Warm(choice) => self.dispatch_warm(&placement, &choice, out),
             Choice::Cold(cold_start) => self.start_cold(&placement, &cold_start, out),
@@ -101,6 +107,9 @@
     fn choose(&self, placement: &PlacementRequest, draw: u64) -> Option<Choice> {
         let pending = self.requests.get(&placement.request.id)?;
         let function = self.functions.get(placement.request.function)?;
+        if self.has_no_lease() {
+            return Some(Choice::EndpointsStale);
+        }
         if placement.attempts > 0 && !self.has_allowed_worker(pending) {
             return Some(Choice::NoWorker);
         }
--- a/src/logic/retry_policy.rs
+++ b/src/logic/retry_policy.rs
@@ -6,13 +6,14 @@
 use crate::{Endpoint, Request, WorkerState};
 
 impl Router {
-    /// Whether an attempt of the request may be dispatched to a worker: it is ready, not ejected, has no other attempt
-    /// of the request in flight, and the request may run there again if it may have run before.
+    /// Whether an attempt of the request may be dispatched to a worker: it is ready by news that are recent enough, not
+    /// ejected, has no other attempt of the request in flight, and the request may run there again if it may have run before.
     pub(super) fn allows_attempt(&self, pending: &PendingRequest, to: &Worker) -> bool {
         let is_healthy = !to.is_ejected || self.fleet.is_in_panic_mode;
         let is_there = |a: &Attempt| a.is_in_flight() && a.worker == to.endpoint.worker;
         if to.endpoint.state != WorkerState::Ready
             || !is_healthy
+            || !self.holds_readiness_lease(to)
             || pending.attempts.iter().any(is_there)
         {
             return false;
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -4,7 +4,7 @@
 use super::Router;
 use crate::state::Worker;
 use crate::statistics::{hash_of, unit_interval};
-use crate::RequestId;
+use crate::{Micros, RequestId, WorkerId};
 
 impl Router {
     /// Whether a request's work fits the worker's slow-start budget. What is saved up for a part only is enough with a
@@ -15,15 +15,46 @@
             .is_none_or(|budget_us| budget_us > draw() * work_us)
     }
 
+    /// When a worker started: as listed or, until the list is confirmed again, as presumed.
+    fn started_at(&self, worker: &Worker) -> Micros {
+        let presumed = worker.presumed_restart_at;
+        if presumed > self.endpoints_confirmed_at() {
+            presumed.max(worker.endpoint.started_at)
+        } else {
+            worker.endpoint.started_at
+        }
+    }
+
+    /// A worker that was lost and answers again, while the endpoint list is too old to tell of a restart, is presumed to
+    /// have restarted: it is cold and has no instances. Guards against overloading a worker that comes back while discovery
+    /// is out of reach.
+    pub(super) fn presume_restart(&mut self, id: WorkerId) {
+        let is_overdue = self.are_endpoints_overdue();
+        let confirmed_at = self.endpoints_confirmed_at();
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
+        let lost_at = std::mem::take(&mut worker.lost_at);
+        if !is_overdue || lost_at <= confirmed_at {
+            return;
+        }
+        worker.presumed_restart_at = now;
+        worker.slow_start_budget_us = 0.0;
+        worker.slow_start_budget_at = now;
+        self.functions.forget_instances(id);
+    }
+
     /// Work, in microseconds, that may be dispatched to a worker now; none if it is warm. It accrues at the worker's
     /// share of an even share of the work that arrives here, over no more than the collapse window; so all routers
     /// together stay near what the worker can do.
     pub(super) fn slow_start_budget(&self, worker: &Worker) -> Option<f64> {
         let endpoint = &worker.endpoint;
-        if endpoint.started_at <= 0 || self.now >= worker.warm_at {
+        let started_at = self.started_at(worker);
+        if started_at <= 0 || self.now >= self.config.warm_at(started_at) {
             return None;
         }
-        let age = (self.now - endpoint.started_at).max(0) as f64;
+        let age = (self.now - started_at).max(0) as f64;
         let initial = self.config.slow_start_initial_fraction;
         let warm_fraction = initial + (1.0 - initial) * age / self.config.slow_start_window as f64;
         let fleet_fraction = endpoint.size / self.ready_workers.total_weight().max(endpoint.size);
--- a/src/logic/warm_first.rs
+++ b/src/logic/warm_first.rs
@@ -44,6 +44,7 @@
                 self.router.is_congested(worker),
                 self.is_remote(worker),
                 worker.in_flight,
+                self.lease_rank(worker),
                 tie_break,
             )
         })?;
@@ -53,6 +54,16 @@
         })
     }
 
+    /// Exception: where readiness leases will be needed, ties go to the worker whose readiness lease ends first, so that use
+    /// renews as many leases as it can.
+    fn lease_rank(&self, worker: &Worker) -> Micros {
+        if self.router.will_need_leases() {
+            worker.accepted_at
+        } else {
+            0
+        }
+    }
+
     /// Whether the other routers, if they dispatch as this one does, call each preferred endpoint many times in a
     /// keep-alive.
     fn has_frequent_calls_elsewhere(&self) -> bool {
--- a/src/state/worker.rs
+++ b/src/state/worker.rs
@@ -21,8 +21,6 @@
 pub(crate) struct Worker {
     /// Its row of the endpoint list.
     pub endpoint: Endpoint,
-    /// From when on it is warm.
-    pub warm_at: Micros,
     /// Requests of this router in flight.
     pub in_flight: u32,
     /// Attempts of this router in flight, oldest first.
@@ -47,6 +45,14 @@
     pub report: LoadReport,
     /// When that came; zero if there is none.
     pub reported_at: Micros,
+    /// The dispatch of the newest attempt that it accepted.
+    pub accepted_at: Micros,
+    /// The dispatch of the newest attempt or load command that it rejected.
+    pub rejected_at: Micros,
+    /// When it last could not be reached or its connection broke.
+    pub lost_at: Micros,
+    /// When it was back after that, while the endpoint list was stale and could not tell of a restart.
+    pub presumed_restart_at: Micros,
     /// When it last answered anything.
     pub last_response_at: Micros,
     /// When the health check was sent that it has not answered.
--- /dev/null
+++ b/tests/readiness_lease.rs
@@ -0,0 +1,194 @@
+//! Readiness leases: what a router sends, and where, while its endpoint list is not confirmed any more (incident 624c95).
+
+mod common;
+
+use common::*;
+use rstest::rstest;
+use sanddrum::{EndpointConfirmation, EventBatch, Micros, Outcome, Value, Warmth};
+
+const SECOND: Micros = 1_000_000;
+/// Changes may count as told this long after the last confirmation, and do so within the other.
+const NOTIFIED_AFTER: Micros = 2 * SECOND;
+const NOTIFIED_WITHIN: Micros = 7 * SECOND;
+const GRACE: Micros = 250_000;
+const WORK: Micros = 10_000;
+const FUNCTION: u64 = 7;
+
+/// Two workers that have an instance each, and a list that is confirmed as of now.
+fn two_warm_workers() -> FakeHost {
+    let grace = ("rules.drain-grace-us", Value::Number(GRACE as f64));
+    // Instances outlast each test.
+    let keep_alive = ("copies.keep-alive-us", Value::Number(6e7));
+    let settings = [workers_answer_misses(), LOAD_COMMANDS, grace, keep_alive];
+    let mut host = FakeHost::new(2, &settings);
+    host.send(1, FUNCTION);
+    host.answer_queries(1);
+    host.succeed(1, Warmth::Warm, WORK);
+    for worker in 0..2 {
+        host.end_load(worker, FUNCTION, Outcome::Finished, 1);
+    }
+    confirm(&mut host);
+    host
+}
+
+fn confirm(host: &mut FakeHost) {
+    let confirmation = EndpointConfirmation {
+        confirmed_at: host.now,
+        notified_after: NOTIFIED_AFTER,
+        notified_within: NOTIFIED_WITHIN,
+    };
+    host.handle(EventBatch {
+        endpoint_confirmation: Some(confirmation),
+        ..EventBatch::default()
+    });
+}
+
+/// Sends requests one after the other, each served at once, and tells the workers that they went to.
+fn serve(host: &mut FakeHost, ids: std::ops::Range<u64>) -> Vec<u64> {
+    let mut workers = Vec::new();
+    for id in ids {
+        host.send(id, FUNCTION);
+        if host.final_answers(id) == 0 {
+            workers.extend(host.dispatched_to(id));
+            host.succeed(id, Warmth::Warm, WORK);
+        }
+    }
+    workers
+}
+
+/// A request that one worker rejects and the other one serves. Tells which rejected it.
+fn reject_once(host: &mut FakeHost, id: u64) -> u64 {
+    host.send(id, FUNCTION);
+    let rejecting = host.dispatched_to(id).unwrap();
+    host.end_attempt(id, Outcome::Rejected, Warmth::Unknown, 1_000);
+    assert_ne!(host.dispatched_to(id), Some(rejecting));
+    host.succeed(id, Warmth::Warm, WORK);
+    rejecting
+}
+
+#[rstest]
+#[case::before_changes_may_count_as_told(NOTIFIED_AFTER - SECOND, true)]
+#[case::once_they_may(NOTIFIED_AFTER + SECOND / 2, false)]
+#[case::once_they_do(NOTIFIED_WITHIN + SECOND, false)]
+fn a_worker_that_rejects_gets_nothing_more_while_its_drain_may_be_missed(
+    #[case] age: Micros,
+    #[case] is_used: bool,
+) {
+    let mut host = two_warm_workers();
+    let rejecting = reject_once(&mut host, 2);
+    // Requests that fill the other worker, until the list has that age.
+    let mut id = 10;
+    while host.now < two_warm_workers().now + age {
+        host.advance(SECOND / 4);
+        serve(&mut host, id..id + 2);
+        id += 2;
+    }
+    let crowd: Vec<_> = (100..106).map(|id| host.request(id, FUNCTION)).collect();
+    host.send_all(crowd);
+    host.advance(GRACE);
+    let sent = (100..106).filter(|id| host.dispatched_to(*id) == Some(rejecting));
+    assert_eq!(sent.count() > 0, is_used);
+}
+
+#[rstest]
+fn an_attempt_that_is_accepted_after_a_rejection_shows_that_the_worker_was_full() {
+    let mut host = two_warm_workers();
+    let rejecting = reject_once(&mut host, 2);
+    for first in [10, 20] {
+        host.advance(NOTIFIED_AFTER / 2);
+        // More at once than the other worker runs.
+        let pair: Vec<_> = (first..first + 2)
+            .map(|id| host.request(id, FUNCTION))
+            .collect();
+        host.send_all(pair);
+        let sent: Vec<_> = (first..first + 2)
+            .filter_map(|id| host.dispatched_to(id))
+            .collect();
+        assert!(sent.contains(&rejecting), "at {first}: {sent:?}");
+        (first..first + 2).for_each(|id| host.succeed(id, Warmth::Warm, WORK));
+    }
+}
+
+#[rstest]
+fn with_a_stale_list_only_workers_that_accepted_something_lately_are_used() {
+    let mut host = two_warm_workers();
+    let begun = host.now;
+    // One worker accepts requests all the time; the other one has too many in flight to get any.
+    host.send(2, FUNCTION);
+    let other = host.dispatched_to(2).unwrap();
+    let mut id = 10;
+    while host.now < begun + NOTIFIED_WITHIN {
+        host.advance(SECOND / 2);
+        assert!(!serve(&mut host, id..id + 1).contains(&other));
+        id += 1;
+    }
+    // The long request is answered now, but was dispatched seven seconds ago.
+    host.succeed(2, Warmth::Warm, 0);
+    let loads_before = host.load_commands(None, 1);
+    let crowd: Vec<_> = (100..110).map(|id| host.request(id, FUNCTION)).collect();
+    host.send_all(crowd);
+    host.advance(GRACE);
+    let sent = (100..110).filter(|id| host.dispatched_to(*id) == Some(other));
+    assert_eq!(sent.count(), 0, "no attempt without a lease");
+    let commands = host.log.actions.iter().filter(
+        |action| matches!(action, Action::Load { worker, instances, .. } if *worker == other && *instances > 0),
+    );
+    assert_eq!(commands.count(), 0, "no load command without a lease");
+    assert!(host.load_commands(None, 1) >= loads_before);
+}
+
+#[rstest]
+fn with_a_stale_list_and_no_lease_requests_are_rejected_at_once() {
+    let mut host = two_warm_workers();
+    host.advance(NOTIFIED_WITHIN + SECOND);
+    let before = host.attempts.len();
+    host.send(2, FUNCTION);
+    assert_eq!(host.final_answers(2), 1);
+    assert!(host.log.retry_afters.last().is_some_and(|after| *after > 0));
+    assert_eq!(host.attempts.len(), before);
+    // The list is confirmed again: all is as before.
+    confirm(&mut host);
+    assert_eq!(serve(&mut host, 3..4).len(), 1);
+}
+
+#[rstest]
+fn leases_that_have_all_ended_are_extended_once_for_workers_that_accepted_during_the_outage() {
+    let mut host = two_warm_workers();
+    host.advance(NOTIFIED_AFTER + SECOND);
+    let accepting = serve(&mut host, 2..3);
+    host.advance(NOTIFIED_WITHIN);
+    assert_eq!(serve(&mut host, 3..4), accepting);
+}
+
+#[rstest]
+fn a_list_whose_age_is_not_stated_does_not_become_stale() {
+    let mut host = FakeHost::new(2, &[]);
+    serve(&mut host, 1..3);
+    host.advance(60 * SECOND);
+    assert_eq!(serve(&mut host, 3..5).len(), 2);
+}
+
+#[rstest]
+#[case::list_is_overdue(NOTIFIED_AFTER + SECOND, true)]
+#[case::list_is_current(0, false)]
+fn a_worker_that_was_lost_and_is_back_is_cold_while_a_restart_would_be_missed(
+    #[case] age: Micros,
+    #[case] is_cold: bool,
+) {
+    let mut host = two_warm_workers();
+    host.advance(age);
+    serve(&mut host, 2..4);
+    host.send(4, FUNCTION);
+    let lost = host.dispatched_to(4).unwrap();
+    host.end_attempt(4, Outcome::Reset, Warmth::Unknown, 1_000);
+    host.answer_queries(1);
+    // It answers its check: what is sent to it at once is bounded if it may have restarted.
+    let crowd: Vec<_> = (100..160).map(|id| host.request(id, FUNCTION)).collect();
+    host.send_all(crowd);
+    for _ in 0..20 {
+        host.answer_queries(1);
+        host.advance(20_000);
+    }
+    let sent = (100..160).filter(|id| host.dispatched_to(*id) == Some(lost));
+    assert_eq!(sent.count() < 3, is_cold);
+}
