Soak: outages with drains, signals in series, crowds, and requests until the kill

Change: troubles outage (8 to 14 s, refusing or silent, drains within a second) and signal-series (SIGHUP, SIGTERM, SIGUSR1 in a row, before and in a shutdown); one run in four has a crowd (four times the requests, 60 kept connections a router); clients go on with requests on open connections until SIGKILL, which comes at the longest deadline (3 s at most) plus 0.7 s after SIGTERM, at the end of each run for all routers; a draining server rejects every request, and load commands of what is not loaded; load commands count for the drain rule. A router that has to be killed is caught as not-ended.

--- a/crates/sanddrum-cli/tests/soak.rs
+++ b/crates/sanddrum-cli/tests/soak.rs
@@ -33,6 +33,32 @@
     assert_eq!(last, format!("seed {seed}: every rule kept"), "{said}");
 }
 
+/// Of these plays one has a crowd of clients, the other one signals in series and restarts; both have outages of discovery
+/// for longer than the platform's clocks, in which busy servers drain.
+#[rstest]
+fn routers_keep_every_rule_through_outages_of_discovery(#[values("12", "13")] seed: &str) {
+    let output = sanddrum(&[
+        "lab",
+        "soak",
+        "--platform",
+        "--seed",
+        seed,
+        "--seconds",
+        "24",
+        "--routers",
+        "6",
+        "--json",
+    ]);
+    let said = said(&output);
+    assert!(output.status.success(), "{said}");
+    assert!(
+        said.contains("\"outage\":"),
+        "the play has an outage: {said}"
+    );
+    let last = said.lines().last().unwrap_or_default();
+    assert_eq!(last, format!("seed {seed}: every rule kept"), "{said}");
+}
+
 #[rstest]
 fn a_router_that_can_not_be_started_is_told_and_not_taken_for_a_run() {
     let output = sanddrum(&[
--- a/crates/sanddrum-lab/src/soak/ledger.rs
+++ b/crates/sanddrum-lab/src/soak/ledger.rs
@@ -92,6 +92,15 @@
     pub arrival_unknown: bool,
 }
 
+/// A command to load instances as it came to a model server.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadCommand {
+    pub server: ServerId,
+    pub at: Micros,
+    /// When it came is not known.
+    pub arrival_unknown: bool,
+}
+
 /// A model server's start.
 #[derive(Clone, Copy, Debug)]
 pub struct Start {
@@ -116,6 +125,8 @@
     pub ready: Option<Micros>,
     pub asked_to_end: Option<Micros>,
     pub killed: Option<Micros>,
+    /// It was killed as it had not ended by itself after it was asked to; what it held then is lost.
+    pub killed_after_asked: Option<Micros>,
     /// When it was seen to be gone, with its exit code; none for one ended by a signal.
     pub ended: Option<(Micros, Option<i32>)>,
     /// Descriptors and resident memory in bytes, as seen after a third of the run and at its end.
@@ -143,6 +154,8 @@
 pub struct FeedTrouble {
     pub span: Span,
     pub told_after: Micros,
+    /// Events from its very beginning count as told so long after that, and not after the event.
+    pub is_outage: bool,
 }
 
 /// All that was seen in a run.
@@ -150,6 +163,7 @@
 pub struct Ledger {
     pub requests: BTreeMap<CallId, Request>,
     pub attempts: Vec<Attempt>,
+    pub load_commands: Vec<LoadCommand>,
     pub starts: Vec<Start>,
     pub drains: Vec<Drain>,
     pub lives: BTreeMap<RouterId, Vec<Life>>,
--- a/crates/sanddrum-lab/src/soak/routers.rs
+++ b/crates/sanddrum-lab/src/soak/routers.rs
@@ -78,6 +78,10 @@
             .push(life);
         Ok(())
     }
+    /// Whether its process is stopped by the lab.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped_since.is_some()
+    }
     pub fn is_running(&self) -> bool {
         self.child.is_some()
     }
@@ -105,6 +109,18 @@
         }
         self.signal(Signal::KILL);
     }
+    /// Kills one that has not ended by itself in the time that it has for that.
+    pub fn kill_after_asked(&mut self, now: Micros, ledger: &Shared) {
+        self.resume(now, ledger);
+        if let Some(life) = self.life(&mut ledger.borrow_mut()) {
+            life.killed_after_asked = life.killed_after_asked.or(Some(now));
+        }
+        self.signal(Signal::KILL);
+    }
+    /// Sends a signal that is no request to end.
+    pub fn ask_for_status(&self) {
+        self.signal(Signal::USR1);
+    }
     pub fn hang_up(&self) {
         self.signal(Signal::HUP);
     }
--- a/crates/sanddrum-lab/src/soak/settings.rs
+++ b/crates/sanddrum-lab/src/soak/settings.rs
@@ -22,6 +22,8 @@
     pub cancels: bool,
     pub misses: bool,
     pub descriptors: usize,
+    /// Many clients at a time, with connections of their own.
+    pub has_crowd: bool,
 }
 
 impl Terms {
@@ -43,6 +45,7 @@
             cancels: chance.random_bool(0.7),
             misses: orders && chance.random_bool(0.4),
             descriptors: 512,
+            has_crowd: chance.random_bool(0.25),
         }
     }
 
