Events that a new configuration states apply, though the feed may be out of reach

Cause: found as the same mistake in related code, news at hand that is not used. watched_files.rs (on_configuration_changed) took the feed's address from the file that comes with SIGHUP and left out its known events, which may be newer than the feed's last answer; with the new address out of reach a drain in them was never heard of. Change: events beyond the last one known apply, in order and each once, before the address is followed. A test of the edge; a test that pre-warmed instances are not renewed at workers without a lease. Ruled out: that such a file confirms the list's age; when it was written is not known.

--- a/crates/sanddrum-edge/src/edge_state/discovery.rs
+++ b/crates/sanddrum-edge/src/edge_state/discovery.rs
@@ -322,7 +322,7 @@
     }
 
     /// Applies events of the control feed, in order and each once.
-    fn apply_feed_events(&mut self, now: Micros, events: FeedEvents, io: &dyn Io) {
+    pub(super) fn apply_feed_events(&mut self, now: Micros, events: FeedEvents, io: &dyn Io) {
         let Some(feed) = &mut self.control_feed else {
             return;
         };
--- a/crates/sanddrum-edge/src/edge_state/watched_files.rs
+++ b/crates/sanddrum-edge/src/edge_state/watched_files.rs
@@ -20,8 +20,8 @@
         }
     }
 
-    /// The startup configuration has changed or can't be read. The address of the control feed is followed; the rest
-    /// holds from the next start on.
+    /// The startup configuration has changed or can't be read. The events that it states and that are not known yet apply,
+    /// and the address of the control feed is followed; the rest holds from the next start on.
     pub(super) fn on_configuration_changed(
         &mut self,
         now: Micros,
@@ -30,6 +30,10 @@
     ) {
         let why = match content.map(|bytes| StartupConfig::read(&String::from_utf8_lossy(bytes))) {
             Ok(Ok(configuration)) => {
+                // They may be newer than the feed's last answer, and the feed may be out of reach at its new address.
+                if let Ok(events) = configuration.feed_events() {
+                    self.apply_feed_events(now, events, io);
+                }
                 if let Some(feed) = &mut self.control_feed {
                     feed.change_address(&mut self.context, now, &configuration.feed, io);
                 }
--- a/crates/sanddrum-edge/tests/control_feed.rs
+++ b/crates/sanddrum-edge/tests/control_feed.rs
@@ -279,3 +279,23 @@
         harness.last_poll()
     );
 }
+
+#[rstest]
+fn events_that_only_a_new_configuration_states_apply_while_the_feed_is_out_of_reach() {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    let drains =
+        json!({"n": 2, "members": {"complete": false, "members": [member("w", "terminating")]}});
+    let json = json!({"name": "n", "listen": "127.0.0.1:1", "feed": "127.0.0.9:2380", "seed": "1", "settings": {},
+                      "limits": {"sockets": 100, "memory_mb": 10}, "known": {"n": 2, "events": [drains]}});
+    harness.edge.on_file(
+        harness.now,
+        CONFIGURATION_FILE,
+        Ok(json.to_string().as_bytes()),
+        &mut harness.io,
+    );
+    harness.process();
+    assert_eq!(harness.last_endpoint().state, WorkerState::Draining);
+    let moved = harness.io.connects.last().unwrap().0;
+    harness.connect(moved);
+    assert!(harness.polls().last().unwrap().contains("SUB=2&"));
+}
--- a/tests/readiness_lease.rs
+++ b/tests/readiness_lease.rs
@@ -192,3 +192,25 @@
     let sent = (100..160).filter(|id| host.dispatched_to(*id) == Some(lost));
     assert_eq!(sent.count() < 3, is_cold);
 }
+
+#[rstest]
+#[case::confirmed(true)]
+#[case::stale(false)]
+fn instances_are_kept_pre_warmed_at_workers_that_hold_a_lease_only(#[case] is_confirmed: bool) {
+    let prewarmed = ("design.pre-warmed", Value::Number(1.0));
+    let mut host = FakeHost::new(1, &[workers_answer_misses(), LOAD_COMMANDS, prewarmed]);
+    confirm(&mut host);
+    host.send(1, FUNCTION);
+    host.complete_first_load(FUNCTION, WORK);
+    host.succeed(1, Warmth::Warm, WORK);
+    host.advance(NOTIFIED_WITHIN);
+    let before = host.load_commands(FUNCTION, 1);
+    for _ in 0..10 {
+        if is_confirmed {
+            confirm(&mut host);
+        }
+        host.end_load(0, FUNCTION, Outcome::Finished, 1);
+        host.advance(SECOND);
+    }
+    assert_eq!(host.load_commands(FUNCTION, 1) > before, is_confirmed);
+}
