Comments that a rename had spoilt say what they mean again

Cause: renamed a method to text_equals by a replacement that also hit the word in prose; six comments in src, two more in edge and net that had 'is notified' for 'is reported'. Ruled out: further identifiers in prose, by listing snake-case and camel-case words outside backticks in all comments; what is left are names of standards. Change: comments only.

--- a/crates/sanddrum-edge/tests/http_listener.rs
+++ b/crates/sanddrum-edge/tests/http_listener.rs
@@ -60,7 +60,7 @@
     let one = http::encode_request("POST", "/v1/calls/job/f1", &[], b"");
     harness.receive(client, &one.repeat(calls));
     assert_eq!(harness.request_count(), 2);
-    // The end of a connection that is not paused is notified.
+    // The end of a connection that is not paused is reported.
     assert_eq!(harness.io.is_paused(client), paused);
     for id in 0..calls as u64 {
         harness.decide(Decision::Reject(id));
--- a/crates/sanddrum-net/src/event_loop/closing.rs
+++ b/crates/sanddrum-net/src/event_loop/closing.rs
@@ -14,7 +14,7 @@
 const DRAIN_BUFFER_BYTES: usize = 16 * 1024;
 
 impl EventLoop {
-    /// The peer or the network has ended a connection: its core is notified.
+    /// The peer or the network has ended a connection, which is reported to its core.
     pub(super) fn end_connection(&mut self, host: HostId, conn: ConnectionId, cause: CloseCause) {
         if cause == CloseCause::Reset {
             self.set_reset_on_close(host, conn);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,7 +4,7 @@
 //!
 //! The ordinary path is warm-first: a request goes to the worker that is believed to have an instance with capacity and
 //! has the fewest requests of this router in flight, local zone first; failing that, the function is loaded on the ready
-//! worker with the fewest. Each departure is marked "Exception" below; docs/design.md text_equals when it acts.
+//! worker with the fewest. Each departure is marked "Exception" below; docs/design.md states when it acts.
 
 mod admission;
 mod attempt_outcomes;
--- a/src/logic/constants.rs
+++ b/src/logic/constants.rs
@@ -50,7 +50,7 @@
 pub(super) const SPEED_FACTOR_DECAY_US: f64 = 2e6;
 /// A load report decays at this rate: of hundreds of routers each receives a worker's every ten seconds or so.
 pub(super) const REPORT_DECAY_US: f64 = 1e7;
-/// One answer counts for no more than this speed factor: a request that was itself long text_equals little of its worker.
+/// One answer counts for no more than this speed factor: a request that was itself long shows little of its worker.
 pub(super) const MAX_SPEED_FACTOR: f64 = 10.0;
 /// A baseline is the least mean seen; it may rise this slowly, should the work change.
 pub(super) const BASELINE_RISE_US: f64 = 3e7;
--- a/src/logic/observations.rs
+++ b/src/logic/observations.rs
@@ -105,7 +105,7 @@
         }
     }
 
-    /// Records what an attempt's end text_equals of the worker: a slot is free, it reported load, it lives or not.
+    /// Records what an attempt's end shows of the worker: a slot is free, it reported load, it answers or not.
     fn record_at_worker(&mut self, result: &AttemptResult) {
         let now = self.now;
         let id = result.worker;
@@ -155,7 +155,7 @@
 
     /// Adjusts the share of requests admitted under overload: cut by a part, raised by a constant.
     fn adjust_admission(&mut self, result: &AttemptResult, timeliness: Timeliness) {
-        // What waited for a load text_equals nothing of overload; a cold fleet would later shed nearly all.
+        // What waited for a load shows nothing of overload; a cold fleet would later shed nearly all.
         let waited_for_load = matches!(
             result.warmth,
             Warmth::StartedLoad | Warmth::WaitedForLoad | Warmth::LoadFailed
--- a/src/logic/overload.rs
+++ b/src/logic/overload.rs
@@ -9,7 +9,7 @@
 use crate::statistics::median;
 use crate::{Micros, WorkerState};
 
-/// What a recent load report text_equals of queues.
+/// What a recent load report states of queues.
 struct QueueReport {
     age: Micros,
     queued_fraction: f64,
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -22,7 +22,7 @@
     pub dispatched_at: Micros,
     /// How far it has come.
     pub status: AttemptStatus,
-    /// It was dispatched to wait for other requests, so its latency text_equals nothing of the worker.
+    /// It was dispatched to wait for other requests, so its latency shows nothing of the worker.
     pub was_queued: bool,
 }
 
