--- a/crates/sanddrum-edge/src/edge_state/discovery.rs
+++ b/crates/sanddrum-edge/src/edge_state/discovery.rs
@@ -234,24 +234,29 @@
     /// The timer for the next save has fired.
     pub(super) fn save_state_as_scheduled(&mut self, now: Micros, io: &mut dyn Io) {
         self.is_save_scheduled = false;
-        self.save_state(now, io);
+        // A list that a crash loses is listed again; the responses that are due meanwhile do not wait for the disk.
+        io.save_state_later(&self.state_to_save(now));
     }
 
-    /// Saves what a later process starts with.
+    /// Saves what a later process starts with, and waits until that is done: keys that are revoked must stay so.
     pub(super) fn save_state(&self, now: Micros, io: &mut dyn Io) {
+        io.save_state(&self.state_to_save(now));
+    }
+
+    fn state_to_save(&self, now: Micros) -> Vec<u8> {
         let DiscoveryVersion {
             service_incarnation,
             version,
         } = self.discovery.version();
         let floor = self.identity.floor();
-        io.save_state(&endpoint_cache::write(&CachedState {
+        endpoint_cache::write(&CachedState {
             saved_at: now,
             service_incarnation,
             version,
             endpoints: self.endpoints.aged_records(now),
             keys_version: floor.version,
             keys_revoked: floor.revoked.iter().cloned().collect(),
-        }));
+        })
     }
 
     fn on_feed_event(
--- a/crates/sanddrum-lab/src/capacity/metered.rs
+++ b/crates/sanddrum-lab/src/capacity/metered.rs
@@ -324,6 +324,9 @@
     fn save_state(&mut self, state: &[u8]) {
         self.outside(|this| this.io.save_state(state));
     }
+    fn save_state_later(&mut self, state: &[u8]) {
+        self.outside(|this| this.io.save_state_later(state));
+    }
     fn audit(&mut self, line: &str) {
         self.outside(|this| this.io.audit(line));
     }
--- a/crates/sanddrum-lab/src/plaintext_capture.rs
+++ b/crates/sanddrum-lab/src/plaintext_capture.rs
@@ -72,6 +72,9 @@
     fn save_state(&mut self, state: &[u8]) {
         self.io.save_state(state);
     }
+    fn save_state_later(&mut self, state: &[u8]) {
+        self.io.save_state_later(state);
+    }
 }
 
 impl<C: Core> Core for PlaintextCapture<C> {
--- a/crates/sanddrum-net/src/event_loop/host.rs
+++ b/crates/sanddrum-net/src/event_loop/host.rs
@@ -1,7 +1,7 @@
 //! A core in the event loop.
 
 use super::sources::SourceKey;
-use crate::files::{AuditLog, WatchedFile};
+use crate::files::{AuditLog, StateWriter, WatchedFile};
 use crate::{ConnectionId, Core, Event, Io, Micros};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
@@ -11,7 +11,7 @@
     pub core: Box<dyn Core>,
     pub connections: BTreeMap<ConnectionId, SourceKey>,
     pub listeners: Vec<SourceKey>,
-    pub state_file: Option<PathBuf>,
+    pub state_writer: Option<StateWriter>,
     pub frozen: bool,
     /// Whether the core is to process what it was given.
     pub is_pending: bool,
@@ -28,7 +28,7 @@
             core,
             connections: BTreeMap::new(),
             listeners: Vec::new(),
-            state_file,
+            state_writer: state_file.map(StateWriter::new),
             frozen: false,
             is_pending: true,
             is_shutting_down: false,
--- a/crates/sanddrum-net/src/event_loop/loop_io.rs
+++ b/crates/sanddrum-net/src/event_loop/loop_io.rs
@@ -110,12 +110,15 @@
         }
     }
     fn save_state(&mut self, state: &[u8]) {
-        let host = self.event_loop.host(self.host);
-        let Some(path) = host.and_then(|host| host.state_file.as_ref()) else {
-            return;
-        };
-        if let Err(error) = crate::files::replace_atomically(path, state) {
-            tracing::warn!(reason = "state-file", file = %path.display(), %error, "state was not saved; check the disk");
+        let host = self.event_loop.host_mut(self.host);
+        if let Some(writer) = host.and_then(|host| host.state_writer.as_mut()) {
+            writer.save_and_wait(state);
+        }
+    }
+    fn save_state_later(&mut self, state: &[u8]) {
+        let host = self.event_loop.host_mut(self.host);
+        if let Some(writer) = host.and_then(|host| host.state_writer.as_mut()) {
+            writer.save(state);
         }
     }
     fn audit(&mut self, line: &str) {
--- a/crates/sanddrum-net/src/files.rs
+++ b/crates/sanddrum-net/src/files.rs
@@ -1,9 +1,11 @@
 //! Files of the event loop: saved state, watched files and the audit log.
 
 mod audit_log;
+mod state_writer;
 mod watched_file;
 
 pub(crate) use audit_log::AuditLog;
+pub(crate) use state_writer::StateWriter;
 pub use watched_file::FileError;
 pub(crate) use watched_file::WatchedFile;
 
--- a/crates/sanddrum-net/src/io.rs
+++ b/crates/sanddrum-net/src/io.rs
@@ -50,8 +50,12 @@
     fn reset(&mut self, conn: ConnectionId);
     /// Pauses or resumes reading: no `Bytes` come while paused, and flow control slows the peer down.
     fn pause(&mut self, conn: ConnectionId, paused: bool);
-    /// Saves the core's state atomically, in place of the state saved before.
+    /// Saves the core's state atomically, in place of the state saved before, and returns when it is saved.
     fn save_state(&mut self, state: &[u8]);
+    /// The same without waiting: the state is saved soon, unless the process is killed or a newer one takes its place.
+    fn save_state_later(&mut self, state: &[u8]) {
+        self.save_state(state);
+    }
     /// Appends a line to the core's audit log, whose size is bounded.
     fn audit(&mut self, _line: &str) {}
 }
--- a/crates/sanddrum-net/tests/event_loop_files.rs
+++ b/crates/sanddrum-net/tests/event_loop_files.rs
@@ -170,3 +170,47 @@
     assert_eq!(fs::read_to_string(renamed).unwrap(), "1\n2\n");
     assert_eq!(fs::read_to_string(&audit_path).unwrap(), "3\n");
 }
+
+/// Has its state saved in the background at its start, and tells when it runs after that.
+struct SavingCore {
+    ran: std::sync::mpsc::Sender<()>,
+}
+
+impl Core for SavingCore {
+    fn start(&mut self, _: Micros, io: &mut dyn Io) {
+        io.save_state_later(b"a state");
+    }
+    fn on_event(&mut self, _: Micros, _: Event<'_>, _: &mut dyn Io) {}
+    fn process(&mut self, _: Micros, _: &mut dyn Io) {
+        let _ = self.ran.send(());
+    }
+    fn next_wakeup(&self) -> Option<Micros> {
+        None
+    }
+}
+
+#[rstest]
+fn the_loop_goes_on_while_a_state_waits_for_the_disk() {
+    let directory = TestDirectory::new("slow-disk");
+    // Opening a pipe for writing waits for a reader, as a slow disk makes a write wait.
+    let temporary = directory.file("state.new");
+    let made = std::process::Command::new("mkfifo")
+        .arg(&temporary)
+        .status();
+    assert!(made.unwrap().success());
+    let path = directory.file("state");
+    let (ran, runs) = std::sync::mpsc::channel();
+    let looping = std::thread::spawn(move || {
+        let mut event_loop = EventLoop::new(Box::new(NullObserver)).unwrap();
+        let core = Box::new(SavingCore { ran });
+        event_loop.add(core, vec![], Some(path)).unwrap();
+        event_loop.run_until(event_loop.now() + 10_000).unwrap();
+    });
+    let has_run = runs
+        .recv_timeout(std::time::Duration::from_secs(10))
+        .is_ok();
+    // The disk answers now, so that the loop can end either way.
+    assert_eq!(fs::read(&temporary).unwrap(), b"a state");
+    looping.join().unwrap();
+    assert!(has_run, "the loop stood still for the disk");
+}
--- a/crates/sanddrum-tls/src/lib.rs
+++ b/crates/sanddrum-tls/src/lib.rs
@@ -506,6 +506,9 @@
     fn save_state(&mut self, state: &[u8]) {
         self.io.save_state(state);
     }
+    fn save_state_later(&mut self, state: &[u8]) {
+        self.io.save_state_later(state);
+    }
     fn audit(&mut self, line: &str) {
         self.io.audit(line);
     }
