--- a/src/logic/readiness_lease.rs
+++ b/src/logic/readiness_lease.rs
@@ -108,7 +108,7 @@
         }
     }
 
-    /// Extends workers' leases once, where all of them have ended. Guards against a router that had no traffic, or stood
+    /// Extends workers' leases where all of them have ended. Guards against a router that had no traffic, or stood
     /// still, and would serve nothing until discovery is back.
     pub(super) fn extend_leases(&mut self) {
         let have_all_ended = self.now >= self.last_accepted_at + self.worker_lease();
--- a/tests/readiness_lease.rs
+++ b/tests/readiness_lease.rs
@@ -152,7 +152,7 @@
 }
 
 #[rstest]
-fn leases_that_have_all_ended_are_extended_once_for_workers_that_accepted_during_the_outage() {
+fn leases_that_have_all_ended_are_extended_for_workers_that_accepted_during_the_outage() {
     let mut host = two_warm_workers();
     host.advance(NOTIFIED_AFTER + SECOND);
     let accepting = serve(&mut host, 2..3);
