--- a/crates/sanddrum-lab/src/soak/environment.rs
+++ b/crates/sanddrum-lab/src/soak/environment.rs
@@ -113,6 +113,8 @@
     stepped: Micros,
     /// How often each kind of trouble came.
     pub came: BTreeMap<&'static str, u64>,
+    /// How often each kind was hidden by an outage of the feed, and not played.
+    pub hidden: BTreeMap<&'static str, u64>,
 }
 
 /// Connections that clients keep to each router, usually and in a crowd.
@@ -230,6 +232,7 @@
             servers_clock: 0,
             rate,
             came: BTreeMap::new(),
+            hidden: BTreeMap::new(),
         };
         for n in 0..environment.routers.len() {
             environment.start_router(n)?;
--- a/crates/sanddrum-lab/src/soak/environment/troubles.rs
+++ b/crates/sanddrum-lab/src/soak/environment/troubles.rs
@@ -29,6 +29,11 @@
     /// A process, file or listener can't be made.
     pub fn begin(&mut self, trouble: Trouble) -> io::Result<()> {
         let now = self.now();
+        if self.outage_ends.is_some() && trouble.concerns_feed() {
+            // It can't be seen behind the outage, and has not come.
+            *self.hidden.entry(trouble.name()).or_default() += 1;
+            return Ok(());
+        }
         let mut came = 1;
         match trouble {
             Trouble::Stop { routers, span } => {
@@ -136,8 +141,6 @@
                     }
                 }
             }
-            Trouble::FeedSilent { .. } | Trouble::FeedLate { .. } | Trouble::FeedCuts { .. }
-                if self.outage_ends.is_some() => {}
             Trouble::FeedSilent { span } => self.feed_trouble(now, FeedMood::Silent, span, 7 * S),
             Trouble::FeedLate { by, span } => {
                 self.feed_trouble(now, FeedMood::Late(by), span, 7 * S)
@@ -197,6 +200,7 @@
             // The feed can't move while it is out of reach: all routers would hear of a new address.
             Undo::HangUp if self.outage_ends.is_some() => {}
             Undo::HangUp => self.move_feed(now)?,
+            Undo::OutageOver if self.outage_ends.is_some_and(|at| now < at) => {}
             Undo::OutageOver => {
                 self.outage_ends = None;
                 self.tale.borrow_mut().mood = FeedMood::Well;
--- a/crates/sanddrum-lab/src/soak/judge.rs
+++ b/crates/sanddrum-lab/src/soak/judge.rs
@@ -368,9 +368,9 @@
                     at,
                     "did not end by itself after SIGTERM".to_string(),
                 );
-                continue;
             }
             match (life.ended, life.killed, life.asked_to_end) {
+                _ if life.killed_after_asked.is_some() => {}
                 (Some((at, code)), None, None) => {
                     add(Rule::Crash, at, format!("ended by itself, code {code:?}"))
                 }
--- a/crates/sanddrum-lab/src/soak/mod.rs
+++ b/crates/sanddrum-lab/src/soak/mod.rs
@@ -255,6 +255,7 @@
         .iter()
         .map(|planned| planned.trouble.name())
         .filter(|name| environment.came.get(name).copied().unwrap_or(0) == 0)
+        .filter(|name| !environment.hidden.contains_key(name))
         .collect();
     let chosen = |name: &str| planned.iter().any(|planned| planned.trouble.name() == name);
     if chosen("failing-calls") && faults["receives-failed"] + faults["sends-failed"] == 0 {
@@ -293,6 +294,10 @@
             ledger.lives.values().map(Vec::len).sum::<usize>() as u64,
         ),
     ]);
+    counts.insert(
+        "troubles-hidden-by-outages",
+        environment.hidden.values().sum(),
+    );
     counts.extend(
         leavings(ledger)
             .into_iter()
--- a/crates/sanddrum-lab/src/soak/troubles.rs
+++ b/crates/sanddrum-lab/src/soak/troubles.rs
@@ -120,6 +120,17 @@
             Trouble::Burst { .. } => "burst",
         }
     }
+    /// Whether it is one of the feed's, which an outage of the feed hides.
+    pub fn concerns_feed(&self) -> bool {
+        matches!(
+            self,
+            Trouble::HangUps { .. }
+                | Trouble::FeedSilent { .. }
+                | Trouble::FeedLate { .. }
+                | Trouble::FeedCuts { .. }
+                | Trouble::Outage { .. }
+        )
+    }
     fn drawn(chance: &mut Rng, routers: usize, servers: usize) -> Trouble {
         let some = |chance: &mut Rng, of: usize| 1 + chance.index((of / 4).max(1));
         let span = |chance: &mut Rng, least: Micros, most: Micros| {
--- a/src/logic/load_budget.rs
+++ b/src/logic/load_budget.rs
@@ -6,7 +6,8 @@
 use crate::{Decisions, FunctionId, WorkerId};
 
 impl Router {
-    /// Commands a worker to load, if its readiness lease and the load budget allow it and no command for the function is in flight there.
+    /// Commands a worker to load, if its readiness lease and the load budget allow it and no command for the function is
+    /// in flight there.
     pub(super) fn command_load(
         &mut self,
         worker: WorkerId,
