--- a/crates/sanddrum-cli/src/soak.rs
+++ b/crates/sanddrum-cli/src/soak.rs
@@ -62,7 +62,8 @@
         folder: folder.0.clone(),
     };
     let report = soak(&spec).map_err(|e| e.to_string())?;
-    if args.keep {
+    // Without the routers' logs a break that does not come again can't be traced.
+    if args.keep || !report.is_good() {
         println!("configurations and logs: {}", folder.0.display());
         std::mem::forget(folder);
     }
--- a/crates/sanddrum-cli/tests/stalls.rs
+++ b/crates/sanddrum-cli/tests/stalls.rs
@@ -170,3 +170,24 @@
         "200"
     );
 }
+
+#[rstest]
+fn a_request_that_waits_unread_past_the_end_of_a_shutdown_is_answered() {
+    let ((_worker, worker_at), (_feeds, feed_at)) = (listener(), listener());
+    let mut settings = configuration(&feed_at, &worker_at, "repeatable");
+    // The shutdown ends 0.6 s after the longest deadline.
+    settings["settings"]["classes"][0]["deadline-us"] = serde_json::json!(1_000_000);
+    settings["settings"]["classes"][0]["aim-us"] = serde_json::json!(500_000);
+    let router = Router::start_with("end-stalled", &settings, None);
+    let mut web = Web::connects(&router.at);
+    web.calls(1, "00000000000000e1");
+    assert!(web.answer().is_some());
+    router.signal("TERM");
+    until(|| router.said_so_far().contains("graceful shutdown started"));
+    router.stall();
+    web.calls(2, "00000000000000e2");
+    std::thread::sleep(Duration::from_millis(2_000));
+    router.resume();
+    let answer = web.answer();
+    assert_eq!(answer.map(|answer| answer.id), Some(2));
+}
