--- a/review/standins.py
+++ b/review/standins.py
@@ -197,7 +197,7 @@
         events = self.events if up_to is None else self.events[:up_to]
         return {"n": len(events), "events": list(events)}
 
-    async def open(self, host="127.0.0.1"):
+    async def open(self, host="127.0.0.1", port=0):
         state = {"open": True, "writers": set()}
 
         async def serve(reader, writer):
@@ -228,13 +228,25 @@
                 state["writers"].discard(writer)
                 writer.close()
 
-        server = await asyncio.start_server(serve, host, 0)
+        server = await asyncio.start_server(serve, host, port)
         port = server.sockets[0].getsockname()[1]
         state["address"] = "%s:%d" % (host, port)
         state["server"] = server
         self.servers[state["address"]] = state
         return state["address"]
 
+    def down(self, address):
+        """The feed's process is gone: its connections are reset and new ones refused."""
+        state = self.servers[address]
+        state["open"] = False
+        state["server"].close()
+        for writer in list(state["writers"]):
+            writer.transport.abort()
+
+    async def up(self, address):
+        host, port = address.rsplit(":", 1)
+        await self.open(host, int(port))
+
     async def retire(self, address, after_s=1.5):
         state = self.servers[address]
         state["open"] = False
