--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,10 @@
-"""The control feed is down for some seconds, and model servers drain meanwhile."""
+"""A new configuration with SIGHUP moves the control feed of a large fleet while its servers are being replaced."""
 
 import asyncio
 import json
 import os
 import random
+import signal
 import sys
 import tempfile
 
@@ -11,156 +12,252 @@
 sys.path.insert(0, os.path.dirname(HERE))
 sys.dont_write_bytecode = True
 
-from standins import (Client, Feed, Platform, Record, Router, Server, brest_settings, configuration,  # noqa: E402
-                      free_port, member, now_ms, wait_ready)
+from standins import (Client, Feed, Record, Router, brest_settings, configuration, free_port,  # noqa: E402
+                      now_ms, play_case, wait_ready, write_file)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = int(os.environ.get("SEED", "1"))
 
-SERVERS = 12            # 11 to 14 model servers
-FUNCTIONS = 16
-PERIOD_S = 2.5          # the load is bursty: so long from one burst to the next
-BURST = 32              # requests of a burst; 13 a second in the mean
-BURST_S = 0.1
-WARM_BURSTS = 4
-DOWN_S = 8.0            # STANDING, herd+mass: discovery is down for 8 s
-DRAIN_S = 5.2           # seconds from the outage's begin to the drain: just after a burst
-DRAINING = 4            # a third of them; up to 39% are taken away (LATER of brest-archive)
-DEAD_AFTER_S = 2.9      # listed as draining, dead 0.57 to 3 s later
-TOLD_AFTER_MS = 7000    # PROTOCOL: told no later than 7 s after the outage began
+SERVERS = 3200          # STANDING: 3,200 model servers at most
+ROUTERS = 900           # and up to 900 routers, of which this case runs one
+PARTS = 8               # child processes, so that none needs many descriptors
+ROLL_STEPS = 8          # half of the model servers are replaced in steps (STANDING, roll+mass)
+STEP_S = 0.9
+FUNCTIONS = 40
+RATE = 45.0             # requests a second at this router
+DRAIN_AFTER_S = 6.0     # seconds from SIGHUP to the first drain that the new feed tells; 4 s count as told (DAYS)
+WAVES = 4               # up to 39% are taken away within 4.8 to 16 s in one to four waves (brest-archive-later, preempt)
+WAVE_S = 2.0
+WAVE_SHARE = 0.09
+DEAD_AFTER_S = 2.5      # listed as draining, dead 0.57 to 3 s later
 GRACE_MS = 250          # obligations.stop-sending-within-us of the site
 SLACK_MS = 50           # PROTOCOL: every time limit 50 ms longer
+MEASURE_MS = 100        # given to the stand-ins' own delay
 
 
-class Seen(Platform):
-    """Judges what comes to a model server that drains."""
+class Listed:
+    """A model server as the feed tells of it."""
 
-    def __init__(self, record):
-        super().__init__(record)
-        self.told, self.listed = {}, {}
-        self.late, self.in_time = [], 0
+    def __init__(self, ident, address):
+        self.id, self.address = ident, address
 
-    def check(self, server, what, at):
-        told = self.told.get(server.id)
-        if told is None:
-            return
-        if at > told + GRACE_MS + SLACK_MS:
-            self.late.append((server.id, what, at - told))
-            self.record.line("server %s: NEW WORK (%s) %.0f ms after it counts as told that it drains, %.0f ms after "
-                             "the event" % (server.id, what, at - told, at - self.listed[server.id]), at)
-        else:
-            self.in_time += 1
+    def entry(self, phase="in_service", up_since_ms=0):
+        return {"id": self.id, "host_port": self.address, "locality": "brest", "flavor": "four-core", "cell": 0,
+                "phase": phase, "size": 4, "up_since_ms": up_since_ms}
 
-    def job_arrived(self, job):
-        super().job_arrived(job)
-        self.check(job.server, "job %016x" % job.id, job.first_byte)
 
-    def order_arrived(self, server, thing, count, first_byte):
-        super().order_arrived(server, thing, count, first_byte)
-        if count > 0:
-            self.check(server, "order", first_byte)
+class Part:
+    """A child process with some of the servers."""
+
+    def __init__(self, see):
+        self.see = see
+        self.done = asyncio.Queue()
+
+    async def start(self, idents):
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", os.path.join(os.path.dirname(HERE), "fleet.py"), json.dumps({"servers": idents}),
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=1 << 22)
+        line = json.loads(await self.process.stdout.readline())
+        self.reading = asyncio.ensure_future(self.read())
+        return line[1]
+
+    async def read(self):
+        while True:
+            line = await self.process.stdout.readline()
+            if not line:
+                return
+            values = json.loads(line)
+            if values[0] == "done":
+                self.done.put_nowait(values[2])
+            else:
+                self.see(values)
+
+    async def command(self, name, idents):
+        self.process.stdin.write((json.dumps([name, idents]) + "\n").encode())
+        return await self.done.get()
+
+    async def stop(self):
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
 
 
 class Case:
     def __init__(self, record, folder):
         self.record, self.folder = record, folder
         self.random = random.Random(SEED)
+        self.parts, self.part_of, self.listed = [], {}, {}
+        self.told = {}
+        self.late, self.sends = [], 0
         self.answers = {}
 
-    async def bursts(self, client, began, until):
-        """A burst every PERIOD_S from `began` on."""
+    def see(self, values):
+        if values[0] in ("job", "order"):
+            kind, ident, what, at = values
+            self.sends += 1
+            self.record.line("server %s: %s %s" % (ident, kind, what), at)
+            told = self.told.get(ident)
+            if told is not None and at > told + GRACE_MS + SLACK_MS + MEASURE_MS:
+                self.late.append((ident, kind, what, at - told))
+                self.record.line("server %s: NEW WORK %.0f ms after the drain was told" % (ident, at - told), at)
+        elif values[0] == "end":
+            self.record.line("server %s: job %s ended with code %d" % (values[1], values[2], values[3]), values[4])
+
+    async def command(self, name, idents):
+        by_part = {}
+        for ident in idents:
+            by_part.setdefault(self.part_of[ident], []).append(ident)
+        results = await asyncio.gather(*[part.command(name, some) for part, some in by_part.items()])
+        started = {}
+        for result in results:
+            started.update(result)
+        return started
+
+    async def drain(self, feed, idents):
+        await self.command("drain", idents)
+        at = now_ms()
+        feed.add([self.listed[ident].entry("terminating") for ident in idents])
+        for ident in idents:
+            self.told[ident] = at
+        self.record.line("feed: event %d, %d servers drain" % (len(feed.events), len(idents)), at)
+
+    async def roll(self, feed):
+        """Half of the model servers are replaced in steps."""
+        old = sorted(self.listed)
+        self.random.shuffle(old)
+        old = old[:SERVERS // 2]
+        size = len(old) // ROLL_STEPS
+        for step in range(ROLL_STEPS):
+            going = old[step * size:(step + 1) * size]
+            await self.drain(feed, going)
+            await asyncio.sleep(STEP_S / 2)
+            await self.command("die", going)
+            fresh = []
+            for index, ident in enumerate(going):
+                new = "s-%08x" % (0x10000 * (step + 1) + index)
+                self.part_of[new] = self.part_of[ident]
+                fresh.append(new)
+            addresses = await self.command("start", fresh)
+            started = int(now_ms())
+            gone = [self.listed.pop(ident).entry("terminated") for ident in going]
+            for new, address in addresses.items():
+                self.listed[new] = Listed(new, address)
+            feed.add(gone + [self.listed[new].entry("in_service", started) for new in addresses])
+            self.record.line("feed: event %d, %d servers gone, %d new" % (
+                len(feed.events), len(gone), len(addresses)))
+            await asyncio.sleep(STEP_S / 2)
+
+    async def traffic(self, client, until):
+        pending = set()
         functions = ["%016x" % self.random.getrandbits(64) for _ in range(FUNCTIONS)]
-        pending, number = set(), 0
 
-        async def one(delay, function):
-            await asyncio.sleep(delay)
-            _, _, answer = await client.request("re-pick" if int(function, 16) % 3 else "publish", function, 4000)
+        async def one(workload, function):
+            _, _, answer = await client.request(workload, function, 4000)
             self.answers[answer.kind()] = self.answers.get(answer.kind(), 0) + 1
 
-        while True:
-            at = began + number * PERIOD_S
-            if at > until:
-                break
-            await asyncio.sleep(max(0.0, at - asyncio.get_event_loop().time()))
-            for index in range(BURST):
-                task = asyncio.ensure_future(one(self.random.random() * BURST_S, functions[index % FUNCTIONS]))
-                pending.add(task)
-                task.add_done_callback(pending.discard)
-            number += 1
+        while not until.is_set():
+            chosen = functions[self.random.randrange(FUNCTIONS)]
+            # A function belongs to one class, as a model does.
+            workload = "re-pick" if int(chosen, 16) % 3 else "publish"
+            task = asyncio.ensure_future(one(workload, chosen))
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+            await asyncio.sleep(self.random.expovariate(RATE))
         await asyncio.gather(*pending)
 
+    async def waves(self, feed):
+        """Some of the model servers are taken away: listed as draining, dead a while later."""
+        left = sorted(ident for ident in self.listed if ident not in self.told)
+        self.random.shuffle(left)
+        size = int(SERVERS * WAVE_SHARE)
+        ends = []
+        for wave in range(WAVES):
+            going = left[wave * size:(wave + 1) * size]
+            await self.drain(feed, going)
+            ends.append(asyncio.ensure_future(self.end(feed, going)))
+            await asyncio.sleep(WAVE_S)
+        await asyncio.gather(*ends)
+
+    async def end(self, feed, idents):
+        await asyncio.sleep(DEAD_AFTER_S)
+        await self.command("die", idents)
+        feed.add([self.listed[ident].entry("terminated") for ident in idents])
+        self.record.line("feed: event %d, %d servers gone" % (len(feed.events), len(idents)))
+
     async def run(self):
-        seen = Seen(self.record)
-        servers = [Server("s-%08x" % (index + 1), seen, work_ms=60) for index in range(SERVERS)]
-        for server in servers:
-            await server.listen()
-        feed = Feed([member(server) for server in servers])
+        idents = ["s-%08x" % (index + 1) for index in range(SERVERS)]
+        for index in range(PARTS):
+            self.parts.append(Part(self.see))
+        shares = [idents[index::PARTS] for index in range(PARTS)]
+        for part, addresses in zip(self.parts, await asyncio.gather(
+                *[part.start(share) for part, share in zip(self.parts, shares)])):
+            for ident, address in addresses.items():
+                self.part_of[ident] = part
+                self.listed[ident] = Listed(ident, address)
+        feed = Feed([self.listed[ident].entry() for ident in idents])
         address = await feed.open()
         listen = "127.0.0.1:%d" % free_port()
-        text = json.dumps(configuration("n3", listen, address, feed.known(), brest_settings()))
-        router = Router(self.folder, "n3", listen, text, os.path.join(self.folder, "router.log"))
+        settings = brest_settings(balancers=ROUTERS)
+
+        def text(feed_address):
+            return json.dumps(configuration("n3", listen, feed_address, feed.known(), settings),
+                              separators=(",", ":"))
+
+        router = Router(self.folder, "n3", listen, text(address), os.path.join(self.folder, "router.log"))
         client = Client(listen, self.record)
-        loop = asyncio.get_event_loop()
+        stop = asyncio.Event()
         try:
             await router.start()
             if not await wait_ready(client):
                 self.record.line("the router was not ready within 30 s")
                 return 2
-            began = loop.time() + 0.2
-            # The outage begins with a burst; the fourth burst from there on comes when 7 s and the grace have gone.
-            down_at = began + WARM_BURSTS * PERIOD_S
-            traffic = asyncio.ensure_future(self.bursts(client, began, down_at + DOWN_S + 3.0))
-            await asyncio.sleep(down_at - loop.time())
-            down_ms = now_ms()
+            self.record.line("router ready, %d model servers" % SERVERS)
+            traffic = asyncio.ensure_future(self.traffic(client, stop))
+            await asyncio.sleep(3.0)
+            await self.roll(feed)
+            await asyncio.sleep(1.0)
             if TROUBLE:
-                self.record.line("feed: down; open connections are reset and new ones refused")
-                feed.down(address)
-            await asyncio.sleep(down_at + DRAIN_S - loop.time())
-            used = {}
-            for job in seen.jobs:
-                used[job.server] = max(used.get(job.server, 0.0), job.arrived)
-            going = sorted(used, key=lambda server: -used[server])[:DRAINING]
-            at = now_ms()
-            for server in going:
-                server.draining = True
-                seen.listed[server.id] = at
-                seen.told[server.id] = max(at, down_ms + TOLD_AFTER_MS) if TROUBLE else at
-            feed.add([member(server, "terminating") for server in going])
-            self.record.line("feed: event %d, these drain: %s" % (
-                len(feed.events), ", ".join(server.id for server in going)), at)
-            await asyncio.sleep(DEAD_AFTER_S)
-            for server in going:
-                server.die()
-            feed.add([member(server, "terminated") for server in going])
-            self.record.line("feed: event %d, these are gone" % len(feed.events))
-            await asyncio.sleep(max(0.0, down_at + DOWN_S - loop.time()))
-            if TROUBLE:
-                await feed.up(address)
-                self.record.line("feed: up again")
+                moved = await feed.open()
+                config = text(moved)
+                write_file(router.config, config)
+                self.record.line("SIGHUP: configuration of %d bytes, %d events known, feed moves from %s to %s" % (
+                    len(config), len(feed.events), address, moved))
+                router.signal(signal.SIGHUP)
+                retired = asyncio.ensure_future(feed.retire(address))
+            await asyncio.sleep(DRAIN_AFTER_S)
+            await self.waves(feed)
+            stop.set()
             await traffic
-            ended = router.process.returncode is not None
+            if TROUBLE:
+                await retired
+                asked = [poll for poll in feed.polls if poll[1] == moved]
+                self.record.line("the new feed was asked %d times" % len(asked))
+            if router.process.returncode is not None:
+                self.record.line("the router has ended by itself")
+                return 1
         finally:
             await router.stop()
             client.close()
+            for part in self.parts:
+                await part.stop()
             with open(os.path.join(self.folder, "router.log")) as log:
                 for line in log.readlines()[-20:]:
                     self.record.line("router's log: " + line.strip().replace(self.folder + "/", ""))
-        self.record.line("answers: %s; sent to a draining server: %d in time, %d too late" % (
-            self.answers, seen.in_time, len(seen.late)))
-        if ended or self.answers.get("lost", 0):
-            return 1
-        if self.answers.get("served", 0) < 100:
-            self.record.line("the case could not run: too little was served")
-            return 2
-        return 1 if seen.late else 0
+        self.record.line("answers: %s; %d jobs and orders sent; %d sent to a draining server too late" % (
+            self.answers, self.sends, len(self.late)))
+        if self.answers.get("served", 0) < 100 or self.answers.get("lost", 0):
+            self.record.line("the case could not run: too little was served, or an answer was lost")
+            return 1 if self.answers.get("lost", 0) else 2
+        return 1 if self.late else 0
 
 
 async def main():
     record = Record(os.path.join(HERE, "record.txt"))
     record.line("case 3, TROUBLE=%d, SEED=%d" % (TROUBLE, SEED))
     with tempfile.TemporaryDirectory() as folder:
+        case = Case(record, folder)
         try:
-            result = await asyncio.wait_for(Case(record, folder).run(), 110.0)
+            result = await asyncio.wait_for(case.run(), 110.0)
         except (OSError, asyncio.TimeoutError) as problem:
             record.line("could not run: %r" % problem)
             result = 2
@@ -170,6 +267,6 @@
 
 
 if __name__ == "__main__":
-    result = asyncio.run(main())
+    result = play_case(main)
     print("case 3: exit %d" % result)
     sys.exit(result)
--- a/review/standins.py
+++ b/review/standins.py
@@ -537,6 +537,7 @@
 
     def close(self):
         self.closed = True
+        self.task.cancel()
         self.writer.close()
 
 
@@ -604,3 +605,17 @@
         for conn in self.connections:
             conn.close()
 
+
+def play_case(main):
+    """Runs a case's main function; a signal to end stops it so that its processes are ended, too."""
+
+    async def guarded():
+        task = asyncio.ensure_future(main())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_event_loop().add_signal_handler(number, task.cancel)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            return 2
+
+    return asyncio.run(guarded())
