Decode FastCGI records as they arrive, and bound what incomplete requests take

What callers saw: 320 clients that each left a FastCGI record incomplete took a router from 13 MB over its limit of 32 MB within 0.3 s.

Cause: Responder::push_bytes buffered whole records, up to 65,798 bytes, and buffered_bytes counted the content of decoded records only (responder.rs: process_next_record, count_buffered). FastCgiListener::limit_partial_bytes enforced its limit on that number. A body too long by its header was rejected after it had come whole; records that nobody needs were buffered before they were skipped. The limit shed the connection that had received bytes last, whoever it was.

Change: RecordReader splits the stream into headers and parts of content and stores at most a header. What exceeds a limit by its header is rejected at the header, and content is stored only in the request that needs it. The memory of an incomplete request is counted as allocated.

The test partial_requests_are_bounded_over_all_connections asserted that the last receiver is shed. That was the fault in the order of shedding: the usual client pays for a limit that others fill. Its replacement is as strict: the one that has held its memory for longer is shed at once, the other is accepted, and the memory of the shed one no longer counts.

--- a/crates/sanddrum-cli/tests/router_harness/mod.rs
+++ b/crates/sanddrum-cli/tests/router_harness/mod.rs
@@ -310,12 +310,25 @@
     pub fn send(&mut self, bytes: &[u8]) {
         self.conn.write_all(bytes).unwrap();
     }
+    /// Sends as much as the router accepts before it closes the connection.
+    pub fn send_until_closed(&mut self, bytes: &[u8]) {
+        let _ = self.conn.write_all(bytes);
+    }
     pub fn send_request(&mut self, id: u16, call: &str) {
         self.send(&encode_request(id, call, 4000, call.as_bytes()));
     }
     pub fn abort(&mut self, id: u16) {
         self.send(&encode_header(RecordType::AbortRequest, id, 0));
     }
+    /// Waits until the router answers anything or ends the connection, also with a reset.
+    pub fn wait_for_answer_or_close(&mut self) {
+        match read(&mut self.conn, &mut [0; 4096]) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                panic!("neither an answer nor a close")
+            }
+            _ => {}
+        }
+    }
     /// Waits for the next response. Returns `None` if the connection was closed normally; panics if it was reset.
     pub fn response(&mut self) -> Option<Response> {
         let mut buffer = [0; 4096];
@@ -502,6 +515,13 @@
             .status();
         assert!(sent.unwrap().success());
     }
+    /// The most memory that the process has had resident so far, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let value = line.and_then(|line| line.split_whitespace().nth(1));
+        value.unwrap().parse().unwrap()
+    }
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
--- /dev/null
+++ b/crates/sanddrum-cli/tests/router_memory.rs
@@ -0,0 +1,126 @@
+//! The memory of a router process under clients that fill its buffers, against the smallest limit that the platform
+//! sets.
+
+mod router_harness;
+
+use router_harness::*;
+use rstest::rstest;
+use sanddrum_fastcgi::{
+    encode_header, encode_params, write_begin_request, write_stream, RecordType, MAX_CONTENT_BYTES,
+};
+use serde_json::{json, Value};
+
+/// The smallest memory limit of the platform, in MiB.
+const MEMORY_MB: u64 = 32;
+/// Descriptors of the router, of which clients take a third.
+const DESCRIPTORS: u64 = 1024;
+/// Clients that send incomplete requests; fewer than a third of the descriptors.
+const FLOODING_CLIENTS: usize = 320;
+/// Maximum number of open requests on a connection.
+const MAX_OPEN_REQUESTS: u16 = 32;
+/// Maximum size of a request body in the protocol.
+const MAX_BODY_BYTES: usize = 16 * 1024;
+
+const USUAL_CALL: &str = "00000000000000a1";
+
+fn small_router_configuration(feed: &str, worker: &str) -> Value {
+    let mut configuration = configuration(feed, worker, "once");
+    configuration["limits"] = json!({"sockets": DESCRIPTORS, "memory_mb": MEMORY_MB});
+    configuration
+}
+
+/// A request up to the end of its parameters.
+fn begin_request(id: u16, call_id: &str) -> Vec<u8> {
+    let pairs = [
+        ("SCRIPT_NAME", "/rpc/job"),
+        ("HTTP_X_CALL_ID", call_id),
+        ("HTTP_X_PATIENCE_MS", "8000"),
+        ("HTTP_X_ENTITY", "7f3a9c21e0b4d655"),
+        ("HTTP_X_INFO", "memory_mb:100;lanes:40;load_ms:300"),
+    ];
+    let mut out = Vec::new();
+    write_begin_request(&mut out, id, true);
+    write_stream(&mut out, RecordType::Params, id, &encode_params(&pairs));
+    out
+}
+
+/// A request whose body has a record that is longer than any body may be, and whose last byte is missing.
+fn overlong_record() -> Vec<u8> {
+    let mut out = begin_request(1, "00000000000000f1");
+    out.extend_from_slice(&encode_header(RecordType::Stdin, 1, 12_000));
+    out.resize(out.len() + 12_000, b'x');
+    out.extend_from_slice(&encode_header(RecordType::Stdin, 1, MAX_CONTENT_BYTES));
+    out.resize(out.len() + MAX_CONTENT_BYTES - 1, b'x');
+    out
+}
+
+/// As many requests as may be open, each with the largest body but for its last byte.
+fn unfinished_requests() -> Vec<u8> {
+    let request = |id| {
+        let mut out = begin_request(id, &format!("{:016x}", 0xf00 + id));
+        out.extend_from_slice(&encode_header(RecordType::Stdin, id, MAX_BODY_BYTES - 1));
+        out.resize(out.len() + MAX_BODY_BYTES - 1, b'x');
+        out
+    };
+    (1..=MAX_OPEN_REQUESTS).flat_map(request).collect()
+}
+
+/// Records of requests that never began, each as long as a record can be, the last of them incomplete.
+fn records_of_no_request() -> Vec<u8> {
+    let record = |id| {
+        let mut out = encode_header(RecordType::Stdin, id, MAX_CONTENT_BYTES).to_vec();
+        out.resize(out.len() + MAX_CONTENT_BYTES, b'x');
+        out
+    };
+    let mut out: Vec<u8> = (1..=2).flat_map(record).collect();
+    out.pop();
+    out
+}
+
+/// Guards against received bytes that no limit counts: with 320 clients that each leave a request incomplete, the
+/// router exceeded its memory limit and was killed. A request that arrives in two parts meanwhile is served.
+#[rstest]
+#[case::overlong_record("overlong", overlong_record())]
+#[case::unfinished_requests("unfinished", unfinished_requests())]
+#[case::records_of_no_request("stray", records_of_no_request())]
+fn incomplete_requests_of_many_clients_stay_within_the_memory_limit(
+    #[case] name: &str,
+    #[case] bytes: Vec<u8>,
+) {
+    let ((mut worker, worker_address), (feeds, feed_address)) = (Worker::listen(), listener());
+    let configuration = small_router_configuration(&feed_address, &worker_address);
+    let router = Router::start_with(&format!("memory-{name}"), &configuration, None);
+    next_poll(&mut accept(&feeds));
+    let mut usual = WebServer::connect(&router.address);
+    usual.send_request(1, "00000000000000a0");
+    let next = worker.next_request();
+    worker.serve(&next);
+    assert_eq!(usual.response().unwrap().status(), "200");
+
+    let (first_part, second_part) = (vec![b'a'; 8000], vec![b'b'; 8000]);
+    usual.send(&begin_request(2, USUAL_CALL));
+    usual.send(&encode_header(RecordType::Stdin, 2, first_part.len()));
+    usual.send(&first_part);
+    let mut flooding: Vec<WebServer> = (0..FLOODING_CLIENTS)
+        .map(|_| WebServer::connect(&router.address))
+        .collect();
+    flooding
+        .iter_mut()
+        .for_each(|client| client.send_until_closed(&bytes));
+    let mut rest = Vec::new();
+    write_stream(&mut rest, RecordType::Stdin, 2, &second_part);
+    usual.send(&rest);
+
+    let next = worker.next_request();
+    assert_eq!(next.1.body, [first_part, second_part].concat());
+    worker.serve(&next);
+    assert_eq!(usual.response().unwrap().status(), "200");
+    let peak = router.peak_memory_kib();
+    assert!(peak < MEMORY_MB * 1024, "{peak} KiB");
+    // Each of the others is owed an answer or the end of its connection.
+    for client in &mut flooding {
+        client.wait_for_answer_or_close();
+    }
+    let peak = router.peak_memory_kib();
+    assert!(peak < MEMORY_MB * 1024, "{peak} KiB");
+}
--- a/crates/sanddrum-edge/src/edge_state/fastcgi.rs
+++ b/crates/sanddrum-edge/src/edge_state/fastcgi.rs
@@ -22,12 +22,16 @@
         &mut self,
         now: Micros,
         conn: ConnectionId,
-        bytes: &[u8],
+        mut bytes: &[u8],
         io: &mut dyn Io,
     ) {
-        self.fastcgi.push_bytes(now, conn, bytes);
+        self.fastcgi.bytes_received(now, conn);
         let received_at = arrival_time::effective_arrival(now, io.earliest_arrival(now));
-        while let Some(event) = self.fastcgi.next_event(&mut self.context, now, conn, io) {
+        let unread = &mut bytes;
+        while let Some(event) = self
+            .fastcgi
+            .next_event(&mut self.context, now, conn, unread, io)
+        {
             match event {
                 FastCgiEvent::Request { id, request } => {
                     self.handle_fastcgi_request(now, received_at, conn, id, request);
@@ -39,7 +43,8 @@
                 }
             }
         }
-        self.fastcgi.limit_partial_bytes(&mut self.context, conn);
+        self.fastcgi
+            .limit_partial_bytes(&mut self.context, now, conn);
     }
 
     /// Answers a request at once, or accepts it. Its time limit counts from `received_at`.
@@ -53,7 +58,7 @@
     ) {
         if request.param("SCRIPT_NAME") == Some("/health") {
             let response = encode_health(id, self.is_ready(now));
-            return self.fastcgi.respond(&mut self.context, conn, id, &response);
+            return self.fastcgi.respond(&self.context, conn, id, &response);
         }
         match self.validate_fastcgi_request(now, request) {
             Ok(mut spec) => {
@@ -81,7 +86,7 @@
         self.context.metrics.record_error_response(kind, reason);
         tracing::debug!(status, reason, detail = error.detail, "request rejected");
         let response = encode_error(id, &error.response(kind, retry_after));
-        self.fastcgi.respond(&mut self.context, conn, id, &response);
+        self.fastcgi.respond(&self.context, conn, id, &response);
     }
 
     /// Validates a request and checks that the edge has capacity for it.
@@ -153,6 +158,6 @@
             FinalResponse::Finished { body, .. } => encode_success(id, body),
             FinalResponse::Error(error) => encode_error(id, error),
         };
-        self.fastcgi.respond(&mut self.context, conn, id, &bytes);
+        self.fastcgi.respond(&self.context, conn, id, &bytes);
     }
 }
--- a/crates/sanddrum-edge/src/fastcgi_listener.rs
+++ b/crates/sanddrum-edge/src/fastcgi_listener.rs
@@ -2,6 +2,7 @@
 //! answered in any order. Buffers are bounded, and invalid requests are answered at once.
 
 mod closing;
+mod partial_requests;
 mod request_params;
 mod response;
 
@@ -13,6 +14,7 @@
 use crate::listener::{ClosedClient, EvictionRank};
 use crate::responses::{ErrorKind, RequestError};
 use crate::timers::Timer;
+use partial_requests::{first_to_reject, PartialRequestHolder};
 use sanddrum::{Micros, RequestId};
 use sanddrum_fastcgi::{
     self as fastcgi, ProtocolError, ProtocolStatus, RejectReason, Request, Responder,
@@ -47,7 +49,7 @@
     has_sent_request: bool,
     /// When the partially received request began, if there is one.
     partial_since: Option<Micros>,
-    /// Buffered bytes of partially received requests.
+    /// Memory of partially received requests in bytes, when it was last counted.
     partial_bytes: usize,
     close_state: CloseState,
 }
@@ -55,14 +57,12 @@
 impl FastCgiConnection {
     fn new(context: &EdgeContext, now: Micros) -> Self {
         let limits = &context.limits;
-        let largest_request = limits.max_head_bytes + limits.max_body_bytes;
-        let responder_limits = ResponderLimits {
-            max_open_requests: limits.max_pipelined_requests,
-            max_params_bytes: limits.max_head_bytes,
-            max_body_bytes: limits.max_body_bytes,
-            // All open requests may be in transfer at a time. `limit_partial_bytes` bounds the sum over connections.
-            max_buffered_bytes: limits.max_pipelined_requests * largest_request,
-        };
+        // All open requests may be in transfer at a time. `limit_partial_bytes` bounds the sum over connections.
+        let responder_limits = ResponderLimits::new(
+            limits.max_pipelined_requests,
+            limits.max_head_bytes,
+            limits.max_body_bytes,
+        );
         FastCgiConnection {
             responder: Responder::new(responder_limits),
             outbox: Outbox::new(limits.max_outbox_bytes_per_client),
@@ -100,7 +100,7 @@
     connections: BTreeMap<ConnectionId, FastCgiConnection>,
     /// Connections with something to write.
     dirty: BTreeSet<ConnectionId>,
-    /// Buffered bytes of partially received requests, on all connections.
+    /// The sum of the connections' `partial_bytes`.
     partial_bytes: usize,
 }
 
@@ -155,11 +155,10 @@
         context.timers.schedule(check_at, timer);
     }
 
-    /// Buffers received bytes.
-    pub fn push_bytes(&mut self, now: Micros, conn: ConnectionId, bytes: &[u8]) {
+    /// Records that bytes were received on a connection.
+    pub fn bytes_received(&mut self, now: Micros, conn: ConnectionId) {
         if let Some(connection) = self.connections.get_mut(&conn) {
             connection.last_active = now;
-            connection.responder.push_bytes(bytes);
         }
     }
 
@@ -172,18 +171,19 @@
         }
     }
 
-    /// Takes the next event from the bytes received on a connection. Records that the edge need not handle are
-    /// answered here. A malformed record resets the connection, and its open requests are returned as cancelled.
+    /// Takes the next event from the front of the bytes received on a connection. Records that the edge need not handle
+    /// are answered here. A malformed record resets the connection, and its open requests are returned as cancelled.
     pub fn next_event(
         &mut self,
         context: &mut EdgeContext,
         now: Micros,
         conn: ConnectionId,
+        received: &mut &[u8],
         io: &mut dyn Io,
     ) -> Option<FastCgiEvent> {
         loop {
             let connection = self.connections.get_mut(&conn)?;
-            let event = match connection.responder.next_event() {
+            let event = match connection.responder.next_event(now, received) {
                 Ok(Some(event)) => event,
                 Ok(None) => {
                     self.track_partial_request(context, now, conn);
@@ -268,27 +268,50 @@
         Some(FastCgiEvent::Cancelled(closed.cancelled))
     }
 
-    /// Enforces the limit on the bytes buffered for partially received requests, summed over all connections. If it is
-    /// exceeded, all partially received requests of this connection, which received bytes last, are rejected. None of
-    /// them has been accepted yet.
-    pub fn limit_partial_bytes(&mut self, context: &mut EdgeContext, conn: ConnectionId) {
+    /// Enforces the limit on the memory of partially received requests, summed over all connections, after bytes were
+    /// received on a connection. None of these requests has been accepted yet.
+    pub fn limit_partial_bytes(
+        &mut self,
+        context: &mut EdgeContext,
+        now: Micros,
+        conn: ConnectionId,
+    ) {
+        self.count_partial_bytes(conn);
+        while self.partial_bytes > context.limits.max_partial_request_bytes {
+            let holders = self.connections.iter().filter_map(|(conn, connection)| {
+                let (_, began_at) = connection.responder.oldest_partial_request()?;
+                Some(PartialRequestHolder {
+                    conn: *conn,
+                    has_sent_request: connection.has_sent_request,
+                    bytes: connection.partial_bytes,
+                    age: now - began_at,
+                })
+            });
+            let Some(conn) = first_to_reject(holders) else {
+                return;
+            };
+            context.metrics.record_limit_hit("partial-requests");
+            self.reject_oldest_partial(context, conn);
+        }
+    }
+
+    fn reject_oldest_partial(&mut self, context: &EdgeContext, conn: ConnectionId) {
         let Some(connection) = self.connections.get_mut(&conn) else {
             return;
         };
-        let buffered = connection.responder.buffered_bytes();
-        let before = std::mem::replace(&mut connection.partial_bytes, buffered);
-        self.partial_bytes = self.partial_bytes + buffered - before;
-        if self.partial_bytes <= context.limits.max_buffered_body_bytes {
+        let Some((id, _)) = connection.responder.oldest_partial_request() else {
             return;
-        }
-        context.metrics.record_limit_hit("held-bodies");
-        self.partial_bytes -= std::mem::take(&mut connection.partial_bytes);
-        for id in connection.responder.drop_partial() {
-            self.write(
-                context,
-                conn,
-                &fastcgi::encode_end_request(id, ProtocolStatus::Overloaded),
-            );
+        };
+        let response = fastcgi::encode_end_request(id, ProtocolStatus::Overloaded);
+        self.respond(context, conn, id, &response);
+        self.count_partial_bytes(conn);
+    }
+
+    fn count_partial_bytes(&mut self, conn: ConnectionId) {
+        if let Some(connection) = self.connections.get_mut(&conn) {
+            let buffered = connection.responder.buffered_bytes();
+            let before = std::mem::replace(&mut connection.partial_bytes, buffered);
+            self.partial_bytes = self.partial_bytes + buffered - before;
         }
     }
 
@@ -366,13 +389,7 @@
     }
 
     /// Queues the final response to a request.
-    pub fn respond(
-        &mut self,
-        context: &mut EdgeContext,
-        conn: ConnectionId,
-        id: u16,
-        response: &[u8],
-    ) {
+    pub fn respond(&mut self, context: &EdgeContext, conn: ConnectionId, id: u16, response: &[u8]) {
         self.write(context, conn, response);
         if let Some(connection) = self.connections.get_mut(&conn) {
             let is_last = connection.responder.finish(id);
--- a/crates/sanddrum-edge/src/limits.rs
+++ b/crates/sanddrum-edge/src/limits.rs
@@ -67,8 +67,10 @@
     pub max_retry_after: Micros,
     /// Maximum number of functions in the function table.
     pub max_functions: usize,
-    /// Maximum total size of the bodies of all open and partly received requests.
+    /// Maximum total size of the bodies of all open requests.
     pub max_buffered_body_bytes: usize,
+    /// Maximum memory of all partially received requests over FastCGI.
+    pub max_partial_request_bytes: usize,
     /// Factor by which a duration that a client states may exceed the configured maximum.
     pub parameter_tolerance: f64,
     /// How long after the start of a shutdown requests may still arrive.
@@ -121,6 +123,7 @@
             max_retry_after: duration("max-retry-after"),
             max_functions: count("max-functions"),
             max_buffered_body_bytes: bytes("held-bodies"),
+            max_partial_request_bytes: bytes("partial-requests"),
             parameter_tolerance: settings.number("limits.figures-beyond"),
             late_arrival_window: duration("late-arrivals"),
             feed_poll_wait: duration("feed-wait"),
--- a/crates/sanddrum-edge/tests/fastcgi_listener.rs
+++ b/crates/sanddrum-edge/tests/fastcgi_listener.rs
@@ -7,7 +7,7 @@
 use harness::{EdgeHarness, SECOND};
 use rstest::rstest;
 use sanddrum_fastcgi::{encode_header, RecordType, HEADER_BYTES};
-use sanddrum_net::{CloseCause, Event};
+use sanddrum_net::{CloseCause, ConnectionId, Event};
 
 #[rstest]
 fn a_request_received_at_the_idle_timeout_of_its_connection_is_accepted() {
@@ -237,31 +237,99 @@
     assert_eq!(harness.fastcgi_responses(client).len(), 40);
 }
 
+/// The largest body that the tests of partial requests send.
+const LARGE_BODY: [u8; 16 * 1024] = [b'x'; 16 * 1024];
+
+/// A request with a large body, split before its last record.
+fn split_request(id: u16, call_id: &str) -> (Vec<u8>, Vec<u8>) {
+    let mut bytes = request(id, &request_params(call_id), &LARGE_BODY);
+    let end = bytes.split_off(bytes.len() - HEADER_BYTES);
+    (bytes, end)
+}
+
+/// The FastCGI ids and protocol statuses of all responses on a connection.
+fn protocol_statuses(harness: &EdgeHarness, client: ConnectionId) -> Vec<(u16, u8)> {
+    harness
+        .fastcgi_responses(client)
+        .iter()
+        .map(|(id, _, status)| (*id, *status))
+        .collect()
+}
+
+/// The protocol status of a request that was shed.
+const OVERLOADED: u8 = 2;
+
+fn harness_with_memory_for_one_partial_request() -> EdgeHarness {
+    EdgeHarness::on_platform(&[
+        ("limits.partial-requests", "30KB"),
+        ("limits.largest-body", "16KB"),
+    ])
+}
+
+/// Guards against partial requests that together take any amount of memory: of two that do not fit, the one that has
+/// taken its memory for longer is shed at once, and the other one is accepted.
 #[rstest]
 fn partial_requests_are_bounded_over_all_connections() {
-    let mut harness = EdgeHarness::on_platform(&[
-        ("limits.held-bodies", "30KB"),
-        ("limits.largest-body", "16KB"),
-    ]);
+    let mut harness = harness_with_memory_for_one_partial_request();
     let (first, second) = (harness.accept_client(), harness.accept_client());
-    let complete = |id, call_id| request(id, &request_params(call_id), &[b'x'; 16 * 1024]);
-    let (one, other) = (complete(1, CALL_ID), complete(1, OTHER_CALL_ID));
-    harness.receive(first, &one[..one.len() - HEADER_BYTES]);
-    harness.receive(second, &other[..other.len() - HEADER_BYTES]);
-    // The request that exceeds the bound is rejected; the other one is completed and accepted.
-    assert_eq!(
-        harness
-            .fastcgi_responses(second)
-            .iter()
-            .map(|(id, _, status)| (*id, *status))
-            .collect::<Vec<_>>(),
-        [(1, 2)]
-    );
-    harness.receive(second, &other[other.len() - HEADER_BYTES..]);
-    harness.receive(first, &one[one.len() - HEADER_BYTES..]);
+    let (one, end_of_one) = split_request(1, CALL_ID);
+    let (other, end_of_other) = split_request(1, OTHER_CALL_ID);
+    harness.receive(first, &one);
+    harness.advance(1000);
+    harness.receive(second, &other);
+    assert_eq!(protocol_statuses(&harness, first), [(1, OVERLOADED)]);
+    harness.receive(first, &end_of_one);
+    harness.receive(second, &end_of_other);
     assert_eq!(harness.request_count(), 1);
-    // The buffered bytes of the rejected request no longer count.
-    let again = request(2, &request_params(OTHER_CALL_ID), b"in");
-    harness.receive(second, &again);
+    assert_eq!(protocol_statuses(&harness, second), []);
+    // The memory of the shed request no longer counts.
+    let (again, end_of_again) = split_request(2, CALL_ID);
+    harness.receive(first, &again);
+    harness.receive(first, &end_of_again);
     assert_eq!(harness.request_count(), 2);
+    assert!(!harness.io.has_closed(first));
+}
+
+/// Guards against a client that fills the limit and has others shed: one that has sent a complete request before keeps
+/// its partial one, however old it is.
+#[rstest]
+fn a_client_that_has_sent_a_complete_request_is_shed_last() {
+    let mut harness = harness_with_memory_for_one_partial_request();
+    let (usual, flooding) = (harness.accept_client(), harness.accept_client());
+    harness.send_health_check(usual);
+    let (begin, end) = split_request(1, CALL_ID);
+    harness.receive(usual, &begin);
+    harness.advance(SECOND);
+    let (flood, _) = split_request(1, OTHER_CALL_ID);
+    harness.receive(flooding, &flood);
+    assert_eq!(protocol_statuses(&harness, flooding), [(1, OVERLOADED)]);
+    harness.receive(usual, &end);
+    assert_eq!(harness.request_count(), 1);
+}
+
+/// Guards against a limit that counts whole records only: of an incomplete record every received byte counts, and
+/// many connections each hold one.
+#[rstest]
+fn incomplete_records_count_towards_the_limit_of_partial_requests() {
+    let mut harness = harness_with_memory_for_one_partial_request();
+    let clients = [(); 4].map(|()| harness.accept_client());
+    for (client, call_id) in clients.iter().zip(1..) {
+        let (begin, _) = split_request(1, &format!("{call_id:016x}"));
+        harness.receive(*client, &begin[..begin.len() - 1]);
+    }
+    let shed = clients
+        .iter()
+        .filter(|client| protocol_statuses(&harness, **client) == [(1, OVERLOADED)]);
+    assert_eq!(shed.count(), 3);
+}
+
+/// Guards against a body that is received before its length is checked: the header of its record suffices.
+#[rstest]
+fn a_body_that_is_too_large_by_its_header_is_rejected_before_it_is_received() {
+    let mut harness = EdgeHarness::on_platform(&[("limits.largest-body", "16KB")]);
+    let client = harness.accept_client();
+    let mut bytes = request(1, &request_params(CALL_ID), &[7; 60_000]);
+    bytes.truncate(bytes.len() - 59_000);
+    harness.receive(client, &bytes);
+    assert_eq!(harness.fastcgi_statuses(client), [(1, 413)]);
 }
--- a/crates/sanddrum-fastcgi/src/lib.rs
+++ b/crates/sanddrum-fastcgi/src/lib.rs
@@ -2,12 +2,13 @@
 //! package are the specification's.
 //!
 //! A [`Responder`] decodes the bytes received from a web server into complete requests, of which many may be open on
-//! one connection. [`encode_response`] and [`encode_end_request`] encode what is sent back. [`ResponderLimits`]
+//! one connection. It buffers nothing but the parameters and bodies of incomplete requests. [`encode_response`] and [`encode_end_request`] encode what is sent back. [`ResponderLimits`]
 //! bounds the data that is buffered for incomplete requests. The `write_*` functions are the web server's side, for
 //! tests and load generators.
 
 mod params;
 mod record;
+mod record_reader;
 mod request;
 mod responder;
 
@@ -18,4 +19,6 @@
     MAX_CONTENT_BYTES,
 };
 pub use request::Request;
-pub use responder::{ProtocolError, RejectReason, Responder, ResponderEvent, ResponderLimits};
+pub use responder::{
+    ProtocolError, RejectReason, Responder, ResponderEvent, ResponderLimits, Timestamp,
+};
--- a/crates/sanddrum-fastcgi/src/record.rs
+++ b/crates/sanddrum-fastcgi/src/record.rs
@@ -97,6 +97,44 @@
     pub u8,
 );
 
+/// Checks the first byte of a record.
+pub(crate) fn check_version(version: u8) -> Result<(), UnsupportedVersion> {
+    match version {
+        VERSION => Ok(()),
+        other => Err(UnsupportedVersion(other)),
+    }
+}
+
+/// The header of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RecordHeader {
+    /// The record's type.
+    pub record_type: RecordType,
+    /// The id of the request that the record belongs to; zero for management records.
+    pub id: u16,
+    /// Size of the content in bytes.
+    pub content_length: usize,
+    /// Size of the padding after the content in bytes.
+    pub padding_length: usize,
+}
+
+impl RecordHeader {
+    /// Decodes a header.
+    ///
+    /// # Errors
+    /// [`UnsupportedVersion`]
+    pub fn decode(bytes: &[u8; HEADER_BYTES]) -> Result<Self, UnsupportedVersion> {
+        let [version, code, id1, id0, length1, length0, padding, _reserved] = *bytes;
+        check_version(version)?;
+        Ok(RecordHeader {
+            record_type: RecordType::from_code(code),
+            id: u16::from_be_bytes([id1, id0]),
+            content_length: usize::from(u16::from_be_bytes([length1, length0])),
+            padding_length: usize::from(padding),
+        })
+    }
+}
+
 /// One record, which borrows its content from the received bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Record<'a> {
@@ -115,23 +153,21 @@
     /// # Errors
     /// [`UnsupportedVersion`], as soon as the first byte is received.
     pub fn read(bytes: &'a [u8]) -> Result<Option<(Record<'a>, usize)>, UnsupportedVersion> {
-        match bytes.first() {
-            Some(version) if *version != VERSION => return Err(UnsupportedVersion(*version)),
-            _ => {}
-        }
         let Some((header, body)) = bytes.split_first_chunk::<HEADER_BYTES>() else {
-            return Ok(None);
+            return match bytes.first() {
+                Some(version) => check_version(*version).map(|()| None),
+                None => Ok(None),
+            };
         };
-        let [_version, code, id1, id0, length1, length0, padding, _reserved] = *header;
-        let content_length = usize::from(u16::from_be_bytes([length1, length0]));
-        let body_length = content_length + usize::from(padding);
+        let header = RecordHeader::decode(header)?;
+        let body_length = header.content_length + header.padding_length;
         if body.len() < body_length {
             return Ok(None);
         }
         let record = Record {
-            record_type: RecordType::from_code(code),
-            id: u16::from_be_bytes([id1, id0]),
-            content: &body[..content_length],
+            record_type: header.record_type,
+            id: header.id,
+            content: &body[..header.content_length],
         };
         Ok(Some((record, HEADER_BYTES + body_length)))
     }
--- a/crates/sanddrum-fastcgi/src/request.rs
+++ b/crates/sanddrum-fastcgi/src/request.rs
@@ -1,6 +1,7 @@
 //! A request while it is received, and when it is complete.
 
 use crate::params::decode_params;
+use crate::responder::Timestamp;
 use std::collections::BTreeMap;
 
 /// A complete request.
@@ -19,6 +20,28 @@
     }
 }
 
+/// A buffer grows by this many bytes at a time. Doubling would allocate up to twice the bytes that are received.
+const BUFFER_INCREMENT: usize = 256;
+
+/// Bytes that an open request takes besides its buffers: its entry in the table of open requests.
+const TABLE_ENTRY_BYTES: usize = 2 * std::mem::size_of::<(u16, OpenRequest)>();
+
+/// The largest size of an incomplete request in memory, in bytes, if its parameters and its body are within these
+/// limits.
+pub(crate) fn max_incomplete_bytes(max_params_bytes: usize, max_body_bytes: usize) -> usize {
+    let buffer_bytes = |length: usize| length.next_multiple_of(BUFFER_INCREMENT);
+    TABLE_ENTRY_BYTES + buffer_bytes(max_params_bytes) + buffer_bytes(max_body_bytes)
+}
+
+/// Appends to a buffer whose allocation follows its content closely.
+fn append(buffer: &mut Vec<u8>, content: &[u8]) {
+    let needed = (buffer.len() + content.len()).next_multiple_of(BUFFER_INCREMENT);
+    if needed > buffer.capacity() {
+        buffer.reserve_exact(needed - buffer.len());
+    }
+    buffer.extend_from_slice(content);
+}
+
 /// How much of a request has been received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Progress {
@@ -35,15 +58,18 @@
 pub(crate) struct OpenRequest {
     /// Whether the web server keeps the connection open after it.
     pub keep_connection: bool,
+    /// When its first record was received.
+    pub began_at: Timestamp,
     progress: Progress,
     params: Vec<u8>,
     body: Vec<u8>,
 }
 
 impl OpenRequest {
-    pub fn new(keep_connection: bool) -> Self {
+    pub fn new(began_at: Timestamp, keep_connection: bool) -> Self {
         OpenRequest {
             keep_connection,
+            began_at,
             progress: Progress::Params,
             params: Vec::new(),
             body: Vec::new(),
@@ -68,17 +94,20 @@
         self.body.len()
     }
 
-    /// Bytes buffered; zero once it is complete.
+    /// Bytes of memory allocated for it; zero once it is complete.
     pub fn buffered_bytes(&self) -> usize {
-        self.params.len() + self.body.len()
+        if self.is_complete() {
+            return 0;
+        }
+        TABLE_ENTRY_BYTES + self.params.capacity() + self.body.capacity()
     }
 
     pub fn push_params(&mut self, content: &[u8]) {
-        self.params.extend_from_slice(content);
+        append(&mut self.params, content);
     }
 
     pub fn push_body(&mut self, content: &[u8]) {
-        self.body.extend_from_slice(content);
+        append(&mut self.body, content);
     }
 
     pub fn end_params(&mut self) {
--- a/crates/sanddrum-fastcgi/src/responder.rs
+++ b/crates/sanddrum-fastcgi/src/responder.rs
@@ -2,13 +2,20 @@
 
 use crate::params::{decode_params, encode_params};
 use crate::record::{
-    write_record, Record, RecordType, UnsupportedVersion, FLAG_KEEP_CONNECTION, HEADER_BYTES,
+    write_record, RecordHeader, RecordType, UnsupportedVersion, FLAG_KEEP_CONNECTION, HEADER_BYTES,
     ROLE_RESPONDER,
 };
-use crate::request::{OpenRequest, Request};
-use sanddrum_wire::ReceiveBuffer;
+use crate::record_reader::{Fragment, RecordReader};
+use crate::request::{max_incomplete_bytes, OpenRequest, Request};
 use std::collections::BTreeMap;
 
+/// An instant of the caller's clock, in microseconds.
+pub type Timestamp = i64;
+
+/// Maximum size in bytes of the content of a get-values record. The names that the specification defines take 55 bytes;
+/// none of the values of a longer record are reported.
+const MAX_GET_VALUES_BYTES: usize = 1024;
+
 /// Size in bytes of the content of begin-request and unknown-type records.
 const FIXED_CONTENT_BYTES: usize = 8;
 
@@ -21,10 +28,23 @@
     pub max_params_bytes: usize,
     /// Maximum size of one request's body in bytes.
     pub max_body_bytes: usize,
-    /// Maximum size of the buffered data of all incomplete requests in bytes.
+    /// Maximum size in memory of all incomplete requests in bytes.
     pub max_buffered_bytes: usize,
 }
 
+impl ResponderLimits {
+    /// Limits under which all open requests may be incomplete at a time.
+    pub fn new(max_open_requests: usize, max_params_bytes: usize, max_body_bytes: usize) -> Self {
+        let max_request_bytes = max_incomplete_bytes(max_params_bytes, max_body_bytes);
+        ResponderLimits {
+            max_open_requests,
+            max_params_bytes,
+            max_body_bytes,
+            max_buffered_bytes: max_open_requests * max_request_bytes,
+        }
+    }
+}
+
 /// Why the rest of a connection can't be decoded. The connection has to be closed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ProtocolError {
@@ -84,21 +104,32 @@
     Reply(Vec<u8>),
 }
 
-/// The result of processing the next record.
-enum Step {
-    /// More bytes are needed.
-    Incomplete,
-    /// A record was processed.
-    Processed(Option<ResponderEvent>),
+/// What the content of the current record is used for. Content is never buffered beyond what its use needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ContentUse {
+    /// Nothing: it is discarded.
+    Discard,
+    /// It begins the request with this id.
+    BeginRequest(u16),
+    /// It names the values that are queried.
+    GetValues,
+    /// Parameters of the request with this id.
+    Params(u16),
+    /// Part of the body of the request with this id.
+    Body(u16),
 }
 
 /// The decoder of one connection.
 pub struct Responder {
     limits: ResponderLimits,
-    buffer: ReceiveBuffer,
+    reader: RecordReader,
+    /// What the content of the current record is used for.
+    content_use: ContentUse,
+    /// The content of the current record, if it is used as a whole; of a begin-request record only the fixed part.
+    fixed_content: Vec<u8>,
     /// Open requests by id.
     open: BTreeMap<u16, OpenRequest>,
-    /// Bytes buffered for incomplete requests.
+    /// Bytes of memory allocated for incomplete requests.
     buffered_bytes: usize,
     /// Whether a request has ended after which the web server expects the connection to be closed.
     must_close: bool,
@@ -109,7 +140,9 @@
     pub fn new(limits: ResponderLimits) -> Self {
         Responder {
             limits,
-            buffer: ReceiveBuffer::default(),
+            reader: RecordReader::default(),
+            content_use: ContentUse::Discard,
+            fixed_content: Vec::new(),
             open: BTreeMap::new(),
             buffered_bytes: 0,
             must_close: false,
@@ -121,28 +154,22 @@
         self.open.len()
     }
 
-    /// Bytes buffered for incomplete requests.
+    /// Bytes of memory allocated for incomplete requests and for the current record.
     pub fn buffered_bytes(&self) -> usize {
-        self.buffered_bytes
+        self.buffered_bytes + self.fixed_content.capacity()
     }
 
     /// Whether part of a record or of a request has been received.
     pub fn has_partial_request(&self) -> bool {
-        !self.buffer.is_empty() || self.open.values().any(|open| !open.is_complete())
+        !self.reader.is_between_records() || self.oldest_partial_request().is_some()
     }
 
-    /// Drops all incomplete requests and returns their ids, which are free again. Their further records are skipped.
-    pub fn drop_partial(&mut self) -> Vec<u16> {
-        let ids: Vec<u16> = self
-            .open
-            .iter()
-            .filter(|(_, open)| !open.is_complete())
-            .map(|(id, _)| *id)
-            .collect();
-        for id in &ids {
-            self.finish(*id);
-        }
-        ids
+    /// The id of the incomplete request that began first, and when it began.
+    pub fn oldest_partial_request(&self) -> Option<(u16, Timestamp)> {
+        let partial = self.open.iter().filter(|(_, open)| !open.is_complete());
+        partial
+            .map(|(id, open)| (*id, open.began_at))
+            .min_by_key(|(id, began_at)| (*began_at, *id))
     }
 
     /// Closes a request that has been answered. Returns whether the connection has to be closed after it (section 5.1,
@@ -154,126 +181,164 @@
         self.must_close
     }
 
-    /// Appends bytes received from the web server.
-    pub fn push_bytes(&mut self, bytes: &[u8]) {
-        self.buffer.push(bytes);
-    }
-
-    /// Returns the next event, or `None` until more bytes are received.
+    /// Decodes bytes received from the web server at `now`, from the front of `input`, up to the next event. Returns
+    /// `None` once `input` is empty.
     ///
     /// # Errors
     /// [`ProtocolError`]; the connection has to be closed.
-    pub fn next_event(&mut self) -> Result<Option<ResponderEvent>, ProtocolError> {
-        loop {
-            match self.process_next_record()? {
-                Step::Incomplete => return Ok(None),
-                Step::Processed(Some(event)) => return Ok(Some(event)),
-                Step::Processed(None) => {}
+    pub fn next_event(
+        &mut self,
+        now: Timestamp,
+        input: &mut &[u8],
+    ) -> Result<Option<ResponderEvent>, ProtocolError> {
+        while let Some(fragment) = self.reader.next(input)? {
+            let event = match fragment {
+                Fragment::Header(header) => self.begin_record(&header)?,
+                Fragment::Content(content) => {
+                    self.receive_content(content)?;
+                    None
+                }
+                Fragment::EndOfContent => self.end_record(now)?,
+            };
+            if event.is_some() {
+                return Ok(event);
             }
         }
+        Ok(None)
     }
 
-    fn process_next_record(&mut self) -> Result<Step, ProtocolError> {
-        // The buffer is moved out, since the record borrows from it while `process` modifies the responder.
-        let mut buffer = std::mem::take(&mut self.buffer);
-        let result = match Record::read(buffer.unread()) {
-            Ok(Some((record, length))) => {
-                let event = self.process(record);
-                buffer.consume(length);
-                event.map(Step::Processed)
-            }
-            Ok(None) => Ok(Step::Incomplete),
-            Err(error) => Err(error.into()),
-        };
-        buffer.release_if_empty();
-        self.buffer = buffer;
-        result
-    }
-
-    fn process(&mut self, record: Record<'_>) -> Result<Option<ResponderEvent>, ProtocolError> {
-        let Record {
+    /// Decides what a record's content is used for. What exceeds a limit by its header is rejected at once.
+    fn begin_record(
+        &mut self,
+        header: &RecordHeader,
+    ) -> Result<Option<ResponderEvent>, ProtocolError> {
+        let RecordHeader {
             record_type,
             id,
-            content,
-        } = record;
-        if id == 0 {
-            let reply = match record_type {
-                RecordType::GetValues => self.get_values_result(content),
-                other => unknown_type(other),
-            };
-            return Ok(Some(ResponderEvent::Reply(reply)));
-        }
+            content_length,
+            ..
+        } = *header;
+        self.content_use = ContentUse::Discard;
+        self.fixed_content = Vec::new();
         match record_type {
-            RecordType::BeginRequest => self.begin(id, content),
+            RecordType::GetValues if id == 0 => self.content_use = ContentUse::GetValues,
+            other if id == 0 => return Ok(Some(ResponderEvent::Reply(unknown_type(other)))),
+            RecordType::BeginRequest => self.content_use = ContentUse::BeginRequest(id),
             // Records of a request that is not open are ignored (section 3.3).
-            RecordType::AbortRequest => Ok(self.remove(id).map(|_| ResponderEvent::Abort { id })),
-            RecordType::Params => self.receive_params(id, content),
-            RecordType::Stdin => self.receive_body(id, content),
-            _ => Ok(None),
+            RecordType::AbortRequest => {
+                return Ok(self.remove(id).map(|_| ResponderEvent::Abort { id }))
+            }
+            RecordType::Params => return Ok(self.begin_params(id, content_length)),
+            RecordType::Stdin => return Ok(self.begin_body(id, content_length)),
+            _ => {}
         }
+        Ok(None)
     }
 
-    /// Handles a begin-request record (section 5.1).
-    fn begin(&mut self, id: u16, content: &[u8]) -> Result<Option<ResponderEvent>, ProtocolError> {
-        let [role1, role0, flags, ..] = *content else {
-            return Err(ProtocolError::Malformed);
-        };
-        if content.len() < FIXED_CONTENT_BYTES {
-            return Err(ProtocolError::Malformed);
+    /// Handles the header of a params record (section 5.2). The empty record ends the parameters.
+    fn begin_params(&mut self, id: u16, content_length: usize) -> Option<ResponderEvent> {
+        let open = self.open.get_mut(&id).filter(|open| open.awaits_params())?;
+        if content_length == 0 {
+            open.end_params();
+            return None;
         }
-        if self.open.contains_key(&id) {
-            return Err(ProtocolError::RequestIdInUse(id));
+        if open.params_length() + content_length > self.limits.max_params_bytes {
+            return self.reject(id, RejectReason::ParamsTooLong);
         }
-        let reject = |reason| Ok(Some(ResponderEvent::Reject { id, reason }));
-        if u16::from_be_bytes([role1, role0]) != ROLE_RESPONDER {
-            return reject(RejectReason::Role);
+        self.content_use = ContentUse::Params(id);
+        None
+    }
+
+    /// Handles the header of a stdin record (section 5.3). The empty record ends the body and completes the request.
+    fn begin_body(&mut self, id: u16, content_length: usize) -> Option<ResponderEvent> {
+        let open = self.open.get(&id).filter(|open| !open.is_complete())?;
+        if content_length == 0 {
+            return self.complete(id);
         }
-        if self.open.len() >= self.limits.max_open_requests {
-            return reject(RejectReason::TooManyOpen);
+        if open.body_length() + content_length > self.limits.max_body_bytes {
+            return self.reject(id, RejectReason::BodyTooLong);
         }
-        let keep_connection = flags & FLAG_KEEP_CONNECTION != 0;
-        self.open.insert(id, OpenRequest::new(keep_connection));
-        Ok(None)
+        self.content_use = ContentUse::Body(id);
+        None
     }
 
-    /// Handles a params record (section 5.2).
-    fn receive_params(
+    fn receive_content(&mut self, content: &[u8]) -> Result<(), ProtocolError> {
+        match self.content_use {
+            ContentUse::Discard => Ok(()),
+            ContentUse::BeginRequest(_) => {
+                self.receive_fixed_content(content, FIXED_CONTENT_BYTES);
+                Ok(())
+            }
+            // One byte beyond the limit tells a content that is too long.
+            ContentUse::GetValues => {
+                self.receive_fixed_content(content, MAX_GET_VALUES_BYTES + 1);
+                Ok(())
+            }
+            ContentUse::Params(id) => self.buffer(id, |open| open.push_params(content)),
+            ContentUse::Body(id) => self.buffer(id, |open| open.push_body(content)),
+        }
+    }
+
+    fn receive_fixed_content(&mut self, content: &[u8], max_bytes: usize) {
+        let used = content.len().min(max_bytes - self.fixed_content.len());
+        self.fixed_content.extend_from_slice(&content[..used]);
+    }
+
+    /// Changes the buffers of an open request. Does nothing if the request was removed within the record.
+    fn buffer(
         &mut self,
         id: u16,
-        content: &[u8],
-    ) -> Result<Option<ResponderEvent>, ProtocolError> {
-        let Some(open) = self.open.get_mut(&id).filter(|open| open.awaits_params()) else {
-            return Ok(None);
+        change: impl FnOnce(&mut OpenRequest),
+    ) -> Result<(), ProtocolError> {
+        let Some(open) = self.open.get_mut(&id) else {
+            return Ok(());
         };
-        if content.is_empty() {
-            open.end_params();
-            return Ok(None);
-        }
-        if open.params_length() + content.len() > self.limits.max_params_bytes {
-            return Ok(self.reject(id, RejectReason::ParamsTooLong));
+        let before = open.buffered_bytes();
+        change(open);
+        let added = open.buffered_bytes() - before;
+        self.count_buffered(added)
+    }
+
+    fn end_record(&mut self, now: Timestamp) -> Result<Option<ResponderEvent>, ProtocolError> {
+        let content = std::mem::take(&mut self.fixed_content);
+        match std::mem::replace(&mut self.content_use, ContentUse::Discard) {
+            ContentUse::BeginRequest(id) => self.begin(now, id, &content),
+            ContentUse::GetValues => {
+                let reply = self.get_values_result(&content);
+                Ok(Some(ResponderEvent::Reply(reply)))
+            }
+            _ => Ok(None),
         }
-        open.push_params(content);
-        self.count_buffered(content.len())?;
-        Ok(None)
     }
 
-    /// Handles a stdin record (section 5.3). The empty record that ends the body completes the request.
-    fn receive_body(
+    /// Handles a begin-request record (section 5.1).
+    fn begin(
         &mut self,
+        now: Timestamp,
         id: u16,
         content: &[u8],
     ) -> Result<Option<ResponderEvent>, ProtocolError> {
-        let Some(open) = self.open.get_mut(&id).filter(|open| !open.is_complete()) else {
-            return Ok(None);
+        let [role1, role0, flags, ..] = *content else {
+            return Err(ProtocolError::Malformed);
         };
-        if content.is_empty() {
-            return Ok(self.complete(id));
+        if content.len() < FIXED_CONTENT_BYTES {
+            return Err(ProtocolError::Malformed);
+        }
+        if self.open.contains_key(&id) {
+            return Err(ProtocolError::RequestIdInUse(id));
         }
-        if open.body_length() + content.len() > self.limits.max_body_bytes {
-            return Ok(self.reject(id, RejectReason::BodyTooLong));
+        let reject = |reason| Ok(Some(ResponderEvent::Reject { id, reason }));
+        if u16::from_be_bytes([role1, role0]) != ROLE_RESPONDER {
+            return reject(RejectReason::Role);
         }
-        open.push_body(content);
-        self.count_buffered(content.len())?;
+        if self.open.len() >= self.limits.max_open_requests {
+            return reject(RejectReason::TooManyOpen);
+        }
+        let keep_connection = flags & FLAG_KEEP_CONNECTION != 0;
+        let open = OpenRequest::new(now, keep_connection);
+        let added = open.buffered_bytes();
+        self.open.insert(id, open);
+        self.count_buffered(added)?;
         Ok(None)
     }
 
@@ -315,7 +380,10 @@
             ("FCGI_MAX_REQS", max_requests.as_str()),
             ("FCGI_MPXS_CONNS", "1"),
         ];
-        let queried = decode_params(content).unwrap_or_default();
+        let queried = Some(content)
+            .filter(|content| content.len() <= MAX_GET_VALUES_BYTES)
+            .and_then(decode_params)
+            .unwrap_or_default();
         let is_queried = |name: &str| queried.iter().any(|(key, _)| *key == name.as_bytes());
         let reported: Vec<_> = values
             .into_iter()
--- a/crates/sanddrum-fastcgi/tests/responder.rs
+++ b/crates/sanddrum-fastcgi/tests/responder.rs
@@ -6,9 +6,12 @@
 use sanddrum_fastcgi::{
     encode_header, encode_params, encode_response, write_begin_request, write_stream,
     ProtocolError, Record, RecordType, RejectReason, Responder, ResponderEvent, ResponderLimits,
-    HEADER_BYTES, MAX_CONTENT_BYTES,
+    Timestamp, HEADER_BYTES, MAX_CONTENT_BYTES,
 };
 
+/// The index of the padding length in a header.
+const PADDING_LENGTH_INDEX: usize = 6;
+
 const LIMITS: ResponderLimits = ResponderLimits {
     max_open_requests: 4,
     max_params_bytes: 1000,
@@ -25,15 +28,26 @@
     out
 }
 
+/// When all records of these tests are received.
+const NOW: Timestamp = 5;
+
 fn receive(responder: &mut Responder, bytes: &[u8]) -> Result<Vec<ResponderEvent>, ProtocolError> {
-    responder.push_bytes(bytes);
-    let mut events = Vec::new();
-    while let Some(event) = responder.next_event()? {
+    let (mut unread, mut events) = (bytes, Vec::new());
+    while let Some(event) = responder.next_event(NOW, &mut unread)? {
         events.push(event);
     }
+    assert!(unread.is_empty());
     Ok(events)
 }
 
+/// The header of a record, followed by all but the last byte of its content and padding.
+fn incomplete_record(record_type: RecordType, id: u16, length: usize, padding: u8) -> Vec<u8> {
+    let mut out = encode_header(record_type, id, length).to_vec();
+    out[PADDING_LENGTH_INDEX] = padding;
+    out.resize(HEADER_BYTES + length + usize::from(padding) - 1, b'x');
+    out
+}
+
 #[rstest]
 fn interleaved_requests_are_delivered_as_they_complete() {
     let mut responder = Responder::new(LIMITS);
@@ -86,6 +100,95 @@
     assert!(matches!(next[..], [ResponderEvent::Request { id: 1, .. }]));
 }
 
+/// Guards against records that are buffered before their length is checked: a body that is too long by its header was
+/// rejected only after all of it had been received.
+#[rstest]
+#[case::body(RecordType::Stdin, RejectReason::BodyTooLong)]
+#[case::params(RecordType::Params, RejectReason::ParamsTooLong)]
+fn a_record_that_is_too_long_is_rejected_at_its_header_and_discarded(
+    #[case] record_type: RecordType,
+    #[case] reason: RejectReason,
+) {
+    let mut responder = Responder::new(LIMITS);
+    let mut begin = Vec::new();
+    write_begin_request(&mut begin, 1, true);
+    assert_eq!(receive(&mut responder, &begin).unwrap(), []);
+    let record = incomplete_record(record_type, 1, MAX_CONTENT_BYTES, 255);
+    let (header, content) = record.split_at(HEADER_BYTES);
+    assert_eq!(
+        receive(&mut responder, header).unwrap(),
+        [ResponderEvent::Reject { id: 1, reason }]
+    );
+    assert_eq!(receive(&mut responder, content).unwrap(), []);
+    assert_eq!(responder.buffered_bytes(), 0);
+    assert!(responder.has_partial_request(), "the record is incomplete");
+}
+
+/// Guards against content that takes memory although nothing needs it: records of any type, of requests in any state.
+#[rstest]
+#[case::body_of_no_request(RecordType::Stdin, 7)]
+#[case::params_of_no_request(RecordType::Params, 7)]
+#[case::body_of_a_complete_request(RecordType::Stdin, 1)]
+#[case::data(RecordType::Data, 1)]
+#[case::abort(RecordType::AbortRequest, 7)]
+#[case::management(RecordType::Other(77), 0)]
+#[case::unknown_type(RecordType::Other(77), 1)]
+fn content_that_is_not_needed_takes_no_memory(#[case] record_type: RecordType, #[case] id: u16) {
+    let mut responder = Responder::new(LIMITS);
+    receive(&mut responder, &encode_request(1, &[], b"x")).unwrap();
+    let record = incomplete_record(record_type, id, MAX_CONTENT_BYTES, 255);
+    receive(&mut responder, &record).unwrap();
+    assert_eq!(responder.buffered_bytes(), 0);
+    assert!(responder.has_partial_request());
+    let rest = receive(&mut responder, b"x").unwrap();
+    assert_eq!(rest, []);
+    assert!(!responder.has_partial_request());
+}
+
+/// Guards against content of records with a fixed use that is buffered beyond it.
+#[rstest]
+#[case::begin(RecordType::BeginRequest, 3, 100)]
+#[case::get_values(RecordType::GetValues, 0, 5_000)]
+fn records_of_fixed_use_take_little_memory(
+    #[case] record_type: RecordType,
+    #[case] id: u16,
+    #[case] max_bytes: usize,
+) {
+    let mut responder = Responder::new(LIMITS);
+    let record = incomplete_record(record_type, id, MAX_CONTENT_BYTES, 0);
+    assert_eq!(receive(&mut responder, &record).unwrap(), []);
+    assert!(responder.buffered_bytes() <= max_bytes);
+    receive(&mut responder, b"x").unwrap();
+    assert!(!responder.has_partial_request() || responder.open_requests() == 1);
+}
+
+/// Guards against counting only complete records, and against allocations of twice the content: the count follows each
+/// received part.
+#[rstest]
+fn the_memory_of_an_incomplete_request_is_counted_as_it_is_received() {
+    let mut responder = Responder::new(LIMITS);
+    let mut begin = Vec::new();
+    write_begin_request(&mut begin, 1, true);
+    receive(&mut responder, &begin).unwrap();
+    let empty = responder.buffered_bytes();
+    assert!(empty > 0, "a request that has only begun takes memory");
+    let record = incomplete_record(RecordType::Stdin, 1, 2000, 0);
+    for (index, part) in record.chunks(100).enumerate() {
+        receive(&mut responder, part).unwrap();
+        let received = (100 * (index + 1)).min(record.len()) - HEADER_BYTES;
+        let counted = responder.buffered_bytes() - empty;
+        assert!(
+            (received..received + 500).contains(&counted),
+            "{received}: {counted}"
+        );
+    }
+    assert_eq!(responder.oldest_partial_request(), Some((1, NOW)));
+    receive(&mut responder, b"x").unwrap();
+    let abort = encode_header(RecordType::AbortRequest, 1, 0);
+    receive(&mut responder, &abort).unwrap();
+    assert_eq!(responder.buffered_bytes(), 0);
+}
+
 #[rstest]
 fn a_request_beyond_the_limit_is_rejected_and_open_ones_remain_open() {
     let mut responder = Responder::new(LIMITS);
--- a/crates/sanddrum-settings/src/deployment/limits.rs
+++ b/crates/sanddrum-settings/src/deployment/limits.rs
@@ -305,6 +305,13 @@
             Some("1GB"),
             "bytes of the bodies of all requests in flight; further requests are shed unread",
         ),
+        key(
+            "partial-requests",
+            ValueType::Bytes,
+            Some("1GB"),
+            "memory of the requests of which only part has been received, over FastCGI; of the \
+             client that takes most of it for longest, the oldest is shed",
+        ),
         key(
             "figures-beyond",
             ValueType::Number(1.0, 1e6),
