Read the startup configuration in parts, with one reader and bound for start and reload

The router had rejected the configuration, as it was larger than 1 MiB, and never polled the feed at its new address.

Cause: two readers of one file with different limits. read_configuration (sanddrum-cli/src/platform.rs) had none at the start; WatchedFile::read (sanddrum-net/src/files/watched_file.rs, MAX_FILE_BYTES) refused it above 1 MiB on SIGHUP. The file's known events grow with each change of the list since the fleet began.

Ruled out: unreadable events and a feed that is reached too late.

Change: StartupConfigReader decodes the file token by token (actson, a push parser) and reduces its events to their result (EventFold); 64 MiB at the start and on reload. The event loop delivers a large watched file in parts of 32 KB, one a turn. Answers of the feed are decoded by the same reader of events. After SIGHUP the router counts as notified four seconds later where the configuration can't be used or the feed does not answer (feed_reload.rs); the leases waited for seven seconds after the old feed was lost.

--- a/crates/sanddrum-edge/src/control_feed.rs
+++ b/crates/sanddrum-edge/src/control_feed.rs
@@ -3,6 +3,7 @@
 
 use crate::context::{ConnectionOwner, EdgeContext};
 use crate::endpoint_freshness::{EndpointFreshness, FreshnessChange, Poll};
+use crate::feed_reload::FeedReload;
 use crate::timers::Timer;
 use sanddrum::{EndpointConfirmation, EndpointListKind, Micros};
 use sanddrum_net::{ConnectionId, Io, Rng};
@@ -39,12 +40,9 @@
     /// The answer's status code is not 200.
     #[error("unexpected status {0}")]
     Status(u16),
-    /// The answer is not JSON.
+    /// The answer's body does not describe events.
     #[error(transparent)]
-    Json(#[from] serde_json::Error),
-    /// The JSON does not describe events.
-    #[error("{0}")]
-    InvalidEvents(String),
+    InvalidEvents(#[from] control_feed::FeedError),
 }
 
 /// An update of the endpoint list.
@@ -71,6 +69,7 @@
     /// The outstanding poll.
     poll: Option<Poll>,
     freshness: EndpointFreshness,
+    reload: FeedReload,
     /// Whether no poll has been sent on the connection yet.
     has_just_connected: bool,
     /// Why the last connection was closed; none if the feed has answered since.
@@ -95,6 +94,7 @@
             received: Vec::new(),
             poll: None,
             freshness: EndpointFreshness::new(MIN_NOTIFICATION_DELAY),
+            reload: FeedReload::default(),
             has_just_connected: false,
             last_error: None,
             backoff: Backoff::new(backoff("least"), backoff("most")),
@@ -111,13 +111,28 @@
     /// The instant up to which the endpoint list is confirmed, and when the platform considers this router notified of
     /// later changes that the feed could not deliver.
     pub fn confirmation(&self) -> EndpointConfirmation {
+        let confirmed_at = self.freshness.confirmed_at();
         EndpointConfirmation {
-            confirmed_at: self.freshness.confirmed_at(),
+            confirmed_at,
             min_notification_delay: MIN_NOTIFICATION_DELAY,
-            max_notification_delay: MAX_NOTIFICATION_DELAY,
+            max_notification_delay: self.reload.notification_delay(
+                confirmed_at,
+                MIN_NOTIFICATION_DELAY,
+                MAX_NOTIFICATION_DELAY,
+            ),
         }
     }
 
+    /// Records that a reload of the configuration was requested, which may move the feed.
+    pub fn reload_requested(&mut self, now: Micros) {
+        self.reload.request(now);
+    }
+
+    /// The address that is polled.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
     /// The number of the last event that was applied.
     pub fn last_event(&self) -> u64 {
         self.last_event
@@ -135,6 +150,7 @@
         if self.missed_event {
             return None;
         }
+        self.reload.record_answer(poll);
         self.freshness
             .record_answer(now, poll, has_events, is_poll_overdue);
         self.last_error = None;
@@ -271,7 +287,8 @@
         }
     }
 
-    /// Connects to the feed at another address. The event numbers continue.
+    /// Applies the feed's address in a configuration that was read again. If it is another one, connects to it; the
+    /// event numbers continue.
     pub fn change_address(
         &mut self,
         context: &mut EdgeContext,
@@ -279,7 +296,9 @@
         address: &str,
         io: &mut dyn Io,
     ) {
-        if self.address == address {
+        let has_moved = self.address != address;
+        self.reload.apply(has_moved);
+        if !has_moved {
             return;
         }
         tracing::info!(address, "control feed address changed");
@@ -328,8 +347,7 @@
         if response.status != STATUS_OK {
             return Err(FeedError::Status(response.status));
         }
-        let json = serde_json::from_slice(&response.body)?;
-        control_feed::parse(&json, &self.machine_kinds)
-            .map_err(|error| FeedError::InvalidEvents(error.to_string()))
+        let events = control_feed::read(&response.body, &self.machine_kinds)?;
+        Ok(events)
     }
 }
--- a/crates/sanddrum-edge/src/edge_state.rs
+++ b/crates/sanddrum-edge/src/edge_state.rs
@@ -40,8 +40,9 @@
 use crate::worker_protocol::WorkerProtocol;
 use crate::{EdgeOptions, ResourceCounts, CONFIGURATION_FILE, KEYS_FILE};
 use sanddrum::EventBatch;
-use sanddrum_net::{ConnectionId, Event, FileError, Io, Micros};
+use sanddrum_net::{ConnectionId, Event, FileError, FilePart, Io, Micros};
 use sanddrum_platform::control_feed::FeedEvents;
+use sanddrum_platform::{StartupConfigError, StartupConfigReader};
 use sanddrum_settings::LoadedSettings;
 use sanddrum_upstream::{ConnectionEvents, ConnectionPolicy};
 use std::collections::BTreeMap;
@@ -69,6 +70,8 @@
     discovery: DiscoveryClient,
     /// The source of the endpoint list on the platform, in place of the discovery service.
     control_feed: Option<ControlFeed>,
+    /// The startup configuration that is being read again, or why it can't be used.
+    configuration_reader: Option<Result<StartupConfigReader, StartupConfigError>>,
     /// The events of the startup configuration, until the edge starts.
     initial_events: Option<FeedEvents>,
     /// The state that the previous process saved, until the edge starts.
@@ -129,6 +132,7 @@
             endpoints: EndpointTable::from_settings(&settings),
             discovery: DiscoveryClient::new(&settings, incarnation, seed ^ BOOTSTRAP_SEED),
             control_feed,
+            configuration_reader: None,
             initial_events,
             cached_state,
             is_save_scheduled: false,
@@ -249,11 +253,18 @@
     ) {
         match name {
             KEYS_FILE => self.on_keys_changed(now, content, io),
-            CONFIGURATION_FILE => self.on_configuration_changed(now, content, io),
+            CONFIGURATION_FILE => self.on_whole_configuration(now, content, io),
             _ => {}
         }
     }
 
+    /// Handles the next part of a large watched file.
+    pub fn on_file_part(&mut self, now: Micros, name: &str, part: FilePart<'_>, io: &mut dyn Io) {
+        if name == CONFIGURATION_FILE {
+            self.on_configuration_part(now, part, io);
+        }
+    }
+
     /// Handles a change of the credentials that a connection was established with.
     pub fn on_credentials_changed(
         &mut self,
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod endpoint_table;
 mod event_counts;
 mod fastcgi_listener;
+mod feed_reload;
 mod functions;
 mod http_listener;
 mod identity;
@@ -42,7 +43,7 @@
 use edge_state::{ConnectionExecutor, Dispatcher, EdgeState};
 use limits::MAX_BATCHES_PER_TURN;
 use sanddrum::{Decisions, EventBatch, Router, Settings};
-use sanddrum_net::{ConnectionId, Core, Event, FileError, Io, Micros};
+use sanddrum_net::{ConnectionId, Core, Event, FileError, FilePart, Io, Micros};
 use sanddrum_upstream::ConnectionPolicy;
 
 /// XORed with the edge's seed, so that the connection policy's random numbers are independent of the decision
@@ -178,6 +179,10 @@
         self.state.on_file(now, name, content, io);
     }
 
+    fn on_file_part(&mut self, now: Micros, name: &str, part: FilePart<'_>, io: &mut dyn Io) {
+        self.state.on_file_part(now, name, part, io);
+    }
+
     fn on_credentials_changed(
         &mut self,
         now: Micros,
--- a/crates/sanddrum-edge/tests/control_feed.rs
+++ b/crates/sanddrum-edge/tests/control_feed.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use sanddrum::{Micros, Outcome, WorkerState};
 use sanddrum_edge::CONFIGURATION_FILE;
-use sanddrum_net::{CloseCause, Core, Event};
+use sanddrum_net::{CloseCause, Core, Event, FilePart};
 use serde_json::json;
 
 #[rstest]
@@ -301,3 +301,118 @@
     harness.connect(moved);
     assert!(harness.polls().last().unwrap().contains("SUB=2&"));
 }
+
+/// A startup configuration with this address of the feed and these known events, of which `last` is the latest.
+fn configuration(feed: &str, last: u64, events: &serde_json::Value) -> String {
+    let json = json!({"name": "n", "listen": "127.0.0.1:1", "feed": feed, "seed": "1", "settings": {},
+                      "limits": {"sockets": 100, "memory_mb": 10}, "known": {"n": last, "events": events}});
+    json.to_string()
+}
+
+/// Delivers a configuration that is read again as a whole.
+fn reload(harness: &mut EdgeHarness, content: &str) {
+    let content = Ok(content.as_bytes());
+    harness
+        .edge
+        .on_file(harness.now, CONFIGURATION_FILE, content, &mut harness.io);
+    harness.process();
+}
+
+fn deliver_part(harness: &mut EdgeHarness, part: FilePart<'_>) {
+    harness
+        .edge
+        .on_file_part(harness.now, CONFIGURATION_FILE, part, &mut harness.io);
+    harness.process();
+}
+
+/// The address of the feed before and after a change.
+const OLD_FEED: &str = "127.0.0.1:8090";
+const NEW_FEED: &str = "127.0.0.9:2380";
+
+/// When the decision module takes this router as notified of all changes, as last reported to it.
+fn notified_at(harness: &EdgeHarness) -> Micros {
+    let script = harness.script.borrow();
+    let confirmation = script.confirmations.last().unwrap();
+    confirmation.confirmed_at + confirmation.max_notification_delay
+}
+
+/// Guards against events that the feed sends while a configuration is being read: they are not applied again when it
+/// has been read.
+#[rstest]
+fn events_received_while_a_configuration_is_read_are_not_applied_again() {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    let drain = member_event(2, member("w", "terminating"));
+    let text = configuration(NEW_FEED, 2, &json!([drain]));
+    let (first, second) = text.as_bytes().split_at(text.len() / 2);
+    deliver_part(&mut harness, FilePart::Begin);
+    deliver_part(&mut harness, FilePart::Bytes(first));
+    harness.receive_events(2, json!([drain]));
+    let lists = harness.script.borrow().endpoint_lists.len();
+    deliver_part(&mut harness, FilePart::Bytes(second));
+    deliver_part(&mut harness, FilePart::End);
+    assert_eq!(harness.io.connects.last().unwrap().1, NEW_FEED);
+    assert_eq!(harness.script.borrow().endpoint_lists.len(), lists);
+    assert_eq!(harness.last_endpoint().state, WorkerState::Draining);
+}
+
+/// Guards against an event that is lost in the reduction of a configuration's events to their result: a worker that is
+/// gone and back is a new process, and what was sent to the old one has ended.
+#[rstest]
+fn a_worker_that_is_gone_and_back_in_a_configuration_has_restarted() {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    harness.dispatch_while_connecting();
+    let events = json!([
+        member_event(2, member("w", "terminated")),
+        member_event(3, member("w", "in_service")),
+    ]);
+    reload(&mut harness, &configuration(OLD_FEED, 3, &events));
+    assert_eq!(harness.outcomes(), [Outcome::CancelledBeforeStart]);
+    assert_eq!(harness.last_endpoint().state, WorkerState::Ready);
+}
+
+/// Guards against a list that counts as current for seven seconds after a reload, as after a broken connection: the
+/// platform takes a router as notified four seconds after SIGHUP, whatever became of the configuration.
+#[rstest]
+#[case::rejected("{")]
+#[case::moved_to_a_silent_feed(&configuration(NEW_FEED, 1, &json!([])))]
+fn a_reload_after_which_the_feed_does_not_answer_shortens_the_time_to_notification(
+    #[case] content: &str,
+) {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    harness.receive_events(1, json!([]));
+    let reloaded_at = harness.now;
+    assert!(notified_at(&harness) > reloaded_at + 4 * SECOND);
+    reload(&mut harness, content);
+    assert_eq!(notified_at(&harness), reloaded_at + 4 * SECOND);
+    // The feed at the old address may answer for another moment, which shows nothing.
+    if content == "{" {
+        harness.advance(SECOND);
+        harness.receive_events(1, json!([]));
+    }
+    assert_eq!(notified_at(&harness), reloaded_at + 4 * SECOND);
+}
+
+/// A configuration that was rejected by mistake must not shorten that time for ever: a feed that goes on answering has
+/// not moved.
+#[rstest]
+fn a_feed_that_goes_on_answering_after_a_rejected_configuration_has_not_moved() {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    harness.receive_events(1, json!([]));
+    let reloaded_at = harness.now;
+    reload(&mut harness, "{");
+    for _ in 0..4 {
+        harness.advance(SECOND);
+        harness.receive_events(1, json!([]));
+    }
+    assert!(notified_at(&harness) > reloaded_at + 10 * SECOND);
+}
+
+#[rstest]
+fn a_configuration_that_moves_nothing_leaves_the_time_to_notification_as_it_is() {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    harness.receive_events(1, json!([]));
+    let before = notified_at(&harness);
+    let address = harness.io.connects[0].1.clone();
+    reload(&mut harness, &configuration(&address, 1, &json!([])));
+    assert_eq!(notified_at(&harness), before);
+}
--- a/crates/sanddrum-edge/tests/harness/simulation.rs
+++ b/crates/sanddrum-edge/tests/harness/simulation.rs
@@ -415,7 +415,7 @@
         incarnation: 1,
         metrics_page: None,
         platform: Some(Platform {
-            initial_events: config.feed_events().unwrap(),
+            initial_events: config.known_events.clone(),
             machine_kinds: config.worker_kinds(),
         }),
     };
--- a/crates/sanddrum-emulator/src/handshakes.rs
+++ b/crates/sanddrum-emulator/src/handshakes.rs
@@ -2,7 +2,7 @@
 //! worker warms up. Bytes that arrive on a connection are processed only once its handshake is complete.
 
 use crate::faults::Shared;
-use sanddrum_net::{ConnectionId, Core, Event, FileError, Io, Micros};
+use sanddrum_net::{ConnectionId, Core, Event, FileError, FilePart, Io, Micros};
 use std::collections::{BTreeMap, VecDeque};
 
 const MICROS_PER_SECOND: Micros = 1_000_000;
@@ -135,6 +135,10 @@
         self.core.on_file(now, name, content, io);
     }
 
+    fn on_file_part(&mut self, now: Micros, name: &str, part: FilePart<'_>, io: &mut dyn Io) {
+        self.core.on_file_part(now, name, part, io);
+    }
+
     fn is_done(&self) -> bool {
         self.core.is_done()
     }
--- a/crates/sanddrum-lab/src/capacity/real_edge.rs
+++ b/crates/sanddrum-lab/src/capacity/real_edge.rs
@@ -8,7 +8,7 @@
 use crate::{play, Recording, Scenario, VirtualEnvironment};
 use sanddrum::{Decisions, EndpointList, EventBatch, Micros, Request, Router};
 use sanddrum_edge::{DecisionModule, Edge, EdgeOptions};
-use sanddrum_net::{ConnectionId, Core, Event, FileError, Io, LinkModel};
+use sanddrum_net::{ConnectionId, Core, Event, FileError, FilePart, Io, LinkModel};
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -100,6 +100,9 @@
     ) {
         self.time(|core| core.on_file(now, name, content, io));
     }
+    fn on_file_part(&mut self, now: Micros, name: &str, part: FilePart<'_>, io: &mut dyn Io) {
+        self.time(|core| core.on_file_part(now, name, part, io));
+    }
     fn on_credentials_changed(
         &mut self,
         now: Micros,
--- a/crates/sanddrum-lab/src/plaintext_capture.rs
+++ b/crates/sanddrum-lab/src/plaintext_capture.rs
@@ -3,7 +3,8 @@
 use crate::recorder::Recording;
 use rcgen::{date_time_ymd, BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
 use sanddrum_net::{
-    ConnectionId, Core, Event, FileError, HostId, Io, Micros, PeerIdentity, Side, TrafficObserver,
+    ConnectionId, Core, Event, FileError, FilePart, HostId, Io, Micros, PeerIdentity, Side,
+    TrafficObserver,
 };
 use sanddrum_settings::LoadedSettings;
 use sanddrum_tls::{ClientAuth, ReloadableConfig, TlsLimits, TlsMaterial, TlsOptions};
@@ -121,6 +122,20 @@
             },
         );
     }
+    fn on_file_part(&mut self, now: Micros, name: &str, part: FilePart<'_>, io: &mut dyn Io) {
+        let (host, recording) = (self.host, &mut self.recording);
+        self.core.on_file_part(
+            now,
+            name,
+            part,
+            &mut RecordingIo {
+                io,
+                host,
+                recording,
+                now,
+            },
+        );
+    }
     fn next_wakeup(&self) -> Option<Micros> {
         self.core.next_wakeup()
     }
--- a/crates/sanddrum-net/src/core.rs
+++ b/crates/sanddrum-net/src/core.rs
@@ -1,6 +1,6 @@
 //! The interface of a state machine without I/O.
 
-use crate::{ConnectionId, Event, FileError, Io, Micros};
+use crate::{ConnectionId, Event, FileError, FilePart, Io, Micros};
 
 /// A state machine without I/O that is run by a driver. `now` is an instant of the driver's clock.
 pub trait Core {
@@ -21,6 +21,9 @@
         _io: &mut dyn Io,
     ) {
     }
+    /// Handles the next part of a large watched file. A file that is read for the first time, has changed or is reloaded
+    /// is delivered from its beginning, one part in each turn of the driver, so that other input is handled meanwhile.
+    fn on_file_part(&mut self, _now: Micros, _name: &str, _part: FilePart<'_>, _io: &mut dyn Io) {}
     /// Called for an established connection whose credentials are outdated. The core replaces it once that is
     /// possible without loss, or immediately if the peer's credentials were `revoked`.
     fn on_credentials_changed(
@@ -67,6 +70,9 @@
     ) {
         (**self).on_file(now, name, content, io);
     }
+    fn on_file_part(&mut self, now: Micros, name: &str, part: FilePart<'_>, io: &mut dyn Io) {
+        (**self).on_file_part(now, name, part, io);
+    }
     fn on_credentials_changed(
         &mut self,
         now: Micros,
--- a/crates/sanddrum-net/src/event_loop/host.rs
+++ b/crates/sanddrum-net/src/event_loop/host.rs
@@ -37,6 +37,11 @@
             watched_files: Vec::new(),
         }
     }
+
+    /// Whether the next part of a watched file has to be delivered.
+    pub fn has_file_parts(&self) -> bool {
+        !self.frozen && self.watched_files.iter().any(WatchedFile::has_more_parts)
+    }
 }
 
 /// Takes the place of a core in its host while the core is being called.
--- a/crates/sanddrum-net/src/event_loop/poll.rs
+++ b/crates/sanddrum-net/src/event_loop/poll.rs
@@ -1,5 +1,6 @@
 //! Polling for input, and dispatching it to the cores.
 
+use super::host::Host;
 use super::{EventLoop, HostConnection, Source};
 use crate::{CloseCause, Event, HostId, Micros};
 use polling::Event as PollEvent;
@@ -29,6 +30,9 @@
             return Duration::ZERO;
         }
         let hosts = || self.hosts.iter().flatten();
+        if hosts().any(Host::has_file_parts) {
+            return Duration::ZERO;
+        }
         let wakeups = hosts()
             .filter(|host| !host.frozen)
             .filter_map(|host| host.core.next_wakeup());
@@ -127,6 +131,9 @@
         }
         for id in (0..self.hosts.len()).map(HostId) {
             self.check_due_files(id, now);
+            if self.host(id).is_some_and(Host::has_file_parts) {
+                self.deliver_file_parts(id);
+            }
             let Some(host) = self.host_mut(id) else {
                 continue;
             };
--- a/crates/sanddrum-net/src/files.rs
+++ b/crates/sanddrum-net/src/files.rs
@@ -6,8 +6,8 @@
 
 pub(crate) use audit_log::AuditLog;
 pub(crate) use state_writer::StateWriter;
-pub use watched_file::FileError;
-pub(crate) use watched_file::WatchedFile;
+pub(crate) use watched_file::{Delivery, WatchedFile};
+pub use watched_file::{FileError, FilePart};
 
 use std::fs::{self, File};
 use std::io::{self, Write};
--- a/crates/sanddrum-net/src/lib.rs
+++ b/crates/sanddrum-net/src/lib.rs
@@ -19,7 +19,7 @@
 pub use self::core::Core;
 pub use event::{CloseCause, ConnectionId, Event, HostId, ListenerId, Micros};
 pub use event_loop::{EventLoop, Shutdown};
-pub use files::FileError;
+pub use files::{FileError, FilePart};
 pub use io::{Io, PeerIdentity};
 pub use link_model::{LinkFault, LinkModel};
 pub use outbox::{Outbox, OutboxFull};
--- a/crates/sanddrum-net/tests/event_loop_files.rs
+++ b/crates/sanddrum-net/tests/event_loop_files.rs
@@ -1,7 +1,7 @@
 //! Files that the event loop reads and writes: watched files, saved state and audit logs.
 
 use rstest::rstest;
-use sanddrum_net::{Core, Event, EventLoop, FileError, HostId, Io, Micros, NullObserver};
+use sanddrum_net::{Core, Event, EventLoop, FileError, FilePart, HostId, Io, Micros, NullObserver};
 use std::cell::RefCell;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -214,3 +214,133 @@
     loop_thread.join().unwrap();
     assert!(has_run, "the write to the disk blocked the event loop");
 }
+
+/// What a core that is delivered a large file has seen.
+#[derive(Default)]
+struct LargeFileRecord {
+    /// The bytes since the file was last read from its beginning.
+    bytes: Vec<u8>,
+    begins: usize,
+    parts: usize,
+    ends: usize,
+    failures: Vec<String>,
+    process_calls: usize,
+}
+
+/// Records the parts of its file.
+#[derive(Default)]
+struct LargeFileCore {
+    record: Rc<RefCell<LargeFileRecord>>,
+}
+
+impl Core for LargeFileCore {
+    fn start(&mut self, _: Micros, _: &mut dyn Io) {}
+    fn on_event(&mut self, _: Micros, _: Event<'_>, _: &mut dyn Io) {}
+    fn process(&mut self, _: Micros, _: &mut dyn Io) {
+        self.record.borrow_mut().process_calls += 1;
+    }
+    fn next_wakeup(&self) -> Option<Micros> {
+        None
+    }
+    fn on_file_part(&mut self, _: Micros, name: &str, part: FilePart<'_>, _: &mut dyn Io) {
+        assert_eq!(name, FILE);
+        let mut record = self.record.borrow_mut();
+        match part {
+            FilePart::Begin => {
+                record.begins += 1;
+                record.bytes.clear();
+            }
+            FilePart::Bytes(bytes) => {
+                record.parts += 1;
+                record.bytes.extend_from_slice(bytes);
+            }
+            FilePart::End => record.ends += 1,
+            FilePart::Failed(error) => record.failures.push(error.to_string()),
+        }
+    }
+}
+
+/// A loop whose core watches a large file, and what the core has seen.
+fn watching_large(path: &Path) -> (EventLoop, Rc<RefCell<LargeFileRecord>>) {
+    let core = LargeFileCore::default();
+    let record = core.record.clone();
+    let mut event_loop = EventLoop::new(Box::new(NullObserver)).unwrap();
+    let host = event_loop.add(Box::new(core), vec![], None).unwrap();
+    event_loop.watch_large_file(host, FILE, path.to_path_buf(), MILLISECOND);
+    (event_loop, record)
+}
+
+fn run_until_ends(event_loop: &mut EventLoop, record: &Rc<RefCell<LargeFileRecord>>, ends: usize) {
+    for _ in 0..1000 {
+        if record.borrow().ends >= ends {
+            return;
+        }
+        let at = event_loop.now() + 5 * MILLISECOND;
+        event_loop.run_until(at).unwrap();
+    }
+    panic!("the file was not delivered");
+}
+
+/// Three megabytes that differ from place to place.
+fn large_content(seed: usize) -> Vec<u8> {
+    (0..3_000_000)
+        .map(|index: usize| (index.wrapping_mul(31) / 7 + seed) as u8)
+        .collect()
+}
+
+/// Guards against a limit on the size of a file that must grow, and against a loop that does nothing else while it
+/// reads one.
+#[rstest]
+fn a_large_file_is_delivered_in_parts_between_which_the_core_runs() {
+    let directory = TestDirectory::new("parts");
+    let path = directory.file("large");
+    fs::write(&path, large_content(1)).unwrap();
+    let (mut event_loop, record) = watching_large(&path);
+    run_until_ends(&mut event_loop, &record, 1);
+    let record = record.borrow();
+    assert!(record.bytes == large_content(1));
+    assert_eq!((record.begins, record.failures.len()), (1, 0));
+    let largest_part = 64 * 1024;
+    assert!(record.parts >= record.bytes.len() / largest_part);
+    assert!(
+        record.process_calls >= record.parts,
+        "{} calls between {} parts",
+        record.process_calls,
+        record.parts
+    );
+}
+
+/// Guards against a delivery that mixes two versions of a file that is replaced while it is read.
+#[rstest]
+fn a_file_that_is_replaced_while_it_is_delivered_is_delivered_from_its_beginning() {
+    let directory = TestDirectory::new("replaced");
+    let path = directory.file("large");
+    fs::write(&path, large_content(1)).unwrap();
+    let (mut event_loop, record) = watching_large(&path);
+    while record.borrow().parts < 3 {
+        let at = event_loop.now() + 1;
+        event_loop.run_until(at).unwrap();
+    }
+    assert_eq!(record.borrow().ends, 0);
+    fs::write(directory.file("next"), large_content(2)).unwrap();
+    fs::rename(directory.file("next"), &path).unwrap();
+    run_until_ends(&mut event_loop, &record, 1);
+    while record.borrow().begins < 2 || record.borrow().ends < record.borrow().begins - 1 {
+        let at = event_loop.now() + MILLISECOND;
+        event_loop.run_until(at).unwrap();
+    }
+    assert!(record.borrow().bytes == large_content(2));
+}
+
+#[rstest]
+fn a_large_file_that_is_missing_is_reported_with_its_path() {
+    let directory = TestDirectory::new("no-parts");
+    let path = directory.file("missing");
+    let (_, record) = watching_large(&path);
+    let record = record.borrow();
+    assert_eq!(
+        (record.begins, record.ends, record.failures.len()),
+        (1, 0, 1)
+    );
+    assert!(record.failures[0].starts_with(&format!("{}: ", path.display())));
+}
--- a/crates/sanddrum-platform/src/lib.rs
+++ b/crates/sanddrum-platform/src/lib.rs
@@ -5,8 +5,13 @@
 pub mod control_feed;
 mod deployment;
 pub mod frames;
+mod json_stream;
+mod json_value;
 pub mod start_times;
 pub mod startup_config;
 
 pub use frames::{FrameDecoder, FrameError, Response};
-pub use startup_config::{StartupConfig, StartupConfigError};
+pub use json_stream::JsonError;
+pub use startup_config::{
+    StartupConfig, StartupConfigError, StartupConfigReader, MAX_CONFIGURATION_BYTES,
+};
--- a/crates/sanddrum-platform/src/startup_config.rs
+++ b/crates/sanddrum-platform/src/startup_config.rs
@@ -1,7 +1,12 @@
 //! The startup configuration that the platform gives to a router: a JSON file.
 
-use crate::control_feed::{self, FeedError, FeedEvents};
+mod reader;
+
+pub use reader::{StartupConfigReader, MAX_CONFIGURATION_BYTES};
+
+use crate::control_feed::{FeedError, FeedEvents};
 use crate::deployment;
+use crate::json_stream::JsonError;
 use sanddrum::Settings;
 use sanddrum_platform_config::PlatformSettingsError;
 use sanddrum_settings::{LoadedSettings, SettingsError};
@@ -24,8 +29,9 @@
     pub max_descriptors: u64,
     /// The memory that the router may use, in MB (2^20 bytes), at least one.
     pub memory_mb: f64,
-    /// The feed's events as of when the configuration was written, not parsed; see [`StartupConfig::feed_events`].
-    pub known_events: Json,
+    /// The result of the feed's events as of when the configuration was written, without those that were known already
+    /// when it was read.
+    pub known_events: FeedEvents,
     /// The settings under the platform's names.
     pub settings: Json,
     /// The settings under the decision module's names.
@@ -37,7 +43,13 @@
 pub enum StartupConfigError {
     /// The text is not JSON.
     #[error("not JSON: {0}")]
-    NotJson(#[source] serde_json::Error),
+    NotJson(#[from] JsonError),
+    /// The text exceeds [`MAX_CONFIGURATION_BYTES`].
+    #[error("larger than {MAX_CONFIGURATION_BYTES} bytes")]
+    TooLarge,
+    /// Everything but the known events together exceeds its limit.
+    #[error("settings: larger than {0} bytes")]
+    SettingsTooLarge(usize),
     /// A string is missing or empty.
     #[error("{0}: expected a non-empty string")]
     MissingText(&'static str),
@@ -70,45 +82,39 @@
     InvalidSettings(#[source] PlatformSettingsError),
     /// The known events can't be parsed.
     #[error("known: {0}")]
-    InvalidEvents(#[source] FeedError),
+    InvalidEvents(#[from] FeedError),
 }
 
 impl StartupConfig {
-    /// Reads and checks a startup configuration.
+    /// Reads and checks the startup configuration of a router that starts.
     ///
     /// # Errors
     /// [`StartupConfigError`], which names the key that can't be used.
     pub fn read(text: &str) -> Result<Self, StartupConfigError> {
-        let json: Json = serde_json::from_str(text).map_err(StartupConfigError::NotJson)?;
-        let seed = read_seed(&json)?;
+        let mut reader = StartupConfigReader::for_start();
+        reader.push(text.as_bytes())?;
+        reader.finish(0)
+    }
+
+    /// Checks the values of a configuration.
+    fn check(json: &Json, known_events: FeedEvents) -> Result<Self, StartupConfigError> {
+        let seed = read_seed(json)?;
         if !json["settings"].is_object() {
             return Err(StartupConfigError::MissingSettings);
         }
         let decision_settings = sanddrum_platform_config::decision_settings(&json["settings"])
             .map_err(StartupConfigError::InvalidSettings)?;
-        let config = StartupConfig {
-            name: read_text(&json, "name")?,
-            listen: read_address(&json, "listen")?,
-            feed: read_address(&json, "feed")?,
+        Ok(StartupConfig {
+            name: read_text(json, "name")?,
+            listen: read_address(json, "listen")?,
+            feed: read_address(json, "feed")?,
             seed,
-            max_descriptors: read_limit(&json, "sockets")? as u64,
-            memory_mb: read_limit(&json, "memory_mb")?,
-            known_events: json["known"].clone(),
+            max_descriptors: read_limit(json, "sockets")? as u64,
+            memory_mb: read_limit(json, "memory_mb")?,
+            known_events,
             settings: json["settings"].clone(),
             decision_settings,
-        };
-        config
-            .feed_events()
-            .map_err(StartupConfigError::InvalidEvents)?;
-        Ok(config)
-    }
-
-    /// The feed's events as of when the configuration was written.
-    ///
-    /// # Errors
-    /// [`FeedError`]: they can't be parsed, which [`StartupConfig::read`] rules out.
-    pub fn feed_events(&self) -> Result<FeedEvents, FeedError> {
-        control_feed::parse(&self.known_events, &self.worker_kinds())
+        })
     }
 
     /// The names of the kinds of machine that workers run on.
--- a/crates/sanddrum-platform/tests/control_feed.rs
+++ b/crates/sanddrum-platform/tests/control_feed.rs
@@ -21,7 +21,7 @@
         ]}},
     ]});
     let kinds = ["slow".to_string(), "fast".to_string()];
-    let feed = control_feed::parse(&response, &kinds).unwrap();
+    let feed = control_feed::read(response.to_string().as_bytes(), &kinds).unwrap();
     assert_eq!(
         (
             feed.last_number,
--- a/crates/sanddrum-platform/tests/startup_config.rs
+++ b/crates/sanddrum-platform/tests/startup_config.rs
@@ -2,7 +2,11 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
-use sanddrum_platform::StartupConfig;
+use sanddrum_platform::control_feed::{FeedEvent, FeedEvents};
+use sanddrum_platform::{
+    StartupConfig, StartupConfigError, StartupConfigReader, MAX_CONFIGURATION_BYTES,
+};
+use sanddrum_wire::Phase;
 use serde_json::{json, Value as Json};
 
 fn valid_config() -> Json {
@@ -103,6 +107,177 @@
     assert!(error.starts_with(key), "{error}");
 }
 
+/// Reads a configuration in parts of this length.
+fn read_in_parts(
+    mut reader: StartupConfigReader,
+    text: &str,
+    part_length: usize,
+    last_event: u64,
+) -> Result<StartupConfig, StartupConfigError> {
+    for part in text.as_bytes().chunks(part_length) {
+        reader.push(part)?;
+    }
+    reader.finish(last_event)
+}
+
+/// Guards against a reader of running routers that rejects what the reader of starting ones accepts: a fleet of 3,200
+/// workers of which half have been replaced has a configuration above 1 MiB.
+#[rstest]
+#[case::start(StartupConfigReader::for_start(), 3200)]
+#[case::reload(StartupConfigReader::for_reload(0), 4800)]
+#[case::reload_with_most_events_known(StartupConfigReader::for_reload(2), 3200)]
+fn a_configuration_above_a_mebibyte_is_read(
+    #[case] reader: StartupConfigReader,
+    #[case] expected_changes: usize,
+) {
+    let member = |index: usize, phase: &str| {
+        json!({"id": format!("s-{index:08x}"), "host_port": "10.1.200.9:8080", "locality": "here", "flavor": "fast",
+               "cell": 0, "phase": phase, "size": 4, "up_since_ms": 1_700_000_000_000_i64})
+    };
+    let members = |indexes: std::ops::Range<usize>, phase: &str| -> Vec<Json> {
+        indexes.map(|index| member(index, phase)).collect()
+    };
+    let mut replacement = members(0..1600, "terminated");
+    replacement.extend(members(3200..4800, "in_service"));
+    let mut config = valid_config();
+    config["known"] = json!({"n": 3, "events": [
+        {"n": 1, "members": {"complete": true, "members": members(0..3200, "in_service")}},
+        {"n": 2, "members": {"complete": false, "members": members(0..1600, "terminating")}},
+        {"n": 3, "members": {"complete": false, "members": replacement}},
+    ]});
+    let text = config.to_string();
+    assert!(text.len() > 1 << 20);
+    let config = read_in_parts(reader, &text, 32 * 1024, 0).unwrap();
+    let changes = config
+        .known_events
+        .events
+        .iter()
+        .flat_map(|event| &event.members);
+    let count: usize = changes.map(|update| update.members.len()).sum();
+    assert_eq!(
+        (config.known_events.last_number, count),
+        (3, expected_changes)
+    );
+}
+
+#[rstest]
+fn a_configuration_that_exceeds_the_limit_is_rejected_without_being_kept() {
+    let mut reader = StartupConfigReader::for_start();
+    reader.push(b"{\"other\": [0").unwrap();
+    let part = ",0".repeat(1 << 20);
+    let error = (0..=MAX_CONFIGURATION_BYTES / part.len())
+        .find_map(|_| reader.push(part.as_bytes()).err())
+        .unwrap();
+    assert!(matches!(error, StartupConfigError::TooLarge), "{error}");
+}
+
+#[rstest]
+#[case::long_string(format!("{{\"other\": \"{}\"}}", "x".repeat(1 << 20)), "not JSON: a value")]
+#[case::large_settings(
+    format!("{{\"settings\": {{\"x\": [0{}]}}}}", ",0".repeat(1 << 20)),
+    "settings: larger"
+)]
+#[case::deep(format!("{{\"settings\": {}", "[".repeat(1000)), "not JSON: syntax")]
+#[case::incomplete("{\"name\": \"n\"".to_string(), "not JSON: ends early")]
+#[case::two_values("{} {}".to_string(), "not JSON: syntax")]
+#[case::array("[{\"name\": \"n\"}]".to_string(), "known: n")]
+#[case::not_utf8_escape("{\"name\": \"\\udc00\"}".to_string(), "not JSON: syntax")]
+fn a_text_that_is_no_configuration_is_rejected(#[case] text: String, #[case] expected: &str) {
+    let error = StartupConfig::read(&text).unwrap_err().to_string();
+    assert!(error.starts_with(expected), "{error}");
+}
+
+/// What a router knows of workers after some events: by name the address and phase, and how often each was removed.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct WorkerList {
+    workers: std::collections::BTreeMap<String, (String, Phase)>,
+    /// Workers that were removed at least once, of those that the list had at the beginning.
+    removed: std::collections::BTreeSet<String>,
+}
+
+impl WorkerList {
+    fn apply(&mut self, events: &[FeedEvent]) {
+        for update in events.iter().filter_map(|event| event.members.as_ref()) {
+            if update.is_full_snapshot {
+                let is_listed = |name: &String| {
+                    update
+                        .members
+                        .iter()
+                        .any(|member| member.endpoint.name == *name)
+                };
+                let unlisted = self.workers.keys().filter(|name| !is_listed(name));
+                self.removed.extend(unlisted.cloned());
+                self.workers.retain(|name, _| is_listed(name));
+            }
+            for member in &update.members {
+                let endpoint = &member.endpoint;
+                if endpoint.phase == Phase::Gone {
+                    self.workers.remove(&endpoint.name);
+                    self.removed.insert(endpoint.name.clone());
+                } else {
+                    let state = (endpoint.address.clone(), endpoint.phase);
+                    self.workers.insert(endpoint.name.clone(), state);
+                }
+            }
+        }
+    }
+
+    /// The removals of workers that `before` has.
+    fn removals_of(&self, before: &WorkerList) -> Vec<String> {
+        let known = before.workers.keys();
+        known
+            .filter(|name| self.removed.contains(*name))
+            .cloned()
+            .collect()
+    }
+}
+
+/// An event of the feed, as it is generated.
+#[derive(Clone, Debug)]
+struct GeneratedEvent {
+    is_complete: bool,
+    members: Vec<GeneratedMember>,
+}
+
+/// A worker in an event: the numbers of its name, of its phase and of its address.
+#[derive(Clone, Debug)]
+struct GeneratedMember {
+    id: u8,
+    phase: usize,
+    address: u8,
+}
+
+/// The names of the phases; the last one removes a worker.
+const PHASES: [&str; 3] = ["in_service", "terminating", "terminated"];
+
+fn feed_event() -> impl Strategy<Value = GeneratedEvent> {
+    let member = (0u8..6, 0..PHASES.len(), 0u8..3)
+        .prop_map(|(id, phase, address)| GeneratedMember { id, phase, address });
+    let members = prop::collection::vec(member, 0..4);
+    (prop::bool::weighted(0.2), members).prop_map(|(is_complete, members)| GeneratedEvent {
+        is_complete,
+        members,
+    })
+}
+
+/// Events of the feed with numbers from 1, as JSON.
+fn feed_events(events: &[GeneratedEvent]) -> Vec<Json> {
+    let event = |(index, event): (usize, &GeneratedEvent)| {
+        let members: Vec<Json> = event
+            .members
+            .iter()
+            // A full snapshot lists no worker that is gone.
+            .filter(|member| !event.is_complete || PHASES[member.phase] != "terminated")
+            .map(|member| {
+                json!({"id": format!("w{}", member.id), "host_port": format!("10.0.0.{}:1", member.address),
+                       "phase": PHASES[member.phase]})
+            })
+            .collect();
+        json!({"n": index + 1, "members": {"complete": event.is_complete, "members": members}})
+    };
+    events.iter().enumerate().map(event).collect()
+}
+
 /// Names that an operator may choose.
 fn name() -> impl Strategy<Value = String> {
     "[a-zA-Z0-9é][a-zA-Z0-9é _.\"'\\\\;()-]{0,20}"
@@ -173,6 +348,57 @@
 }
 
 proptest! {
+    /// Guards against a difference between events that are applied one by one, as the feed sends them, and the result
+    /// to which a configuration's events are reduced: what is listed in the end, and which workers were removed, even
+    /// if they are listed again. The feed may send some of the events while the configuration is being read.
+    #[test]
+    fn known_events_have_the_same_result_as_the_same_events_one_by_one(
+        events in prop::collection::vec(feed_event(), 1..8),
+        (known_at_begin, sent_meanwhile) in (0usize..8, 0usize..8),
+        part_length in 1usize..200,
+    ) {
+        let events = feed_events(&events);
+        let known_at_begin = known_at_begin.min(events.len());
+        let known_at_end = (known_at_begin + sent_meanwhile).min(events.len());
+        let mut config = valid_config();
+        config["known"] = json!({"n": events.len(), "events": events});
+        let response = config["known"].to_string();
+        let sequence = sanddrum_platform::control_feed::read(response.as_bytes(), &[]).unwrap();
+
+        let mut before = WorkerList::default();
+        before.apply(&sequence.events[..known_at_end]);
+        before.removed.clear();
+        let mut expected = before.clone();
+        expected.apply(&sequence.events[known_at_end..]);
+
+        let reader = if known_at_end == 0 {
+            StartupConfigReader::for_start()
+        } else {
+            StartupConfigReader::for_reload(known_at_begin as u64)
+        };
+        let text = config.to_string();
+        let config = read_in_parts(reader, &text, part_length, known_at_end as u64).unwrap();
+        let FeedEvents { last_number, events } = config.known_events;
+        let mut actual = before.clone();
+        actual.apply(&events);
+        prop_assert_eq!(&actual.workers, &expected.workers);
+        prop_assert_eq!(actual.removals_of(&before), expected.removals_of(&before));
+        prop_assert_eq!(last_number, sequence.last_number);
+        let is_new = |event: &FeedEvent| event.number == last_number;
+        prop_assert!(events.iter().all(is_new));
+        prop_assert_eq!(events.is_empty(), known_at_end as u64 == last_number);
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic(
+        bytes in prop::collection::vec(prop::sample::select(b"{}[]\":,\\u0dn1e-.tfx \xff".to_vec()), 0..80),
+        part_length in 1usize..10,
+    ) {
+        let mut reader = StartupConfigReader::for_start();
+        let is_valid = bytes.chunks(part_length).all(|part| reader.push(part).is_ok());
+        prop_assert!(!is_valid || reader.finish(0).is_err());
+    }
+
     #[test]
     fn settings_that_are_valid_on_the_platform_are_valid_for_the_edge(
         classes in classes_with_unique_names(),
--- a/crates/sanddrum-tls/src/lib.rs
+++ b/crates/sanddrum-tls/src/lib.rs
@@ -23,7 +23,9 @@
 pub use reloadable::{ReloadableConfig, INBOUND_FILES, OUTBOUND_FILES};
 pub use verify::NameConstraint;
 
-use sanddrum_net::{ConnectionId, Core, Event, FileError, Io, ListenerId, Micros, PeerIdentity};
+use sanddrum_net::{
+    ConnectionId, Core, Event, FileError, FilePart, Io, ListenerId, Micros, PeerIdentity,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Limits of a [`TlsLayer`].
@@ -446,6 +448,19 @@
         );
         self.deliver_pending(now, io);
     }
+    fn on_file_part(&mut self, now: Micros, name: &str, part: FilePart<'_>, io: &mut dyn Io) {
+        self.core.on_file_part(
+            now,
+            name,
+            part,
+            &mut LayerIo {
+                state: &mut self.state,
+                io,
+                now,
+            },
+        );
+        self.deliver_pending(now, io);
+    }
     fn on_credentials_changed(
         &mut self,
         now: Micros,
