Apply changes of the endpoint list to the connection policy in their order

What callers saw: a worker that the feed told gone and back in one answer (or that one configuration tells so) was never used again: each request for a connection to it was rejected as backing off until it was listed once more.

Cause: ConnectionEvents had listed_workers and removed_workers, and ConnectionPolicy::record (policy/observations.rs) applied all listings before all removals, so a removal that came first was applied last.

Ruled out: the edge's own table and the decision module keep the order, as both take one list of records.

Change: one sequence of EndpointChange. A worker that is gone is a removal only; before it was also listed as not ready, so that field has no use any more.

Measured: changes_of_the_endpoint_list_apply_in_their_order, case gone_and_back, with the old order in a scratch copy of record: failed; now both cases pass. Tests of sanddrum-upstream and sanddrum-edge pass.

--- a/crates/sanddrum-edge/src/edge_state/discovery.rs
+++ b/crates/sanddrum-edge/src/edge_state/discovery.rs
@@ -11,6 +11,7 @@
 use sanddrum_net::{ConnectionId, Event, Io};
 use sanddrum_platform::control_feed::FeedEvents;
 use sanddrum_platform::start_times::ClockReading;
+use sanddrum_upstream::EndpointChange;
 use sanddrum_wire::{stable_id, EndpointRecord, EndpointUpdate, Phase};
 use std::collections::BTreeSet;
 
@@ -103,7 +104,9 @@
         self.endpoints.retain(&listed);
         for worker in self.worker_connections.workers_except(&listed) {
             let events = &mut self.context.connection_events;
-            events.removed_workers.push(worker);
+            events
+                .endpoint_changes
+                .push(EndpointChange::Removed(worker));
             self.remove_worker(now, worker);
         }
     }
--- a/crates/sanddrum-edge/src/worker_connections/endpoints.rs
+++ b/crates/sanddrum-edge/src/worker_connections/endpoints.rs
@@ -4,7 +4,7 @@
 use crate::context::EdgeContext;
 use crate::message::MessageKey;
 use sanddrum::{Endpoint, Micros, Outcome, WorkerId, WorkerState};
-use sanddrum_upstream::{ListedWorker, WorkerConnectionId};
+use sanddrum_upstream::{EndpointChange, ListedWorker, WorkerConnectionId};
 use sanddrum_wire::{stable_id, EndpointRecord};
 use std::collections::BTreeSet;
 
@@ -58,17 +58,16 @@
         record: &EndpointRecord,
     ) {
         let worker = listed.worker;
-        let is_gone = listed.state == WorkerState::Gone;
-        let events = &mut context.connection_events;
-        if is_gone {
-            events.removed_workers.push(worker);
-        }
-        events.listed_workers.push(ListedWorker {
-            worker,
-            size: listed.size,
-            started_at: listed.started_at,
-            is_ready: !is_gone,
-        });
+        let change = if listed.state == WorkerState::Gone {
+            EndpointChange::Removed(worker)
+        } else {
+            EndpointChange::Listed(ListedWorker {
+                worker,
+                size: listed.size,
+                started_at: listed.started_at,
+            })
+        };
+        context.connection_events.endpoint_changes.push(change);
         let endpoint = self.endpoints.entry(worker).or_default();
         endpoint.name = record.name.clone();
         endpoint.address = record.address.clone();
--- a/crates/sanddrum-lab/src/capacity/simulated/connections.rs
+++ b/crates/sanddrum-lab/src/capacity/simulated/connections.rs
@@ -3,8 +3,8 @@
 use super::super::decision_host::{MessageTag, WorkerConnection};
 use super::*;
 use sanddrum_upstream::{
-    ConnectionRequest, ConnectionUtilization, Decisions, EstablishedConnection, ListedWorker,
-    OutdatedConnection, Purpose, RejectReason, WorkerConnectionId,
+    ConnectionRequest, ConnectionUtilization, Decisions, EndpointChange, EstablishedConnection,
+    ListedWorker, OutdatedConnection, Purpose, RejectReason, WorkerConnectionId,
 };
 use std::cmp::Reverse;
 
@@ -395,15 +395,16 @@
         for row in &list.endpoints {
             let (worker, is_present) = (row.worker, row.state != WorkerState::Gone);
             let host = &mut self.hosts[router];
-            if !is_present {
-                host.connection_events.removed_workers.push(worker);
-            }
-            host.connection_events.listed_workers.push(ListedWorker {
-                worker,
-                size: row.size,
-                started_at: row.started_at,
-                is_ready: is_present,
-            });
+            let change = if is_present {
+                EndpointChange::Listed(ListedWorker {
+                    worker,
+                    size: row.size,
+                    started_at: row.started_at,
+                })
+            } else {
+                EndpointChange::Removed(worker)
+            };
+            host.connection_events.endpoint_changes.push(change);
             host.targets.entry(worker).or_default();
             if row.state == WorkerState::Ready {
                 continue;
--- a/crates/sanddrum-upstream/src/events.rs
+++ b/crates/sanddrum-upstream/src/events.rs
@@ -30,8 +30,6 @@
     pub size: f64,
     /// When its process started; zero means long ago.
     pub started_at: Micros,
-    /// Whether connections to it may be prewarmed.
-    pub is_ready: bool,
 }
 
 /// A request for a connection that is not established.
@@ -92,13 +90,20 @@
     pub in_flight: usize,
 }
 
+/// A change of the endpoint list.
+#[derive(Clone, Copy, Debug)]
+pub enum EndpointChange {
+    /// A worker was listed, or its entry changed.
+    Listed(ListedWorker),
+    /// A worker left the list.
+    Removed(WorkerId),
+}
+
 /// The events since the last call of [`ConnectionPolicy::handle`](crate::ConnectionPolicy::handle).
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionEvents {
-    /// Workers that were listed, or whose entry changed.
-    pub listed_workers: Vec<ListedWorker>,
-    /// Workers that left the endpoint list.
-    pub removed_workers: Vec<WorkerId>,
+    /// Changes of the endpoint list, in their order: a worker may leave it and be listed again.
+    pub endpoint_changes: Vec<EndpointChange>,
     /// Connections that are needed.
     pub requested: Vec<ConnectionRequest>,
     /// Connections whose handshake completed.
@@ -120,14 +125,13 @@
 impl ConnectionEvents {
     /// Whether there is no event.
     pub fn is_empty(&self) -> bool {
-        self.listed_workers.is_empty()
+        self.endpoint_changes.is_empty()
             && self.requested.is_empty()
             && self.established.is_empty()
             && self.failed.is_empty()
             && self.closed.is_empty()
             && self.outdated.is_empty()
             && self.revoked.is_empty()
-            && self.removed_workers.is_empty()
             && self.utilization.is_empty()
             && self.load_reports.is_empty()
     }
--- a/crates/sanddrum-upstream/src/lib.rs
+++ b/crates/sanddrum-upstream/src/lib.rs
@@ -25,7 +25,7 @@
 pub use backoff::Backoff;
 pub use events::{
     ClientConnectionId, ConnectionEvents, ConnectionRequest, ConnectionUtilization, Decisions,
-    EstablishedConnection, ListedWorker, OutdatedConnection, Purpose, RejectReason,
+    EndpointChange, EstablishedConnection, ListedWorker, OutdatedConnection, Purpose, RejectReason,
     RotationRequest, WorkerConnectionId, WorkerLoad,
 };
 pub use handshake_costs::HandshakeCosts;
--- a/crates/sanddrum-upstream/src/policy/observations.rs
+++ b/crates/sanddrum-upstream/src/policy/observations.rs
@@ -3,8 +3,8 @@
 use super::{ConnectionPolicy, Handshake};
 use crate::worker::Worker;
 use crate::{
-    ConnectionEvents, ConnectionRequest, ConnectionUtilization, EstablishedConnection,
-    ListedWorker, OutdatedConnection, WorkerConnectionId,
+    ConnectionEvents, ConnectionRequest, ConnectionUtilization, EndpointChange,
+    EstablishedConnection, ListedWorker, OutdatedConnection, WorkerConnectionId,
 };
 use sanddrum::{Micros, WorkerId};
 use std::collections::BTreeSet;
@@ -16,13 +16,11 @@
 
 impl ConnectionPolicy {
     pub(super) fn record(&mut self, now: Micros, events: &ConnectionEvents) {
-        for listed in &events.listed_workers {
-            self.record_listed(listed);
-        }
-        for worker in &events.removed_workers {
-            self.workers
-                .entry(*worker)
-                .and_modify(|worker| worker.is_ready = false);
+        for change in &events.endpoint_changes {
+            match change {
+                EndpointChange::Listed(listed) => self.record_listed(listed),
+                EndpointChange::Removed(worker) => self.record_removed(*worker),
+            }
         }
         for request in &events.requested {
             self.record_request(request);
@@ -46,14 +44,21 @@
         }
         self.rotation.schedule(now, &events.outdated);
         self.rotation.revoke(&events.revoked);
-        self.prewarm_is_due |= !(events.listed_workers.is_empty()
+        let is_removed = |change: &EndpointChange| matches!(change, EndpointChange::Removed(_));
+        self.prewarm_is_due |= !(events.endpoint_changes.is_empty()
             && events.established.is_empty()
             && events.closed.is_empty());
-        if !events.removed_workers.is_empty() {
+        if events.endpoint_changes.iter().any(is_removed) {
             self.remove_unused_workers();
         }
     }
 
+    fn record_removed(&mut self, worker: WorkerId) {
+        self.workers
+            .entry(worker)
+            .and_modify(|worker| worker.is_ready = false);
+    }
+
     fn record_listed(&mut self, listed: &ListedWorker) {
         let backoff = &self.config.backoff;
         let worker = self
@@ -65,7 +70,7 @@
         }
         worker.size = listed.size.max(f64::MIN_POSITIVE);
         worker.started_at = listed.started_at;
-        worker.is_ready = listed.is_ready;
+        worker.is_ready = true;
     }
 
     /// Queues a request. A repeated one takes the more urgent purpose and the later deadline of the two.
--- a/crates/sanddrum-upstream/tests/connection_policy.rs
+++ b/crates/sanddrum-upstream/tests/connection_policy.rs
@@ -4,7 +4,7 @@
 use sanddrum::{Micros, Settings, Value, WorkerId};
 use sanddrum_upstream::{
     ConnectionEvents, ConnectionPolicy, ConnectionRequest, ConnectionUtilization, Decisions,
-    EstablishedConnection, ListedWorker, OutdatedConnection, Purpose, RejectReason,
+    EndpointChange, EstablishedConnection, ListedWorker, OutdatedConnection, Purpose, RejectReason,
     RotationRequest, WorkerConnectionId, WorkerLoad,
 };
 
@@ -41,6 +41,15 @@
     }
 }
 
+/// The listing of a worker.
+fn listed(id: u64, started_at: Micros) -> EndpointChange {
+    EndpointChange::Listed(ListedWorker {
+        worker: WorkerId(id),
+        size: 4.0,
+        started_at,
+    })
+}
+
 /// One edge's policy and its clock.
 struct Edge {
     now: Micros,
@@ -73,14 +82,11 @@
     }
     /// Lists this many workers, all started at the same time.
     fn list_workers(&mut self, count: u64, started_at: Micros) -> Recorded {
-        let listed = |id| ListedWorker {
-            worker: WorkerId(id),
-            size: 4.0,
-            started_at,
-            is_ready: true,
-        };
+        self.change_endpoints((0..count).map(|id| listed(id, started_at)).collect())
+    }
+    fn change_endpoints(&mut self, endpoint_changes: Vec<EndpointChange>) -> Recorded {
         self.handle(&ConnectionEvents {
-            listed_workers: (0..count).map(listed).collect(),
+            endpoint_changes,
             ..ConnectionEvents::default()
         })
     }
@@ -466,3 +472,21 @@
     let second = edge.request_within(SECOND, 2, 0, Purpose::Request);
     assert_eq!(second.opened, [2]);
 }
+
+/// Guards against a worker that is never connected to again: its removal was applied after its new listing if both were
+/// notified at once, and each request for a connection was rejected as backing off.
+#[rstest]
+#[case::gone_and_back(vec![EndpointChange::Removed(WorkerId(0)), listed(0, 5)], true)]
+#[case::back_and_gone(vec![listed(0, 5), EndpointChange::Removed(WorkerId(0))], false)]
+fn changes_of_the_endpoint_list_apply_in_their_order(
+    #[case] changes: Vec<EndpointChange>,
+    #[case] is_listed: bool,
+) {
+    let mut edge = Edge::new(&[]);
+    edge.list_workers(1, 0);
+    edge.change_endpoints(changes);
+    let recorded = edge.request(1, 0, Purpose::Request);
+    assert_eq!(recorded.opened == [1], is_listed);
+    let rejected = [(1, RejectReason::BackingOff)];
+    assert_eq!(recorded.rejected == rejected, !is_listed);
+}
