Give each FastCGI request its own time-out, so that overlapping ones are not cut off

Cause: FastCgiListener::track_partial_request kept one partial_since for a connection and cleared it only when no request was incomplete; FastCgiConnection::check (closing.rs) then took the connection for one with a request that never comes whole. Closing, and the eviction at max-clients, waited for is_flushed, which does not count requests received in part.

Ruled out: rate and number of open requests, as the same requests in one piece each lose nothing; the idle time-out, as the closes come after head-time-out.

Change: the responder knows when each incomplete request and the incomplete record began. A request that is overdue is answered 408 and its connection goes on; only a record that is never completed ends its connection, behind the answers to open requests. A connection with part of a further request is evicted after the idle ones. Checks of a connection are scheduled once for the earliest time-out.

--- a/crates/sanddrum-edge/src/fastcgi_listener.rs
+++ b/crates/sanddrum-edge/src/fastcgi_listener.rs
@@ -47,8 +47,8 @@
     last_active: Micros,
     /// Whether a complete request was received.
     has_sent_request: bool,
-    /// When the partially received request began, if there is one.
-    partial_since: Option<Micros>,
+    /// When it is checked for timeouts next. A timer that fires earlier is obsolete.
+    next_check_at: Micros,
     /// Memory of partially received requests in bytes, when it was last counted.
     partial_bytes: usize,
     close_state: CloseState,
@@ -70,12 +70,40 @@
             accepted_at: now,
             last_active: now,
             has_sent_request: false,
-            partial_since: None,
+            next_check_at: now,
             partial_bytes: 0,
             close_state: CloseState::Open,
         }
     }
 
+    /// When the oldest request or record began of which only part has been received, if the connection still accepts
+    /// requests. Each request has its own time: as web servers may pass on bodies as they arrive, requests can overlap
+    /// so that one is always incomplete.
+    fn partial_since(&self) -> Option<Micros> {
+        if self.close_state != CloseState::Open {
+            return None;
+        }
+        let record = self.responder.partial_record_since();
+        let request = self.responder.oldest_partial_request();
+        let request = request.map(|(_, began_at)| began_at);
+        record.into_iter().chain(request).min()
+    }
+
+    /// Schedules a check for timeouts, unless an earlier one is scheduled.
+    fn schedule_check(
+        &mut self,
+        context: &mut EdgeContext,
+        now: Micros,
+        conn: ConnectionId,
+        at: Micros,
+    ) {
+        if self.next_check_at > now && self.next_check_at <= at {
+            return;
+        }
+        self.next_check_at = at;
+        context.timers.schedule(at, Timer::ClientConnection(conn));
+    }
+
     fn is_flushed(&self) -> bool {
         self.open_requests.is_empty() && self.outbox.pending_bytes() == 0
     }
@@ -119,7 +147,7 @@
     pub fn has_partial_request(&self) -> bool {
         self.connections
             .values()
-            .any(|connection| connection.partial_since.is_some())
+            .any(|connection| connection.partial_since().is_some())
     }
 
     /// The connection to close at the connection limit: the longest idle one of the lowest [`EvictionRank`]. `None` if
@@ -136,7 +164,8 @@
             .filter(|(_, connection)| connection.is_flushed());
         let rank = |connection: &FastCgiConnection| {
             let had_time_to_send = now - connection.accepted_at >= first_request_timeout;
-            EvictionRank::new(connection.has_sent_request, had_time_to_send)
+            let is_receiving = connection.has_sent_request && connection.partial_since().is_some();
+            EvictionRank::new(connection.has_sent_request, had_time_to_send, is_receiving)
         };
         idle.min_by_key(|(conn, connection)| (rank(connection), connection.last_active, **conn))
             .map(|(conn, _)| *conn)
@@ -144,15 +173,14 @@
 
     /// Accepts a connection.
     pub fn accept(&mut self, context: &mut EdgeContext, now: Micros, conn: ConnectionId) {
-        let connection = FastCgiConnection::new(context, now);
+        let mut connection = FastCgiConnection::new(context, now);
+        let check_at = now + context.limits.request_timeout;
+        connection.schedule_check(context, now, conn, check_at);
         context
             .connection_owners
             .insert(conn, ConnectionOwner::Client);
         self.connections.insert(conn, connection);
         context.metrics.client_connections_open.increment(1.0);
-        let check_at = now + context.limits.request_timeout;
-        let timer = Timer::ClientConnection(conn);
-        context.timers.schedule(check_at, timer);
     }
 
     /// Records that bytes were received on a connection.
@@ -235,15 +263,9 @@
         let Some(connection) = self.connections.get_mut(&conn) else {
             return;
         };
-        let is_partial = connection.responder.has_partial_request()
-            && connection.close_state == CloseState::Open;
-        if !is_partial {
-            connection.partial_since = None;
-        } else if connection.partial_since.is_none() {
-            connection.partial_since = Some(now);
-            let check_at = now + context.limits.request_timeout;
-            let timer = Timer::ClientConnection(conn);
-            context.timers.schedule(check_at, timer);
+        if let Some(since) = connection.partial_since() {
+            let check_at = since + context.limits.request_timeout;
+            connection.schedule_check(context, now, conn, check_at.max(now + 1));
         }
     }
 
@@ -369,8 +391,7 @@
         }
         let close_at = now + context.limits.linger_time;
         connection.close_state = CloseState::ByDeadline(close_at);
-        let timer = Timer::ClientConnection(conn);
-        context.timers.schedule(close_at, timer);
+        connection.schedule_check(context, now, conn, close_at);
         io.pause(conn, true);
     }
 
--- a/crates/sanddrum-edge/src/fastcgi_listener/closing.rs
+++ b/crates/sanddrum-edge/src/fastcgi_listener/closing.rs
@@ -1,11 +1,11 @@
 //! Closing of FastCGI connections.
 
-use super::{CloseState, FastCgiConnection, FastCgiListener};
+use super::{encode_error, CloseState, FastCgiConnection, FastCgiListener};
 use crate::context::EdgeContext;
 use crate::event_counts::CountedEvent;
 use crate::invariants::{may_close, CloseReason};
 use crate::listener::ClosedClient;
-use crate::timers::Timer;
+use crate::responses::{ErrorKind, RequestError};
 use sanddrum::Micros;
 use sanddrum_net::{ConnectionId, Io};
 
@@ -15,6 +15,8 @@
     Close(CloseReason),
     /// Reject new requests on it and close it after its responses, as a request was not received in time.
     Drain,
+    /// Reject this request, which was not received in time, and check the connection again.
+    RejectRequest(u16),
     /// Check it again at this instant.
     RecheckAt(Micros),
 }
@@ -31,17 +33,26 @@
         let request_timeout = context.limits.request_timeout;
         let client_idle_timeout = context.limits.client_idle_timeout;
         let silent_until = (!self.has_sent_request).then_some(self.accepted_at + request_timeout);
-        let partial_until = self
-            .partial_since
-            .filter(|_| self.close_state == CloseState::Open)
+        let record_until = self
+            .partial_record_since()
             .map(|since| since + request_timeout);
         let has_passed = |until: Micros| until <= now;
-        if partial_until.is_some_and(has_passed) && !self.open_requests.is_empty() {
+        if record_until.is_some_and(has_passed) && !self.open_requests.is_empty() {
             return CheckResult::Drain;
         }
+        if !record_until.or(silent_until).is_some_and(has_passed) {
+            if let Some(id) = self.overdue_request(now - request_timeout) {
+                return CheckResult::RejectRequest(id);
+            }
+        }
+        let partial_until = self.partial_since().map(|since| since + request_timeout);
         let waits_for_client = self.open_requests.is_empty() || unwritten > 0;
         let idle_until = waits_for_client.then_some(self.last_active + client_idle_timeout);
-        let instants = [silent_until, partial_until, idle_until];
+        let close_at = match self.close_state {
+            CloseState::ByDeadline(at) => Some(at),
+            _ => None,
+        };
+        let instants = [silent_until, partial_until, idle_until, close_at];
         let next_check = instants.into_iter().flatten().min();
         if !next_check.is_some_and(has_passed) {
             let check_at = next_check.unwrap_or(now + client_idle_timeout);
@@ -56,6 +67,22 @@
         })
     }
 
+    /// When the record began of which only part has been received, if the connection still accepts requests.
+    fn partial_record_since(&self) -> Option<Micros> {
+        self.responder
+            .partial_record_since()
+            .filter(|_| self.close_state == CloseState::Open)
+    }
+
+    /// The oldest incomplete request, if it began at or before this instant.
+    fn overdue_request(&self, began_by: Micros) -> Option<u16> {
+        if self.close_state != CloseState::Open {
+            return None;
+        }
+        let (id, began_at) = self.responder.oldest_partial_request()?;
+        (began_at <= began_by).then_some(id)
+    }
+
     fn is_close_due(&self, now: Micros) -> bool {
         match self.close_state {
             CloseState::Open | CloseState::AfterResponses => false,
@@ -75,21 +102,36 @@
         conn: ConnectionId,
         io: &mut dyn Io,
     ) -> Option<ClosedClient> {
-        let connection = self.connections.get_mut(&conn)?;
-        let timer = Timer::ClientConnection(conn);
-        match connection.check(context, now) {
-            CheckResult::Close(reason) => return self.close(context, conn, io, reason),
-            CheckResult::RecheckAt(at) => context.timers.schedule(at, timer),
-            CheckResult::Drain => {
-                // A request that is never completed must not end the other open requests: the connection is closed
-                // after their responses.
-                connection.close_state = CloseState::AfterResponses;
-                connection.partial_since = None;
-                let check_at = now + context.limits.request_timeout;
-                context.timers.schedule(check_at, timer);
+        loop {
+            let connection = self.connections.get_mut(&conn)?;
+            if now < connection.next_check_at {
+                return None;
+            }
+            match connection.check(context, now) {
+                CheckResult::Close(reason) => return self.close(context, conn, io, reason),
+                CheckResult::RejectRequest(id) => self.reject_overdue(context, conn, id),
+                CheckResult::RecheckAt(at) => connection.schedule_check(context, now, conn, at),
+                CheckResult::Drain => {
+                    // A record that is never completed must not end the other open requests: the connection is closed
+                    // after their responses.
+                    connection.close_state = CloseState::AfterResponses;
+                    let check_at = now + context.limits.request_timeout;
+                    connection.schedule_check(context, now, conn, check_at);
+                }
             }
         }
-        None
+    }
+
+    /// Answers a request that was not received in time. Others on its connection, complete or not, are unaffected.
+    fn reject_overdue(&mut self, context: &mut EdgeContext, conn: ConnectionId, id: u16) {
+        let reason = "head-time-out";
+        context
+            .metrics
+            .record_error_response(ErrorKind::Invalid, reason);
+        let error = RequestError::new(408, reason, "the request was not received in time");
+        let response = encode_error(id, &error.response(ErrorKind::Invalid, None));
+        self.respond(context, conn, id, &response);
+        self.count_partial_bytes(conn);
     }
 
     /// Closes a connection gracefully, or resets it if it is malformed or its client does not read.
--- a/crates/sanddrum-edge/src/http_listener.rs
+++ b/crates/sanddrum-edge/src/http_listener.rs
@@ -150,7 +150,8 @@
             .filter(|(_, connection)| connection.is_idle());
         let rank = |connection: &HttpConnection| {
             let had_time_to_send = now - connection.accepted_at >= first_request_timeout;
-            EvictionRank::new(connection.first_slot > 0, had_time_to_send)
+            // A connection with a part of a request is not idle.
+            EvictionRank::new(connection.first_slot > 0, had_time_to_send, false)
         };
         idle.min_by_key(|(conn, connection)| (rank(connection), connection.last_active, **conn))
             .map(|(conn, _)| *conn)
--- a/crates/sanddrum-edge/src/listener.rs
+++ b/crates/sanddrum-edge/src/listener.rs
@@ -18,17 +18,19 @@
     Silent,
     /// The client has sent a request.
     Idle,
-    /// The connection was accepted recently, and its first request may still arrive.
-    New,
+    /// The connection was accepted recently, and its first request may still arrive, or part of a further request has
+    /// been received.
+    Receiving,
 }
 
 impl EvictionRank {
     /// Ranks a connection without open requests.
-    pub fn new(has_sent_request: bool, had_time_to_send: bool) -> Self {
+    pub fn new(has_sent_request: bool, had_time_to_send: bool, is_receiving: bool) -> Self {
         match (has_sent_request, had_time_to_send) {
+            _ if is_receiving => EvictionRank::Receiving,
             (true, _) => EvictionRank::Idle,
             (false, true) => EvictionRank::Silent,
-            (false, false) => EvictionRank::New,
+            (false, false) => EvictionRank::Receiving,
         }
     }
 }
--- a/crates/sanddrum-edge/tests/fastcgi_listener.rs
+++ b/crates/sanddrum-edge/tests/fastcgi_listener.rs
@@ -333,3 +333,59 @@
     harness.receive(client, &bytes);
     assert_eq!(harness.fastcgi_statuses(client), [(1, 413)]);
 }
+
+/// Guards against one time-out for all requests of a connection: a web server that passes bodies on as they arrive has
+/// one incomplete at any time, and its connection was closed while requests on it were under way.
+#[rstest]
+fn overlapping_requests_are_not_cut_off_however_long_one_is_incomplete() {
+    let mut harness = EdgeHarness::on_platform(&[("limits.head-time-out", "2 s")]);
+    let client = harness.accept_client();
+    let mut pending = split_request(100, "0000000000000f00");
+    harness.receive(client, &pending.0);
+    let count = 60;
+    for id in 1..=count {
+        let next = split_request(id, &format!("{:016x}", 0xf00 + id));
+        harness.advance(SECOND / 10);
+        harness.receive(client, &next.0);
+        let request = harness.request_count() as u64;
+        harness.plan([Decision::Reject(request)]);
+        harness.receive(client, &pending.1);
+        pending = next;
+    }
+    assert!(!harness.io.has_closed(client));
+    let answers = harness.fastcgi_statuses(client);
+    assert!(answers.iter().all(|(_, status)| *status == 503));
+    assert_eq!(answers.len(), usize::from(count));
+}
+
+/// A request that is never completed costs only itself: it is answered in time, and others that overlap with it are
+/// accepted.
+#[rstest]
+fn a_request_that_is_never_completed_does_not_end_overlapping_ones() {
+    let mut harness = EdgeHarness::on_platform(&[("limits.head-time-out", "2 s")]);
+    let client = harness.accept_client();
+    harness.send_health_check(client);
+    let (never_completed, _) = split_request(2, CALL_ID);
+    harness.receive(client, &never_completed);
+    harness.advance(SECOND * 19 / 10);
+    let (begin, end) = split_request(3, OTHER_CALL_ID);
+    harness.receive(client, &begin);
+    harness.advance(SECOND / 5);
+    assert_eq!(harness.fastcgi_statuses(client).last(), Some(&(2, 408)));
+    assert!(!harness.io.has_closed(client));
+    harness.receive(client, &end);
+    assert_eq!(harness.request_count(), 1);
+}
+
+/// Guards against eviction of a connection on which a request is under way.
+#[rstest]
+fn eviction_takes_an_idle_connection_before_one_with_a_partial_request() {
+    let mut harness = EdgeHarness::on_platform(&[("limits.max-clients", "2")]);
+    let (receiving, idle) = (harness.accept_client(), harness.accept_client());
+    harness.send_health_check(receiving);
+    harness.receive(receiving, &split_request(2, CALL_ID).0);
+    harness.advance(SECOND / 2);
+    harness.send_health_check(idle);
+    harness.accept_client();
+    assert_eq!(harness.io.closed, [(idle, Some(CloseCause::Orderly))]);
+}
--- a/crates/sanddrum-fastcgi/src/responder.rs
+++ b/crates/sanddrum-fastcgi/src/responder.rs
@@ -123,6 +123,8 @@
 pub struct Responder {
     limits: ResponderLimits,
     reader: RecordReader,
+    /// When the record began of which only part has been received.
+    record_began_at: Option<Timestamp>,
     /// What the content of the current record is used for.
     content_use: ContentUse,
     /// The content of the current record, if it is used as a whole; of a begin-request record only the fixed part.
@@ -141,6 +143,7 @@
         Responder {
             limits,
             reader: RecordReader::default(),
+            record_began_at: None,
             content_use: ContentUse::Discard,
             fixed_content: Vec::new(),
             open: BTreeMap::new(),
@@ -164,6 +167,12 @@
         !self.reader.is_between_records() || self.oldest_partial_request().is_some()
     }
 
+    /// When the record began of which only part has been received, if there is one. Nothing else can be received on the
+    /// connection before its end.
+    pub fn partial_record_since(&self) -> Option<Timestamp> {
+        self.record_began_at
+    }
+
     /// The id of the incomplete request that began first, and when it began.
     pub fn oldest_partial_request(&self) -> Option<(u16, Timestamp)> {
         let partial = self.open.iter().filter(|(_, open)| !open.is_complete());
@@ -192,6 +201,11 @@
         input: &mut &[u8],
     ) -> Result<Option<ResponderEvent>, ProtocolError> {
         while let Some(fragment) = self.reader.next(input)? {
+            match fragment {
+                Fragment::Header(_) => self.record_began_at = Some(now),
+                Fragment::EndOfContent => self.record_began_at = None,
+                Fragment::Content(_) => {}
+            }
             let event = match fragment {
                 Fragment::Header(header) => self.begin_record(&header)?,
                 Fragment::Content(content) => {
@@ -204,6 +218,12 @@
                 return Ok(event);
             }
         }
+        if self.reader.is_between_records() {
+            self.record_began_at = None;
+        } else {
+            // Of a record whose header is incomplete, or whose padding is, the time counts from now.
+            self.record_began_at.get_or_insert(now);
+        }
         Ok(None)
     }
 
