Bound the incomplete frames of all workers together

Cause: FrameDecoder checks the announced length of one frame; nothing summed what WorkerConnections had buffered.

Beyond it the connection whose frame takes the most is reset, like one with a frame that is too large. What is received from workers is a module of its own (worker_connections/receiving.rs).

--- a/crates/sanddrum-edge/src/edge_state/workers.rs
+++ b/crates/sanddrum-edge/src/edge_state/workers.rs
@@ -28,6 +28,7 @@
             Event::Bytes { bytes, .. } => {
                 self.worker_connections.push_bytes(id, bytes);
                 self.read_worker_messages(now, id, io);
+                self.limit_incomplete_frames(now, id, io);
             }
             Event::Closed { cause, .. } => {
                 let loss = ConnectionLoss::Closed(cause);
@@ -56,6 +57,27 @@
         }
     }
 
+    /// Resets connections while incomplete frames of all workers exceed their limit.
+    fn limit_incomplete_frames(
+        &mut self,
+        now: Micros,
+        received_on: WorkerConnectionId,
+        io: &mut dyn Io,
+    ) {
+        let max_bytes = self.context.limits.max_incomplete_frame_bytes;
+        while let Some(largest) = self
+            .worker_connections
+            .largest_incomplete_frame(received_on, max_bytes)
+        {
+            let Some(worker) = self.worker_connections.worker_of(largest) else {
+                return;
+            };
+            self.context.metrics.record_limit_hit("worker-frames");
+            let error = WorkerProtocolError::TooManyBytes(max_bytes);
+            self.reset_after_violation(now, largest, worker, &error, io);
+        }
+    }
+
     fn reset_after_violation(
         &mut self,
         now: Micros,
--- a/crates/sanddrum-edge/src/limits.rs
+++ b/crates/sanddrum-edge/src/limits.rs
@@ -40,6 +40,8 @@
     pub max_outbox_bytes_per_worker: usize,
     /// Maximum size of a frame of the worker protocol.
     pub max_frame_bytes: usize,
+    /// Maximum memory of the incomplete frames of all workers.
+    pub max_incomplete_frame_bytes: usize,
     /// Maximum size of an answer of the control feed.
     pub max_feed_answer_bytes: usize,
     /// Maximum number of messages in flight on a worker connection.
@@ -105,6 +107,7 @@
             max_outbox_bytes_per_client: bytes("waiting-per-client"),
             max_outbox_bytes_per_worker: bytes("waiting-per-worker"),
             max_frame_bytes: bytes("largest-frame"),
+            max_incomplete_frame_bytes: bytes("worker-frames"),
             max_feed_answer_bytes: bytes("largest-list"),
             max_in_flight_per_connection: streams,
             wanted_in_flight_per_connection: if has_streams_wanted {
--- a/crates/sanddrum-edge/src/worker_connections.rs
+++ b/crates/sanddrum-edge/src/worker_connections.rs
@@ -3,12 +3,13 @@
 
 mod closing;
 mod endpoints;
+mod receiving;
 mod sending;
 
 use crate::context::EdgeContext;
 use crate::message::{AttemptId, MessageKey, OutboundMessage};
 use crate::timers::Timer;
-use crate::worker_protocol::{MessageDecoder, WorkerProtocol, WorkerProtocolError};
+use crate::worker_protocol::{MessageDecoder, WorkerProtocol};
 use endpoints::WorkerEndpoint;
 use sanddrum::{LoadReport, Micros, Outcome, WorkerId};
 use sanddrum_net::{CloseCause, ConnectionId, Io, Outbox};
@@ -16,7 +17,7 @@
     EstablishedConnection, IdleTimeoutEstimate, OutdatedConnection, RotationRequest,
     WorkerConnectionId, WorkerLoad,
 };
-use sanddrum_wire::{FromWorker, Hello, VERSION};
+use sanddrum_wire::{Hello, VERSION};
 use std::collections::{BTreeMap, BTreeSet};
 use thiserror::Error;
 
@@ -171,6 +172,8 @@
     connections: BTreeMap<WorkerConnectionId, WorkerConnection>,
     endpoints: BTreeMap<WorkerId, WorkerEndpoint>,
     last_connection: u64,
+    /// Memory of incomplete frames in bytes, by connection.
+    incomplete_frames: BTreeMap<WorkerConnectionId, usize>,
     /// Connections with something to write.
     dirty: BTreeSet<WorkerConnectionId>,
     /// Connections with a queued cancellation; they are written first.
@@ -193,6 +196,7 @@
             connections: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             last_connection: 0,
+            incomplete_frames: BTreeMap::new(),
             dirty: BTreeSet::new(),
             with_queued_cancels: BTreeSet::new(),
             idle_timeout: IdleTimeoutEstimate::new(connect_timeout),
@@ -283,27 +287,6 @@
         }
     }
 
-    /// Buffers bytes received on a connection.
-    pub fn push_bytes(&mut self, id: WorkerConnectionId, bytes: &[u8]) {
-        if let Some(connection) = self.connections.get_mut(&id) {
-            connection.decoder.push_bytes(bytes);
-        }
-    }
-
-    /// Takes the next complete message received on a connection.
-    ///
-    /// # Errors
-    /// The worker violated the protocol.
-    pub fn next_message(
-        &mut self,
-        id: WorkerConnectionId,
-    ) -> Result<Option<FromWorker>, WorkerProtocolError> {
-        match self.connections.get_mut(&id) {
-            Some(connection) => connection.decoder.next_message(&connection.keys_by_wire_id),
-            None => Ok(None),
-        }
-    }
-
     /// Handles a change of credentials since the handshake of a connection. If the worker's certificate was denied,
     /// the connection is retired at once; otherwise the connection policy rotates it.
     pub fn credentials_changed(
--- a/crates/sanddrum-edge/src/worker_protocol.rs
+++ b/crates/sanddrum-edge/src/worker_protocol.rs
@@ -40,6 +40,9 @@
         /// The name in the endpoint list.
         listed: String,
     },
+    /// The incomplete frames of all workers exceed their limit, and this connection's takes the most memory.
+    #[error("incomplete frames of workers exceed {0} bytes (limits worker-frames), and this one takes the most")]
+    TooManyBytes(usize),
     /// The greeting states version 0, which does not exist.
     #[error("unsupported protocol version 0")]
     UnsupportedVersion,
@@ -137,6 +140,14 @@
         }
     }
 
+    /// Bytes of memory allocated for what has been received and not taken.
+    pub fn buffered_bytes(&self) -> usize {
+        match self {
+            MessageDecoder::Native(frames) => frames.buffered_bytes(),
+            MessageDecoder::Platform(frames) => frames.buffered_bytes(),
+        }
+    }
+
     /// Takes the next complete message. `keys_by_wire_id` holds the messages in flight on the connection, by the ids
     /// that the platform's answers carry.
     ///
--- a/crates/sanddrum-edge/tests/worker_connections.rs
+++ b/crates/sanddrum-edge/tests/worker_connections.rs
@@ -206,3 +206,34 @@
     assert_eq!(harness.io.connects.len(), connects);
     assert_eq!(harness.outcomes(), [Outcome::Reset, Outcome::NoConnection]);
 }
+
+/// Guards against frames that workers begin and never end: each is within its own limit, and hundreds of connections
+/// together took any amount of memory. The connection whose frame takes the most is reset.
+#[rstest]
+fn incomplete_frames_are_bounded_over_all_workers() {
+    let mut harness = EdgeHarness::new(&[
+        ("limits.worker-frames", "25KB"),
+        ("limits.largest-frame", "1MB"),
+    ]);
+    let workers = [
+        endpoint("w", 1, Phase::Ready),
+        endpoint("v", 1, Phase::Ready),
+    ];
+    harness.receive_update(&full_update(2, &workers));
+    let (_, first) = harness.dispatch_http_request(5 * SECOND);
+    harness.connect(first);
+    let client = harness.accept_client();
+    harness.plan([Decision::DispatchTo(1, 5 * SECOND, "v")]);
+    harness.send_http_request(client, &[]);
+    let second = harness.last_connection();
+    harness.connect(second);
+    let frame = |length: usize| [&100_000u32.to_be_bytes()[..], &vec![0; length]].concat();
+    harness.receive(first, &frame(20_000));
+    assert!(!harness.io.has_reset(first));
+    harness.receive(second, &frame(10_000));
+    assert!(harness.io.has_reset(first));
+    assert!(!harness.io.has_reset(second));
+    // What the reset connection had taken no longer counts.
+    harness.receive(second, &[0; 5_000]);
+    assert!(!harness.io.has_reset(second));
+}
--- a/crates/sanddrum-settings/src/deployment/limits.rs
+++ b/crates/sanddrum-settings/src/deployment/limits.rs
@@ -144,6 +144,13 @@
             Some("16MB"),
             "the largest frame of the worker protocol",
         ),
+        key(
+            "worker-frames",
+            ValueType::Bytes,
+            Some("1GB"),
+            "memory of frames of which only part has been received, from all workers; beyond it the \
+             connection with the largest one is reset",
+        ),
         key(
             "largest-list",
             ValueType::Bytes,
--- a/crates/sanddrum-wire/src/frame.rs
+++ b/crates/sanddrum-wire/src/frame.rs
@@ -47,6 +47,11 @@
         self.buffer.push(bytes);
     }
 
+    /// Bytes of memory allocated for what has been received and not returned.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.allocated_bytes()
+    }
+
     /// Returns the next complete frame's content, or `None` until more bytes are received.
     ///
     /// # Errors
--- a/crates/sanddrum-wire/src/receive_buffer.rs
+++ b/crates/sanddrum-wire/src/receive_buffer.rs
@@ -31,6 +31,11 @@
         self.consumed == self.bytes.len()
     }
 
+    /// Bytes of memory allocated for the buffer.
+    pub fn allocated_bytes(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Consumes the next `length` bytes and returns them.
     ///
     /// # Panics
