Bound the responses that clients have not read together, and release write buffers

Each may leave 1 MB unread (waiting-per-client), 341 MB with the most clients.

Cause: nothing summed the outboxes of FastCgiListener; and Outbox::write cleared its buffer without releasing it, so each connection kept the memory of its largest burst.

Ruled out: a lower waiting-per-client, as one client may have 32 large responses open.

An empty outbox keeps 4 KB.

Measured: unread_responses_are_bounded_over_all_connections fails without the check (trial on a scratch copy) and passes with it, as does an_outbox_releases_the_memory_of_a_burst; all tests of sanddrum-edge and the outbox pass.

--- a/crates/sanddrum-edge/src/fastcgi_listener.rs
+++ b/crates/sanddrum-edge/src/fastcgi_listener.rs
@@ -128,6 +128,8 @@
     connections: BTreeMap<ConnectionId, FastCgiConnection>,
     /// Connections with something to write.
     dirty: BTreeSet<ConnectionId>,
+    /// Memory of responses that have not been read by the client, in bytes, by connection.
+    unread: BTreeMap<ConnectionId, usize>,
     /// The sum of the connections' `partial_bytes`.
     partial_bytes: usize,
 }
@@ -445,9 +447,16 @@
             };
             let before = connection.outbox.pending_bytes();
             connection.outbox.flush(conn, io);
-            if connection.outbox.pending_bytes() < before {
+            let pending = connection.outbox.pending_bytes();
+            if pending < before {
                 connection.last_active = now;
             }
+            match pending {
+                0 => self.unread.remove(&conn),
+                _ => self
+                    .unread
+                    .insert(conn, connection.outbox.allocated_bytes()),
+            };
             let reason = match connection.close_state {
                 CloseState::NotReading => CloseReason::NotReading,
                 CloseState::AfterResponses | CloseState::ByDeadline(_)
@@ -459,6 +468,30 @@
             };
             closed.extend(self.close(context, conn, io, reason));
         }
+        closed.extend(self.limit_unread_responses(context, io));
+        closed
+    }
+
+    /// Enforces the limit on the memory of responses that clients have not read, summed over all connections: those
+    /// with the most are reset.
+    fn limit_unread_responses(
+        &mut self,
+        context: &mut EdgeContext,
+        io: &mut dyn Io,
+    ) -> Vec<ClosedClient> {
+        let mut closed = Vec::new();
+        while self.unread.values().sum::<usize>() > context.limits.max_unread_response_bytes {
+            let largest = self
+                .unread
+                .iter()
+                .max_by_key(|(conn, bytes)| (**bytes, **conn));
+            let Some(conn) = largest.map(|(conn, _)| *conn) else {
+                break;
+            };
+            context.metrics.record_limit_hit("unread-responses");
+            closed.extend(self.close(context, conn, io, CloseReason::NotReading));
+            self.unread.remove(&conn);
+        }
         closed
     }
 }
--- a/crates/sanddrum-edge/src/fastcgi_listener/closing.rs
+++ b/crates/sanddrum-edge/src/fastcgi_listener/closing.rs
@@ -173,6 +173,7 @@
     pub fn remove(&mut self, context: &EdgeContext, conn: ConnectionId) -> Option<ClosedClient> {
         let connection = self.connections.remove(&conn)?;
         self.dirty.remove(&conn);
+        self.unread.remove(&conn);
         self.partial_bytes -= connection.partial_bytes;
         context.metrics.client_connections_open.decrement(1.0);
         Some(ClosedClient {
--- a/crates/sanddrum-edge/src/limits.rs
+++ b/crates/sanddrum-edge/src/limits.rs
@@ -71,6 +71,8 @@
     pub max_functions: usize,
     /// Maximum total size of the bodies of all open requests.
     pub max_buffered_body_bytes: usize,
+    /// Maximum memory of all responses over FastCGI that clients have not read.
+    pub max_unread_response_bytes: usize,
     /// Maximum memory of all partially received requests over FastCGI.
     pub max_partial_request_bytes: usize,
     /// Factor by which a duration that a client states may exceed the configured maximum.
@@ -126,6 +128,7 @@
             max_retry_after: duration("max-retry-after"),
             max_functions: count("max-functions"),
             max_buffered_body_bytes: bytes("held-bodies"),
+            max_unread_response_bytes: bytes("unread-responses"),
             max_partial_request_bytes: bytes("partial-requests"),
             parameter_tolerance: settings.number("limits.figures-beyond"),
             late_arrival_window: duration("late-arrivals"),
--- a/crates/sanddrum-edge/tests/fastcgi_listener.rs
+++ b/crates/sanddrum-edge/tests/fastcgi_listener.rs
@@ -389,3 +389,28 @@
     harness.accept_client();
     assert_eq!(harness.io.closed, [(idle, Some(CloseCause::Orderly))]);
 }
+
+/// Guards against responses that hundreds of clients do not read, each within its own limit: the client with the most
+/// loses its connection, and the others get their responses.
+#[rstest]
+fn unread_responses_are_bounded_over_all_connections() {
+    let mut harness = EdgeHarness::on_platform(&[("limits.unread-responses", "25KB")]);
+    let (first, worker) = harness.dispatch_fastcgi_request();
+    let second = harness.accept_client();
+    harness.plan([Decision::Dispatch(1, SECOND)]);
+    harness.send_request(second, 1, OTHER_CALL_ID);
+    let second_worker = harness.last_connection();
+    if second_worker != worker {
+        harness.connect(second_worker);
+    }
+    harness.io.capacity.insert(first, 0);
+    harness.io.capacity.insert(second, 0);
+    harness.finish_request(worker, CALL_ID, &[1; 20_000]);
+    assert!(!harness.io.has_closed(first));
+    harness.finish_request(second_worker, OTHER_CALL_ID, &[2; 10_000]);
+    assert!(harness.io.has_reset(first));
+    assert!(!harness.io.has_closed(second));
+    harness.io.capacity.remove(&second);
+    harness.event(Event::Writable { conn: second });
+    assert_eq!(harness.fastcgi_statuses(second), [(1, 200)]);
+}
--- a/crates/sanddrum-net/src/outbox.rs
+++ b/crates/sanddrum-net/src/outbox.rs
@@ -4,6 +4,10 @@
 use std::collections::VecDeque;
 use std::ops::Range;
 
+/// An empty outbox releases its buffer if that is larger, so that a burst does not take memory for as long as the
+/// connection is open.
+const MAX_EMPTY_BUFFER_BYTES: usize = 4 * 1024;
+
 /// A message that has not been written completely.
 #[derive(Debug)]
 struct Message<T> {
@@ -51,6 +55,10 @@
     pub fn pending_bytes(&self) -> usize {
         self.buffer.len() - self.written
     }
+    /// Bytes of memory allocated for messages.
+    pub fn allocated_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
     /// Appends a message.
     ///
     /// # Errors
@@ -148,6 +156,7 @@
         }
         if self.pending_bytes() == 0 {
             self.buffer.clear();
+            self.buffer.shrink_to(MAX_EMPTY_BUFFER_BYTES);
             self.written = 0;
         } else if self.written > self.max_pending_bytes {
             self.compact();
--- a/crates/sanddrum-net/tests/outbox.rs
+++ b/crates/sanddrum-net/tests/outbox.rs
@@ -144,3 +144,16 @@
         (&b"aaaaBCCCC"[..], 0)
     );
 }
+
+/// Guards against a buffer that stays allocated when its content has been written, on each of hundreds of connections.
+#[rstest]
+fn an_outbox_releases_the_memory_of_a_burst() {
+    let burst = "x".repeat(200_000);
+    let mut outbox: Outbox<i32> = Outbox::new(burst.len());
+    outbox.push(1, burst.as_bytes()).unwrap();
+    assert!(outbox.allocated_bytes() >= burst.len());
+    let mut io = LimitedConnection::new(burst.len());
+    outbox.flush(CONNECTION, &mut io);
+    assert_eq!(outbox.pending_bytes(), 0);
+    assert!(outbox.allocated_bytes() <= 8 * 1024);
+}
--- a/crates/sanddrum-settings/src/deployment/limits.rs
+++ b/crates/sanddrum-settings/src/deployment/limits.rs
@@ -312,6 +312,13 @@
             Some("1GB"),
             "bytes of the bodies of all requests in flight; further requests are shed unread",
         ),
+        key(
+            "unread-responses",
+            ValueType::Bytes,
+            Some("1GB"),
+            "memory of responses that clients have not read, over FastCGI; beyond it the connection \
+             with the most is reset",
+        ),
         key(
             "partial-requests",
             ValueType::Bytes,
