Forget functions that were never served, and let the bounds on memory add up

From 20,000 on every new function of any client was rejected with 503 max-functions, for up to eight keep-alives.

Cause: the edge's Functions (functions.rs, RETENTION_KEEP_ALIVES) and the module's (state/function.rs, EVICTION_KEEP_ALIVES) forgot functions by time only, and a full table rejected whoever came next.

Ruled out: a lower max-functions, which would let the same clients shut others out sooner.

Change: beyond 4,096 functions that were never served, both tables remove those that are not in use and were named longest ago; 2,048 remain. Functions that were served or are in use stay. No decision changes below that number. The bounds on what peers can make a router buffer now add up to less than 32 MB, and a test holds the sum: worker-frames, unread-responses and largest-list (at most 4 MB) are a sixteenth of the memory each.

Measured: functions_of_refused_requests_make_room_for_others failed before (full at its limit of 6,000), as did refused_requests_for_unknown_functions_take_little_memory (6,976 KiB); both pass. The flood test of robustness.rs fails where served functions are evicted as well (trial). Tests of sanddrum and sanddrum-edge pass.

--- a/crates/sanddrum-cli/tests/router_memory.rs
+++ b/crates/sanddrum-cli/tests/router_memory.rs
@@ -124,3 +124,33 @@
     let peak = router.peak_memory_kib();
     assert!(peak < MEMORY_MB * 1024, "{peak} KiB");
 }
+
+/// Guards against functions that no worker has and that clients name by the thousand: what is known of them took 7 MB
+/// after 15,000 refused requests. The share of the memory that the bounds of this router leave for them is an eighth.
+#[rstest]
+fn refused_requests_for_unknown_functions_take_little_memory() {
+    let ((_worker, worker_address), (feeds, feed_address)) = (Worker::listen(), listener());
+    let mut configuration = small_router_configuration(&feed_address, &worker_address);
+    // Without a worker in service all requests are refused at once.
+    let phase = &mut configuration["known"]["events"][0]["members"]["members"][0]["phase"];
+    *phase = json!("terminating");
+    let router = Router::start_with("memory-functions", &configuration, None);
+    next_poll(&mut accept(&feeds));
+    let mut web = WebServer::connect(&router.address);
+    let send_all = |web: &mut WebServer, functions: std::ops::Range<u64>| {
+        for first in functions.step_by(usize::from(MAX_OPEN_REQUESTS)) {
+            for id in 1..=MAX_OPEN_REQUESTS {
+                let name = format!("{:016x}", first + u64::from(id));
+                web.send(&encode_request_for(id, &name, &name, 1500, b""));
+            }
+            for _ in 1..=MAX_OPEN_REQUESTS {
+                assert_eq!(web.response().unwrap().status(), "503");
+            }
+        }
+    };
+    send_all(&mut web, 0..320);
+    let before = router.peak_memory_kib();
+    send_all(&mut web, 1_000..16_000);
+    let added = router.peak_memory_kib() - before;
+    assert!(added < MEMORY_MB * 1024 / 8, "{added} KiB");
+}
--- a/crates/sanddrum-edge/src/control_commands.rs
+++ b/crates/sanddrum-edge/src/control_commands.rs
@@ -52,6 +52,11 @@
         self.loads.remove(&id)
     }
 
+    /// The functions that are being loaded.
+    pub fn functions(&self) -> impl Iterator<Item = FunctionId> + '_ {
+        self.loads.values().map(|load| load.function)
+    }
+
     /// Adds a health check that has been sent.
     pub fn insert_health_check(&mut self, id: CommandId, health_check: PendingCommand) {
         self.health_checks.insert(id, health_check);
--- a/crates/sanddrum-edge/src/edge_state/attempts.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempts.rs
@@ -240,6 +240,9 @@
         }
         let result = AttemptOutcome::from(done);
         if result.outcome == Outcome::Finished {
+            if let Some(pending) = self.requests.get(request) {
+                self.functions.mark_served(pending.spec.function);
+            }
             self.complete_request(now, request, id, &done.body, result.warmth);
         }
         self.finish_attempt(now, id, result);
--- a/crates/sanddrum-edge/src/edge_state/control_commands.rs
+++ b/crates/sanddrum-edge/src/edge_state/control_commands.rs
@@ -94,6 +94,9 @@
         };
         let command = load.command;
         let end = outcome_label(outcome);
+        if instances > 0 {
+            self.functions.mark_served(load.function);
+        }
         if outcome != Outcome::Finished {
             self.context.counts.record(CountedEvent::LoadNotDone, end);
         }
--- a/crates/sanddrum-edge/src/edge_state/fastcgi.rs
+++ b/crates/sanddrum-edge/src/edge_state/fastcgi.rs
@@ -102,6 +102,14 @@
             return Err(RequestError::new(409, "call-open", detail));
         }
         self.check_capacity(request.body.len())?;
+        if self.functions.may_have_many_unserved() {
+            let in_use = self
+                .requests
+                .functions()
+                .chain(self.control_commands.functions())
+                .collect();
+            self.functions.remove_unserved(&in_use);
+        }
         let limits = &self.context.limits;
         let function = self.functions.upsert(
             now,
--- a/crates/sanddrum-edge/src/functions.rs
+++ b/crates/sanddrum-edge/src/functions.rs
@@ -4,12 +4,18 @@
 use sanddrum_settings::LoadedSettings;
 use sanddrum_wire::stable_id;
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use thiserror::Error;
 
 /// Functions described only by requests are retained for this many keep-alive periods after the last such request.
 const RETENTION_KEEP_ALIVES: Micros = 8;
 
+/// Functions that requests have named and of which none was served are removed, those named longest ago first, when
+/// there may be more than this many: clients can name any number of functions that no worker has.
+const MAX_UNSERVED_FUNCTIONS: usize = 4_096;
+/// The number of such functions that are retained then.
+const RETAINED_UNSERVED_FUNCTIONS: usize = MAX_UNSERVED_FUNCTIONS / 2;
+
 /// The resource needs of an instance of a function.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FunctionSpec {
@@ -32,6 +38,8 @@
     pub spec: FunctionSpec,
     /// When a request last described it.
     last_used: Micros,
+    /// Whether a request for it has finished or a load of it has succeeded.
+    is_served: bool,
 }
 
 /// A function entry in the settings, which applies to all functions with a matching name.
@@ -105,6 +113,8 @@
     /// How long a function is retained after a request last described it.
     retention: Micros,
     next_sweep: Micros,
+    /// The number of functions that were served or in use when unserved ones were last removed.
+    other_functions: usize,
 }
 
 impl Functions {
@@ -127,6 +137,7 @@
             // The decision module discards a function well before that, so it never names one that is unknown here.
             retention: RETENTION_KEEP_ALIVES * settings.duration_us("copies.keep-alive-us"),
             next_sweep: 0,
+            other_functions: 0,
         }
     }
 
@@ -186,12 +197,43 @@
             workload,
             spec,
             last_used: now,
+            is_served: false,
         });
         function.spec = spec;
         function.last_used = now;
         Some(id)
     }
 
+    /// Records that a request for a function has finished or that it was loaded.
+    pub fn mark_served(&mut self, id: FunctionId) {
+        if let Some(function) = self.known.get_mut(&id) {
+            function.is_served = true;
+        }
+    }
+
+    /// Whether unserved functions have to be removed, with [`remove_unserved`](Self::remove_unserved), before the next
+    /// one is added.
+    pub fn may_have_many_unserved(&self) -> bool {
+        self.known.len() >= self.other_functions + MAX_UNSERVED_FUNCTIONS
+    }
+
+    /// Removes the functions that were never served and are not in use, but for those that were named last.
+    pub fn remove_unserved(&mut self, in_use: &BTreeSet<FunctionId>) {
+        let mut unserved: Vec<_> = self
+            .known
+            .iter()
+            .filter(|(id, function)| !function.is_served && !in_use.contains(id))
+            .map(|(id, function)| (function.last_used, *id))
+            .collect();
+        unserved.sort_unstable();
+        let retained = unserved.len().min(RETAINED_UNSERVED_FUNCTIONS);
+        unserved.truncate(unserved.len() - retained);
+        for (_, id) in unserved {
+            self.known.remove(&id);
+        }
+        self.other_functions = self.known.len() - retained;
+    }
+
     /// Removes functions past their retention time. Runs at most once per keep-alive period.
     fn sweep(&mut self, now: Micros) {
         if now < self.next_sweep {
@@ -247,6 +289,7 @@
             workload: workload_id,
             spec: pattern.spec,
             last_used: 0,
+            is_served: false,
         })
     }
 }
--- a/crates/sanddrum-edge/src/requests.rs
+++ b/crates/sanddrum-edge/src/requests.rs
@@ -135,6 +135,11 @@
         open.map(|(id, _)| *id).collect()
     }
 
+    /// The functions of all requests.
+    pub fn functions(&self) -> impl Iterator<Item = FunctionId> + '_ {
+        self.requests.values().map(|request| request.spec.function)
+    }
+
     /// Whether a request with this client-assigned id is open.
     pub fn is_call_id_open(&self, call_id: u64) -> bool {
         self.by_call_id.contains_key(&call_id)
--- a/crates/sanddrum-edge/tests/fastcgi_listener.rs
+++ b/crates/sanddrum-edge/tests/fastcgi_listener.rs
@@ -414,3 +414,42 @@
     harness.event(Event::Writable { conn: second });
     assert_eq!(harness.fastcgi_statuses(second), [(1, 200)]);
 }
+
+/// Guards against clients that name functions which no worker has: they filled the table of functions, so that new ones
+/// of other clients were rejected. Functions that were served and those in use remain.
+#[rstest]
+fn functions_of_refused_requests_make_room_for_others() {
+    let mut harness = EdgeHarness::on_platform(&[("limits.max-functions", "6000")]);
+    let (client, worker) = harness.dispatch_fastcgi_request();
+    harness.finish_request(worker, CALL_ID, b"out");
+    let (_, in_use) = {
+        let client = harness.accept_client();
+        harness.plan([Decision::Dispatch(1, 100 * SECOND)]);
+        let params = request_params_with("HTTP_X_ENTITY", "00000000000000aa");
+        harness.receive(client, &request(1, &params, b"in"));
+        (client, harness.last_connection())
+    };
+    if in_use != worker {
+        harness.connect(in_use);
+    }
+    for number in 0..20_000u64 {
+        let request_number = harness.request_count() as u64;
+        harness.plan([Decision::Reject(request_number)]);
+        let mut params = request_params_with("HTTP_X_ENTITY", &format!("{:016x}", 0x1000 + number));
+        for (name, value) in &mut params {
+            if *name == "HTTP_X_CALL_ID" {
+                *value = format!("{:016x}", 0x1000 + number);
+            }
+        }
+        harness.receive(client, &request(2, &params, b""));
+    }
+    let statuses = harness.fastcgi_statuses(client);
+    assert_eq!(statuses.len(), 20_001);
+    assert_eq!(
+        harness.request_count(),
+        20_002,
+        "none was rejected for a full table"
+    );
+    let functions = harness.edge.resource_counts().functions;
+    assert!(functions < 5_000, "{functions}");
+}
--- a/crates/sanddrum-platform/src/deployment.rs
+++ b/crates/sanddrum-platform/src/deployment.rs
@@ -33,9 +33,13 @@
 /// a worker.
 const BODY_MEMORY_FRACTION: f64 = 1.0 / 8.0;
 /// The fraction of the router's memory for incomplete frames from workers.
-const WORKER_FRAME_MEMORY_FRACTION: f64 = 1.0 / 8.0;
+const WORKER_FRAME_MEMORY_FRACTION: f64 = 1.0 / 16.0;
 /// The fraction of the router's memory for responses that clients have not read.
-const RESPONSE_MEMORY_FRACTION: f64 = 1.0 / 8.0;
+const RESPONSE_MEMORY_FRACTION: f64 = 1.0 / 16.0;
+/// The fraction of the router's memory for an answer of the control feed, and the maximum in MB: a list of 3,200 workers
+/// takes 0.6 MB.
+const FEED_ANSWER_MEMORY_FRACTION: f64 = 1.0 / 16.0;
+const MAX_FEED_ANSWER_MB: f64 = 4.0;
 /// The fraction of the router's memory for partially received requests. With the smallest memory of the platform, 32 MB,
 /// and its most clients, a third of 1,024, each client's share is a largest body with its parameters.
 const PARTIAL_REQUEST_MEMORY_FRACTION: f64 = 1.0 / 5.0;
@@ -165,6 +169,8 @@
         let partial_memory_mb = self.config.memory_mb * PARTIAL_REQUEST_MEMORY_FRACTION;
         let frame_memory_mb = self.config.memory_mb * WORKER_FRAME_MEMORY_FRACTION;
         let response_memory_mb = self.config.memory_mb * RESPONSE_MEMORY_FRACTION;
+        let feed_answer_mb =
+            (self.config.memory_mb * FEED_ANSWER_MEMORY_FRACTION).min(MAX_FEED_ANSWER_MB);
         let idle_close = format_micros(self.number(KEEP_ALIVE_US, 3e7) * IDLE_CLOSE_FRACTION);
         format!(
             "(limits {FIXED_LIMITS} (streams {}) (connect-time-out {}) (idle-close {idle_close}) \
@@ -172,7 +178,7 @@
              (max-clients {max_clients}) (all-connections {max_worker_connections}) \
              (held-bodies {body_memory_mb}MB) (partial-requests {partial_memory_mb}MB) \
              (worker-frames {frame_memory_mb}MB) \
-             (unread-responses {response_memory_mb}MB) (stop-within {}))\n",
+             (unread-responses {response_memory_mb}MB) (largest-list {feed_answer_mb}MB) (stop-within {}))\n",
             self.number(STREAMS_PER_CONNECTION, 32.0).clamp(1.0, 1e5) as i64,
             self.duration(CONNECT_TIMEOUT_US, 250e3),
             self.duration("copies.order-time-out-us", 1e7),
--- a/crates/sanddrum-platform/tests/startup_config.rs
+++ b/crates/sanddrum-platform/tests/startup_config.rs
@@ -58,6 +58,32 @@
     );
 }
 
+/// Guards against limits that are each within the router's memory and together above it: at the smallest memory of the
+/// platform the bounds on what peers can make the router buffer add up to less than it, besides what the program, its
+/// lists and its functions take.
+#[rstest]
+fn the_bounds_on_buffered_bytes_add_up_to_less_than_the_smallest_memory_limit() {
+    let (memory, program_and_functions) = (32 << 20, 9 << 20);
+    let mut config = valid_config();
+    config["limits"] = json!({"memory_mb": 32, "sockets": 1024});
+    let config = StartupConfig::read(&config.to_string()).unwrap();
+    let settings = config.deployment_settings().unwrap();
+    let bytes = |name: &str| settings.integer(&format!("limits.{name}-bytes"));
+    // Each body is held a second time while it is sent to a worker.
+    let bounds = [
+        bytes("partial-requests"),
+        2 * bytes("held-bodies"),
+        bytes("worker-frames"),
+        bytes("unread-responses"),
+        bytes("largest-list"),
+    ];
+    let sum: usize = bounds.iter().sum();
+    assert!(sum + program_and_functions < memory, "{bounds:?}");
+    // The share of each client in the partial requests is a largest request.
+    let request = bytes("largest-body") + 1024;
+    assert!(bytes("partial-requests") / settings.integer("limits.max-clients") >= request);
+}
+
 #[rstest]
 #[case::short(1_500_000, 2_100_000)]
 #[case::longer_than_the_platform_waits(11_000_000, 3_600_000)]
--- a/src/state/function.rs
+++ b/src/state/function.rs
@@ -4,6 +4,12 @@
 use crate::{FunctionId, Micros, RequestId, WorkerId};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Functions of which no instance was ever found are evicted, those without requests for longest first, when there may
+/// be more than this many: clients can name any number of functions that no worker has.
+const MAX_UNSERVED_FUNCTIONS: usize = 4_096;
+/// The number of such functions that are retained then.
+const RETAINED_UNSERVED_FUNCTIONS: usize = MAX_UNSERVED_FUNCTIONS / 2;
+
 /// An unanswered command to a worker about a function.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum InstanceCommand {
@@ -73,6 +79,16 @@
         }
     }
 
+    /// Whether no instance of it was ever found, and nothing that it waits for may change that.
+    fn is_unserved(&self) -> bool {
+        let is_idle = |instance: &InstanceState| instance.in_flight == 0 && instance.instances == 0;
+        !self.is_work_observed
+            && self.last_warm_worker.is_none()
+            && self.waiting.is_empty()
+            && self.pending_workers.is_empty()
+            && self.workers.values().all(is_idle)
+    }
+
     /// What is known about the function at a worker.
     pub fn instance(&self, worker: WorkerId) -> InstanceState {
         self.workers.get(&worker).copied().unwrap_or_default()
@@ -96,6 +112,8 @@
     by_id: BTreeMap<FunctionId, Function>,
     by_last_request: BTreeSet<(Micros, FunctionId)>,
     by_worker: BTreeSet<(WorkerId, FunctionId)>,
+    /// The number of functions that were served or in use when unserved ones were last evicted.
+    other_functions: usize,
 }
 
 impl Functions {
@@ -117,6 +135,9 @@
         now: Micros,
         create: impl FnOnce() -> Function,
     ) -> &mut Function {
+        if !self.by_id.contains_key(&id) {
+            self.evict_unserved(now);
+        }
         let function = self.by_id.entry(id).or_insert_with(create);
         self.by_last_request.remove(&(function.last_request_at, id));
         self.by_last_request.insert((now, id));
@@ -220,14 +241,39 @@
             .copied()
             .collect();
         for (last_request_at, id) in idle {
-            let Some(function) = self.by_id.get(&id).filter(|f| f.waiting.is_empty()) else {
-                continue;
-            };
-            for worker in function.workers.keys() {
-                self.by_worker.remove(&(*worker, id));
+            if self.by_id.get(&id).is_some_and(|f| f.waiting.is_empty()) {
+                self.remove(last_request_at, id);
             }
-            self.by_last_request.remove(&(last_request_at, id));
-            self.by_id.remove(&id);
+        }
+    }
+
+    /// Evicts unserved functions if there may be too many of them. Those called at `now` remain, as their requests have
+    /// not been placed yet.
+    fn evict_unserved(&mut self, now: Micros) {
+        if self.by_id.len() < self.other_functions + MAX_UNSERVED_FUNCTIONS {
+            return;
+        }
+        let mut unserved: Vec<_> = self
+            .by_last_request
+            .range(..(now, FunctionId(0)))
+            .filter(|(_, id)| self.by_id.get(id).is_some_and(Function::is_unserved))
+            .copied()
+            .collect();
+        let retained = unserved.len().min(RETAINED_UNSERVED_FUNCTIONS);
+        unserved.truncate(unserved.len() - retained);
+        for (last_request_at, id) in unserved {
+            self.remove(last_request_at, id);
+        }
+        self.other_functions = self.by_id.len() - retained;
+    }
+
+    fn remove(&mut self, last_request_at: Micros, id: FunctionId) {
+        self.by_last_request.remove(&(last_request_at, id));
+        let Some(function) = self.by_id.remove(&id) else {
+            return;
+        };
+        for worker in function.workers.keys() {
+            self.by_worker.remove(&(*worker, id));
         }
     }
 }
--- a/tests/robustness.rs
+++ b/tests/robustness.rs
@@ -72,3 +72,31 @@
     host.advance(4_000_000);
     assert_eq!((host.final_answers(1), host.final_answers(2)), (1, 1));
 }
+
+/// Guards against functions that no worker has and that clients name by the thousand: what is known of them is evicted,
+/// and what is known of functions that were served, or that requests wait for, is not.
+#[rstest]
+fn a_flood_of_unknown_functions_evicts_neither_served_nor_awaited_functions() {
+    let mut host = FakeHost::new(3, &[]);
+    host.send(1, 7);
+    let warm = host.dispatched_to(1);
+    host.succeed(1, Warmth::StartedLoad, 900_000);
+    host.send(2, 8);
+    for number in 10..10_000 {
+        host.send(number, 1_000 + number);
+        host.handle(EventBatch {
+            cancelled: vec![RequestId(number)],
+            ..EventBatch::default()
+        });
+        host.report_outcome(number, Outcome::CancelledBeforeStart, Warmth::Unknown, 1);
+        host.now += 1;
+    }
+    let awaited = host.dispatched_to(2);
+    host.succeed(2, Warmth::StartedLoad, 100_000);
+    // The flood is over, and its load on the router has decayed.
+    host.advance(3_000_000);
+    host.send(20_000, 7);
+    assert_eq!(host.dispatched_to(20_000), warm, "the instance is known");
+    host.send(20_001, 8);
+    assert_eq!(host.dispatched_to(20_001), awaited, "the load was awaited");
+}
