--- /dev/null
+++ b/crates/sanddrum-cli/tests/late_delivery.rs
@@ -0,0 +1,177 @@
+//! A router as a process whose links to workers deliver bytes and ends of connections late. The rules are judged by
+//! what the workers read and when, as the platform does.
+
+mod fault_proxy;
+mod router_harness;
+
+use fault_proxy::FaultProxy;
+use router_harness::*;
+use rstest::rstest;
+use serde_json::{json, Value};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+const A: &str = "00000000000000a1";
+const B: &str = "00000000000000b2";
+
+/// How much later than the final answer of its request an attempt may be read.
+const ATTEMPT_SLACK: Duration = Duration::from_millis(50);
+
+/// Code of a cancellation.
+const CANCEL: u8 = 66;
+
+/// Two workers behind proxies, and a router that has been told of both.
+struct Fleet {
+    workers: [Worker; 2],
+    proxies: [FaultProxy; 2],
+    router: Router,
+    _feed: TcpStream,
+    web: WebServer,
+}
+
+impl Fleet {
+    /// Starts a fleet in which a request may not have two attempts in flight.
+    fn start(name: &str) -> Fleet {
+        let (workers, proxies): (Vec<_>, Vec<_>) = (0..2)
+            .map(|_| {
+                let (worker, address) = Worker::listen();
+                (worker, FaultProxy::start(&address))
+            })
+            .unzip();
+        let (feeds, feed_address) = listener();
+        let settings = configuration_of(&feed_address, &proxies);
+        let router = Router::start_with(name, &settings, None);
+        let mut feed = accept(&feeds);
+        next_poll(&mut feed);
+        let web = WebServer::connect(&router.address);
+        Fleet {
+            workers: workers.try_into().ok().unwrap(),
+            proxies: proxies.try_into().ok().unwrap(),
+            router,
+            _feed: feed,
+            web,
+        }
+    }
+
+    /// Returns the worker that gets a request's first attempt, the connection and the request.
+    fn first_attempt(&mut self, call: &str, time_limit_ms: u32) -> (usize, (usize, Frame)) {
+        self.web
+            .send(&encode_request(1, call, time_limit_ms, b"in"));
+        next_request(&mut self.workers)
+    }
+
+    /// Serves one request, so that the function is loaded and a connection is open.
+    fn warm_up(&mut self) {
+        let (worker, attempt) = self.first_attempt(A, 4_000);
+        self.workers[worker].serve(&attempt);
+        assert_eq!(self.web.response().unwrap().status(), "200");
+    }
+}
+
+fn configuration_of(feed: &str, proxies: &[FaultProxy]) -> Value {
+    let mut configuration = configuration(feed, &proxies[0].address, "repeatable");
+    let second = member("v", &proxies[1].address, "in_service");
+    configuration["known"]["events"][0]["members"]["members"]
+        .as_array_mut()
+        .unwrap()
+        .push(second);
+    configuration["settings"]["classes"][0]["aim-us"] = json!(200_000);
+    let limits = &mut configuration["settings"]["limits"];
+    limits["cancel"] = json!(true);
+    limits["may-duplicate"] = json!(false);
+    configuration
+}
+
+/// How long a request without a final answer is watched.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What the peers of a router have seen of one request.
+#[derive(Default)]
+struct Observed {
+    /// When each attempt was read, in the order of reading.
+    attempts: Vec<Instant>,
+    /// When the final answer was read.
+    answered: Option<Instant>,
+}
+
+impl Fleet {
+    /// Sends a request, releases the proxies after `release_after`, and watches until the final answer has been read
+    /// and nothing is held back. Workers answer queries, but no attempt.
+    fn observe(mut self, time_limit_ms: u32, release_after: Duration) -> Observed {
+        let started = Instant::now();
+        self.web.send(&encode_request(1, B, time_limit_ms, b"in"));
+        let mut web = self.web;
+        let answer = std::thread::spawn(move || {
+            web.response().unwrap();
+            Instant::now()
+        });
+        let mut observed = Observed::default();
+        while !answer.is_finished() || started.elapsed() < release_after + WATCHED_AFTER_RELEASE {
+            assert!(started.elapsed() < TIMEOUT, "no final answer");
+            if started.elapsed() >= release_after {
+                self.proxies.iter().for_each(FaultProxy::release);
+            }
+            for worker in &mut self.workers {
+                while worker.try_next_request().is_some() {
+                    observed.attempts.push(Instant::now());
+                }
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        observed.answered = answer.join().ok();
+        observed
+    }
+}
+
+/// How long the workers are watched after the proxies have delivered everything.
+const WATCHED_AFTER_RELEASE: Duration = Duration::from_millis(300);
+
+impl Observed {
+    /// Panics if an attempt was read later than allowed after the final answer.
+    fn assert_nothing_read_after_the_answer(&self) {
+        let answered = self.answered.expect("a final answer");
+        for read_at in &self.attempts {
+            let late = read_at.saturating_duration_since(answered);
+            assert!(
+                late <= ATTEMPT_SLACK,
+                "an attempt was read {late:?} after the final answer"
+            );
+        }
+    }
+}
+
+/// Guards against a second attempt that begins while the cancellation of the first is still on its way to the worker.
+#[rstest]
+fn no_second_attempt_is_read_before_the_cancellation_of_the_first() {
+    let mut fleet = Fleet::start("late-cancel");
+    let (first, _) = fleet.first_attempt(B, 4_000);
+    fleet.proxies[first].hold();
+    let held_at = Instant::now();
+    let other = 1 - first;
+    while held_at.elapsed() < Duration::from_secs(1) {
+        assert!(
+            fleet.workers[other].try_next_request().is_none(),
+            "the first attempt is still out: its worker has not read the cancellation"
+        );
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    fleet.proxies[first].release();
+    let (worker, attempt) = next_request(&mut fleet.workers);
+    assert!(
+        fleet.workers[first].has_read_code(CANCEL),
+        "the cancellation was delivered before the second attempt"
+    );
+    fleet.workers[worker].serve(&attempt);
+    assert_eq!(fleet.web.response().unwrap().status(), "200");
+}
+
+/// Guards against a final answer while an attempt of the request is still on its way to a worker.
+#[rstest]
+fn no_attempt_is_read_after_the_final_answer_of_its_request() {
+    let mut fleet = Fleet::start("late-attempt");
+    fleet.warm_up();
+    fleet.proxies.iter().for_each(FaultProxy::hold);
+    let observed = fleet.observe(800, Duration::from_millis(1_000));
+    assert!(!observed.attempts.is_empty(), "an attempt was sent");
+    observed.assert_nothing_read_after_the_answer();
+}
--- a/crates/sanddrum-cli/tests/router_harness/mod.rs
+++ b/crates/sanddrum-cli/tests/router_harness/mod.rs
@@ -106,6 +106,8 @@
 pub struct Worker {
     listener: TcpListener,
     pub conns: Vec<(Option<TcpStream>, Vec<u8>)>,
+    /// The codes of all frames that were taken from the connections.
+    codes_read: Vec<u8>,
 }
 
 impl Worker {
@@ -114,6 +116,7 @@
         Worker {
             listener,
             conns: Vec::new(),
+            codes_read: Vec::new(),
         }
     }
     pub fn listen() -> (Worker, String) {
@@ -153,6 +156,7 @@
             let frame: Vec<u8> = bytes.drain(..20 + fields + body).collect();
             let text = String::from_utf8(frame[16..16 + fields].to_vec()).unwrap();
             let body = frame[16 + fields..16 + fields + body].to_vec();
+            self.codes_read.push(code);
             return Some((
                 n,
                 Frame {
@@ -171,7 +175,7 @@
         next_request(std::slice::from_mut(self)).1
     }
     /// Returns a request that has already arrived, if any. Answers load commands and pings that precede it.
-    fn try_next_request(&mut self) -> Option<(usize, Frame)> {
+    pub fn try_next_request(&mut self) -> Option<(usize, Frame)> {
         self.poll_connections();
         loop {
             match self.next_frame()? {
@@ -193,6 +197,10 @@
             .map(|(_, frame)| frame.code)
             .collect()
     }
+    /// Whether a frame with this code has ever been read.
+    pub fn has_read_code(&self, code: u8) -> bool {
+        self.codes_read.contains(&code)
+    }
     pub fn send(&mut self, n: usize, bytes: &[u8]) {
         if let Some(conn) = &mut self.conns[n].0 {
             conn.set_nonblocking(false).unwrap();
