Add half-closing of a connection, and report which messages an outbox has written

Ruled out: acknowledgements of the kernel (TCP_INFO): they show what the peer's machine has, not what the peer has read.

Change: Io::finish_writing ends the output and goes on delivering input until the peer ends it, on both drivers; a layer without that closes the connection. Outbox::flush and flush_through return the tags of the messages whose last byte was written; flush_through takes a predicate. No behaviour of a program changes.

Measured: tests of sanddrum-net pass, with the_end_of_the_output_is_confirmed_by_the_close_of_the_peer on both drivers.

--- a/crates/sanddrum-edge/src/worker_connections/sending.rs
+++ b/crates/sanddrum-edge/src/worker_connections/sending.rs
@@ -278,7 +278,7 @@
         };
         connection
             .outbox
-            .flush_through(&MessageKey::Cancel, conn, io);
+            .flush_through(|key| *key == MessageKey::Cancel, conn, io);
         let is_blocked = connection.outbox.is_pending(&MessageKey::Cancel);
         if self.protocol == WorkerProtocol::Platform && is_blocked {
             return self.reset(
--- a/crates/sanddrum-lab/src/capacity/metered.rs
+++ b/crates/sanddrum-lab/src/capacity/metered.rs
@@ -329,6 +329,9 @@
     fn close(&mut self, conn: ConnectionId) {
         self.exclude(|this| this.io.close(conn));
     }
+    fn finish_writing(&mut self, conn: ConnectionId) {
+        self.exclude(|this| this.io.finish_writing(conn));
+    }
     fn reset(&mut self, conn: ConnectionId) {
         self.exclude(|this| {
             this.connections.remove(&conn);
--- a/crates/sanddrum-lab/src/capacity/simulated_router.rs
+++ b/crates/sanddrum-lab/src/capacity/simulated_router.rs
@@ -149,7 +149,7 @@
     fn flush(&mut self, io: &mut dyn Io) {
         self.conn
             .into_iter()
-            .for_each(|conn| self.out.flush(conn, io));
+            .for_each(|conn| drop(self.out.flush(conn, io)));
     }
     fn apply_update(&mut self, now: Micros, update: EndpointUpdateHead, io: &mut dyn Io) {
         if !self.known_version.is_followed_by(update) {
--- a/crates/sanddrum-lab/src/plaintext_capture.rs
+++ b/crates/sanddrum-lab/src/plaintext_capture.rs
@@ -63,6 +63,9 @@
         self.recording.closed(self.now, self.host, conn);
         self.io.close(conn);
     }
+    fn finish_writing(&mut self, conn: ConnectionId) {
+        self.io.finish_writing(conn);
+    }
     fn reset(&mut self, conn: ConnectionId) {
         self.recording.closed(self.now, self.host, conn);
         self.io.reset(conn);
--- a/crates/sanddrum-lab/src/relay.rs
+++ b/crates/sanddrum-lab/src/relay.rs
@@ -301,7 +301,7 @@
         let end_to_caller = pair.to_caller.forward(now, fault, withhold_to_caller);
         upstream
             .iter()
-            .for_each(|upstream| pair.to_upstream.outbox.flush(*upstream, io));
+            .for_each(|upstream| drop(pair.to_upstream.outbox.flush(*upstream, io)));
         pair.to_caller.outbox.flush(caller_conn, io);
         if pair.paused
             && pair
--- a/crates/sanddrum-net/src/event_loop/loop_io.rs
+++ b/crates/sanddrum-net/src/event_loop/loop_io.rs
@@ -4,6 +4,7 @@
 use super::{EventLoop, HostConnection, STALL_THRESHOLD};
 use crate::{ConnectionId, HostId, Io, Micros, Side};
 use std::io::{ErrorKind, Write};
+use std::net::Shutdown;
 
 /// The maximum number of closed connections whose input is drained at a time, while the loop runs.
 const MAX_LINGERING: usize = 16;
@@ -96,6 +97,12 @@
     fn close(&mut self, conn: ConnectionId) {
         self.event_loop.close(self.host, conn, MAX_LINGERING);
     }
+    fn finish_writing(&mut self, conn: ConnectionId) {
+        if let Some((_, stream)) = self.stream_mut(conn) {
+            // If this fails, the connection has ended, and the next read reports it.
+            let _ = stream.socket.shutdown(Shutdown::Write);
+        }
+    }
     fn reset(&mut self, conn: ConnectionId) {
         self.event_loop.set_reset_on_close(self.host, conn);
         self.event_loop.remove_connection(self.host, conn);
--- a/crates/sanddrum-net/src/io.rs
+++ b/crates/sanddrum-net/src/io.rs
@@ -46,6 +46,12 @@
     fn write(&mut self, conn: ConnectionId, bytes: &[u8]) -> usize;
     /// Closes a connection; accepted bytes are still delivered.
     fn close(&mut self, conn: ConnectionId);
+    /// Ends the output of a connection after the accepted bytes. Input is still delivered until the peer ends it as well,
+    /// which `Event::Closed` reports. A driver that can't end one direction alone closes the connection; no event follows
+    /// then.
+    fn finish_writing(&mut self, conn: ConnectionId) {
+        self.close(conn);
+    }
     /// Resets a connection; bytes in flight may be lost.
     fn reset(&mut self, conn: ConnectionId);
     /// Pauses or resumes reading. While paused, no `Event::Bytes` is delivered, and flow control slows the peer down.
--- a/crates/sanddrum-net/src/outbox.rs
+++ b/crates/sanddrum-net/src/outbox.rs
@@ -124,35 +124,39 @@
             .skip(usize::from(self.first_is_partly_written))
             .map(|message| &message.tag)
     }
-    /// Writes as much as the connection accepts.
-    pub fn flush(&mut self, conn: ConnectionId, io: &mut dyn Io) {
-        self.write(self.buffer.len(), conn, io);
-    }
-    /// Writes as much as the connection accepts, up to and including the last message with this tag. Writes nothing
-    /// if no message has this tag.
-    pub fn flush_through(&mut self, tag: &T, conn: ConnectionId, io: &mut dyn Io) {
-        let last = self
-            .messages
-            .iter()
-            .rev()
-            .find(|message| message.tag == *tag);
-        if let Some(end) = last.map(|message| message.end) {
-            self.write(end, conn, io);
+    /// Writes as much as the connection accepts. Returns the tags of the messages whose last byte was written.
+    pub fn flush(&mut self, conn: ConnectionId, io: &mut dyn Io) -> Vec<T> {
+        self.write(self.buffer.len(), conn, io)
+    }
+    /// Writes as much as the connection accepts, up to and including the last message whose tag is wanted. Writes nothing
+    /// if there is none. Returns the tags of the messages whose last byte was written.
+    pub fn flush_through(
+        &mut self,
+        is_wanted: impl Fn(&T) -> bool,
+        conn: ConnectionId,
+        io: &mut dyn Io,
+    ) -> Vec<T> {
+        let mut newest_first = self.messages.iter().rev();
+        let last = newest_first.find(|message| is_wanted(&message.tag));
+        match last.map(|message| message.end) {
+            Some(end) => self.write(end, conn, io),
+            None => Vec::new(),
         }
     }
-    fn write(&mut self, end: usize, conn: ConnectionId, io: &mut dyn Io) {
+    fn write(&mut self, end: usize, conn: ConnectionId, io: &mut dyn Io) -> Vec<T> {
         while !self.blocked && self.written < end {
             let accepted = io.write(conn, &self.buffer[self.written..end]);
             self.written += accepted;
             self.first_is_partly_written |= accepted > 0;
             self.blocked = self.written < end;
         }
-        while let Some(end) = self.messages.front().map(|first| first.end) {
-            if end > self.written {
+        let mut completed = Vec::new();
+        while self.is_first_written() {
+            let Some(first) = self.messages.pop_front() else {
                 break;
-            }
-            self.messages.pop_front();
-            self.first_is_partly_written = end < self.written;
+            };
+            self.first_is_partly_written = first.end < self.written;
+            completed.push(first.tag);
         }
         if self.pending_bytes() == 0 {
             self.buffer.clear();
@@ -161,6 +165,12 @@
         } else if self.written > self.max_pending_bytes {
             self.compact();
         }
+        completed
+    }
+    fn is_first_written(&self) -> bool {
+        self.messages
+            .front()
+            .is_some_and(|first| first.end <= self.written)
     }
     /// Allows writing again after a short write. Called when the connection is writable.
     pub fn unblock(&mut self) {
--- a/crates/sanddrum-net/src/virtual_net/delivery.rs
+++ b/crates/sanddrum-net/src/virtual_net/delivery.rs
@@ -120,6 +120,7 @@
             }
             Message::Writable { conn } => self.call_with_event(host, Event::Writable { conn }),
             Message::Closed { conn, cause } => {
+                self.close_half_open_peer(conn, cause);
                 self.sockets.remove(&conn);
                 self.hosts[host.0].connections.remove(&conn);
                 self.observer.closed(self.now, host, conn);
@@ -127,6 +128,17 @@
             }
         }
     }
+    /// Ends the other direction too when the peer of this socket has only ended its output: a virtual host that is told of
+    /// the end of a connection does not use it any more.
+    fn close_half_open_peer(&mut self, conn: ConnectionId, cause: CloseCause) {
+        let peer = self.sockets.get(&conn).and_then(|socket| socket.peer);
+        let Some(peer) = peer.filter(|peer| self.sockets.contains_key(peer)) else {
+            return;
+        };
+        if cause == CloseCause::Orderly {
+            self.send_on(conn, Message::Closed { conn: peer, cause });
+        }
+    }
     /// Frees space in the peer's send window after bytes have arrived at this end.
     fn open_window(&mut self, conn: ConnectionId, arrived: usize) {
         let peer_id = self.sockets.get(&conn).and_then(|socket| socket.peer);
--- a/crates/sanddrum-net/src/virtual_net/virtual_io.rs
+++ b/crates/sanddrum-net/src/virtual_net/virtual_io.rs
@@ -74,6 +74,14 @@
     fn close(&mut self, conn: ConnectionId) {
         self.net.close_socket(conn, CloseCause::Orderly);
     }
+    fn finish_writing(&mut self, conn: ConnectionId) {
+        let peer = self.net.sockets.get(&conn).and_then(|socket| socket.peer);
+        if let Some(peer) = peer {
+            let cause = CloseCause::Orderly;
+            self.net
+                .send_on(conn, Message::Closed { conn: peer, cause });
+        }
+    }
     fn reset(&mut self, conn: ConnectionId) {
         self.net.close_socket(conn, CloseCause::Reset);
     }
--- a/crates/sanddrum-net/tests/both_drivers.rs
+++ b/crates/sanddrum-net/tests/both_drivers.rs
@@ -34,6 +34,7 @@
     is_established: bool,
     recorded: Shared<Recorded>,
     closes_when_sent: bool,
+    finishes_when_sent: bool,
     last_processed: Micros,
 }
 
@@ -50,6 +51,7 @@
             is_established: false,
             recorded: recorded.clone(),
             closes_when_sent: false,
+            finishes_when_sent: false,
             last_processed: 0,
         };
         (Box::new(sender), recorded)
@@ -68,6 +70,10 @@
             self.conn = None;
             io.close(conn);
         }
+        if self.finishes_when_sent && recorded.written == self.data.len() {
+            self.finishes_when_sent = false;
+            io.finish_writing(conn);
+        }
     }
 }
 
@@ -217,6 +223,23 @@
     assert!(server_recorded.borrow().received == data);
 }
 
+#[rstest]
+fn the_end_of_the_output_is_confirmed_by_the_close_of_the_peer(
+    #[values(true, false)] sockets: bool,
+) {
+    let mut driver = Driver::new(sockets, 1);
+    let (server, server_recorded) = Sender::receiver();
+    let (_, address) = driver.add_listening(server);
+    let data = test_data(300_000);
+    let (mut client, client_recorded) = Sender::new(Some(&address), &data);
+    client.finishes_when_sent = true;
+    driver.add(client);
+    driver.run_until(|| !client_recorded.borrow().closed.is_empty());
+    assert_eq!(client_recorded.borrow().closed, [CloseCause::Orderly]);
+    assert_eq!(server_recorded.borrow().closed, [CloseCause::Orderly]);
+    assert!(server_recorded.borrow().received == data);
+}
+
 #[rstest]
 fn connecting_to_an_unused_address_is_refused(#[values(true, false)] sockets: bool) {
     let mut driver = Driver::new(sockets, 2);
--- a/crates/sanddrum-net/tests/outbox.rs
+++ b/crates/sanddrum-net/tests/outbox.rs
@@ -98,9 +98,11 @@
         (3, "three"),
     ]);
     let mut io = LimitedConnection::new(100);
-    outbox.flush_through(&8, CONNECTION, &mut io);
+    let written = outbox.flush_through(|tag| *tag == 8, CONNECTION, &mut io);
     assert_eq!(io.written, b"", "no message has this tag");
-    outbox.flush_through(&7, CONNECTION, &mut io);
+    assert_eq!(written, []);
+    let written = outbox.flush_through(|tag| *tag == 7, CONNECTION, &mut io);
+    assert_eq!(written, [1, 7, 2, 7]);
     assert_eq!(io.written, b"oneseventwoagain");
     assert!(outbox.is_pending(&3) && !outbox.is_pending(&7) && outbox.remove_unwritten(&3));
     outbox.push(4, b"four").unwrap();
@@ -112,7 +114,8 @@
 fn a_short_flush_through_a_tag_blocks_until_the_connection_is_writable() {
     let mut outbox = outbox(&[(1, "aaa"), (2, "bbb")]);
     let mut io = LimitedConnection::new(4);
-    outbox.flush_through(&2, CONNECTION, &mut io);
+    let written = outbox.flush_through(|tag| *tag == 2, CONNECTION, &mut io);
+    assert_eq!(written, [1], "the other one is written in part");
     assert!(outbox.is_pending(&2));
     io.capacity = 10;
     outbox.flush(CONNECTION, &mut io);
