--- a/crates/sanddrum-cli/tests/late_delivery.rs
+++ b/crates/sanddrum-cli/tests/late_delivery.rs
@@ -32,6 +32,11 @@
 impl Fleet {
     /// Starts a fleet in which a request may not have two attempts in flight.
     fn start(name: &str) -> Fleet {
+        Fleet::start_with(name, |_| {})
+    }
+
+    /// Starts such a fleet with changed settings.
+    fn start_with(name: &str, change: impl FnOnce(&mut Value)) -> Fleet {
         let (workers, proxies): (Vec<_>, Vec<_>) = (0..2)
             .map(|_| {
                 let (worker, address) = Worker::listen();
@@ -39,8 +44,9 @@
             })
             .unzip();
         let (feeds, feed_address) = listener();
-        let settings = configuration_of(&feed_address, &proxies);
-        let router = Router::start_with(name, &settings, None);
+        let mut configuration = configuration_of(&feed_address, &proxies);
+        change(&mut configuration["settings"]);
+        let router = Router::start_with(name, &configuration, None);
         let mut feed = accept(&feeds);
         next_poll(&mut feed);
         let web = WebServer::connect(&router.address);
@@ -140,21 +146,44 @@
     }
 }
 
+/// How long a link holds back what it was given.
+const HOLD: Duration = Duration::from_millis(700);
+
+impl Fleet {
+    /// Panics if this worker gets a request while the other one's link holds everything back.
+    fn assert_no_attempt_while_held(&mut self, worker: usize) {
+        let held_at = Instant::now();
+        while held_at.elapsed() < HOLD {
+            assert!(
+                self.workers[worker].try_next_request().is_none(),
+                "the attempt at the other worker is still out"
+            );
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Serves the next attempt and expects its result at the client.
+    fn serve_next_attempt(&mut self) {
+        let (worker, attempt) = next_request(&mut self.workers);
+        self.workers[worker].serve(&attempt);
+        assert_eq!(self.web.response().unwrap().status(), "200");
+    }
+}
+
 /// Guards against a second attempt that begins while the cancellation of the first is still on its way to the worker.
 #[rstest]
-fn no_second_attempt_is_read_before_the_cancellation_of_the_first() {
-    let mut fleet = Fleet::start("late-cancel");
+#[case::router_runs(false)]
+#[case::router_is_held_up(true)]
+fn no_second_attempt_is_read_before_the_cancellation_of_the_first(#[case] is_held_up: bool) {
+    let mut fleet = Fleet::start(&format!("late-cancel-{is_held_up}"));
     let (first, _) = fleet.first_attempt(B, 4_000);
     fleet.proxies[first].hold();
-    let held_at = Instant::now();
-    let other = 1 - first;
-    while held_at.elapsed() < Duration::from_secs(1) {
-        assert!(
-            fleet.workers[other].try_next_request().is_none(),
-            "the first attempt is still out: its worker has not read the cancellation"
-        );
-        std::thread::sleep(Duration::from_millis(1));
+    if is_held_up {
+        fleet.router.stall();
+        std::thread::sleep(Duration::from_millis(300));
+        fleet.router.resume();
     }
+    fleet.assert_no_attempt_while_held(1 - first);
     fleet.proxies[first].release();
     let (worker, attempt) = next_request(&mut fleet.workers);
     assert!(
@@ -175,3 +204,14 @@
     assert!(!observed.attempts.is_empty(), "an attempt was sent");
     observed.assert_nothing_read_after_the_answer();
 }
+
+/// Guards against an attempt on a new connection that is accepted and read after the request has ended.
+#[rstest]
+fn no_attempt_is_read_late_on_a_new_connection() {
+    let fleet = Fleet::start_with("late-accept", |settings| {
+        settings["family-info"]["if-cold"] = json!("load");
+    });
+    fleet.proxies.iter().for_each(FaultProxy::hold_to_worker);
+    let observed = fleet.observe(600, Duration::from_millis(1_200));
+    observed.assert_nothing_read_after_the_answer();
+}
--- a/crates/sanddrum-edge/src/context.rs
+++ b/crates/sanddrum-edge/src/context.rs
@@ -1,5 +1,6 @@
 //! State that all parts of the edge share.
 
+use crate::attempt_log::LogBudget;
 use crate::event_counts::EventCounts;
 use crate::invariants::Violations;
 use crate::limits::Limits;
@@ -28,6 +29,8 @@
     pub metrics: EdgeMetrics,
     /// Events counted by kind and reason, for the status line.
     pub counts: EventCounts,
+    /// Bounds the log lines on single requests at the default level.
+    pub log_budget: LogBudget,
     /// The timers of all parts.
     pub timers: Timers,
     /// Violations of invariants.
--- a/crates/sanddrum-edge/src/edge_state.rs
+++ b/crates/sanddrum-edge/src/edge_state.rs
@@ -2,6 +2,8 @@
 //! this module pass events between them.
 
 mod admission;
+mod attempt_ends;
+mod attempt_logging;
 mod attempts;
 mod clients;
 mod connection_executor;
@@ -21,6 +23,7 @@
 pub(crate) use shutdown::Shutdown;
 
 use crate::admission::Admission;
+use crate::attempt_log::LogBudget;
 use crate::context::{ConnectionOwner, EdgeContext};
 use crate::control_commands::ControlCommands;
 use crate::control_feed::ControlFeed;
@@ -111,6 +114,7 @@
         let context = new_context(&settings);
         let edge_name = settings.text("edge.name");
         let connect_timeout = context.limits.connect_timeout;
+        let confirmation_method = context.limits.confirmation_method;
         EdgeState {
             started_at: 0,
             shutdown: Shutdown::NotRequested,
@@ -128,6 +132,7 @@
                 edge_name,
                 incarnation,
                 connect_timeout,
+                confirmation_method,
             ),
             endpoints: EndpointTable::from_settings(&settings),
             discovery: DiscoveryClient::new(&settings, incarnation, seed ^ BOOTSTRAP_SEED),
@@ -176,6 +181,7 @@
             && batch.health_check_results.is_empty()
             && batch.gossip.is_empty()
             && batch.cancelled.is_empty()
+            && batch.lost_workers.is_empty()
             && !batch.shutting_down;
         !is_empty || self.admission.has_pending()
     }
@@ -290,6 +296,8 @@
         while let Some(timer) = self.context.timers.pop_due(now) {
             match timer {
                 Timer::AttemptTimeout(id) => self.attempt_timed_out(now, id),
+                Timer::LostAttempt(id) => self.lost_attempt_settled(now, id),
+                Timer::DeferredAnswer(id) => self.give_deferred_answer(now, id),
                 Timer::LoadTimeout(id) => self.load_timed_out(now, id),
                 Timer::HealthCheckTimeout(id) => self.health_check_timed_out(now, id),
                 Timer::WorkerConnection(id) => self.check_worker_connection(now, id, io),
@@ -361,6 +369,7 @@
         limits: Limits::from_settings(settings),
         metrics: EdgeMetrics::default(),
         counts: EventCounts::default(),
+        log_budget: LogBudget::default(),
         timers: Timers::default(),
         violations: Violations::default(),
         connection_owners: BTreeMap::new(),
--- /dev/null
+++ b/crates/sanddrum-edge/src/edge_state/attempt_ends.rs
@@ -0,0 +1,173 @@
+//! Attempts that the edge has given up, or whose connection was lost, until their end at the worker is proved, and final
+//! answers that wait for that. On the platform's protocol only: [`crate::attempt_end`] has the rules.
+
+use super::EdgeState;
+use crate::attempt_end::{latest_answer_at, RESET_SETTLE_TIME};
+use crate::event_counts::CountedEvent;
+use crate::message::{AttemptId, MessageKey};
+use crate::requests::{AttemptLoss, DeferredAnswer, GiveUp};
+use crate::responses::ErrorResponse;
+use crate::timers::Timer;
+use sanddrum::{Micros, Outcome, RequestId};
+use sanddrum_upstream::WorkerConnectionId;
+
+impl EdgeState {
+    /// Stops waiting for the answer to a written attempt: cancels it at the worker, and reports the outcome once the
+    /// worker is known to have ended it. Until then the attempt counts as running.
+    pub(super) fn give_up_attempt(&mut self, now: Micros, id: AttemptId, outcome: Outcome) {
+        let Some(attempt) = self.requests.attempt_mut(id) else {
+            return;
+        };
+        if attempt.give_up.is_some() {
+            return;
+        }
+        attempt.give_up = Some(GiveUp {
+            outcome,
+            at: now,
+            cancel_written_at: None,
+        });
+        let (request, connection) = (attempt.request, attempt.connection);
+        self.requests.set_unusual(request);
+        let Some(connection) = connection else {
+            return;
+        };
+        if self.worker_connections.is_partly_written(connection, id) {
+            return self.worker_connections.abandon_later(connection);
+        }
+        self.send_cancel(connection, id);
+        self.worker_connections.confirm_later(connection);
+    }
+
+    /// Handles that a worker has answered a message, which proves that it has read all earlier ones on the connection.
+    pub(super) fn worker_answered(
+        &mut self,
+        now: Micros,
+        connection: WorkerConnectionId,
+        key: MessageKey,
+    ) {
+        let cancelled = self.worker_connections.record_answer(connection, key);
+        self.finish_cancelled(now, &cancelled);
+    }
+
+    /// Ends attempts whose workers are known to have read their cancellations, and gives final answers that waited for
+    /// them.
+    pub(super) fn finish_cancelled(&mut self, now: Micros, cancelled: &[AttemptId]) {
+        for id in cancelled {
+            let attempt = self.requests.attempt(*id);
+            if let Some(give_up) = attempt.and_then(|attempt| attempt.give_up) {
+                self.finish_attempt(now, *id, give_up.outcome.into());
+            }
+        }
+        self.release_answers(now);
+    }
+
+    /// Keeps an attempt whose connection was reset as running for as long as its worker may not have learned of it.
+    pub(super) fn attempt_lost(&mut self, now: Micros, id: AttemptId, is_known_read: bool) {
+        let Some(attempt) = self.requests.attempt_mut(id) else {
+            return;
+        };
+        attempt.connection = None;
+        attempt.loss = Some(AttemptLoss {
+            at: now,
+            is_known_read,
+        });
+        let (request, worker) = (attempt.request, attempt.worker);
+        if self.requests.get_open(request).is_none() {
+            return self.finish_attempt(now, id, Outcome::Reset.into());
+        }
+        self.requests.set_unusual(request);
+        self.batch.lost_workers.insert(worker);
+        let timer = Timer::LostAttempt(id);
+        self.context.timers.schedule(now + RESET_SETTLE_TIME, timer);
+    }
+
+    /// Ends an attempt whose worker has learned by now that their connection was reset.
+    pub(super) fn lost_attempt_settled(&mut self, now: Micros, id: AttemptId) {
+        // The worker's loss was reported at once; this outcome tells nothing more about the worker.
+        self.finish_attempt(now, id, Outcome::Cancelled.into());
+    }
+
+    /// Whether the worker may still have to read an attempt.
+    fn may_be_unread(&self, id: AttemptId) -> bool {
+        let Some(attempt) = self.requests.attempt(id) else {
+            return false;
+        };
+        match (attempt.loss, attempt.connection) {
+            (Some(loss), _) => !loss.is_known_read,
+            (None, Some(connection)) => self.worker_connections.may_be_unread(connection, id),
+            (None, None) => false,
+        }
+    }
+
+    fn unread_attempts(&self, request: RequestId) -> Vec<AttemptId> {
+        let mut attempts = self.requests.attempts_of(request);
+        attempts.retain(|attempt| self.may_be_unread(*attempt));
+        attempts
+    }
+
+    /// Makes a final error response wait while a worker may still have to read an attempt of the request, as nothing may
+    /// be read after the response. Returns whether it waits.
+    pub(super) fn defer_answer(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        response: &ErrorResponse<'_>,
+    ) -> bool {
+        let Some(request) = self.requests.get_open(id) else {
+            return false;
+        };
+        let latest = latest_answer_at(request.deadline, self.shutdown.deadline());
+        let unread = self.unread_attempts(id);
+        if !self.worker_connections.needs_proof() || latest <= now || unread.is_empty() {
+            return false;
+        }
+        let answer = DeferredAnswer {
+            status: response.status,
+            kind: response.kind,
+            reason: response.reason,
+            detail: response.detail.to_string(),
+            retry_after: response.retry_after,
+            decided_at: now,
+        };
+        self.context
+            .counts
+            .record(CountedEvent::AnswerDeferred, answer.reason);
+        self.requests.defer_answer(id, answer);
+        let timer = Timer::DeferredAnswer(id);
+        self.context.timers.schedule(latest, timer);
+        for attempt in unread {
+            self.give_up_attempt(now, attempt, Outcome::TimedOut);
+        }
+        true
+    }
+
+    /// Gives the final answers that need not wait any more.
+    pub(super) fn release_answers(&mut self, now: Micros) {
+        for id in self.requests.deferred_ids() {
+            if self.unread_attempts(id).is_empty() {
+                self.give_deferred_answer(now, id);
+            }
+        }
+    }
+
+    /// Gives a final answer that has waited, and stops waiting for the request's attempts.
+    pub(super) fn give_deferred_answer(&mut self, now: Micros, id: RequestId) {
+        let Some(answer) = self.requests.take_deferred(id) else {
+            return;
+        };
+        let response = ErrorResponse {
+            status: answer.status,
+            kind: answer.kind,
+            reason: answer.reason,
+            detail: &answer.detail,
+            retry_after: answer.retry_after,
+            request: Some(id),
+        };
+        let attempts = self.requests.attempts_of(id);
+        self.log_deferred(now, id, &answer);
+        self.close_with_error(now, id, &response);
+        for attempt in attempts {
+            self.finish_attempt(now, attempt, Outcome::TimedOut.into());
+        }
+    }
+}
--- a/crates/sanddrum-edge/src/edge_state/attempts.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempts.rs
@@ -8,7 +8,6 @@
 use crate::requests::{Attempt, PendingRequest};
 use crate::timers::Timer;
 use crate::worker_connections::WorkerConnections;
-use crate::worker_protocol::WorkerProtocol;
 use sanddrum::{AttemptResult, LoadReport, Micros, Outcome, RequestId, Warmth, WorkerId};
 use sanddrum_upstream::WorkerConnectionId;
 use sanddrum_wire::{self as wire, Done, ExecutionStatus, InstanceState};
@@ -118,6 +117,7 @@
         let customer = request.spec.customer_id;
         let call_id = request.spec.call_id;
         let previous_outcome = request.last_outcome.map(outcome_label);
+        let is_unusual = request.is_unusual;
         if let Some(reason) = previous_outcome {
             self.context.counts.record(CountedEvent::Retried, reason);
         }
@@ -132,6 +132,9 @@
             sent_at: now,
             deadline_encoded_at: now,
             deadline,
+            written: None,
+            give_up: None,
+            loss: None,
         };
         self.requests.insert_attempt(attempt, record);
         tracing::debug!(
@@ -143,6 +146,9 @@
             limit_us = time_limit,
             "attempt dispatched"
         );
+        if is_unusual {
+            self.log_retry(now, call_id, index, previous_outcome);
+        }
         match sent {
             Ok(_) => {
                 self.admission.attempt_dispatched(customer, worker);
@@ -168,6 +174,9 @@
             .ok_or(Outcome::CancelledBeforeStart)?;
         let protocol = self.worker_connections.protocol();
         let call_id = request.spec.call_id;
+        if let Some(function) = self.functions.get(request.spec.function) {
+            self.worker_connections.set_query_function(&function.name);
+        }
         let execute = execute_message(&self.functions, request, attempt, time_limit);
         let message = OutboundMessage {
             key: MessageKey::Attempt(attempt),
@@ -231,6 +240,8 @@
             return;
         };
         let request = attempt.request;
+        let key = MessageKey::Attempt(id);
+        let cancelled = self.worker_connections.record_answer(connection, key);
         if let (Some(customer_rate), Some(total_rate)) = (done.customer_rate, done.total_rate) {
             if let Some(pending) = self.requests.get(request) {
                 let customer = pending.spec.customer_id;
@@ -246,6 +257,7 @@
             self.complete_request(now, request, id, &done.body, result.warmth);
         }
         self.finish_attempt(now, id, result);
+        self.finish_cancelled(now, &cancelled);
     }
 
     /// Ends an attempt and reports its result to the decision module, once.
@@ -264,6 +276,8 @@
             WorkerConnections::record_load_report(&mut self.context, attempt.worker, report);
         }
         self.context.metrics.record_outcome(result.outcome);
+        let request = self.requests.get(attempt.request);
+        let call_id = request.map_or(0, |request| request.spec.call_id);
         let is_final = self
             .requests
             .record_outcome(attempt.request, result.outcome);
@@ -279,6 +293,7 @@
             worker_queued = result.report.and_then(|report| report.queued),
             "attempt ended"
         );
+        self.log_history(now, call_id, &attempt, result.outcome);
         self.batch.attempt_results.push(AttemptResult {
             request: attempt.request,
             attempt: attempt.index,
@@ -295,16 +310,26 @@
     /// Ends an attempt that was not answered within its time limit. An unwritten attempt is retracted and has not run.
     /// A written one is cancelled on the platform's protocol; native workers enforce the time limit themselves.
     pub(super) fn attempt_timed_out(&mut self, now: Micros, id: AttemptId) {
-        let Some(connection) = self.requests.connection_of(id) else {
+        let Some(attempt) = self.requests.attempt(id) else {
             return;
         };
+        let Some(connection) = attempt.connection else {
+            return;
+        };
+        let request = self.requests.get_open(attempt.request);
+        let is_past_deadline = request.is_none_or(|request| request.deadline <= now);
         let key = MessageKey::Attempt(id);
         if self.worker_connections.retract(connection, key) {
             return self.finish_attempt(now, id, Outcome::NoConnection.into());
         }
-        if self.worker_connections.protocol() == WorkerProtocol::Platform {
-            self.send_cancel(connection, id);
+        if !self.worker_connections.needs_proof() {
+            return self.finish_attempt(now, id, Outcome::TimedOut.into());
+        }
+        // Nothing follows an attempt past the deadline but the final answer, which waits until the attempt is read.
+        if !is_past_deadline {
+            return self.give_up_attempt(now, id, Outcome::TimedOut);
         }
+        self.send_cancel(connection, id);
         self.finish_attempt(now, id, Outcome::TimedOut.into());
     }
 
@@ -320,12 +345,15 @@
         if self.worker_connections.retract(connection, key) {
             return self.finish_attempt(now, id, Outcome::CancelledBeforeStart.into());
         }
+        if self.worker_connections.needs_proof() {
+            return self.give_up_attempt(now, id, Outcome::Cancelled);
+        }
         self.send_cancel(connection, id);
         self.finish_attempt(now, id, Outcome::Cancelled.into());
     }
 
     /// Queues a cancellation of an attempt to its worker, after all earlier messages.
-    fn send_cancel(&mut self, connection: WorkerConnectionId, id: AttemptId) {
+    pub(super) fn send_cancel(&mut self, connection: WorkerConnectionId, id: AttemptId) {
         let Some(attempt) = self.requests.attempt(id) else {
             return;
         };
@@ -334,6 +362,6 @@
         };
         let protocol = self.worker_connections.protocol();
         let bytes = protocol.cancel(id, request.spec.call_id);
-        self.worker_connections.send_cancel(connection, &bytes);
+        self.worker_connections.send_cancel(connection, id, &bytes);
     }
 }
--- a/crates/sanddrum-edge/src/edge_state/requests.rs
+++ b/crates/sanddrum-edge/src/edge_state/requests.rs
@@ -83,13 +83,24 @@
         self.retract_attempts(now, id);
     }
 
-    /// Closes a request with an error response.
+    /// Closes a request with an error response, at once or as soon as no worker may read an attempt of it any more.
     pub(super) fn respond_with_error(
         &mut self,
         now: Micros,
         id: RequestId,
         response: &ErrorResponse<'_>,
     ) {
+        self.close_with_error(now, id, response);
+    }
+
+    /// Closes a request with an error response now.
+    pub(super) fn close_with_error(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        response: &ErrorResponse<'_>,
+    ) {
+        self.log_final_answer(now, id, response.status, response.reason);
         let Some(request) = self.requests.close(id) else {
             return;
         };
@@ -152,6 +163,9 @@
 
     /// Fails the requests that the decision module has left open when the shutdown's deadline passes.
     pub(super) fn fail_open_requests(&mut self, now: Micros) {
+        for id in self.requests.deferred_ids() {
+            self.give_deferred_answer(now, id);
+        }
         for id in self.requests.open_ids() {
             let response = ErrorResponse {
                 status: 502,
--- a/crates/sanddrum-edge/src/edge_state/send_checks.rs
+++ b/crates/sanddrum-edge/src/edge_state/send_checks.rs
@@ -51,6 +51,8 @@
                 .is_some_and(|request| self.functions.runs_once(request.spec.workload)),
             another_may_run: request
                 .is_some_and(|request| request.may_have_run || request.in_flight > 1),
+            another_in_flight: request.is_some_and(|request| request.in_flight > 1),
+            allows_hedging: self.context.limits.allows_hedging,
             is_past_shutdown: self.shutdown.is_past_deadline(),
         }
     }
--- a/crates/sanddrum-edge/src/edge_state/workers.rs
+++ b/crates/sanddrum-edge/src/edge_state/workers.rs
@@ -3,10 +3,11 @@
 use super::attempts::load_report;
 use super::EdgeState;
 use crate::message::{AttemptId, CommandId, MessageKey};
+use crate::requests::WrittenAttempt;
 use crate::worker_connections::{ConnectionLoss, MessageOutcome};
-use crate::worker_protocol::WorkerProtocolError;
+use crate::worker_protocol::{WorkerMessage, WorkerProtocolError};
 use sanddrum::{Micros, Outcome, WorkerId};
-use sanddrum_net::{Event, Io};
+use sanddrum_net::{CloseCause, Event, Io};
 use sanddrum_upstream::{RejectReason, WorkerConnectionId};
 use sanddrum_wire::{ExecutionStatus, FromWorker, Hello, LoadDone};
 
@@ -47,7 +48,13 @@
         };
         loop {
             let result = match self.worker_connections.next_message(id) {
-                Ok(Some(message)) => self.on_worker_message(now, id, worker, message),
+                Ok(Some(WorkerMessage::Message(message))) => {
+                    self.on_worker_message(now, id, worker, message)
+                }
+                Ok(Some(WorkerMessage::Confirmation(command))) => {
+                    self.on_confirmation(now, id, command);
+                    Ok(())
+                }
                 Ok(None) => return,
                 Err(error) => Err(error),
             };
@@ -103,6 +110,13 @@
         self.finish_messages(now, outcomes);
     }
 
+    /// Handles the answer to a message that asked for proof of what the worker has read.
+    fn on_confirmation(&mut self, now: Micros, id: WorkerConnectionId, command: CommandId) {
+        self.worker_answered(now, id, MessageKey::Confirmation(command));
+        self.worker_connections
+            .confirmed(&mut self.context, now, id, command);
+    }
+
     fn on_worker_message(
         &mut self,
         now: Micros,
@@ -112,17 +126,22 @@
     ) -> Result<(), WorkerProtocolError> {
         match message {
             FromWorker::Hello(hello) => return self.on_hello(now, worker, hello),
-            FromWorker::Done(done) => self.attempt_answered(now, connection, &done),
+            FromWorker::Done(done) => {
+                self.attempt_answered(now, connection, &done);
+            }
             FromWorker::LoadDone(LoadDone {
                 id,
                 status,
                 instances,
             }) => {
                 let outcome = load_outcome(status);
+                self.worker_answered(now, connection, MessageKey::Load(CommandId(id)));
                 self.finish_load(now, CommandId(id), outcome, instances);
             }
             FromWorker::HealthStatus(status) => {
                 let report = status.report.as_ref().map(load_report);
+                let key = MessageKey::HealthCheck(CommandId(status.id));
+                self.worker_answered(now, connection, key);
                 self.finish_health_check(now, CommandId(status.id), Outcome::Finished, report);
             }
         }
@@ -154,14 +173,15 @@
 
     /// Ends messages that got no answer.
     pub(super) fn finish_messages(&mut self, now: Micros, outcomes: Vec<MessageOutcome>) {
-        for MessageOutcome { key, outcome } in outcomes {
+        for MessageOutcome { key, outcome, .. } in outcomes {
             match key {
                 MessageKey::Attempt(id) => self.finish_attempt(now, id, outcome.into()),
                 MessageKey::Load(id) => self.finish_load(now, id, outcome, 0),
                 MessageKey::HealthCheck(id) => self.finish_health_check(now, id, outcome, None),
-                MessageKey::Cancel | MessageKey::Untracked => {}
+                MessageKey::Confirmation(_) | MessageKey::Cancel(_) | MessageKey::Untracked => {}
             }
         }
+        self.release_answers(now);
     }
 
     /// Handles a connection that the connection policy has decided not to open.
@@ -211,16 +231,48 @@
 
     /// Writes queued messages to workers, cancellations first.
     pub(super) fn flush_workers(&mut self, now: Micros, io: &mut dyn Io) {
-        for id in self.worker_connections.take_with_queued_cancels() {
-            self.check_unwritten_attempts(now, id);
+        for id in self.worker_connections.take_abandoned() {
+            let loss = ConnectionLoss::Closed(CloseCause::Reset);
             let outcomes = self
                 .worker_connections
-                .flush_cancels(&mut self.context, now, id, io);
+                .abandon(&mut self.context, now, id, loss, io);
             self.finish_messages(now, outcomes);
         }
+        for id in self.worker_connections.take_unconfirmed() {
+            self.worker_connections.request_confirmation(id);
+        }
+        for id in self.worker_connections.take_with_queued_cancels() {
+            self.check_unwritten_attempts(now, id);
+            let written = self.worker_connections.flush_cancels(id, io);
+            self.record_written(now, id, &written);
+        }
         for id in self.worker_connections.take_dirty() {
             self.check_unwritten_attempts(now, id);
-            self.worker_connections.flush(id, io);
+            let written = self.worker_connections.flush(id, io);
+            self.record_written(now, id, &written);
+        }
+    }
+
+    /// Records when the last bytes of attempts and cancellations were written.
+    fn record_written(&mut self, now: Micros, id: WorkerConnectionId, written: &[MessageKey]) {
+        let connection_age = self.worker_connections.age(now, id).unwrap_or_default();
+        for key in written {
+            let (MessageKey::Attempt(attempt) | MessageKey::Cancel(attempt)) = key else {
+                continue;
+            };
+            let Some(attempt) = self.requests.attempt_mut(*attempt) else {
+                continue;
+            };
+            match &mut attempt.give_up {
+                Some(give_up) => give_up.cancel_written_at = Some(now),
+                None => {
+                    attempt.written = Some(WrittenAttempt {
+                        at: now,
+                        connection: id,
+                        connection_age,
+                    });
+                }
+            }
         }
     }
 
--- a/crates/sanddrum-edge/src/event_counts.rs
+++ b/crates/sanddrum-edge/src/event_counts.rs
@@ -17,6 +17,8 @@
     WorkerLost,
     /// A load command failed.
     LoadNotDone,
+    /// A final answer waited for the worker to read an attempt.
+    AnswerDeferred,
 }
 
 impl CountedEvent {
@@ -28,6 +30,7 @@
             CountedEvent::ClientClosed => "client-closed",
             CountedEvent::WorkerLost => "worker-lost",
             CountedEvent::LoadNotDone => "load-not-done",
+            CountedEvent::AnswerDeferred => "answer-deferred",
         }
     }
 }
--- a/crates/sanddrum-edge/src/invariants.rs
+++ b/crates/sanddrum-edge/src/invariants.rs
@@ -17,6 +17,8 @@
     EndpointListed,
     /// A request that may run only once is not sent again if it may have run.
     EffectOnce,
+    /// A request has one attempt in flight at a time, where two are not allowed.
+    OneAttempt,
     /// No attempt is sent after the shutdown's deadline.
     NotEnded,
     /// A connection is not closed while requests on it await their responses.
@@ -31,6 +33,7 @@
             Invariant::TimeLeft => "time-left",
             Invariant::EndpointListed => "endpoint-listed",
             Invariant::EffectOnce => "effect-once",
+            Invariant::OneAttempt => "one-attempt",
             Invariant::NotEnded => "not-ended",
             Invariant::AnsweredFirst => "answered-first",
         }
@@ -50,6 +53,10 @@
     pub runs_once: bool,
     /// Another attempt of the request may have run or may still run.
     pub another_may_run: bool,
+    /// Another attempt of the request may still run.
+    pub another_in_flight: bool,
+    /// A request may have two attempts in flight.
+    pub allows_hedging: bool,
     /// The shutdown's deadline has passed and all requests have been answered.
     pub is_past_shutdown: bool,
 }
@@ -68,6 +75,10 @@
             !(facts.runs_once && facts.another_may_run),
             Invariant::EffectOnce,
         ),
+        (
+            facts.allows_hedging || !facts.another_in_flight,
+            Invariant::OneAttempt,
+        ),
         (!facts.is_past_shutdown, Invariant::NotEnded),
     ];
     checks
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod admission;
 mod arrival_time;
+mod attempt_end;
+mod attempt_log;
 mod audit;
 mod context;
 mod control_commands;
--- a/crates/sanddrum-edge/src/limits.rs
+++ b/crates/sanddrum-edge/src/limits.rs
@@ -1,5 +1,6 @@
 //! The configured limits of an edge.
 
+use crate::worker_connections::ConfirmationMethod;
 use sanddrum_net::Micros;
 use sanddrum_settings::LoadedSettings;
 
@@ -85,6 +86,10 @@
     pub feed_answer_timeout: Micros,
     /// How long after the end of an attempt its answer may still arrive.
     pub late_answer_window: Micros,
+    /// The messages that may ask a worker for an immediate answer.
+    pub confirmation_method: ConfirmationMethod,
+    /// Whether a request may have two attempts in flight.
+    pub allows_hedging: bool,
 }
 
 impl Limits {
@@ -135,10 +140,22 @@
             feed_poll_wait: duration("feed-wait"),
             feed_answer_timeout: duration("feed-silence"),
             late_answer_window: LATE_ANSWER_TIME_LIMITS * longest_time_limit(settings),
+            confirmation_method: confirmation_method(settings),
+            allows_hedging: settings.flag("limits.second-copies"),
         }
     }
 }
 
+fn confirmation_method(settings: &LoadedSettings) -> ConfirmationMethod {
+    if settings.flag("limits.probes") {
+        ConfirmationMethod::HealthCheck
+    } else if settings.flag("copies.orders") {
+        ConfirmationMethod::Query
+    } else {
+        ConfirmationMethod::None
+    }
+}
+
 fn longest_time_limit(settings: &LoadedSettings) -> Micros {
     (0..settings.count("workloads"))
         .map(|index| settings.duration_us(&format!("workloads.{index}.time-limit-us")))
--- a/crates/sanddrum-edge/src/message.rs
+++ b/crates/sanddrum-edge/src/message.rs
@@ -17,9 +17,10 @@
     Load(CommandId),
     /// A health check.
     HealthCheck(CommandId),
-    /// The cancellation of an attempt, which has no answer. On the platform's protocol a connection that does not take
-    /// it at once is reset, which cancels the attempt as well.
-    Cancel,
+    /// A message whose answer only proves that the worker has read it and all messages before it.
+    Confirmation(CommandId),
+    /// The cancellation of an attempt, which has no answer.
+    Cancel(AttemptId),
     /// A message without an answer.
     Untracked,
 }
--- a/crates/sanddrum-edge/src/requests.rs
+++ b/crates/sanddrum-edge/src/requests.rs
@@ -2,6 +2,7 @@
 //! cancels it.
 
 use crate::message::AttemptId;
+use crate::responses::ErrorKind;
 use sanddrum::{CustomerId, FunctionId, Outcome, RequestId, WorkerId, WorkloadId};
 use sanddrum_net::{ConnectionId, Micros};
 use sanddrum_upstream::WorkerConnectionId;
@@ -61,6 +62,8 @@
     pub may_have_run: bool,
     /// The outcome of the attempt that ended last; logged as the reason for a retry.
     pub last_outcome: Option<Outcome>,
+    /// Whether the end of an attempt had to be proved; logged at the default level.
+    pub is_unusual: bool,
     /// Whether it has its final response or its client has disconnected or cancelled it.
     pub is_closed: bool,
 }
@@ -78,6 +81,7 @@
             in_flight: 0,
             may_have_run: false,
             last_outcome: None,
+            is_unusual: false,
             is_closed: false,
         }
     }
@@ -99,6 +103,60 @@
     pub deadline_encoded_at: Micros,
     /// When it times out.
     pub deadline: Micros,
+    /// When its last byte was written, and how long its connection had been open then.
+    pub written: Option<WrittenAttempt>,
+    /// Set once the edge no longer waits for its answer, while its end at the worker is not proved.
+    pub give_up: Option<GiveUp>,
+    /// Set once its connection was lost, while its end at the worker is not proved.
+    pub loss: Option<AttemptLoss>,
+}
+
+/// When the last byte of an attempt was written.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WrittenAttempt {
+    /// When it was written.
+    pub at: Micros,
+    /// The connection.
+    pub connection: WorkerConnectionId,
+    /// How long the connection had been open.
+    pub connection_age: Micros,
+}
+
+/// Why the edge no longer waits for the answer to an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GiveUp {
+    /// The outcome to report once the worker has ended the attempt.
+    pub outcome: Outcome,
+    /// When it was given up.
+    pub at: Micros,
+    /// When the last byte of its cancellation was written.
+    pub cancel_written_at: Option<Micros>,
+}
+
+/// The loss of the connection of an attempt that may still run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptLoss {
+    /// When the connection was lost.
+    pub at: Micros,
+    /// Whether the worker is known to have read the attempt before.
+    pub is_known_read: bool,
+}
+
+/// A final error response that waits until the worker has read or ended an attempt of its request.
+#[derive(Clone, Debug)]
+pub(crate) struct DeferredAnswer {
+    /// The HTTP status code.
+    pub status: u16,
+    /// Whether the request is rejected or failed.
+    pub kind: ErrorKind,
+    /// The name of the reason.
+    pub reason: &'static str,
+    /// A human-readable explanation.
+    pub detail: String,
+    /// How long the client is asked to wait before it retries.
+    pub retry_after: Option<Micros>,
+    /// When it was decided.
+    pub decided_at: Micros,
 }
 
 /// All pending requests and attempts.
@@ -113,6 +171,8 @@
     by_call_id: BTreeMap<u64, RequestId>,
     /// Bytes of the bodies of all open requests.
     body_bytes: usize,
+    /// Final responses that wait, by request.
+    deferred: BTreeMap<RequestId, DeferredAnswer>,
 }
 
 impl Requests {
@@ -189,6 +249,7 @@
             return None;
         }
         request.is_closed = true;
+        self.deferred.remove(&id);
         self.open_count -= 1;
         self.body_bytes -= std::mem::take(&mut request.spec.body).len();
         let call_id = request.spec.call_id;
@@ -244,6 +305,33 @@
             .unwrap_or_default()
     }
 
+    /// Returns an attempt in flight for changes.
+    pub fn attempt_mut(&mut self, id: AttemptId) -> Option<&mut Attempt> {
+        self.attempts.get_mut(&id)
+    }
+
+    /// Records that the end of an attempt of a request has to be proved.
+    pub fn set_unusual(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.is_unusual = true;
+        }
+    }
+
+    /// Makes the final response of an open request wait.
+    pub fn defer_answer(&mut self, id: RequestId, answer: DeferredAnswer) {
+        self.deferred.entry(id).or_insert(answer);
+    }
+
+    /// The requests whose final responses wait.
+    pub fn deferred_ids(&self) -> Vec<RequestId> {
+        self.deferred.keys().copied().collect()
+    }
+
+    /// Takes the final response of a request, if it waits.
+    pub fn take_deferred(&mut self, id: RequestId) -> Option<DeferredAnswer> {
+        self.deferred.remove(&id)
+    }
+
     /// Records that the frame of an attempt was re-encoded with its current time limit.
     pub fn set_deadline_encoded_at(&mut self, id: AttemptId, now: Micros) {
         if let Some(attempt) = self.attempts.get_mut(&id) {
--- a/crates/sanddrum-edge/src/timers.rs
+++ b/crates/sanddrum-edge/src/timers.rs
@@ -2,6 +2,7 @@
 //! [`EdgeState`](crate::edge_state::EdgeState) stores separately.
 
 use crate::message::{AttemptId, CommandId};
+use sanddrum::RequestId;
 use sanddrum_net::{ConnectionId, Micros};
 use sanddrum_upstream::WorkerConnectionId;
 use std::collections::BTreeSet;
@@ -11,6 +12,10 @@
 pub(crate) enum Timer {
     /// An attempt has reached its deadline.
     AttemptTimeout(AttemptId),
+    /// An attempt whose connection was reset no longer runs.
+    LostAttempt(AttemptId),
+    /// A final answer waits no longer.
+    DeferredAnswer(RequestId),
     /// A load command was not answered in time.
     LoadTimeout(CommandId),
     /// A health check was not answered in time.
--- a/crates/sanddrum-edge/src/worker_connections.rs
+++ b/crates/sanddrum-edge/src/worker_connections.rs
@@ -2,17 +2,23 @@
 //! connection are returned to the caller with their outcomes.
 
 mod closing;
+mod confirmation;
+mod connection;
 mod endpoints;
 mod receiving;
 mod sending;
 
+pub(crate) use confirmation::ConfirmationMethod;
+
+use crate::attempt_end::Proof;
 use crate::context::EdgeContext;
-use crate::message::{AttemptId, MessageKey, OutboundMessage};
+use crate::message::{AttemptId, MessageKey};
 use crate::timers::Timer;
-use crate::worker_protocol::{MessageDecoder, WorkerProtocol};
+use crate::worker_protocol::WorkerProtocol;
+use connection::{Transport, WorkerConnection};
 use endpoints::WorkerEndpoint;
 use sanddrum::{LoadReport, Micros, Outcome, WorkerId};
-use sanddrum_net::{CloseCause, ConnectionId, Io, Outbox};
+use sanddrum_net::{CloseCause, ConnectionId, Io};
 use sanddrum_upstream::{
     EstablishedConnection, IdleTimeoutEstimate, OutdatedConnection, RotationRequest,
     WorkerConnectionId, WorkerLoad,
@@ -21,96 +27,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use thiserror::Error;
 
-/// How long an attempt whose request is closed may stay partially written. The requirement is that such an attempt
-/// begins at most 100 ms after the request was closed; 20 ms of that are left for the network.
-const PARTIAL_WRITE_TIMEOUT: Micros = 80_000;
-
-/// The state of the transport connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Transport {
-    /// The connection policy has not opened it yet.
-    Pending,
-    /// The connection is being opened.
-    Connecting(ConnectionId),
-    /// The connection is open and its handshake is complete.
-    Connected(ConnectionId),
-}
-
-impl Transport {
-    fn conn(self) -> Option<ConnectionId> {
-        match self {
-            Transport::Pending => None,
-            Transport::Connecting(conn) | Transport::Connected(conn) => Some(conn),
-        }
-    }
-
-    fn is_connected(self) -> bool {
-        matches!(self, Transport::Connected(_))
-    }
-}
-
-struct WorkerConnection {
-    worker: WorkerId,
-    transport: Transport,
-    outbox: Outbox<MessageKey>,
-    decoder: MessageDecoder,
-    /// Messages that await their answers.
-    in_flight: BTreeSet<MessageKey>,
-    /// The messages in `in_flight` by the ids that answers carry, on the platform's protocol only.
-    keys_by_wire_id: BTreeMap<u64, MessageKey>,
-    /// Ids of messages that have ended, with the time until which a late answer may arrive. Until then an id is not
-    /// reused: a duplicate answer to the earlier attempt would be taken for the answer to the later one, which would
-    /// then count as not run although it runs.
-    retired_wire_ids: BTreeMap<u64, Micros>,
-    /// Whether it takes no new messages and is closed once nothing is in flight.
-    is_retired: bool,
-    /// When it last became idle.
-    idle_since: Micros,
-    /// How long it was idle before it last became busy.
-    idle_before: Micros,
-    /// When it last became busy.
-    busy_since: Micros,
-}
-
-impl WorkerConnection {
-    fn is_idle(&self) -> bool {
-        self.in_flight.is_empty()
-    }
-
-    /// Whether this id is in flight, or retired and not reusable yet.
-    fn uses_wire_id(&self, wire_id: u64) -> bool {
-        self.keys_by_wire_id.contains_key(&wire_id) || self.retired_wire_ids.contains_key(&wire_id)
-    }
-
-    /// Records that a message is in flight.
-    fn track(&mut self, now: Micros, message: &OutboundMessage, uses_call_ids: bool) {
-        if self.is_idle() {
-            self.idle_before = now - self.idle_since;
-            self.busy_since = now;
-        }
-        self.in_flight.insert(message.key);
-        if uses_call_ids {
-            self.keys_by_wire_id.insert(message.wire_id, message.key);
-        }
-    }
-
-    /// Records that a message has ended. Its id is not reused on this connection before `reusable_at`.
-    fn untrack(&mut self, now: Micros, key: MessageKey, reusable_at: Micros) {
-        self.in_flight.remove(&key);
-        self.retired_wire_ids.retain(|_, until| *until > now);
-        let retired = self
-            .keys_by_wire_id
-            .iter()
-            .find(|(_, tracked)| **tracked == key)
-            .map(|(wire_id, _)| *wire_id);
-        if let Some(wire_id) = retired {
-            self.keys_by_wire_id.remove(&wire_id);
-            self.retired_wire_ids.insert(wire_id, reusable_at);
-        }
-        self.idle_since = now;
-        self.idle_before = 0;
-    }
-}
+/// How long an attempt whose request is closed may stay partially written. The requirement is that such an attempt is
+/// read at most 50 ms after the request was closed; 20 ms of that are left for the network.
+const PARTIAL_WRITE_TIMEOUT: Micros = 30_000;
 
 /// The outcome of a message whose connection was lost or that was not sent.
 #[derive(Clone, Copy, Debug)]
@@ -119,6 +38,10 @@
     pub key: MessageKey,
     /// How it ended.
     pub outcome: Outcome,
+    /// What its end proves about the worker.
+    pub proof: Proof,
+    /// Whether the worker is known to have read it.
+    pub is_known_read: bool,
 }
 
 /// How a connection was lost.
@@ -178,7 +101,17 @@
     dirty: BTreeSet<WorkerConnectionId>,
     /// Connections with a queued cancellation; they are written first.
     with_queued_cancels: BTreeSet<WorkerConnectionId>,
+    /// Connections to be given up before the next write.
+    abandoned: BTreeSet<WorkerConnectionId>,
+    /// Connections on which proof is to be asked for before the next write.
+    unconfirmed: BTreeSet<WorkerConnectionId>,
     idle_timeout: IdleTimeoutEstimate,
+    /// How workers are asked for proof of what they have read.
+    confirmation_method: ConfirmationMethod,
+    /// The function that queries name: the one that was requested last.
+    query_function: Option<String>,
+    /// The number of messages that have asked for proof.
+    confirmation_count: u64,
 }
 
 impl WorkerConnections {
@@ -188,6 +121,7 @@
         edge_name: &str,
         edge_incarnation: u64,
         connect_timeout: Micros,
+        confirmation_method: ConfirmationMethod,
     ) -> Self {
         WorkerConnections {
             protocol,
@@ -199,7 +133,12 @@
             incomplete_frames: BTreeMap::new(),
             dirty: BTreeSet::new(),
             with_queued_cancels: BTreeSet::new(),
+            abandoned: BTreeSet::new(),
+            unconfirmed: BTreeSet::new(),
             idle_timeout: IdleTimeoutEstimate::new(connect_timeout),
+            confirmation_method,
+            query_function: None,
+            confirmation_count: 0,
         }
     }
 
@@ -213,6 +152,11 @@
         self.connections.len()
     }
 
+    /// How long a connection has been open.
+    pub fn age(&self, now: Micros, id: WorkerConnectionId) -> Option<Micros> {
+        Some(now - self.connections.get(&id)?.opened_at)
+    }
+
     /// The worker that a connection leads to.
     pub fn worker_of(&self, id: WorkerConnectionId) -> Option<WorkerId> {
         Some(self.connections.get(&id)?.worker)
@@ -247,10 +191,12 @@
         };
         let conn = io.connect_named(&endpoint.address, &endpoint.name);
         connection.transport = Transport::Connecting(conn);
+        connection.opened_at = now;
         context
             .connection_owners
             .insert(conn, crate::context::ConnectionOwner::Worker(id));
         let timeout_at = now + context.limits.connect_timeout;
+        connection.step_deadline = timeout_at;
         context
             .timers
             .schedule(timeout_at, Timer::WorkerConnection(id));
@@ -268,6 +214,15 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
+        self.dirty.insert(id);
+        if !connection.confirmations.is_empty() {
+            // Measured from now: the process may have been held up while the connection was opened.
+            connection.transport = Transport::Verifying(conn);
+            connection.step_deadline = now + context.limits.connect_timeout;
+            let timer = Timer::WorkerConnection(id);
+            context.timers.schedule(connection.step_deadline, timer);
+            return;
+        }
         connection.transport = Transport::Connected(conn);
         connection.idle_since = now;
         let resumed = io.peer(conn).is_some_and(|peer| peer.resumed);
@@ -276,7 +231,6 @@
             resumed,
         };
         context.connection_events.established.push(established);
-        self.dirty.insert(id);
     }
 
     /// Handles a connection whose transport has become writable.
--- a/crates/sanddrum-edge/src/worker_connections/closing.rs
+++ b/crates/sanddrum-edge/src/worker_connections/closing.rs
@@ -1,6 +1,7 @@
 //! Closing of worker connections, and the outcomes of messages in flight on them.
 
 use super::{ConnectionLoss, MessageOutcome, Transport, WorkerConnection, WorkerConnections};
+use crate::attempt_end::{proof_of_loss, Proof, CLOSE_TIMEOUT};
 use crate::context::EdgeContext;
 use crate::event_counts::CountedEvent;
 use crate::message::{AttemptId, MessageKey};
@@ -9,6 +10,7 @@
 use sanddrum::{Micros, Outcome};
 use sanddrum_net::{CloseCause, Io};
 use sanddrum_upstream::{RejectReason, WorkerConnectionId};
+use std::collections::BTreeSet;
 
 impl WorkerConnections {
     /// Removes a lost connection. Messages that were not written completely have not run; the others may have.
@@ -24,7 +26,7 @@
         };
         let cause = loss.cause();
         if !connection.is_idle() {
-            self.log_loss(connection, cause);
+            self.log_loss(now, connection, cause);
             context
                 .counts
                 .record(CountedEvent::WorkerLost, loss_label(cause));
@@ -37,21 +39,19 @@
         }
         let outcomes = connection
             .in_flight
-            .iter()
-            .map(|key| MessageOutcome {
-                key: *key,
-                outcome: outcome_after_loss(connection, *key, cause),
-            })
+            .keys()
+            .map(|key| self.outcome_after_loss(connection, *key, cause))
             .collect();
         self.remove(context, id, loss);
         outcomes
     }
 
-    fn log_loss(&self, connection: &WorkerConnection, cause: CloseCause) {
+    fn log_loss(&self, now: Micros, connection: &WorkerConnection, cause: CloseCause) {
         tracing::info!(
             worker = self.worker_name(connection.worker),
             ?cause,
             connected = connection.transport.is_connected(),
+            open_for_us = now - connection.opened_at,
             in_flight = connection.in_flight.len(),
             idle_before_us = connection.idle_before,
             "worker connection lost"
@@ -73,14 +73,39 @@
         let Some(connection) = self.connections.get(&id) else {
             return Vec::new();
         };
-        let in_flight = connection.in_flight.iter();
+        let in_flight = connection.in_flight.keys();
         let outcomes = in_flight
-            .map(|key| MessageOutcome { key: *key, outcome })
+            .map(|key| MessageOutcome::of_unread(*key, outcome))
             .collect();
         self.remove(context, id, ConnectionLoss::Closed(CloseCause::Refused));
         outcomes
     }
 
+    /// The outcome of a message that was in flight when its connection was lost.
+    fn outcome_after_loss(
+        &self,
+        connection: &WorkerConnection,
+        key: MessageKey,
+        cause: CloseCause,
+    ) -> MessageOutcome {
+        let is_open = connection.transport.is_connected() || connection.transport.is_closing();
+        let is_written = is_open && !connection.outbox.is_pending(&key);
+        let proof = match proof_of_loss(is_written, cause) {
+            Proof::Unknown if !self.needs_proof() => Proof::Ended,
+            proof => proof,
+        };
+        let outcome = match proof {
+            Proof::NeverRead => Outcome::NoConnection,
+            Proof::Ended | Proof::Unknown => Outcome::Reset,
+        };
+        MessageOutcome {
+            key,
+            outcome,
+            proof,
+            is_known_read: connection.is_known_read(key),
+        }
+    }
+
     fn remove(&mut self, context: &mut EdgeContext, id: WorkerConnectionId, loss: ConnectionLoss) {
         let Some(connection) = self.connections.remove(&id) else {
             return;
@@ -105,8 +130,7 @@
     fn counts_as_failed(&self, connection: &WorkerConnection, loss: ConnectionLoss) -> bool {
         let is_native = self.protocol == WorkerProtocol::Native;
         let may_be_wrong_worker = loss == ConnectionLoss::ProtocolError && is_native;
-        let is_failed_connect =
-            matches!(connection.transport, Transport::Connecting(_)) && !connection.is_retired;
+        let is_failed_connect = connection.transport.is_opening() && !connection.is_retired;
         may_be_wrong_worker || is_failed_connect
     }
 
@@ -139,8 +163,68 @@
         if !self.is_pending(id, MessageKey::Attempt(attempt)) {
             return Vec::new();
         }
-        let loss = ConnectionLoss::Closed(CloseCause::Reset);
-        self.reset(context, now, id, loss, io)
+        self.abandon(
+            context,
+            now,
+            id,
+            ConnectionLoss::Closed(CloseCause::Reset),
+            io,
+        )
+    }
+
+    /// Gives a connection up before the next write.
+    pub fn abandon_later(&mut self, id: WorkerConnectionId) {
+        self.abandoned.insert(id);
+    }
+
+    /// Takes the connections that are to be given up.
+    pub fn take_abandoned(&mut self) -> BTreeSet<WorkerConnectionId> {
+        std::mem::take(&mut self.abandoned)
+    }
+
+    /// Gives a connection up with all that is in flight on it. On the platform's protocol the edge ends its output and
+    /// waits for the worker to end the connection, which proves that it has ended what was in flight; what was not written
+    /// whole is never read and ends at once. Otherwise the connection is reset.
+    pub fn abandon(
+        &mut self,
+        context: &mut EdgeContext,
+        now: Micros,
+        id: WorkerConnectionId,
+        loss: ConnectionLoss,
+        io: &mut dyn Io,
+    ) -> Vec<MessageOutcome> {
+        let needs_proof = self.needs_proof();
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return Vec::new();
+        };
+        let Transport::Connected(conn) = connection.transport else {
+            return self.reset(context, now, id, loss, io);
+        };
+        let is_unwritten = |key: &MessageKey| connection.outbox.is_pending(key);
+        let unwritten: Vec<MessageKey> = connection
+            .in_flight
+            .keys()
+            .filter(|key| is_unwritten(key))
+            .copied()
+            .collect();
+        if !needs_proof || unwritten.len() == connection.in_flight.len() {
+            return self.reset(context, now, id, loss, io);
+        }
+        io.finish_writing(conn);
+        connection.transport = Transport::Closing(conn);
+        connection.step_deadline = now + CLOSE_TIMEOUT;
+        connection.is_retired = true;
+        let worker = connection.worker;
+        let timer = Timer::WorkerConnection(id);
+        context.timers.schedule(connection.step_deadline, timer);
+        if let Some(endpoint) = self.endpoints.get_mut(&worker) {
+            endpoint.connections.remove(&id);
+        }
+        self.dirty.remove(&id);
+        let outcomes = unwritten.into_iter();
+        outcomes
+            .map(|key| MessageOutcome::of_unread(key, Outcome::NoConnection))
+            .collect()
     }
 
     /// Closes a connection that was not opened in time, has been idle for too long, or is retired and idle. Otherwise
@@ -155,11 +239,15 @@
         let Some(connection) = self.connections.get(&id) else {
             return Vec::new();
         };
-        let is_connecting = matches!(connection.transport, Transport::Connecting(_));
-        if is_connecting && !connection.is_retired {
+        let is_step_overdue = connection.step_deadline <= now;
+        if connection.transport.is_opening() && !connection.is_retired && is_step_overdue {
             let loss = ConnectionLoss::Closed(CloseCause::Refused);
             return self.reset(context, now, id, loss, io);
         }
+        if connection.transport.is_closing() && !connection.is_idle() && is_step_overdue {
+            let loss = ConnectionLoss::Closed(CloseCause::Reset);
+            return self.reset(context, now, id, loss, io);
+        }
         let idle_timeout = context.limits.worker_idle_timeout;
         let idle_until = connection.idle_since + idle_timeout;
         let is_idle = connection.is_idle();
@@ -194,18 +282,14 @@
     }
 }
 
-/// The outcome of a message that was in flight when its connection was lost.
-fn outcome_after_loss(
-    connection: &WorkerConnection,
-    key: MessageKey,
-    cause: CloseCause,
-) -> Outcome {
-    let is_unread = !connection.transport.is_connected()
-        || cause == CloseCause::Refused
-        || connection.outbox.is_pending(&key);
-    if is_unread {
-        Outcome::NoConnection
-    } else {
-        Outcome::Reset
+impl MessageOutcome {
+    /// The outcome of a message that the worker never reads whole.
+    pub fn of_unread(key: MessageKey, outcome: Outcome) -> Self {
+        MessageOutcome {
+            key,
+            outcome,
+            proof: Proof::NeverRead,
+            is_known_read: false,
+        }
     }
 }
--- a/crates/sanddrum-edge/src/worker_connections/endpoints.rs
+++ b/crates/sanddrum-edge/src/worker_connections/endpoints.rs
@@ -89,7 +89,7 @@
             let Some(connection) = self.connections.get_mut(&id) else {
                 continue;
             };
-            for key in &connection.in_flight {
+            for key in connection.in_flight.keys() {
                 if connection.outbox.remove_unwritten(key) {
                     retracted.push(retracted_message(*key));
                 }
@@ -118,5 +118,5 @@
         MessageKey::Load(_) => Outcome::Rejected,
         _ => Outcome::CancelledBeforeStart,
     };
-    MessageOutcome { key, outcome }
+    MessageOutcome::of_unread(key, outcome)
 }
--- a/crates/sanddrum-edge/src/worker_connections/receiving.rs
+++ b/crates/sanddrum-edge/src/worker_connections/receiving.rs
@@ -1,14 +1,14 @@
 //! Receives messages from workers, and bounds the memory of incomplete ones.
 
 use super::WorkerConnections;
-use crate::worker_protocol::WorkerProtocolError;
+use crate::worker_protocol::{WorkerMessage, WorkerProtocolError};
 use sanddrum_upstream::WorkerConnectionId;
-use sanddrum_wire::FromWorker;
 
 impl WorkerConnections {
-    /// Buffers bytes received on a connection.
+    /// Buffers bytes received on a connection. What arrives on a connection that the edge has given up is discarded.
     pub fn push_bytes(&mut self, id: WorkerConnectionId, bytes: &[u8]) {
-        if let Some(connection) = self.connections.get_mut(&id) {
+        let connection = self.connections.get_mut(&id);
+        if let Some(connection) = connection.filter(|open| !open.transport.is_closing()) {
             connection.decoder.push_bytes(bytes);
         }
     }
@@ -20,8 +20,9 @@
     pub fn next_message(
         &mut self,
         id: WorkerConnectionId,
-    ) -> Result<Option<FromWorker>, WorkerProtocolError> {
-        match self.connections.get_mut(&id) {
+    ) -> Result<Option<WorkerMessage>, WorkerProtocolError> {
+        let connection = self.connections.get_mut(&id);
+        match connection.filter(|open| !open.transport.is_closing()) {
             Some(connection) => connection.decoder.next_message(&connection.keys_by_wire_id),
             None => Ok(None),
         }
@@ -54,6 +55,7 @@
 
     fn count_incomplete_frame(&mut self, id: WorkerConnectionId) {
         let connection = self.connections.get(&id);
+        let connection = connection.filter(|open| !open.transport.is_closing());
         match connection.map_or(0, |connection| connection.decoder.buffered_bytes()) {
             0 => self.incomplete_frames.remove(&id),
             bytes => self.incomplete_frames.insert(id, bytes),
--- a/crates/sanddrum-edge/src/worker_connections/sending.rs
+++ b/crates/sanddrum-edge/src/worker_connections/sending.rs
@@ -1,17 +1,14 @@
 //! Selects or creates the connection for a message, and writes queued messages.
 
-use super::{
-    ConnectionLoss, MessageOutcome, SendError, Transport, WorkerConnection, WorkerConnections,
-};
+use super::{SendError, Transport, WorkerConnection, WorkerConnections};
 use crate::context::EdgeContext;
-use crate::message::{MessageKey, OutboundMessage};
+use crate::message::{AttemptId, MessageKey, OutboundMessage};
 use crate::timers::Timer;
-use crate::worker_protocol::WorkerProtocol;
 use sanddrum::{Micros, WorkerId};
-use sanddrum_net::{CloseCause, Io, Outbox};
+use sanddrum_net::{Io, Outbox};
 use sanddrum_upstream::{ConnectionRequest, ConnectionUtilization, Purpose, WorkerConnectionId};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 impl WorkerConnections {
     /// Queues a message for a worker. Its answer is awaited until `deadline`.
@@ -66,11 +63,20 @@
 
     /// Queues the cancellation of an attempt on its connection, after all earlier messages. Does nothing if the
     /// connection is closed or its outbox is full.
-    pub fn send_cancel(&mut self, id: WorkerConnectionId, bytes: &[u8]) {
+    pub fn send_cancel(&mut self, id: WorkerConnectionId, attempt: AttemptId, bytes: &[u8]) {
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        if connection.outbox.push(MessageKey::Cancel, bytes).is_ok() {
+        if connection.transport.is_closing() {
+            return;
+        }
+        if connection
+            .outbox
+            .push(MessageKey::Cancel(attempt), bytes)
+            .is_ok()
+        {
+            let position = connection.next_position();
+            connection.cancellations.insert(attempt, position);
             self.dirty.insert(id);
             self.with_queued_cancels.insert(id);
         }
@@ -98,7 +104,7 @@
         self.create(context, now, worker)
     }
 
-    /// Returns the connection to a worker with the fewest messages in flight, if it has capacity.
+    /// Returns the connection to a worker with the fewest messages in flight among those with capacity.
     fn least_loaded(
         &self,
         now: Micros,
@@ -118,13 +124,15 @@
         let usable = connections.filter(|(_, connection)| {
             is_free(connection) && !self.is_idle_too_long(now, connection)
         });
-        // Prefers the most recently used idle connection: the longest idle one may have died unnoticed.
+        // Connections that the worker is known to read come first: on others messages wait and may fail. Among equals, the
+        // most recently used idle connection: the longest idle one may have died unnoticed.
         let load = usable.map(|(id, connection)| {
             let in_flight = connection.in_flight.len();
-            (in_flight, Reverse(connection.idle_since), *id)
+            let is_opening = !connection.transport.is_connected();
+            (is_opening, in_flight, Reverse(connection.idle_since), *id)
         });
-        let (in_flight, _, id) = load.min()?;
-        (in_flight < max_in_flight).then_some(id)
+        let with_capacity = load.filter(|(_, in_flight, ..)| *in_flight < max_in_flight);
+        with_capacity.min().map(|(.., id)| id)
     }
 
     /// Whether an open connection has been idle so long that it may be dead.
@@ -201,7 +209,7 @@
     }
 
     fn new_connection(
-        &self,
+        &mut self,
         context: &EdgeContext,
         now: Micros,
         worker: WorkerId,
@@ -211,19 +219,12 @@
             // An empty outbox accepts a message of any size.
             let _ = outbox.push(MessageKey::Untracked, &hello);
         }
-        WorkerConnection {
-            worker,
-            transport: Transport::Pending,
-            outbox,
-            decoder: self.protocol.decoder(context.limits.max_frame_bytes),
-            in_flight: BTreeSet::new(),
-            keys_by_wire_id: BTreeMap::new(),
-            retired_wire_ids: BTreeMap::new(),
-            is_retired: false,
-            idle_since: now,
-            idle_before: 0,
-            busy_since: now,
+        let decoder = self.protocol.decoder(context.limits.max_frame_bytes);
+        let mut connection = WorkerConnection::new(worker, now, outbox, decoder);
+        if self.needs_proof() {
+            self.queue_confirmation(&mut connection);
         }
+        connection
     }
 
     /// Creates a connection ahead of demand, unless a limit is reached or one is being opened already.
@@ -261,44 +262,28 @@
         std::mem::take(&mut self.dirty)
     }
 
-    /// Writes a connection up to its last cancellation. On the platform's protocol, a connection that does not take it
-    /// is reset, as the cancelled attempt could otherwise run concurrently with the next one.
-    pub fn flush_cancels(
-        &mut self,
-        context: &mut EdgeContext,
-        now: Micros,
-        id: WorkerConnectionId,
-        io: &mut dyn Io,
-    ) -> Vec<MessageOutcome> {
+    /// Writes a connection up to its last cancellation. Returns the messages whose last byte was written.
+    pub fn flush_cancels(&mut self, id: WorkerConnectionId, io: &mut dyn Io) -> Vec<MessageKey> {
         let Some(connection) = self.connections.get_mut(&id) else {
             return Vec::new();
         };
         let Transport::Connected(conn) = connection.transport else {
             return Vec::new();
         };
-        connection
-            .outbox
-            .flush_through(|key| *key == MessageKey::Cancel, conn, io);
-        let is_blocked = connection.outbox.is_pending(&MessageKey::Cancel);
-        if self.protocol == WorkerProtocol::Platform && is_blocked {
-            return self.reset(
-                context,
-                now,
-                id,
-                ConnectionLoss::Closed(CloseCause::Reset),
-                io,
-            );
-        }
-        Vec::new()
+        let is_cancellation = |key: &MessageKey| matches!(key, MessageKey::Cancel(_));
+        connection.outbox.flush_through(is_cancellation, conn, io)
     }
 
-    /// Writes as much as an open connection takes.
-    pub fn flush(&mut self, id: WorkerConnectionId, io: &mut dyn Io) {
+    /// Writes as much as an open connection takes; on one that is not verified yet, only the message that verifies it.
+    /// Returns the messages whose last byte was written.
+    pub fn flush(&mut self, id: WorkerConnectionId, io: &mut dyn Io) -> Vec<MessageKey> {
         let Some(connection) = self.connections.get_mut(&id) else {
-            return;
+            return Vec::new();
         };
-        if let Transport::Connected(conn) = connection.transport {
-            connection.outbox.flush(conn, io);
+        match connection.transport {
+            Transport::Connected(conn) => connection.outbox.flush(conn, io),
+            Transport::Verifying(conn) => connection.flush_verification(conn, io),
+            Transport::Pending | Transport::Connecting(_) | Transport::Closing(_) => Vec::new(),
         }
     }
 
--- a/crates/sanddrum-edge/src/worker_protocol.rs
+++ b/crates/sanddrum-edge/src/worker_protocol.rs
@@ -48,6 +48,14 @@
     UnsupportedVersion,
 }
 
+/// A message received from a worker.
+pub(crate) enum WorkerMessage {
+    /// A message of the protocol.
+    Message(FromWorker),
+    /// The answer to a message that only asked for proof of what the worker has read.
+    Confirmation(CommandId),
+}
+
 /// Decodes messages from a worker.
 pub(crate) enum MessageDecoder {
     /// Decodes native frames.
@@ -156,17 +164,30 @@
     pub fn next_message(
         &mut self,
         keys_by_wire_id: &BTreeMap<u64, MessageKey>,
-    ) -> Result<Option<FromWorker>, WorkerProtocolError> {
+    ) -> Result<Option<WorkerMessage>, WorkerProtocolError> {
         match self {
-            MessageDecoder::Native(frames) => Ok(frames.next_message()?),
+            MessageDecoder::Native(frames) => {
+                let message = frames.next_message()?;
+                Ok(message.map(WorkerMessage::Message))
+            }
             MessageDecoder::Platform(frames) => {
                 let answer = frames.next_response()?;
-                Ok(answer.map(|answer| native_message(answer, keys_by_wire_id)))
+                Ok(answer.map(|answer| platform_message(answer, keys_by_wire_id)))
             }
         }
     }
 }
 
+fn platform_message(
+    answer: frames::Response,
+    keys_by_wire_id: &BTreeMap<u64, MessageKey>,
+) -> WorkerMessage {
+    match keys_by_wire_id.get(&answer.id) {
+        Some(MessageKey::Confirmation(id)) => WorkerMessage::Confirmation(*id),
+        _ => WorkerMessage::Message(native_message(answer, keys_by_wire_id)),
+    }
+}
+
 /// Converts an answer in the platform's protocol to a native message.
 fn native_message(
     answer: frames::Response,
--- /dev/null
+++ b/crates/sanddrum-edge/tests/attempt_ends.rs
@@ -0,0 +1,166 @@
+//! The ends of attempts on the platform's protocol, one test for each row of docs/design/attempt-ends.md: what each end
+//! proves about the worker, and when another attempt or the final answer may follow.
+
+mod harness;
+
+use harness::fastcgi::{parse_call_id, CALL_ID, OTHER_CALL_ID, TIME_LIMIT};
+use harness::platform_worker::{FINISHED, REJECTED};
+use harness::scripted_module::Decision;
+use harness::{EdgeHarness, SECOND};
+use rstest::rstest;
+use sanddrum::{Micros, Outcome};
+use sanddrum_net::{CloseCause, ConnectionId, Event};
+use sanddrum_platform::frames;
+
+const MILLISECOND: Micros = 1_000;
+
+/// How long a new connection may take until its worker has answered.
+const CONNECT_TIMEOUT: Micros = 250 * MILLISECOND;
+
+/// An edge whose settings do not allow two attempts of a request at once.
+fn edge() -> EdgeHarness {
+    edge_with(&[])
+}
+
+fn edge_with(settings: &[(&str, &str)]) -> EdgeHarness {
+    let mut all = vec![
+        ("limits.second-copies", "no"),
+        ("limits.connect-time-out", "250 ms"),
+    ];
+    all.extend(settings);
+    EdgeHarness::on_platform(&all)
+}
+
+fn close(harness: &mut EdgeHarness, conn: ConnectionId, cause: CloseCause) {
+    harness.event(Event::Closed { conn, cause });
+}
+
+/// Guards against an attempt on a connection that was accepted and is read late.
+#[rstest]
+fn nothing_but_a_health_check_is_written_until_the_worker_has_answered_on_a_new_connection() {
+    let mut harness = edge();
+    let (_, worker) = harness.dispatch_while_connecting();
+    harness.event(Event::Connected { conn: worker });
+    let id = harness.last_health_check(worker).unwrap();
+    harness.advance(CONNECT_TIMEOUT - 1);
+    assert_eq!(harness.io.written[&worker], frames::ping(id));
+    harness.answer_health_check(worker);
+    let written = harness.io.written[&worker].len();
+    assert!(written > frames::ping(id).len(), "the attempt follows");
+}
+
+/// Guards against a request that waits on a connection that nobody reads.
+#[rstest]
+fn a_new_connection_that_is_not_read_in_time_proves_that_its_attempt_was_never_read() {
+    let mut harness = edge();
+    let (_, worker) = harness.dispatch_while_connecting();
+    harness.event(Event::Connected { conn: worker });
+    harness.advance(CONNECT_TIMEOUT);
+    assert!(harness.io.has_reset(worker));
+    assert_eq!(harness.outcomes(), [Outcome::NoConnection]);
+}
+
+/// Guards against a final answer that waits although nothing was sent.
+#[rstest]
+fn a_rejection_is_given_at_once_while_the_attempt_is_unwritten() {
+    let mut harness = edge();
+    let (client, worker) = harness.dispatch_while_connecting();
+    harness.event(Event::Connected { conn: worker });
+    harness.decide_on_event(2, [Decision::Reject(0)]);
+    assert_eq!(harness.fastcgi_statuses(client), [(1, 503)]);
+    assert_eq!(harness.outcomes(), [Outcome::CancelledBeforeStart]);
+}
+
+#[rstest]
+fn an_answer_ends_the_attempt_at_once() {
+    let mut harness = edge();
+    let (_, worker) = harness.dispatch_fastcgi_request();
+    harness.receive(
+        worker,
+        &frames::response(REJECTED, parse_call_id(CALL_ID), "", b""),
+    );
+    assert_eq!(harness.outcomes(), [Outcome::Rejected]);
+}
+
+/// Guards against a cancelled attempt that counts as running although its worker has answered it.
+#[rstest]
+fn an_answer_ends_a_cancelled_attempt_and_serves_its_request() {
+    let mut harness = edge();
+    let (client, worker) = harness.dispatch_fastcgi_request();
+    harness.decide_on_event(2, [Decision::Cancel(0, 0)]);
+    harness.finish_request(worker, CALL_ID, b"out");
+    assert_eq!(harness.outcomes(), [Outcome::Finished]);
+    assert_eq!(harness.fastcgi_statuses(client), [(1, 200)]);
+}
+
+/// Guards against further messages where an answer that comes anyway is proof enough.
+#[rstest]
+fn an_answer_to_a_later_message_proves_that_a_cancellation_was_read() {
+    let mut harness = edge();
+    let (client, worker) = harness.dispatch_fastcgi_request();
+    harness.decide_on_event(2, [Decision::Cancel(0, 0)]);
+    harness.plan([Decision::Dispatch(1, TIME_LIMIT)]);
+    harness.send_request(client, 2, OTHER_CALL_ID);
+    harness.finish_request(worker, OTHER_CALL_ID, b"out");
+    assert_eq!(harness.outcomes(), [Outcome::Finished, Outcome::Cancelled]);
+}
+
+/// Guards against an answer to an earlier message that counts as proof.
+#[rstest]
+fn an_answer_to_an_earlier_message_proves_nothing_of_a_cancellation() {
+    let mut harness = edge();
+    let (client, worker) = harness.dispatch_fastcgi_request();
+    harness.plan([Decision::Dispatch(1, TIME_LIMIT)]);
+    harness.send_request(client, 2, OTHER_CALL_ID);
+    harness.decide_on_event(2, [Decision::Cancel(0, 0)]);
+    harness.finish_request(worker, OTHER_CALL_ID, b"out");
+    assert_eq!(harness.outcomes(), [Outcome::Finished]);
+}
+
+#[rstest]
+fn a_connection_that_the_worker_closes_proves_that_the_attempt_has_ended() {
+    let mut harness = edge();
+    let (_, worker) = harness.dispatch_fastcgi_request();
+    close(&mut harness, worker, CloseCause::Orderly);
+    assert_eq!(harness.outcomes(), [Outcome::Reset]);
+}
+
+/// Guards against proof that is asked for where the settings forbid it.
+#[rstest]
+#[case::health_checks("yes", "yes", Some(67))]
+#[case::queries("no", "yes", Some(69))]
+#[case::nothing("no", "no", Some(65))]
+fn a_new_connection_is_verified_by_what_the_settings_allow(
+    #[case] probes: &str,
+    #[case] orders: &str,
+    #[case] first_code: Option<u8>,
+) {
+    let mut harness = edge_with(&[("limits.probes", probes), ("copies.orders", orders)]);
+    let (_, worker) = harness.dispatch_while_connecting();
+    harness.event(Event::Connected { conn: worker });
+    assert_eq!(harness.io.written[&worker].get(1).copied(), first_code);
+}
+
+/// Guards against a second attempt where nothing may ask for proof: the attempt runs until an answer shows its end.
+#[rstest]
+fn without_means_of_proof_a_cancelled_attempt_runs_until_its_connection_shows_its_end() {
+    let mut harness = edge_with(&[("limits.probes", "no"), ("copies.orders", "no")]);
+    let (_, worker) = harness.dispatch_fastcgi_request();
+    harness.decide_on_event(2, [Decision::Cancel(0, 0)]);
+    harness.advance(SECOND / 2);
+    assert_eq!(harness.outcomes(), []);
+    let answer = frames::response(FINISHED, parse_call_id(CALL_ID), "", b"out");
+    harness.receive(worker, &answer);
+    assert_eq!(harness.outcomes(), [Outcome::Finished]);
+}
+
+/// Guards against a second attempt that the decision module starts while the first may still run.
+#[rstest]
+#[should_panic(expected = "violation of one-attempt")]
+fn a_second_attempt_at_once_is_a_violation_where_copies_are_not_allowed() {
+    let mut harness = edge();
+    harness.dispatch_fastcgi_request();
+    harness.decide_on_event(2, [Decision::Dispatch(0, TIME_LIMIT)]);
+    let second = harness.last_connection();
+    harness.connect(second);
+}
--- a/crates/sanddrum-edge/tests/harness/fake_io.rs
+++ b/crates/sanddrum-edge/tests/harness/fake_io.rs
@@ -16,6 +16,8 @@
     pub connects: Vec<(ConnectionId, String)>,
     /// Connections that the edge has closed or reset.
     pub closed: Vec<(ConnectionId, Option<CloseCause>)>,
+    /// Connections whose output the edge has ended.
+    pub finished: Vec<ConnectionId>,
     /// Whether reading is paused, for each connection that was paused or resumed.
     pub paused: BTreeMap<ConnectionId, bool>,
     /// How many more bytes a connection takes; unbounded without an entry.
@@ -37,6 +39,7 @@
             writes: Vec::new(),
             connects: Vec::new(),
             closed: Vec::new(),
+            finished: Vec::new(),
             paused: BTreeMap::new(),
             capacity: BTreeMap::new(),
             saved: None,
@@ -96,6 +99,10 @@
         self.closed.push((conn, Some(CloseCause::Orderly)));
     }
 
+    fn finish_writing(&mut self, conn: ConnectionId) {
+        self.finished.push(conn);
+    }
+
     fn reset(&mut self, conn: ConnectionId) {
         self.closed.push((conn, Some(CloseCause::Reset)));
     }
--- a/crates/sanddrum-edge/tests/harness/mod.rs
+++ b/crates/sanddrum-edge/tests/harness/mod.rs
@@ -48,6 +48,7 @@
     /// The connection to the discovery service, or to the control feed.
     pub discovery: ConnectionId,
     accepted: u64,
+    is_on_platform: bool,
 }
 
 impl EdgeHarness {
@@ -114,6 +115,7 @@
             settings.override_value(name, value, "test").unwrap();
         }
         let script = Rc::new(RefCell::new(Script::default()));
+        let is_on_platform = platform.is_some();
         let options = EdgeOptions {
             settings,
             seed: 1,
@@ -129,6 +131,7 @@
             script,
             discovery: ConnectionId(0),
             accepted: 0,
+            is_on_platform,
         };
         harness.edge.start(harness.now, &mut harness.io);
         harness.advance(1);
@@ -166,9 +169,19 @@
         self.process();
     }
 
-    /// Establishes a connection that the edge has initiated.
+    /// Establishes a connection that the edge has initiated. On the platform its worker also answers the message that
+    /// verifies it, which is not recorded as written.
     pub fn connect(&mut self, conn: ConnectionId) {
+        if !self.is_on_platform {
+            return self.event(Event::Connected { conn });
+        }
+        let capacity = self.io.capacity.remove(&conn);
         self.event(Event::Connected { conn });
+        let capacity = capacity.map(|capacity| self.io.capacity.insert(conn, capacity));
+        if capacity.is_none() {
+            self.io.capacity.remove(&conn);
+        }
+        self.answer_verification(conn);
     }
 
     /// Delivers bytes that the peer of a connection has sent.
--- a/crates/sanddrum-edge/tests/harness/platform_worker.rs
+++ b/crates/sanddrum-edge/tests/harness/platform_worker.rs
@@ -5,6 +5,12 @@
 use sanddrum_net::ConnectionId;
 use sanddrum_platform::frames;
 
+/// The code of a health check, and of its answer.
+pub const HEALTH_CHECK: u8 = 67;
+pub const HEALTH_CHECK_ANSWER: u8 = 103;
+/// The length of a frame without fields and body.
+const EMPTY_FRAME_BYTES: usize = 20;
+
 /// The status code of a finished request or load command.
 pub const FINISHED: u8 = 97;
 /// The status code of a request whose function is not loaded.
@@ -18,4 +24,30 @@
         let answer = frames::response(FINISHED, parse_call_id(call_id), "", body);
         self.receive(worker, &answer);
     }
+
+    /// The id of the health check that was written to a worker last, if nothing was written after it.
+    pub fn last_health_check(&self, worker: ConnectionId) -> Option<u64> {
+        let written = self.io.written.get(&worker)?;
+        let frame = written.last_chunk::<EMPTY_FRAME_BYTES>()?;
+        let id = u64::from_be_bytes(*frame[8..].first_chunk()?);
+        (frame[..] == frames::ping(id)).then_some(id)
+    }
+
+    /// Delivers a worker's answer to the health check that was written to it last.
+    pub fn answer_health_check(&mut self, worker: ConnectionId) {
+        let id = self.last_health_check(worker).expect("a health check");
+        let answer = frames::response(HEALTH_CHECK_ANSWER, id, "", b"");
+        self.receive(worker, &answer);
+    }
+
+    /// Delivers a worker's answer to the health check that verifies a new connection, and removes it from the record.
+    pub fn answer_verification(&mut self, worker: ConnectionId) {
+        let Some(id) = self.last_health_check(worker) else {
+            return;
+        };
+        self.io.written.remove(&worker);
+        self.io.writes.pop();
+        let answer = frames::response(HEALTH_CHECK_ANSWER, id, "", b"");
+        self.receive(worker, &answer);
+    }
 }
--- a/crates/sanddrum-edge/tests/harness/scripted_module.rs
+++ b/crates/sanddrum-edge/tests/harness/scripted_module.rs
@@ -38,6 +38,7 @@
     pub health_check_results: Vec<HealthCheckResult>,
     pub requests: Vec<Request>,
     pub cancelled: Vec<RequestId>,
+    pub lost_workers: Vec<WorkerId>,
     pub endpoint_lists: Vec<EndpointList>,
     pub confirmations: Vec<EndpointConfirmation>,
 }
@@ -51,6 +52,7 @@
             .extend(&batch.health_check_results);
         self.requests.extend(&batch.requests);
         self.cancelled.extend(&batch.cancelled);
+        self.lost_workers.extend(&batch.lost_workers);
         self.endpoint_lists
             .extend(batch.endpoint_lists.iter().cloned());
     }
--- a/crates/sanddrum-edge/tests/platform_attempts.rs
+++ b/crates/sanddrum-edge/tests/platform_attempts.rs
@@ -97,12 +97,11 @@
     let (client, first) = harness.dispatch_while_connecting();
     harness.io.capacity.insert(first, 20);
     harness.connect(first);
-    harness.decide_on_event(
-        2,
-        [Decision::Cancel(0, 0), Decision::Dispatch(0, 1_000_000)],
-    );
+    harness.decide_on_event(2, [Decision::Cancel(0, 0)]);
     // The first attempt can never be completed, so it can't run concurrently with the second.
     assert!(harness.io.has_reset(first));
+    harness.decide_on_event(3, [Decision::Dispatch(0, 1_000_000)]);
+    assert_eq!(harness.outcomes(), [Outcome::NoConnection]);
     let second = harness.last_connection();
     assert_ne!(first, second);
     harness.connect(second);
@@ -111,7 +110,7 @@
 }
 
 #[rstest]
-fn a_retry_is_written_after_the_cancellation_of_the_previous_attempt() {
+fn the_outcome_of_a_cancelled_attempt_follows_once_the_worker_has_read_the_cancellation() {
     let mut harness = EdgeHarness::on_platform(&[("limits.streams", "1")]);
     let client = harness.accept_client();
     for (id, call_id) in [(0, CALL_ID), (1, OTHER_CALL_ID)] {
@@ -121,27 +120,20 @@
         harness.connect(conn);
     }
     let (first, second) = (harness.io.connects[1].0, harness.io.connects[2].0);
-    // Both are cancelled, and the second is retried on the connection of the first, which is flushed before its own.
-    let decisions = [
-        Decision::Cancel(0, 0),
-        Decision::Cancel(1, 0),
-        Decision::Dispatch(1, 1_000_000),
-    ];
-    let before = harness.io.writes.len();
-    harness.decide_on_event(2, decisions);
-    let written: Vec<ConnectionId> = harness.io.writes[before..]
-        .iter()
-        .map(|(conn, _)| *conn)
-        .collect();
-    let other = parse_call_id(OTHER_CALL_ID);
-    let cancelled = harness.io.writes[before..]
-        .iter()
-        .position(|(conn, bytes)| *conn == second && bytes.ends_with(&frames::cancel(other)));
-    let request = frames::request(other, "job", FUNCTION, 1_000_000, b"in");
-    let sent = harness.io.writes[before..]
-        .iter()
-        .position(|(conn, bytes)| *conn == first && bytes.ends_with(&request));
-    assert!(cancelled.unwrap() < sent.unwrap(), "{written:?}");
+    harness.decide_on_event(2, [Decision::Cancel(0, 0), Decision::Cancel(1, 0)]);
+    for (conn, call_id) in [(first, CALL_ID), (second, OTHER_CALL_ID)] {
+        let health_check = frames::ping(harness.last_health_check(conn).unwrap());
+        let expected = [frames::cancel(parse_call_id(call_id)), health_check].concat();
+        assert!(harness.io.written[&conn].ends_with(&expected));
+    }
+    harness.advance(SECOND / 2);
+    assert_eq!(harness.outcomes(), [], "both may still run");
+    harness.answer_health_check(second);
+    assert_eq!(harness.outcomes(), [Outcome::Cancelled]);
+    let request = harness.script.borrow().attempt_results[0].request;
+    assert_eq!(request.0, 1, "the other one is not known to have ended");
+    harness.answer_health_check(first);
+    assert_eq!(harness.outcomes(), [Outcome::Cancelled, Outcome::Cancelled]);
 }
 
 #[rstest]
@@ -349,11 +341,10 @@
 fn a_retry_is_sent_on_another_connection_after_the_cancellation() {
     let mut harness = EdgeHarness::on_platform(&[]);
     let (_, first) = harness.dispatch_fastcgi_request();
-    harness.decide_on_event(
-        2,
-        [Decision::Cancel(0, 0), Decision::Dispatch(0, 1_000_000)],
-    );
-    assert!(harness.io.written[&first].ends_with(&frames::cancel(parse_call_id(CALL_ID))));
+    harness.decide_on_event(2, [Decision::Cancel(0, 0)]);
+    harness.answer_health_check(first);
+    assert_eq!(harness.outcomes(), [Outcome::Cancelled]);
+    harness.decide_on_event(3, [Decision::Dispatch(0, 1_000_000)]);
     let second = harness.last_connection();
     assert_ne!(first, second);
     harness.connect(second);
@@ -371,9 +362,13 @@
 fn an_attempt_that_times_out_is_cancelled_at_the_worker() {
     let mut harness = EdgeHarness::on_platform(&[]);
     let (_, worker) = harness.dispatch_fastcgi_request();
-    harness.advance(2 * SECOND);
+    harness.advance(TIME_LIMIT);
+    let health_check = frames::ping(harness.last_health_check(worker).unwrap());
+    let expected = [frames::cancel(parse_call_id(CALL_ID)), health_check].concat();
+    assert!(harness.io.written[&worker].ends_with(&expected));
+    assert_eq!(harness.outcomes(), []);
+    harness.answer_health_check(worker);
     assert_eq!(harness.outcomes(), [Outcome::TimedOut]);
-    assert!(harness.io.written[&worker].ends_with(&frames::cancel(parse_call_id(CALL_ID))));
 }
 
 #[rstest]
--- a/crates/sanddrum-platform/src/deployment.rs
+++ b/crates/sanddrum-platform/src/deployment.rs
@@ -178,7 +178,8 @@
              (max-clients {max_clients}) (all-connections {max_worker_connections}) \
              (held-bodies {body_memory_mb}MB) (partial-requests {partial_memory_mb}MB) \
              (worker-frames {frame_memory_mb}MB) \
-             (unread-responses {response_memory_mb}MB) (largest-list {feed_answer_mb}MB) (stop-within {}))\n",
+             (unread-responses {response_memory_mb}MB) (largest-list {feed_answer_mb}MB) (stop-within {}) \
+             (cancel {}) (probes {}) (second-copies {}))\n",
             self.number(STREAMS_PER_CONNECTION, 32.0).clamp(1.0, 1e5) as i64,
             self.duration(CONNECT_TIMEOUT_US, 250e3),
             self.duration("copies.order-time-out-us", 1e7),
@@ -186,9 +187,20 @@
             self.number("limits.max-executions", 5.0).clamp(1.0, 100.0) as i64,
             self.number("limits.max-open", 20e3).clamp(1.0, 1e7) as i64,
             format_micros(self.stop_within_us()),
+            self.permission("limits.cancel"),
+            self.permission("limits.probes"),
+            self.permission("limits.second-copies"),
         )
     }
 
+    /// Whether the platform allows something; absent flags forbid it.
+    fn permission(&self, name: &str) -> &'static str {
+        match self.settings.flag(name) {
+            Some(true) => "yes",
+            Some(false) | None => "no",
+        }
+    }
+
     /// The time that the router has for its graceful shutdown, in microseconds.
     fn stop_within_us(&self) -> f64 {
         let longest_time_limit_us = (0..self.workload_names().len())
--- a/src/events.rs
+++ b/src/events.rs
@@ -1,6 +1,8 @@
 //! Events that the host reports to the decision module: requests, endpoint lists and the outcomes of attempts, load
 //! commands and health checks.
 
+use std::collections::BTreeSet;
+
 use crate::{
     CellId, CustomerId, FunctionId, KindId, Micros, PeerId, RequestId, WorkerId, WorkloadId, ZoneId,
 };
@@ -269,6 +271,8 @@
     pub gossip: Vec<GossipMessage>,
     /// Requests whose client cancelled them or disconnected.
     pub cancelled: Vec<RequestId>,
+    /// Workers to which a connection was lost while attempts on it may still run. The results of these attempts follow.
+    pub lost_workers: BTreeSet<WorkerId>,
     /// The instant requested through [`Decisions::wake_at`](crate::Decisions::wake_at) has been reached.
     pub timer: bool,
     /// The host is shutting down: every request in flight gets its final answer in this batch.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,8 +38,8 @@
 };
 use crate::statistics::hash_of;
 use crate::{
-    AnswerReason, Decisions, EndpointConfirmation, EventBatch, Micros, RequestId, Settings,
-    WorkerId, WorkloadId,
+    AnswerReason, Decisions, EndpointConfirmation, EventBatch, Micros, Outcome, RequestId,
+    Settings, WorkerId, WorkloadId,
 };
 use constants::{EVICTION_KEEP_ALIVES, MIN_PREFERRED, SWEEPS_PER_OBJECTIVE};
 use std::collections::{BTreeMap, BTreeSet};
@@ -173,6 +173,9 @@
         for result in &batch.attempt_results {
             self.record_attempt_result(result);
         }
+        for worker in &batch.lost_workers {
+            self.record_lost_connection(*worker, Outcome::Reset);
+        }
         for result in &batch.load_results {
             self.record_load_result(result);
         }
--- a/src/logic/observations.rs
+++ b/src/logic/observations.rs
@@ -8,7 +8,9 @@
 use super::Router;
 use crate::state::{AttemptStatus, Function, PendingRequest, Timer};
 use crate::statistics::decayed;
-use crate::{AttemptResult, HealthCheckResult, Micros, Outcome, Request, RequestId, Warmth};
+use crate::{
+    AttemptResult, HealthCheckResult, Micros, Outcome, Request, RequestId, Warmth, WorkerId,
+};
 
 /// The result of an attempt as far as it matters for admission.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -140,19 +142,28 @@
                 self.presume_restart(id);
             }
             Outcome::Reset | Outcome::NoConnection => {
-                worker.is_ejected = true;
-                worker.lost_at = now;
-                worker.unanswered_checks = worker.unanswered_checks.max(1);
-                self.ejected_workers.insert(id);
-                self.timers.insert((now, Timer::WorkerOverdue(id)));
-                if result.outcome == Outcome::Reset {
-                    self.functions.forget_instances(id);
-                }
+                self.record_lost_connection(id, result.outcome);
             }
             Outcome::TimedOut | Outcome::Cancelled | Outcome::CancelledBeforeStart => {}
         }
     }
 
+    /// Ejects a worker to which a connection was lost or could not be opened.
+    pub(super) fn record_lost_connection(&mut self, id: WorkerId, outcome: Outcome) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
+        worker.is_ejected = true;
+        worker.lost_at = now;
+        worker.unanswered_checks = worker.unanswered_checks.max(1);
+        self.ejected_workers.insert(id);
+        self.timers.insert((now, Timer::WorkerOverdue(id)));
+        if outcome == Outcome::Reset {
+            self.functions.forget_instances(id);
+        }
+    }
+
     /// Adjusts the fraction of requests admitted under overload: multiplicative decrease, additive increase.
     fn adjust_admission(&mut self, result: &AttemptResult, timeliness: Timeliness) {
         // Waiting for a load does not indicate overload; otherwise a cold fleet would later shed nearly all requests.
