Hold a final error answer back while a worker may still have to read an attempt

Cause: EdgeState::respond_with_error (edge_state/requests.rs) answered while a written attempt could still wait on the link; at the deadline attempt_timed_out ended it as its cancellation was queued.

Ruled out: a retry written after the answer: send_checks.rs retracts those, and no violation is in the logs.

An attempt known to be read holds nothing back.

Tests of sanddrum-edge pass.

--- a/crates/sanddrum-edge/src/edge_state/attempts.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempts.rs
@@ -326,7 +326,8 @@
             return self.finish_attempt(now, id, Outcome::TimedOut.into());
         }
         // Nothing follows an attempt past the deadline but the final answer, which waits until the attempt is read.
-        if !is_past_deadline {
+        let may_be_unread = self.worker_connections.may_be_unread(connection, id);
+        if !is_past_deadline || (may_be_unread && request.is_some()) {
             return self.give_up_attempt(now, id, Outcome::TimedOut);
         }
         self.send_cancel(connection, id);
--- a/crates/sanddrum-edge/src/edge_state/requests.rs
+++ b/crates/sanddrum-edge/src/edge_state/requests.rs
@@ -90,7 +90,9 @@
         id: RequestId,
         response: &ErrorResponse<'_>,
     ) {
-        self.close_with_error(now, id, response);
+        if !self.defer_answer(now, id, response) {
+            self.close_with_error(now, id, response);
+        }
     }
 
     /// Closes a request with an error response now.
--- a/crates/sanddrum-edge/tests/attempt_ends.rs
+++ b/crates/sanddrum-edge/tests/attempt_ends.rs
@@ -125,6 +125,49 @@
     assert_eq!(harness.outcomes(), [Outcome::Reset]);
 }
 
+/// Guards against a final answer before the worker has read the attempt.
+#[rstest]
+fn a_failure_at_the_deadline_waits_until_the_worker_has_read_the_attempt() {
+    let mut harness = edge();
+    let (client, worker) = harness.dispatch_fastcgi_request();
+    harness.advance(TIME_LIMIT + 80 * MILLISECOND);
+    harness.decide_on_event(2, [Decision::Fail(0)]);
+    harness.advance(100 * MILLISECOND);
+    assert!(harness.fastcgi_statuses(client).is_empty());
+    harness.answer_health_check(worker);
+    assert_eq!(harness.fastcgi_statuses(client), [(1, 504)]);
+}
+
+/// Guards against an answer that waits for a silent worker until its request counts as lost.
+#[rstest]
+fn a_failure_waits_at_most_until_400_ms_after_the_deadline() {
+    let mut harness = edge();
+    let (client, _) = harness.dispatch_fastcgi_request();
+    let deadline = harness.script.borrow().requests[0].deadline;
+    harness.advance(deadline - harness.now);
+    harness.decide_on_event(2, [Decision::Fail(0)]);
+    harness.advance(400 * MILLISECOND - 1);
+    assert!(harness.fastcgi_statuses(client).is_empty());
+    harness.advance(1);
+    assert_eq!(harness.fastcgi_statuses(client), [(1, 504)]);
+    let counts = harness.edge.resource_counts();
+    assert_eq!(counts.requests, 0, "nothing of the request is left");
+}
+
+/// Guards against an answer that waits although the attempt was read long ago.
+#[rstest]
+fn a_failure_is_given_at_once_if_the_worker_is_known_to_have_read_the_attempt() {
+    let mut harness = edge();
+    let (client, worker) = harness.dispatch_fastcgi_request();
+    harness.plan([Decision::Dispatch(1, TIME_LIMIT)]);
+    harness.send_request(client, 2, OTHER_CALL_ID);
+    harness.finish_request(worker, OTHER_CALL_ID, b"out");
+    let deadline = harness.script.borrow().requests[0].deadline;
+    harness.advance(deadline - harness.now);
+    harness.decide_on_event(2, [Decision::Fail(0)]);
+    assert_eq!(harness.fastcgi_statuses(client), [(2, 200), (1, 504)]);
+}
+
 /// Guards against proof that is asked for where the settings forbid it.
 #[rstest]
 #[case::health_checks("yes", "yes", Some(67))]
