Wait for the worker to end a connection that the router gives up

Cause: EdgeState::reset_after_violation (edge_state/workers.rs) reset the connection and reported Reset for all that was open on it at once. A reset has no acknowledgement.

Ruled out: cancelling the open attempts one by one: the answers can't be read any more on that connection.

Change: WorkerConnections::abandon ends the router's output and discards input until the worker ends the connection, for a second at most; only then are the attempts reported.

Measured: no_second_attempt_is_read_before_the_worker_has_read_the_end_of_a_connection failed before and passes.

--- a/crates/sanddrum-cli/tests/late_delivery.rs
+++ b/crates/sanddrum-cli/tests/late_delivery.rs
@@ -215,3 +215,15 @@
     let observed = fleet.observe(600, Duration::from_millis(1_200));
     observed.assert_nothing_read_after_the_answer();
 }
+
+/// Guards against a second attempt after a spoilt answer, while the worker has not read the end of the connection.
+#[rstest]
+fn no_second_attempt_is_read_before_the_worker_has_read_the_end_of_a_connection() {
+    let mut fleet = Fleet::start("late-end");
+    let (first, attempt) = fleet.first_attempt(B, 4_000);
+    fleet.proxies[first].hold_to_worker();
+    fleet.workers[first].send(attempt.0, b"this is no frame at all");
+    fleet.assert_no_attempt_while_held(1 - first);
+    fleet.proxies[first].release();
+    fleet.serve_next_attempt();
+}
--- a/crates/sanddrum-edge/src/edge_state/workers.rs
+++ b/crates/sanddrum-edge/src/edge_state/workers.rs
@@ -106,7 +106,7 @@
         let loss = ConnectionLoss::ProtocolError;
         let outcomes = self
             .worker_connections
-            .reset(&mut self.context, now, id, loss, io);
+            .abandon(&mut self.context, now, id, loss, io);
         self.finish_messages(now, outcomes);
     }
 
--- a/crates/sanddrum-edge/tests/attempt_ends.rs
+++ b/crates/sanddrum-edge/tests/attempt_ends.rs
@@ -125,6 +125,28 @@
     assert_eq!(harness.outcomes(), [Outcome::Reset]);
 }
 
+/// Guards against a second attempt before the worker has ended a connection that the edge gives up.
+#[rstest]
+#[case::the_worker_closes_it(Some(CloseCause::Orderly), Outcome::Reset, 0)]
+#[case::it_is_reset(Some(CloseCause::Reset), Outcome::Cancelled, SECOND)]
+#[case::the_worker_stays_silent(None, Outcome::Cancelled, 2 * SECOND)]
+fn a_connection_that_the_edge_gives_up_proves_nothing_until_the_worker_has_ended_it(
+    #[case] cause: Option<CloseCause>,
+    #[case] outcome: Outcome,
+    #[case] after: Micros,
+) {
+    let mut harness = edge();
+    let (_, worker) = harness.dispatch_fastcgi_request();
+    harness.receive(worker, b"noise");
+    assert_eq!(harness.io.finished, [worker]);
+    assert_eq!(harness.outcomes(), []);
+    if let Some(cause) = cause {
+        close(&mut harness, worker, cause);
+    }
+    harness.advance(after);
+    assert_eq!(harness.outcomes(), [outcome]);
+}
+
 /// Guards against a final answer before the worker has read the attempt.
 #[rstest]
 fn a_failure_at_the_deadline_waits_until_the_worker_has_read_the_attempt() {
