Count an attempt whose connection was reset as running while its worker may not know

Cause: outcome_after_loss (worker_connections/closing.rs) reported Reset at once, as if the end of a connection reached both sides together.

Ruled out: asking the server on another connection: answers there prove nothing of this one.

Change: after a reset a written attempt counts as running for another second (RESET_SETTLE_TIME), the longest delay of a link; an end without a reset still proves the worker's end. The module is told of the loss at once (lost_workers), so that it ejects the worker and hedges where that is allowed as before; the attempt's outcome comes later as Cancelled, which says nothing more of the worker.

Given up: where copies are not allowed, a request whose connection was reset is retried a second later, so that with less time left it fails.

--- a/crates/sanddrum-cli/tests/late_delivery.rs
+++ b/crates/sanddrum-cli/tests/late_delivery.rs
@@ -216,6 +216,18 @@
     observed.assert_nothing_read_after_the_answer();
 }
 
+/// Guards against a second attempt after a reset that has reached the router and not yet the worker.
+#[rstest]
+fn no_second_attempt_is_read_before_the_worker_has_learned_of_a_reset() {
+    let mut fleet = Fleet::start("late-reset");
+    let (first, _) = fleet.first_attempt(B, 4_000);
+    fleet.proxies[first].hold_to_worker();
+    fleet.proxies[first].reset_router_ends();
+    fleet.assert_no_attempt_while_held(1 - first);
+    fleet.proxies[first].release();
+    fleet.serve_next_attempt();
+}
+
 /// Guards against a second attempt after a spoilt answer, while the worker has not read the end of the connection.
 #[rstest]
 fn no_second_attempt_is_read_before_the_worker_has_read_the_end_of_a_connection() {
--- a/crates/sanddrum-edge/src/edge_state/workers.rs
+++ b/crates/sanddrum-edge/src/edge_state/workers.rs
@@ -2,6 +2,7 @@
 
 use super::attempts::load_report;
 use super::EdgeState;
+use crate::attempt_end::Proof;
 use crate::message::{AttemptId, CommandId, MessageKey};
 use crate::requests::WrittenAttempt;
 use crate::worker_connections::{ConnectionLoss, MessageOutcome};
@@ -173,8 +174,17 @@
 
     /// Ends messages that got no answer.
     pub(super) fn finish_messages(&mut self, now: Micros, outcomes: Vec<MessageOutcome>) {
-        for MessageOutcome { key, outcome, .. } in outcomes {
+        for MessageOutcome {
+            key,
+            outcome,
+            proof,
+            is_known_read,
+        } in outcomes
+        {
             match key {
+                MessageKey::Attempt(id) if proof == Proof::Unknown => {
+                    self.attempt_lost(now, id, is_known_read);
+                }
                 MessageKey::Attempt(id) => self.finish_attempt(now, id, outcome.into()),
                 MessageKey::Load(id) => self.finish_load(now, id, outcome, 0),
                 MessageKey::HealthCheck(id) => self.finish_health_check(now, id, outcome, None),
--- a/crates/sanddrum-edge/tests/attempt_ends.rs
+++ b/crates/sanddrum-edge/tests/attempt_ends.rs
@@ -125,6 +125,19 @@
     assert_eq!(harness.outcomes(), [Outcome::Reset]);
 }
 
+/// Guards against a second attempt while the worker has not learned of a reset that the edge has seen.
+#[rstest]
+fn an_attempt_whose_connection_was_reset_counts_as_running_for_a_second() {
+    let mut harness = edge();
+    let (_, worker) = harness.dispatch_fastcgi_request();
+    close(&mut harness, worker, CloseCause::Reset);
+    assert_eq!(harness.script.borrow().lost_workers.len(), 1);
+    harness.advance(SECOND - 1);
+    assert_eq!(harness.outcomes(), []);
+    harness.advance(1);
+    assert_eq!(harness.outcomes(), [Outcome::Cancelled]);
+}
+
 /// Guards against a second attempt before the worker has ended a connection that the edge gives up.
 #[rstest]
 #[case::the_worker_closes_it(Some(CloseCause::Orderly), Outcome::Reset, 0)]
