Hold a result back while another attempt may be unread, and send no forbidden cancellation

Cause: EdgeState::complete_request (edge_state/requests.rs) passed a result on at once, whatever else was on its way.

Ruled out: hedging only once the first attempt is known to be read: a silent server would then keep its requests.

Change: the result waits until each other written attempt has been read or has ended, for a second from the last write (the longest delay of a link) and until the deadline at the most; the module is told at once that it is final. Settings that forbid cancelling are kept for attempts past their time, too: EdgeState::send_cancel sends nothing then.

Measured: three tests in attempt_ends.rs; tests of sanddrum-edge pass.

--- a/crates/sanddrum-edge/src/attempt_end.rs
+++ b/crates/sanddrum-edge/src/attempt_end.rs
@@ -10,6 +10,9 @@
 /// How much later than the edge a worker may learn that their connection was reset.
 pub(crate) const RESET_SETTLE_TIME: Micros = 1_000_000;
 
+/// How long bytes that a connection has accepted may take until the worker reads them, as far as a result may wait.
+const MAX_LINK_DELAY: Micros = 1_000_000;
+
 /// How long the edge waits for a worker to end a connection that the edge has ended.
 pub(crate) const CLOSE_TIMEOUT: Micros = 1_000_000;
 
@@ -38,6 +41,12 @@
     }
 }
 
+/// When a result is given even though the worker of another attempt may not have read it: a result is worth nothing after
+/// the deadline, so that it waits for no longer than links usually take.
+pub(crate) fn latest_result_at(deadline: Micros, last_written_at: Micros) -> Micros {
+    deadline.min(last_written_at + MAX_LINK_DELAY)
+}
+
 /// When the final answer is given even though an attempt of the request may not have been read.
 pub(crate) fn latest_answer_at(deadline: Micros, shutdown_deadline: Option<Micros>) -> Micros {
     let latest = deadline + MAX_LATE_ANSWER;
--- a/crates/sanddrum-edge/src/edge_state/attempt_ends.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempt_ends.rs
@@ -2,10 +2,12 @@
 //! answers that wait for that. On the platform's protocol only: [`crate::attempt_end`] has the rules.
 
 use super::EdgeState;
-use crate::attempt_end::{latest_answer_at, RESET_SETTLE_TIME};
+use crate::attempt_end::{latest_answer_at, latest_result_at, RESET_SETTLE_TIME};
 use crate::event_counts::CountedEvent;
 use crate::message::{AttemptId, MessageKey};
-use crate::requests::{AttemptLoss, DeferredAnswer, GiveUp};
+use crate::requests::{
+    AttemptLoss, DeferredAnswer, ErrorAnswer, FinalAnswer, FinishedAnswer, GiveUp,
+};
 use crate::responses::ErrorResponse;
 use crate::timers::Timer;
 use sanddrum::{Micros, Outcome, RequestId};
@@ -107,7 +109,7 @@
 
     /// Makes a final error response wait while a worker may still have to read an attempt of the request, as nothing may
     /// be read after the response. Returns whether it waits.
-    pub(super) fn defer_answer(
+    pub(super) fn defer_error(
         &mut self,
         now: Micros,
         id: RequestId,
@@ -117,26 +119,69 @@
             return false;
         };
         let latest = latest_answer_at(request.deadline, self.shutdown.deadline());
-        let unread = self.unread_attempts(id);
-        if !self.worker_connections.needs_proof() || latest <= now || unread.is_empty() {
-            return false;
-        }
-        let answer = DeferredAnswer {
+        let answer = FinalAnswer::Error(ErrorAnswer {
             status: response.status,
             kind: response.kind,
             reason: response.reason,
             detail: response.detail.to_string(),
             retry_after: response.retry_after,
-            decided_at: now,
+        });
+        self.defer_answer(now, id, answer, latest, Outcome::TimedOut)
+    }
+
+    /// Makes a result wait while the worker of another attempt may still have to read it. Returns whether it waits.
+    pub(super) fn defer_result(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        result: FinishedAnswer,
+    ) -> Result<(), FinishedAnswer> {
+        let Some(request) = self.requests.get_open(id) else {
+            return Err(result);
+        };
+        let deadline = request.deadline;
+        let unread = self.unread_attempts(id);
+        let written_at = unread.iter().filter_map(|attempt| {
+            let written = self.requests.attempt(*attempt)?.written?;
+            Some(written.at)
+        });
+        let Some(last_written_at) = written_at.max() else {
+            return Err(result);
         };
+        let latest = latest_result_at(deadline, last_written_at);
+        if latest <= now {
+            return Err(result);
+        }
+        let answer = FinalAnswer::Finished(result);
+        self.defer_answer(now, id, answer, latest, Outcome::Cancelled);
+        Ok(())
+    }
+
+    /// Makes a final answer wait until `latest`, and gives the unread attempts up with this outcome. Returns false if
+    /// there are none.
+    fn defer_answer(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        answer: FinalAnswer,
+        latest: Micros,
+        outcome: Outcome,
+    ) -> bool {
+        let unread = self.unread_attempts(id);
+        if !self.worker_connections.needs_proof() || latest <= now || unread.is_empty() {
+            return false;
+        }
+        let (_, reason) = answer.status_and_reason();
         self.context
             .counts
-            .record(CountedEvent::AnswerDeferred, answer.reason);
-        self.requests.defer_answer(id, answer);
+            .record(CountedEvent::AnswerDeferred, reason);
+        let decided_at = now;
+        self.requests
+            .defer_answer(id, DeferredAnswer { answer, decided_at });
         let timer = Timer::DeferredAnswer(id);
         self.context.timers.schedule(latest, timer);
         for attempt in unread {
-            self.give_up_attempt(now, attempt, Outcome::TimedOut);
+            self.give_up_attempt(now, attempt, outcome);
         }
         true
     }
@@ -152,22 +197,29 @@
 
     /// Gives a final answer that has waited, and stops waiting for the request's attempts.
     pub(super) fn give_deferred_answer(&mut self, now: Micros, id: RequestId) {
-        let Some(answer) = self.requests.take_deferred(id) else {
+        let Some(deferred) = self.requests.take_deferred(id) else {
             return;
         };
-        let response = ErrorResponse {
-            status: answer.status,
-            kind: answer.kind,
-            reason: answer.reason,
-            detail: &answer.detail,
-            retry_after: answer.retry_after,
-            request: Some(id),
-        };
         let attempts = self.requests.attempts_of(id);
-        self.log_deferred(now, id, &answer);
-        self.close_with_error(now, id, &response);
+        self.log_deferred(now, id, &deferred);
+        match &deferred.answer {
+            FinalAnswer::Finished(result) => self.close_with_result(now, id, result),
+            FinalAnswer::Error(error) => {
+                let response = ErrorResponse {
+                    status: error.status,
+                    kind: error.kind,
+                    reason: error.reason,
+                    detail: &error.detail,
+                    retry_after: error.retry_after,
+                    request: Some(id),
+                };
+                self.close_with_error(now, id, &response);
+            }
+        }
         for attempt in attempts {
-            self.finish_attempt(now, attempt, Outcome::TimedOut.into());
+            let give_up = self.requests.attempt(attempt).and_then(|a| a.give_up);
+            let outcome = give_up.map_or(Outcome::TimedOut, |give_up| give_up.outcome);
+            self.finish_attempt(now, attempt, outcome.into());
         }
     }
 }
--- a/crates/sanddrum-edge/src/edge_state/attempt_logging.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempt_logging.rs
@@ -97,11 +97,12 @@
         let request = self.requests.get(id);
         let call_id = request.map_or(0, |request| request.spec.call_id);
         let waited_us = now - answer.decided_at;
+        let (status, reason) = answer.answer.status_and_reason();
         if let Some(left_out) = self.context.log_budget.take(now) {
             tracing::warn!(
                 call = %format_args!("{call_id:016x}"),
-                status = answer.status,
-                reason = answer.reason,
+                status,
+                reason,
                 waited_us,
                 left_out,
                 "final answer waited until no worker could read an attempt any more"
--- a/crates/sanddrum-edge/src/edge_state/attempts.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempts.rs
@@ -280,7 +280,8 @@
         let call_id = request.map_or(0, |request| request.spec.call_id);
         let is_final = self
             .requests
-            .record_outcome(attempt.request, result.outcome);
+            .record_outcome(attempt.request, result.outcome)
+            || self.requests.is_deferred(attempt.request);
         let latency = now - attempt.sent_at;
         tracing::debug!(
             request = attempt.request.0,
@@ -355,6 +356,9 @@
 
     /// Queues a cancellation of an attempt to its worker, after all earlier messages.
     pub(super) fn send_cancel(&mut self, connection: WorkerConnectionId, id: AttemptId) {
+        if !self.context.limits.allows_cancels {
+            return;
+        }
         let Some(attempt) = self.requests.attempt(id) else {
             return;
         };
--- a/crates/sanddrum-edge/src/edge_state/requests.rs
+++ b/crates/sanddrum-edge/src/edge_state/requests.rs
@@ -3,7 +3,7 @@
 use super::EdgeState;
 use crate::event_counts::CountedEvent;
 use crate::message::{AttemptId, MessageKey};
-use crate::requests::{PendingRequest, RequestSpec};
+use crate::requests::{FinishedAnswer, PendingRequest, RequestSpec};
 use crate::responses::{ErrorKind, ErrorResponse, FinalResponse};
 use sanddrum::{AnswerReason, Micros, Outcome, RequestId, Warmth};
 use sanddrum_net::ConnectionId;
@@ -60,6 +60,26 @@
             .and_then(|worker| self.worker_connections.worker_name(worker))
             .unwrap_or_default()
             .to_string();
+        let result = FinishedAnswer {
+            worker: worker_name,
+            instance: instance_label(warmth),
+            body: body.to_vec(),
+        };
+        if self.requests.is_deferred(id) {
+            return self.close_with_result(now, id, &result);
+        }
+        if let Err(result) = self.defer_result(now, id, result) {
+            self.close_with_result(now, id, &result);
+        }
+    }
+
+    /// Closes a request with its result now.
+    pub(super) fn close_with_result(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        result: &FinishedAnswer,
+    ) {
         let Some(request) = self.requests.close(id) else {
             return;
         };
@@ -68,16 +88,16 @@
         let time_left = request.deadline - now;
         tracing::debug!(
             request = id.0,
-            worker = worker_name,
+            worker = result.worker,
             left_us = time_left,
             "request finished"
         );
         self.context.metrics.requests_finished.increment(1);
         let response = FinalResponse::Finished {
             request: id,
-            worker: &worker_name,
-            instance: instance_label(warmth),
-            body,
+            worker: &result.worker,
+            instance: result.instance,
+            body: &result.body,
         };
         self.respond(client, slot, &response);
         self.retract_attempts(now, id);
@@ -90,7 +110,7 @@
         id: RequestId,
         response: &ErrorResponse<'_>,
     ) {
-        if !self.defer_answer(now, id, response) {
+        if !self.defer_error(now, id, response) {
             self.close_with_error(now, id, response);
         }
     }
--- a/crates/sanddrum-edge/src/limits.rs
+++ b/crates/sanddrum-edge/src/limits.rs
@@ -88,6 +88,8 @@
     pub late_answer_window: Micros,
     /// The messages that may ask a worker for an immediate answer.
     pub confirmation_method: ConfirmationMethod,
+    /// Whether attempts may be cancelled at their workers.
+    pub allows_cancels: bool,
     /// Whether a request may have two attempts in flight.
     pub allows_hedging: bool,
 }
@@ -141,6 +143,7 @@
             feed_answer_timeout: duration("feed-silence"),
             late_answer_window: LATE_ANSWER_TIME_LIMITS * longest_time_limit(settings),
             confirmation_method: confirmation_method(settings),
+            allows_cancels: settings.flag("limits.cancel"),
             allows_hedging: settings.flag("limits.second-copies"),
         }
     }
--- a/crates/sanddrum-edge/src/requests.rs
+++ b/crates/sanddrum-edge/src/requests.rs
@@ -142,9 +142,38 @@
     pub is_known_read: bool,
 }
 
-/// A final error response that waits until the worker has read or ended an attempt of its request.
+/// A final response that waits until the worker has read or ended an attempt of its request.
 #[derive(Clone, Debug)]
 pub(crate) struct DeferredAnswer {
+    /// The response.
+    pub answer: FinalAnswer,
+    /// When it was decided.
+    pub decided_at: Micros,
+}
+
+/// A final response before it is encoded.
+#[derive(Clone, Debug)]
+pub(crate) enum FinalAnswer {
+    /// The request finished.
+    Finished(FinishedAnswer),
+    /// The request did not finish.
+    Error(ErrorAnswer),
+}
+
+/// The result of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct FinishedAnswer {
+    /// The name of the worker that ran it.
+    pub worker: String,
+    /// The state of the instance that the worker reported, as written on the wire.
+    pub instance: &'static str,
+    /// The result.
+    pub body: Vec<u8>,
+}
+
+/// Why a request did not finish.
+#[derive(Clone, Debug)]
+pub(crate) struct ErrorAnswer {
     /// The HTTP status code.
     pub status: u16,
     /// Whether the request is rejected or failed.
@@ -155,8 +184,16 @@
     pub detail: String,
     /// How long the client is asked to wait before it retries.
     pub retry_after: Option<Micros>,
-    /// When it was decided.
-    pub decided_at: Micros,
+}
+
+impl FinalAnswer {
+    /// The HTTP status and the reason, for the log.
+    pub fn status_and_reason(&self) -> (u16, &'static str) {
+        match self {
+            FinalAnswer::Finished(_) => (200, "finished"),
+            FinalAnswer::Error(error) => (error.status, error.reason),
+        }
+    }
 }
 
 /// All pending requests and attempts.
@@ -322,6 +359,11 @@
         self.deferred.entry(id).or_insert(answer);
     }
 
+    /// Whether the final response of a request waits.
+    pub fn is_deferred(&self, id: RequestId) -> bool {
+        self.deferred.contains_key(&id)
+    }
+
     /// The requests whose final responses wait.
     pub fn deferred_ids(&self) -> Vec<RequestId> {
         self.deferred.keys().copied().collect()
--- a/crates/sanddrum-edge/tests/attempt_ends.rs
+++ b/crates/sanddrum-edge/tests/attempt_ends.rs
@@ -203,6 +203,50 @@
     assert_eq!(harness.fastcgi_statuses(client), [(2, 200), (1, 504)]);
 }
 
+/// Guards against a result that is passed on while the worker of another attempt may still have to read it.
+#[rstest]
+fn a_result_waits_until_the_worker_of_another_attempt_has_read_it() {
+    let mut harness = edge_with(&[("limits.second-copies", "yes")]);
+    let (client, first) = harness.dispatch_fastcgi_request();
+    harness.decide_on_event(2, [Decision::Dispatch(0, TIME_LIMIT)]);
+    let second = harness.last_connection();
+    harness.connect(second);
+    harness.finish_request(second, CALL_ID, b"out");
+    assert!(harness.fastcgi_statuses(client).is_empty());
+    let is_final = harness.script.borrow().attempt_results[0].is_final;
+    assert!(is_final, "the module starts no further attempt");
+    harness.answer_health_check(first);
+    assert_eq!(harness.fastcgi_statuses(client), [(1, 200)]);
+    assert_eq!(harness.outcomes(), [Outcome::Finished, Outcome::Cancelled]);
+}
+
+/// Guards against a result that a silent worker delays for longer than links usually take.
+#[rstest]
+fn a_result_waits_at_most_a_second_from_the_write_of_another_attempt() {
+    let mut harness = edge_with(&[("limits.second-copies", "yes")]);
+    let (client, _) = harness.dispatch_fastcgi_request();
+    harness.advance(SECOND / 2);
+    harness.decide_on_event(2, [Decision::Dispatch(0, SECOND / 2)]);
+    let second = harness.last_connection();
+    harness.connect(second);
+    harness.finish_request(second, CALL_ID, b"out");
+    harness.advance(SECOND / 2 - 1);
+    assert!(harness.fastcgi_statuses(client).is_empty());
+    harness.advance(1);
+    assert_eq!(harness.fastcgi_statuses(client), [(1, 200)]);
+}
+
+/// Guards against cancellations where the settings forbid them.
+#[rstest]
+fn nothing_is_cancelled_where_the_settings_forbid_it() {
+    let mut harness = edge_with(&[("limits.cancel", "no")]);
+    let (_, worker) = harness.dispatch_fastcgi_request();
+    harness.advance(TIME_LIMIT);
+    let id = harness.last_health_check(worker).unwrap();
+    let cancelled = [frames::cancel(parse_call_id(CALL_ID)), frames::ping(id)].concat();
+    assert!(!harness.io.written[&worker].ends_with(&cancelled));
+}
+
 /// Guards against proof that is asked for where the settings forbid it.
 #[rstest]
 #[case::health_checks("yes", "yes", Some(67))]
