Soak: late bytes, late connections, early resets and spoilt answers on the links to servers

Change: servers play four faults of their links (link_faults.rs), one begins every four seconds: connections accepted and read late, bytes that wait in one or both directions, resets that the server learns of late, spoilt answers after which it reads late; 50 ms to 1 s each. They are planned from a seed of their own, so that the other faults of a seed stay. The settings vary second copies, probes and attempts (1, 4, 5). The checker judges by the servers' times: two-at-once, and after-answer within 50 ms instead of 100.

--- a/crates/sanddrum-lab/src/soak/checker.rs
+++ b/crates/sanddrum-lab/src/soak/checker.rs
@@ -23,7 +23,9 @@
     Spoilt,
     /// A request that may be executed only once may have been executed twice.
     RanTwice,
-    /// An attempt arrived more than 0.1 s after the final response.
+    /// Two attempts of a request were out at once where that is not allowed.
+    TwoAtOnce,
+    /// An attempt was read more than 50 ms after the final response.
     AfterAnswer,
     /// An attempt arrived more than 0.1 s after its client had abandoned the request.
     AfterLeaving,
@@ -54,6 +56,7 @@
             Rule::AnsweredTwice => "answered-twice",
             Rule::Spoilt => "spoilt",
             Rule::RanTwice => "ran-twice",
+            Rule::TwoAtOnce => "two-at-once",
             Rule::AfterAnswer => "after-answer",
             Rule::AfterLeaving => "after-leaving",
             Rule::Deadline => "deadline",
@@ -91,8 +94,12 @@
 
 /// A request counts as lost if its response is later than its time limit by more than this.
 const RESPONSE_SLACK: Micros = 500_000;
-/// An attempt may arrive this long after its client abandoned the request or received the response.
-const ATTEMPT_SLACK: Micros = 100_000;
+/// An attempt may arrive this long after its client abandoned the request.
+const LEAVING_SLACK: Micros = 100_000;
+/// An attempt may be read this long after its client received the response.
+const ANSWER_SLACK: Micros = 50_000;
+/// Two attempts may seem to be out at once for as long as the lab takes to handle events that arrive together.
+const OVERLAP_SLACK: Micros = 5_000;
 /// The deadline passed on to a server may exceed the client's remaining time by this much.
 const DEADLINE_SLACK: Micros = 150_000;
 /// A client resends a request if its idle connection is closed within this time of sending it.
@@ -117,6 +124,9 @@
     check_requests(observations, end, &mut violations);
     check_attempts(observations, &mut violations);
     check_executions(observations, &mut violations);
+    if !settings.allows_copies {
+        check_overlaps(observations, end, &mut violations);
+    }
     check_drains(observations, settings, &mut violations);
     check_load_commands(observations, settings, &mut violations);
     check_slow_starts(observations, settings, &mut violations);
@@ -268,10 +278,11 @@
                 detail,
             })
         };
+        // What a router has written it can't take back when a client leaves, so that the arrival counts, not the reading.
+        let arrived = attempt.held_since.unwrap_or(attempt.at);
         if let Some((abandoned, how)) = request.abandoned {
-            let after =
-                attempt.at - abandoned - observations.lab_delay_between(abandoned, attempt.at);
-            if after > ATTEMPT_SLACK {
+            let after = arrived - abandoned - observations.lab_delay_between(abandoned, arrived);
+            if after > LEAVING_SLACK {
                 add(
                     Rule::AfterLeaving,
                     format!(
@@ -284,17 +295,17 @@
         if let Some(response) = request.responses.first() {
             let after =
                 attempt.at - response.at - observations.lab_delay_between(response.at, attempt.at);
-            if after > ATTEMPT_SLACK {
+            if after > ANSWER_SLACK {
                 add(
                     Rule::AfterAnswer,
                     format!("{name}: {:.3} s after its response", seconds(after)),
                 );
             }
         }
-        let remaining = request.sent + request.time_limit - attempt.at;
+        let remaining = request.sent + request.time_limit - arrived;
         let excess = attempt.deadline
             - remaining.max(0)
-            - observations.lab_delay_between(request.sent, attempt.at);
+            - observations.lab_delay_between(request.sent, arrived);
         if excess > DEADLINE_SLACK {
             let history = attempt_history(observations, request, attempt);
             add(
@@ -343,6 +354,42 @@
     span as f64 / 1e6
 }
 
+/// Checks that no two attempts of a request are out at once, by what the servers have read and written.
+fn check_overlaps(observations: &Observations, end: Micros, violations: &mut Vec<Violation>) {
+    let mut attempts: BTreeMap<RequestId, Vec<&Attempt>> = BTreeMap::new();
+    for attempt in &observations.attempts {
+        attempts
+            .entry(attempt.request_id)
+            .or_default()
+            .push(attempt);
+    }
+    for (id, all) in attempts {
+        for (index, first) in all.iter().enumerate() {
+            let first_end = first.ended.unwrap_or(end);
+            let overlap = |second: &&Attempt| {
+                let until = first_end.min(second.ended.unwrap_or(end));
+                until - second.at - observations.lab_delay_between(second.at, until)
+            };
+            let second = all[index + 1..]
+                .iter()
+                .find(|second| overlap(second) > OVERLAP_SLACK);
+            let Some(second) = second else { continue };
+            let detail = format!(
+                "{}: at server {} and server {} at once for {:.3} s",
+                request_name(id),
+                first.server.0,
+                second.server.0,
+                seconds(overlap(second))
+            );
+            violations.push(Violation {
+                rule: Rule::TwoAtOnce,
+                at: second.at,
+                detail,
+            });
+        }
+    }
+}
+
 fn check_executions(observations: &Observations, violations: &mut Vec<Violation>) {
     let mut executed: BTreeMap<RequestId, Vec<&Attempt>> = BTreeMap::new();
     for attempt in observations
--- a/crates/sanddrum-lab/src/soak/checker/servers.rs
+++ b/crates/sanddrum-lab/src/soak/checker/servers.rs
@@ -54,9 +54,11 @@
             let Some(request) = observations.requests.get(&attempt.request_id) else {
                 continue;
             };
-            let allowance = observations.lab_delay_between(drain.announced_at, attempt.at)
-                + observations.stopped_between(request.router, drain.announced_at, attempt.at);
-            let after = attempt.at - from - allowance;
+            // The first byte counts, which a router can't take back.
+            let arrived = attempt.held_since.unwrap_or(attempt.at);
+            let allowance = observations.lab_delay_between(drain.announced_at, arrived)
+                + observations.stopped_between(request.router, drain.announced_at, arrived);
+            let after = arrived - from - allowance;
             // A router that started after the announcement gets no allowance: its start configuration has the drain.
             if after > 0 {
                 let detail = format!(
--- a/crates/sanddrum-lab/src/soak/environment.rs
+++ b/crates/sanddrum-lab/src/soak/environment.rs
@@ -5,6 +5,7 @@
 
 use super::clients::{ClientControl, Clients, RouterTarget};
 use super::feed::{Feed, FeedMode, FeedState};
+use super::link_faults::LinkMode;
 use super::observations::{Drain, FeedFault, RouterId, ServerId, SharedObservations, Span, Start};
 use super::routers::Router;
 use super::servers::{Server, ServerControl, ServerMode};
@@ -66,6 +67,7 @@
     ResumeRouter(usize),
     StopFailingCalls(usize),
     RestoreServer(usize),
+    RestoreLink(usize),
     UnfreezeServer(usize),
     RestoreFeed,
     RestoreClients,
@@ -152,6 +154,7 @@
             let (address, name) = (fleet.server_address(n), format!("s-{n:08x}"));
             let control = Rc::new(RefCell::new(ServerControl {
                 mode: ServerMode::Normal,
+                link: LinkMode::Normal,
                 is_draining: false,
                 arrivals_unknown_until: 0,
             }));
@@ -403,6 +406,7 @@
         };
         let control = Rc::new(RefCell::new(ServerControl {
             mode: ServerMode::Normal,
+            link: LinkMode::Normal,
             is_draining: false,
             arrivals_unknown_until: 0,
         }));
@@ -427,6 +431,7 @@
         self.feed.borrow_mut().change(vec![old_member, new_member]);
         {
             let mut observations = self.observations.borrow_mut();
+            observations.end_server(now, old.server);
             observations.drains.push(Drain {
                 server: old.server,
                 announced_at: now,
--- a/crates/sanddrum-lab/src/soak/environment/fault_injection.rs
+++ b/crates/sanddrum-lab/src/soak/environment/fault_injection.rs
@@ -7,6 +7,7 @@
 use crate::faults::Word;
 use crate::soak::fault_plan::{Fault, Trigger};
 use crate::soak::feed::FeedMode;
+use crate::soak::link_faults::LinkMode;
 use crate::soak::routers::Router;
 use crate::soak::servers::ServerMode;
 use sanddrum_net::Micros;
@@ -109,6 +110,17 @@
                         .push((now + span, ScheduledAction::RestoreServer(n)));
                 }
             }
+            Fault::Link {
+                servers,
+                mode,
+                span,
+            } => {
+                for n in self.random_slots(servers) {
+                    self.slots[n].control.borrow_mut().link = mode;
+                    self.scheduled
+                        .push((now + span, ScheduledAction::RestoreLink(n)));
+                }
+            }
             Fault::Freeze { servers, span } => {
                 for n in self.random_slots(servers) {
                     self.driver.freeze(self.slots[n].host, true);
@@ -198,6 +210,9 @@
             ScheduledAction::RestoreServer(n) => {
                 self.slots[n].control.borrow_mut().mode = ServerMode::Normal
             }
+            ScheduledAction::RestoreLink(n) => {
+                self.slots[n].control.borrow_mut().link = LinkMode::Normal
+            }
             ScheduledAction::UnfreezeServer(n) => {
                 let until = now + UNFREEZE_TIME;
                 self.slots[n].control.borrow_mut().arrivals_unknown_until = until;
--- a/crates/sanddrum-lab/src/soak/fault_plan.rs
+++ b/crates/sanddrum-lab/src/soak/fault_plan.rs
@@ -1,6 +1,7 @@
 //! The faults of a soak run, chosen at random from its seed: two or three overlap at a time, and each is tied to a
 //! trigger event.
 
+use super::link_faults::LinkMode;
 use super::servers::ServerMode;
 use sanddrum_net::{Micros, Rng};
 
@@ -37,6 +38,12 @@
         mode: ServerMode,
         span: Micros,
     },
+    /// The links to model servers deliver late.
+    Link {
+        servers: usize,
+        mode: LinkMode,
+        span: Micros,
+    },
     /// Model servers read nothing.
     Freeze { servers: usize, span: Micros },
     /// The feed doesn't answer requests.
@@ -75,6 +82,13 @@
             Fault::Replace { .. } => "replace",
             Fault::Drain { .. } => "drain",
             Fault::Misbehave { .. } => "misbehave",
+            Fault::Link { mode, .. } => match mode {
+                LinkMode::Normal => "link-normal",
+                LinkMode::AcceptsLate => "link-accepts-late",
+                LinkMode::StallsBytes => "link-stalls-bytes",
+                LinkMode::ResetsEarly => "link-resets-early",
+                LinkMode::SpoilsAndStalls => "link-spoils",
+            },
             Fault::Freeze { .. } => "freeze",
             Fault::FeedSilent { .. } => "feed-silent",
             Fault::Outage { .. } => "outage",
@@ -239,3 +253,26 @@
     planned.sort_by_key(|planned| planned.earliest);
     planned
 }
+
+/// The seed of the link faults is the run's, changed by this, so that the other faults of a seed stay the same.
+const LINK_FAULT_SEED: u64 = 0x11_4b;
+/// A link fault begins once in this time.
+const LINK_FAULT_INTERVAL: Micros = 4 * S;
+
+/// Returns the faults of the links to servers in a run of this length. Their kinds take turns, in an order by the seed.
+pub fn plan_link_faults(seed: u64, length: Micros, servers: usize) -> Vec<PlannedFault> {
+    let mut rng = Rng::new(seed ^ LINK_FAULT_SEED);
+    let first = rng.index(LinkMode::FAULTS.len());
+    let count = (length / LINK_FAULT_INTERVAL) as usize;
+    let planned = (0..count).map(|n| PlannedFault {
+        earliest: n as Micros * LINK_FAULT_INTERVAL + rng.index(S as usize) as Micros,
+        trigger: Trigger::Response,
+        delay: rng.index(20_000) as Micros,
+        fault: Fault::Link {
+            servers: 1 + rng.index((servers / 2).max(1)),
+            mode: LinkMode::FAULTS[(first + n) % LinkMode::FAULTS.len()],
+            span: S + rng.index(2 * S as usize) as Micros,
+        },
+    });
+    planned.collect()
+}
--- a/crates/sanddrum-lab/src/soak/mod.rs
+++ b/crates/sanddrum-lab/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod environment;
 mod fault_plan;
 mod feed;
+pub mod link_faults;
 pub mod observations;
 mod routers;
 mod servers;
@@ -15,7 +16,7 @@
 use crate::faults::Word;
 use checker::{check, count_abandoned, Violation};
 use environment::Environment;
-use fault_plan::{plan, PlannedFault};
+use fault_plan::{plan, plan_link_faults, PlannedFault};
 use observations::{Observations, SharedObservations};
 use sanddrum_net::{EventLoop, Micros, Rng};
 use serde_json::json;
@@ -104,7 +105,9 @@
     let settings = SoakSettings::random(&mut rng);
     let fleet = fleet_at_free_addresses(spec)?;
     let length = spec.seconds as Micros * S;
-    let planned = plan(&mut rng, length, spec.routers, spec.servers);
+    let mut planned = plan(&mut rng, length, spec.routers, spec.servers);
+    planned.extend(plan_link_faults(spec.seed, length, spec.servers));
+    planned.sort_by_key(|planned| planned.earliest);
     let observations = SharedObservations::default();
     let (folder, program) = (spec.folder.as_path(), spec.program.clone());
     let mut environment = Environment::new(
--- a/crates/sanddrum-lab/src/soak/observations.rs
+++ b/crates/sanddrum-lab/src/soak/observations.rs
@@ -91,8 +91,17 @@
     /// Whether the arrival time is unknown: the attempt may have waited in the receive buffer of a server that wasn't
     /// reading.
     pub arrival_unknown: bool,
+    /// The earliest time at which it may have arrived, if a fault of its link kept it from being read.
+    pub held_since: Option<Micros>,
+    /// When the server wrote the end of its answer or gave it up: it read a cancellation, or learned of the end of the
+    /// connection. `None` while it is out.
+    pub ended: Option<Micros>,
 }
 
+/// The number of an attempt among all of a run, in the order of reading.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AttemptNumber(pub usize);
+
 /// A load command that a model server received.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadCommand {
@@ -192,6 +201,24 @@
 pub type SharedObservations = Rc<RefCell<Observations>>;
 
 impl Observations {
+    /// Records an attempt that a server has read.
+    pub fn begin_attempt(&mut self, attempt: Attempt) -> AttemptNumber {
+        self.attempts.push(attempt);
+        AttemptNumber(self.attempts.len() - 1)
+    }
+    /// Records that an attempt has ended; a later end changes nothing.
+    pub fn end_attempt(&mut self, at: Micros, attempt: AttemptNumber) {
+        if let Some(attempt) = self.attempts.get_mut(attempt.0) {
+            attempt.ended.get_or_insert(at);
+        }
+    }
+    /// Records that a server has exited with everything that was out at it.
+    pub fn end_server(&mut self, at: Micros, server: ServerId) {
+        let at_server = self.attempts.iter_mut().filter(|a| a.server == server);
+        for attempt in at_server {
+            attempt.ended.get_or_insert(at);
+        }
+    }
     /// Returns how long the lab itself was late between two instants.
     pub fn lab_delay_between(&self, from: Micros, to: Micros) -> Micros {
         self.lab_delays
--- a/crates/sanddrum-lab/src/soak/servers.rs
+++ b/crates/sanddrum-lab/src/soak/servers.rs
@@ -1,8 +1,10 @@
 //! The emulated model servers of a soak run. They speak the platform's frame protocol, load functions, queue requests
 //! on their cores, have a slow start, and misbehave on request.
 
+use super::link_faults::{Hold, LinkMode};
 use super::observations::{
-    expected_response_body, Attempt, LoadCommand, RequestId, ServerId, SharedObservations,
+    expected_response_body, Attempt, AttemptNumber, LoadCommand, RequestId, ServerId,
+    SharedObservations,
 };
 use super::settings::SoakSettings;
 use sanddrum_net::{CloseCause, ConnectionId, Core, Event, Io, Micros, Rng};
@@ -47,6 +49,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ServerControl {
     pub mode: ServerMode,
+    /// What the links to the server do.
+    pub link: LinkMode,
     /// Whether the server is draining: it finishes its open requests and rejects new ones until it is gone.
     pub is_draining: bool,
     /// The server read nothing for a while: what it reads until this time may have arrived long before, also on new
@@ -109,9 +113,26 @@
 }
 
 struct Peer {
+    /// Bytes of an incomplete frame, or all bytes read while the link holds them back.
     bytes: Vec<u8>,
     idle_since: Micros,
     open_requests: usize,
+    /// Attempts that are out on this connection.
+    out: BTreeMap<u64, AttemptNumber>,
+    /// Whether the link holds back what arrives.
+    held: Option<Hold>,
+}
+
+impl Peer {
+    fn new(now: Micros) -> Self {
+        Peer {
+            bytes: Vec::new(),
+            idle_since: now,
+            open_requests: 0,
+            out: BTreeMap::new(),
+            held: None,
+        }
+    }
 }
 
 /// One incarnation of a model server.
@@ -181,6 +202,7 @@
             65 => self.handle_request(now, conn, frame),
             66 => {
                 self.cancelled.insert((conn, frame.id));
+                self.end_attempt(now, conn, frame.id);
             }
             67 => self.respond(now, conn, frame.id, CODE_PONG, "", b""),
             69 => self.handle_load_command(now, conn, frame),
@@ -210,6 +232,10 @@
     fn handle_load_command(&mut self, now: Micros, conn: ConnectionId, frame: &Frame) {
         let function = frame.field("thing").unwrap_or_default().to_string();
         let is_query = frame.field("copies") == Some("0");
+        let is_held = self
+            .peers
+            .get(&conn)
+            .is_some_and(|peer| peer.held.is_some());
         if !is_query {
             self.observations
                 .borrow_mut()
@@ -217,7 +243,7 @@
                 .push(LoadCommand {
                     server: self.id,
                     at: now,
-                    arrival_unknown: now < self.control.borrow().arrivals_unknown_until,
+                    arrival_unknown: is_held || now < self.control.borrow().arrivals_unknown_until,
                 });
         }
         // A load command for instances that are already loaded succeeds even while the server drains, as measured on
@@ -237,6 +263,8 @@
     }
     /// Records a request, and schedules its response: when it has run, or at once if it is rejected.
     fn handle_request(&mut self, now: Micros, conn: ConnectionId, frame: &Frame) {
+        let held = self.peers.get(&conn).and_then(|peer| peer.held);
+        let held_since = held.map(|held| held.from);
         let request_id = RequestId(frame.id);
         let deadline = frame
             .field("max")
@@ -250,16 +278,20 @@
             deadline,
             never_ran: false,
             arrival_unknown: now < self.control.borrow().arrivals_unknown_until,
+            held_since,
+            ended: None,
         };
-        let index = {
+        let number = {
             let mut observations = self.observations.borrow_mut();
             let is_known = observations.requests.contains_key(&request_id);
             observations.foreign_attempts += u64::from(!is_known);
-            observations.attempts.push(attempt);
-            observations.attempts.len() - 1
+            observations.begin_attempt(attempt)
         };
+        if let Some(peer) = self.peers.get_mut(&conn) {
+            peer.out.insert(frame.id, number);
+        }
         let reject = |code: u8, this: &mut Self| {
-            this.observations.borrow_mut().attempts[index].never_ran = true;
+            this.observations.borrow_mut().attempts[number.0].never_ran = true;
             let fields = this.load_report();
             this.respond(now, conn, frame.id, code, &fields, b"");
         };
@@ -351,11 +383,28 @@
         {
             return;
         }
+        self.end_attempt(now, conn, request_id);
+        let held = self.peers.get(&conn).and_then(|peer| peer.held);
+        if let Some(held) = held.filter(|held| held.is_active() && held.holds_output) {
+            let delayed = ScheduledResponse {
+                conn,
+                request_id,
+                bytes,
+                completes_request: false,
+            };
+            return self.schedule(held.until, delayed);
+        }
+        let link = self.control.borrow().link;
+        if let Some(delay) = link.delay_after_spoilt_answer(&mut self.rng) {
+            let position = self.rng.index(bytes.len());
+            bytes[position] ^= 0x10;
+            self.hold(now, conn, delay, io);
+        }
         match mode {
             ServerMode::ResetsConnections if completes_request && self.rng.random_bool(0.3) => {
                 io.write(conn, &bytes[..bytes.len() / 2]);
                 io.reset(conn);
-                self.peers.remove(&conn);
+                self.end_connection(now, conn);
                 return;
             }
             ServerMode::CorruptsResponses if self.rng.random_bool(0.5) => {
@@ -375,11 +424,70 @@
         }
         io.write(conn, &bytes);
     }
+    /// Records that an attempt on a connection has ended.
+    fn end_attempt(&mut self, at: Micros, conn: ConnectionId, id: u64) {
+        let peer = self.peers.get_mut(&conn);
+        if let Some(number) = peer.and_then(|peer| peer.out.remove(&id)) {
+            self.observations.borrow_mut().end_attempt(at, number);
+        }
+    }
+    /// Forgets a connection whose end the server learns of at this time.
+    fn end_connection(&mut self, at: Micros, conn: ConnectionId) {
+        let Some(peer) = self.peers.remove(&conn) else {
+            return;
+        };
+        let mut observations = self.observations.borrow_mut();
+        for number in peer.out.values() {
+            observations.end_attempt(at, *number);
+        }
+    }
+    /// Stops reading a connection for a while.
+    fn hold(&mut self, now: Micros, conn: ConnectionId, delay: Micros, io: &mut dyn Io) {
+        if let Some(peer) = self.peers.get_mut(&conn) {
+            let from = peer.held.map_or(now, |held| held.from);
+            peer.held = Some(Hold::new(from, now + delay, &mut self.rng));
+            io.pause(conn, true);
+        }
+    }
+    /// Reads the connections whose links hold nothing back any more.
+    fn release_held(&mut self, now: Micros, io: &mut dyn Io) {
+        let mut released = Vec::new();
+        for (conn, peer) in &mut self.peers {
+            let is_released = peer.held.as_mut().is_some_and(|held| held.release(now));
+            released.extend(is_released.then_some(*conn));
+            peer.held = peer.held.filter(|held| !held.is_over(now));
+        }
+        for conn in released {
+            io.pause(conn, false);
+            self.read_frames(now, conn, io);
+        }
+    }
+    /// Handles the complete frames that were read on a connection.
+    fn read_frames(&mut self, now: Micros, conn: ConnectionId, io: &mut dyn Io) {
+        let Some(peer) = self.peers.get_mut(&conn) else {
+            return;
+        };
+        let mut received = std::mem::take(&mut peer.bytes);
+        while let Some(frame) = Frame::take(&mut received) {
+            self.handle_frame(now, conn, &frame);
+            let link = self.control.borrow().link;
+            if frame.code != 65 {
+                continue;
+            }
+            if let Some(delay) = link.delay_of_reset(&mut self.rng) {
+                io.reset(conn);
+                return self.end_connection(now + delay, conn);
+            }
+        }
+        if let Some(peer) = self.peers.get_mut(&conn) {
+            peer.bytes = received;
+        }
+    }
     /// Closes connections that have been idle for the configured time.
     fn close_idle(&mut self, now: Micros, io: &mut dyn Io) {
         let limit = self.settings.idle_timeout;
         let idle = |(_, peer): &(&ConnectionId, &Peer)| {
-            peer.open_requests == 0 && now - peer.idle_since >= limit
+            peer.open_requests == 0 && peer.held.is_none() && now - peer.idle_since >= limit
         };
         let idle_connections: Vec<ConnectionId> = self
             .peers
@@ -400,31 +508,28 @@
         match event {
             Event::Accepted { conn, .. } => {
                 self.observations.borrow_mut().connections_to_servers += 1;
-                self.peers.insert(
-                    conn,
-                    Peer {
-                        bytes: Vec::new(),
-                        idle_since: now,
-                        open_requests: 0,
-                    },
-                );
+                self.peers.insert(conn, Peer::new(now));
+                let link = self.control.borrow().link;
+                if let Some(delay) = link.delay_of_connection(&mut self.rng) {
+                    self.hold(now, conn, delay, io);
+                }
             }
             Event::Bytes { conn, bytes } => {
                 let Some(peer) = self.peers.get_mut(&conn) else {
                     return;
                 };
                 peer.idle_since = now;
-                let mut received = std::mem::take(&mut peer.bytes);
-                received.extend_from_slice(bytes);
-                while let Some(frame) = Frame::take(&mut received) {
-                    self.handle_frame(now, conn, &frame);
-                }
-                if let Some(peer) = self.peers.get_mut(&conn) {
-                    peer.bytes = received;
+                peer.bytes.extend_from_slice(bytes);
+                let is_held = peer.held.is_some_and(|held| held.is_active());
+                let link = self.control.borrow().link;
+                match link.delay_of_bytes(&mut self.rng) {
+                    Some(delay) if !is_held => self.hold(now, conn, delay, io),
+                    _ if is_held => {}
+                    _ => self.read_frames(now, conn, io),
                 }
             }
             Event::Closed { conn, cause } => {
-                self.peers.remove(&conn);
+                self.end_connection(now, conn);
                 if cause == CloseCause::Orderly {
                     io.close(conn);
                 }
@@ -433,6 +538,7 @@
         }
     }
     fn process(&mut self, now: Micros, io: &mut dyn Io) {
+        self.release_held(now, io);
         while let Some(entry) = self
             .scheduled
             .first_entry()
@@ -445,10 +551,15 @@
     }
     fn next_wakeup(&self) -> Option<Micros> {
         let scheduled = self.scheduled.first_key_value().map(|((at, _), _)| *at);
-        let idle = self.peers.values().filter(|peer| peer.open_requests == 0);
+        let idle = self
+            .peers
+            .values()
+            .filter(|peer| peer.open_requests == 0 && peer.held.is_none());
         let idle = idle
             .map(|peer| peer.idle_since + self.settings.idle_timeout)
             .min();
-        scheduled.into_iter().chain(idle).min()
+        let held = self.peers.values().filter_map(|peer| peer.held);
+        let held = held.map(|held| held.next_change()).min();
+        scheduled.into_iter().chain(idle).chain(held).min()
     }
 }
--- a/crates/sanddrum-lab/src/soak/settings.rs
+++ b/crates/sanddrum-lab/src/soak/settings.rs
@@ -25,16 +25,28 @@
     pub sends_load_commands: bool,
     pub sends_cancels: bool,
     pub misses_when_cold: bool,
+    /// Whether a request may have two attempts at once.
+    pub allows_copies: bool,
+    pub allows_probes: bool,
+    pub max_attempts: u32,
     pub max_descriptors: usize,
     /// Many concurrent clients with their own connections.
     pub has_many_clients: bool,
 }
 
+/// Random numbers between those of the other settings and those of the settings on attempts.
+const ATTEMPT_SETTINGS_OFFSET: usize = 1_000;
+
 impl SoakSettings {
     /// Creates random settings within the ranges that the platform's documentation allows.
     pub fn random(rng: &mut Rng) -> Self {
         let one_of = |rng: &mut Rng, all: &[i64]| all[rng.index(all.len())];
         let sends_load_commands = rng.random_bool(0.6);
+        // Drawn apart, so that the other settings of a seed stay the same.
+        let mut attempts_rng = rng.clone();
+        for _ in 0..ATTEMPT_SETTINGS_OFFSET {
+            attempts_rng.index(2);
+        }
         SoakSettings {
             max_deadline: one_of(rng, &[1_500_000, 2_000_000, 2_500_000]),
             drain_grace: 250_000,
@@ -48,6 +60,9 @@
             sends_load_commands,
             sends_cancels: rng.random_bool(0.7),
             misses_when_cold: sends_load_commands && rng.random_bool(0.4),
+            allows_copies: attempts_rng.random_bool(0.25),
+            allows_probes: attempts_rng.random_bool(0.25),
+            max_attempts: one_of(&mut attempts_rng, &[1, 4, 5]) as u32,
             max_descriptors: 512,
             has_many_clients: rng.random_bool(0.25),
         }
@@ -75,9 +90,9 @@
                     "idle-life-us": 8_000_000, "load-wait-us": 4_000_000,
                 },
                 "limits": {
-                    "streams-per-conn": 32, "keepalive-us": self.idle_timeout, "try-limit": 4,
+                    "streams-per-conn": 32, "keepalive-us": self.idle_timeout, "try-limit": self.max_attempts,
                     "connect-timeout-us": self.connect_timeout, "cancel": self.sends_cancels,
-                    "may-duplicate": false, "probes": false, "max-retry-after-us": 1_000_000,
+                    "may-duplicate": self.allows_copies, "probes": self.allows_probes, "max-retry-after-us": 1_000_000,
                 },
                 "obligations": {
                     "cold-from": self.initial_capacity_fraction, "cold-us": self.slow_start_duration,
--- a/crates/sanddrum-lab/tests/soak_checker.rs
+++ b/crates/sanddrum-lab/tests/soak_checker.rs
@@ -20,6 +20,7 @@
         max_deadline: 2 * S,
         slow_start_duration: 10 * S,
         mean_service_time: 60 * MS,
+        allows_copies: false,
         ..random
     }
 }
@@ -66,6 +67,8 @@
         deadline,
         never_ran: false,
         arrival_unknown: false,
+        held_since: None,
+        ended: Some(at + 5 * MS),
     }
 }
 fn request(observations: &mut Observations) -> &mut Request {
@@ -94,7 +97,10 @@
 #[case::wrong_body(Rule::Spoilt, |o: &mut Observations| request(o).responses[0].body.push(0))]
 #[case::response_malformed(Rule::Spoilt, |o: &mut Observations| request(o).malformed = true)]
 #[case::executed_twice(Rule::RanTwice, |o: &mut Observations| o.attempts.push(attempt(2, SENT + 20 * MS)))]
-#[case::attempt_after_response(Rule::AfterAnswer, |o: &mut Observations| { request(o).effect = Effect::Repeatable; o.attempts.push(attempt(2, SENT + 201 * MS)) })]
+#[case::attempt_after_response(Rule::AfterAnswer, |o: &mut Observations| { request(o).effect = Effect::Repeatable; o.attempts.push(attempt(2, SENT + 151 * MS)) })]
+#[case::attempt_held_back_until_after_response(Rule::AfterAnswer, |o: &mut Observations| { request(o).effect = Effect::Repeatable; o.attempts.push(Attempt { held_since: Some(SENT + 50 * MS), ..attempt(2, SENT + 151 * MS) }) })]
+#[case::two_attempts_at_once(Rule::TwoAtOnce, |o: &mut Observations| { request(o).effect = Effect::Repeatable; o.attempts[0].ended = Some(SENT + 26 * MS); o.attempts.push(Attempt { ended: Some(SENT + 40 * MS), ..attempt(2, SENT + 20 * MS) }) })]
+#[case::second_attempt_while_the_first_never_ends(Rule::TwoAtOnce, |o: &mut Observations| { request(o).effect = Effect::Repeatable; o.attempts[0].ended = None; o.attempts.push(Attempt { ended: Some(SENT + 90 * MS), ..attempt(2, SENT + 20 * MS) }) })]
 #[case::attempt_after_client_closed(Rule::AfterLeaving, |o: &mut Observations| { request(o).responses.clear(); request(o).abandoned = Some((SENT - 91 * MS, Abandonment::Closed)) })]
 #[case::deadline_too_long(Rule::Deadline, |o: &mut Observations| o.attempts[0].deadline += 151 * MS)]
 #[case::attempt_after_drain(Rule::Drain, |o: &mut Observations| o.drains.push(Drain { server: ServerId(1), announced_at: SENT - 291 * MS }))]
@@ -125,6 +131,9 @@
 #[case::connection_closed_by_stopping_router_within_race_window(|o: &mut Observations| { request(o).responses.clear(); request(o).closed_unanswered = Some(SENT + 49 * MS); incarnation(o).sigterm_sent = Some(SENT - 701 * MS); incarnation(o).exited = Some((SENT + S, Some(0))) })]
 #[case::router_stopped_meanwhile(|o: &mut Observations| { request(o).responses[0].at = SENT + 4 * S; o.stops.insert(ROUTER, vec![Span { from: SENT + S, to: SENT + 3 * S }]); })]
 #[case::second_attempt_after_rejected_one(|o: &mut Observations| { o.attempts[0].never_ran = true; o.attempts.push(attempt(2, SENT + 20 * MS)) })]
+#[case::second_attempt_as_the_first_ends(|o: &mut Observations| { request(o).effect = Effect::Repeatable; o.attempts[0].ended = Some(SENT + 24 * MS); o.attempts.push(attempt(2, SENT + 20 * MS)) })]
+#[case::attempt_just_after_response(|o: &mut Observations| { request(o).effect = Effect::Repeatable; o.attempts.push(attempt(2, SENT + 149 * MS)) })]
+#[case::attempt_held_back_since_before_client_closed(|o: &mut Observations| { request(o).responses.clear(); o.attempts[0].held_since = Some(SENT - 50 * MS); request(o).abandoned = Some((SENT - 91 * MS, Abandonment::Closed)) })]
 #[case::attempt_just_after_client_closed(|o: &mut Observations| { request(o).responses.clear(); request(o).abandoned = Some((SENT - 89 * MS, Abandonment::Closed)) })]
 #[case::deadline_within_slack(|o: &mut Observations| o.attempts[0].deadline += 149 * MS)]
 #[case::attempt_within_drain_grace(|o: &mut Observations| o.drains.push(Drain { server: ServerId(1), announced_at: SENT - 289 * MS }))]
