--- a/crates/sanddrum-edge/src/edge_state/workers.rs
+++ b/crates/sanddrum-edge/src/edge_state/workers.rs
@@ -102,7 +102,7 @@
                 .unwrap_or_default(),
             reason = "garbled-worker",
             problem = %error,
-            "worker violated the protocol; connection reset"
+            "worker violated the protocol; connection ended"
         );
         let loss = ConnectionLoss::ProtocolError;
         let outcomes = self
--- a/crates/sanddrum-edge/tests/platform_attempts.rs
+++ b/crates/sanddrum-edge/tests/platform_attempts.rs
@@ -12,7 +12,7 @@
 use harness::{EdgeHarness, SECOND};
 use rstest::rstest;
 use sanddrum::{Micros, Outcome, Warmth};
-use sanddrum_net::{CloseCause, ConnectionId, Event};
+use sanddrum_net::{CloseCause, Event};
 use sanddrum_platform::frames;
 
 #[rstest]
--- a/crates/sanddrum-lab/src/soak/environment/fault_injection.rs
+++ b/crates/sanddrum-lab/src/soak/environment/fault_injection.rs
@@ -9,7 +9,7 @@
 use crate::soak::feed::FeedMode;
 use crate::soak::link_faults::LinkMode;
 use crate::soak::routers::Router;
-use crate::soak::servers::ServerMode;
+use crate::soak::server_modes::ServerMode;
 use sanddrum_net::Micros;
 use std::io;
 
--- a/crates/sanddrum-lab/src/soak/fault_plan.rs
+++ b/crates/sanddrum-lab/src/soak/fault_plan.rs
@@ -2,7 +2,7 @@
 //! trigger event.
 
 use super::link_faults::LinkMode;
-use super::servers::ServerMode;
+use super::server_modes::ServerMode;
 use sanddrum_net::{Micros, Rng};
 
 const S: Micros = 1_000_000;
--- a/crates/sanddrum-lab/src/soak/mod.rs
+++ b/crates/sanddrum-lab/src/soak/mod.rs
@@ -9,7 +9,9 @@
 mod feed;
 pub mod link_faults;
 pub mod observations;
+mod router_frames;
 mod routers;
+mod server_modes;
 mod servers;
 pub mod settings;
 
