Pass a result on at once where nothing proves what workers have read

What callers would see: on the native protocol a hedged request was never answered if its second attempt finished first.

Cause: EdgeState::defer_result (edge_state/attempt_ends.rs) ignored that defer_answer defers nothing there.

Change: defer_result returns the result on other protocols than the platform's.

--- a/crates/sanddrum-edge/src/edge_state/attempt_ends.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempt_ends.rs
@@ -129,7 +129,10 @@
         self.defer_answer(now, id, answer, latest, Outcome::TimedOut)
     }
 
-    /// Makes a result wait while the worker of another attempt may still have to read it. Returns whether it waits.
+    /// Makes a result wait while the worker of another attempt may still have to read it.
+    ///
+    /// # Errors
+    /// It need not wait; the result is returned.
     pub(super) fn defer_result(
         &mut self,
         now: Micros,
@@ -140,6 +143,9 @@
             return Err(result);
         };
         let deadline = request.deadline;
+        if !self.worker_connections.needs_proof() {
+            return Err(result);
+        }
         let unread = self.unread_attempts(id);
         let written_at = unread.iter().filter_map(|attempt| {
             let written = self.requests.attempt(*attempt)?.written?;
--- a/crates/sanddrum-edge/tests/attempt_outcomes.rs
+++ b/crates/sanddrum-edge/tests/attempt_outcomes.rs
@@ -64,6 +64,20 @@
     assert_eq!(harness.outcomes().len(), 2);
 }
 
+/// Guards against a result that waits for another attempt where nothing proves what workers have read.
+#[rstest]
+fn the_result_of_a_hedged_request_is_passed_on_at_once() {
+    let mut harness = EdgeHarness::new(&[]);
+    let (client, worker) = harness.dispatch_http_request(5 * SECOND);
+    harness.connect(worker);
+    harness.decide(Decision::Dispatch(0, 5 * SECOND));
+    harness.process();
+    let attempts = harness.attempts_to(worker);
+    assert_eq!(attempts.len(), 2);
+    harness.answer_attempt(worker, attempts[0], ExecutionStatus::Finished);
+    assert_eq!(harness.statuses(client), [200]);
+}
+
 #[rstest]
 fn an_unwritten_attempt_is_retracted_and_has_not_run() {
     let mut harness = EdgeHarness::new(&[]);
