Let a result wait past the deadline while another attempt may be unread

Cause: latest_result_at (attempt_end.rs) passed a result on at the deadline whatever was unread, while links delay by up to a second from the write.

Change: a result waits as an error response does: for a second from the last write, until 400 ms after the deadline or the shutdown's deadline at the most.

Measured: a_result_waits_past_the_deadline_for_an_attempt_that_may_be_unread failed before; the 24 cases of attempt_ends.rs pass.

--- a/crates/sanddrum-edge/src/attempt_end.rs
+++ b/crates/sanddrum-edge/src/attempt_end.rs
@@ -41,10 +41,15 @@
     }
 }
 
-/// When a result is given even though the worker of another attempt may not have read it: a result is worth nothing after
-/// the deadline, so that it waits for no longer than links usually take.
-pub(crate) fn latest_result_at(deadline: Micros, last_written_at: Micros) -> Micros {
-    deadline.min(last_written_at + MAX_LINK_DELAY)
+/// When a result is given even though the worker of another attempt may not have read it: it waits for no longer than
+/// links take, so that a silent worker does not cost every result, nor longer than an error response.
+pub(crate) fn latest_result_at(
+    deadline: Micros,
+    shutdown_deadline: Option<Micros>,
+    last_written_at: Micros,
+) -> Micros {
+    let latest = latest_answer_at(deadline, shutdown_deadline);
+    latest.min(last_written_at + MAX_LINK_DELAY)
 }
 
 /// When the final answer is given even though an attempt of the request may not have been read.
--- a/crates/sanddrum-edge/src/edge_state/attempt_ends.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempt_ends.rs
@@ -154,7 +154,7 @@
         let Some(last_written_at) = written_at.max() else {
             return Err(result);
         };
-        let latest = latest_result_at(deadline, last_written_at);
+        let latest = latest_result_at(deadline, self.shutdown.deadline(), last_written_at);
         if latest <= now {
             return Err(result);
         }
--- a/crates/sanddrum-edge/tests/attempt_ends.rs
+++ b/crates/sanddrum-edge/tests/attempt_ends.rs
@@ -236,6 +236,23 @@
     assert_eq!(harness.fastcgi_statuses(client), [(1, 200)]);
 }
 
+/// Guards against a result that is passed on at the deadline while another attempt may be unread.
+#[rstest]
+fn a_result_waits_past_the_deadline_for_an_attempt_that_may_be_unread() {
+    let mut harness = edge_with(&[("limits.second-copies", "yes")]);
+    let (client, first) = harness.dispatch_fastcgi_request();
+    let deadline = harness.script.borrow().requests[0].deadline;
+    harness.advance(deadline - harness.now - SECOND / 2);
+    harness.decide_on_event(2, [Decision::Dispatch(0, SECOND / 2)]);
+    let second = harness.last_connection();
+    harness.connect(second);
+    harness.finish_request(first, CALL_ID, b"out");
+    harness.advance(SECOND / 2 + 400 * MILLISECOND - 1);
+    assert!(harness.fastcgi_statuses(client).is_empty());
+    harness.advance(1);
+    assert_eq!(harness.fastcgi_statuses(client), [(1, 200)]);
+}
+
 /// Guards against cancellations where the settings forbid them.
 #[rstest]
 fn nothing_is_cancelled_where_the_settings_forbid_it() {
