Soak: faults of one kind, requests repeated by key, and exact arrivals at frozen servers

Ruled out: attempts written after the final answer; the routers' logs have each written before.

Change: - A hold that follows a freeze begins with the freeze, and its end is when it was released. - Attempts at frozen servers are checked like those that a link holds back; before, they were not checked at all.

Measured: 62 cases of soak_checker.rs pass, ten of them new.

--- a/crates/sanddrum-cli/src/soak.rs
+++ b/crates/sanddrum-cli/src/soak.rs
@@ -27,6 +27,9 @@
     /// Requests per second for each router
     #[arg(long, default_value_t = 12.0)]
     pub rate: f64,
+    /// Inject faults of this kind only, by its name in the report's troubles; "none" injects no faults
+    #[arg(long, value_name = "KIND")]
+    pub fault: Option<String>,
     /// Print the report as a JSON object as well
     #[arg(long)]
     pub json: bool,
@@ -58,6 +61,7 @@
         routers: args.routers.max(1),
         servers: args.routers.max(2),
         rate: args.rate,
+        only_fault: args.fault.clone(),
         program,
         folder: folder.0.clone(),
     };
--- a/crates/sanddrum-lab/src/soak/clients.rs
+++ b/crates/sanddrum-lab/src/soak/clients.rs
@@ -18,6 +18,8 @@
 /// A client closes a shared connection that has been idle for this long.
 const IDLE_TIMEOUT: Micros = 4_000_000;
 const FUNCTIONS: usize = 24;
+/// One in so many requests may be repeated by its key.
+const BY_KEY_INTERVAL: u64 = 4;
 
 /// How a client behaves with a single request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -237,10 +239,10 @@
         }
         self.next_request_id += 1;
         let request_id = RequestId(self.next_request_id);
-        let effect = if self.rng.random_bool(0.5) {
-            Effect::Once
-        } else {
-            Effect::Repeatable
+        let effect = match self.rng.random_bool(0.5) {
+            _ if self.next_request_id.is_multiple_of(BY_KEY_INTERVAL) => Effect::ByKey,
+            true => Effect::Once,
+            false => Effect::Repeatable,
         };
         let time_limit = match behavior {
             ClientBehavior::ShortTimeLimit => 1_000 * (1 + self.rng.index(80) as Micros),
--- a/crates/sanddrum-lab/src/soak/environment.rs
+++ b/crates/sanddrum-lab/src/soak/environment.rs
@@ -69,7 +69,8 @@
     StopFailingCalls(usize),
     RestoreServer(usize),
     RestoreLink(usize),
-    UnfreezeServer(usize),
+    /// Ends a freeze that began at this time.
+    UnfreezeServer(usize, Micros),
     RestoreFeed,
     RestoreClients,
     RestoreRate,
@@ -157,7 +158,7 @@
                 mode: ServerMode::Normal,
                 link: LinkMode::Normal,
                 is_draining: false,
-                arrivals_unknown_until: 0,
+                freeze: None,
             }));
             let id = ServerId(n);
             let server = Server::new(
@@ -409,7 +410,7 @@
             mode: ServerMode::Normal,
             link: LinkMode::Normal,
             is_draining: false,
-            arrivals_unknown_until: 0,
+            freeze: None,
         }));
         let (settings, observations) = (self.settings.clone(), self.observations.clone());
         let server = Server::new(
--- a/crates/sanddrum-lab/src/soak/environment/fault_injection.rs
+++ b/crates/sanddrum-lab/src/soak/environment/fault_injection.rs
@@ -10,6 +10,7 @@
 use crate::soak::link_faults::LinkMode;
 use crate::soak::routers::Router;
 use crate::soak::server_modes::ServerMode;
+use crate::soak::servers::Freeze;
 use sanddrum_net::Micros;
 use std::io;
 
@@ -125,7 +126,7 @@
                 for n in self.random_slots(servers) {
                     self.driver.freeze(self.slots[n].host, true);
                     self.scheduled
-                        .push((now + span, ScheduledAction::UnfreezeServer(n)));
+                        .push((now + span, ScheduledAction::UnfreezeServer(n, now)));
                 }
             }
             Fault::Outage {
@@ -213,9 +214,11 @@
             ScheduledAction::RestoreLink(n) => {
                 self.slots[n].control.borrow_mut().link = LinkMode::Normal
             }
-            ScheduledAction::UnfreezeServer(n) => {
-                let until = now + UNFREEZE_TIME;
-                self.slots[n].control.borrow_mut().arrivals_unknown_until = until;
+            ScheduledAction::UnfreezeServer(n, from) => {
+                self.slots[n].control.borrow_mut().freeze = Some(Freeze {
+                    from,
+                    arrivals_unknown_until: now + UNFREEZE_TIME,
+                });
                 self.driver.freeze(self.slots[n].host, false);
             }
             ScheduledAction::RestoreFeed if self.outage_ends.is_some() => {}
--- a/crates/sanddrum-lab/src/soak/link_faults.rs
+++ b/crates/sanddrum-lab/src/soak/link_faults.rs
@@ -65,6 +65,8 @@
     pub until: Micros,
     /// Whether what the server sends waits, too.
     pub holds_output: bool,
+    /// Whether what it holds may have arrived while the server was frozen.
+    pub is_of_freeze: bool,
     is_released: bool,
 }
 
@@ -74,6 +76,7 @@
             from,
             until,
             holds_output: rng.random_bool(0.5),
+            is_of_freeze: false,
             is_released: false,
         }
     }
@@ -84,7 +87,11 @@
     /// Releases the connection if it is time. Returns whether it was released now.
     pub fn release(&mut self, now: Micros) -> bool {
         let is_due = !self.is_released && self.until <= now;
-        self.is_released |= is_due;
+        if is_due {
+            self.is_released = true;
+            // Later than planned if the server was frozen.
+            self.until = now;
+        }
         is_due
     }
     /// Whether everything that had waited has been read.
--- a/crates/sanddrum-lab/src/soak/mod.rs
+++ b/crates/sanddrum-lab/src/soak/mod.rs
@@ -18,7 +18,7 @@
 use crate::faults::Word;
 use checker::{check, count_abandoned, Violation};
 use environment::Environment;
-use fault_plan::{plan, plan_link_faults, PlannedFault};
+use fault_plan::{plan, plan_link_faults, plan_only, PlannedFault};
 use observations::{Observations, SharedObservations};
 use sanddrum_net::{EventLoop, Micros, Rng};
 use serde_json::json;
@@ -37,6 +37,9 @@
 /// How long the run waits for the routers to exit after SIGTERM.
 const EXIT_TIMEOUT: Micros = 8 * S;
 
+/// The name of a run without faults, in place of the kind of its faults.
+pub const NO_FAULT: &str = "none";
+
 /// The parameters of a soak run.
 #[derive(Clone, Debug)]
 pub struct SoakSpec {
@@ -47,6 +50,8 @@
     pub servers: usize,
     /// Requests per second for each router.
     pub rate: f64,
+    /// Only faults of this kind are injected, by their name in the summary; none at all for [`NO_FAULT`].
+    pub only_fault: Option<String>,
     /// The router's program. The library that it preloads for fault injection lies beside the current executable.
     pub program: PathBuf,
     /// The folder for configurations, fault control blocks and logs.
@@ -107,9 +112,7 @@
     let settings = SoakSettings::random(&mut rng);
     let fleet = fleet_at_free_addresses(spec)?;
     let length = spec.seconds as Micros * S;
-    let mut planned = plan(&mut rng, length, spec.routers, spec.servers);
-    planned.extend(plan_link_faults(spec.seed, length, spec.servers));
-    planned.sort_by_key(|planned| planned.earliest);
+    let planned = plan_of(spec, &mut rng)?;
     let observations = SharedObservations::default();
     let (folder, program) = (spec.folder.as_path(), spec.program.clone());
     let mut environment = Environment::new(
@@ -130,6 +133,22 @@
     report(spec.seed, &environment, &planned, &observations, violations)
 }
 
+/// Returns the faults of a run, ordered by time.
+fn plan_of(spec: &SoakSpec, rng: &mut Rng) -> io::Result<Vec<PlannedFault>> {
+    let length = spec.seconds as Micros * S;
+    let Some(kind) = &spec.only_fault else {
+        let mut planned = plan(rng, length, spec.routers, spec.servers);
+        planned.extend(plan_link_faults(spec.seed, length, spec.servers));
+        planned.sort_by_key(|planned| planned.earliest);
+        return Ok(planned);
+    };
+    if kind == NO_FAULT {
+        return Ok(Vec::new());
+    }
+    plan_only(kind, spec.seed, length, spec.routers, spec.servers)
+        .ok_or_else(|| io::Error::other(format!("there is no kind of fault named {kind}")))
+}
+
 /// Returns a fleet at addresses that no other run uses. They are considered free if the first feed address is.
 fn fleet_at_free_addresses(spec: &SoakSpec) -> io::Result<Fleet> {
     let (routers, servers, feed_listener) = (spec.routers, spec.servers, 0);
@@ -311,6 +330,8 @@
         ),
         ("client-connections", observations.connections_by_clients),
         ("server-connections", observations.connections_to_servers),
+        ("probes", observations.probes),
+        ("median-response-us", median_response_time(observations)),
         ("bad-clients", observations.malformed_requests),
         (
             "server-starts",
@@ -355,3 +376,15 @@
         lab_late_ms,
     })
 }
+
+/// Returns the median time in microseconds from the sending of a request to its response with a result.
+fn median_response_time(observations: &Observations) -> u64 {
+    let requests = observations.requests.values();
+    let served = requests.filter_map(|request| {
+        let response = request.responses.first()?;
+        (response.status == 200).then(|| (response.at - request.sent) as u64)
+    });
+    let mut times: Vec<u64> = served.collect();
+    times.sort_unstable();
+    times.get(times.len() / 2).copied().unwrap_or_default()
+}
--- a/crates/sanddrum-lab/src/soak/observations.rs
+++ b/crates/sanddrum-lab/src/soak/observations.rs
@@ -23,14 +23,20 @@
 pub enum Effect {
     Once,
     Repeatable,
+    /// Servers drop repetitions within [`REPEAT_WINDOW`] of the first attempt that may have run.
+    ByKey,
 }
 
+/// How long servers drop repetitions of a request of the class [`Effect::ByKey`].
+pub const REPEAT_WINDOW: Micros = 1_000_000;
+
 impl Effect {
     /// The request class of the run's settings that has this effect.
     pub fn class_name(self) -> &'static str {
         match self {
             Effect::Once => "single",
             Effect::Repeatable => "free",
+            Effect::ByKey => "keyed",
         }
     }
     /// The effect's name in the platform's settings.
@@ -38,6 +44,7 @@
         match self {
             Effect::Once => "once",
             Effect::Repeatable => "repeatable",
+            Effect::ByKey => "by_key",
         }
     }
 }
@@ -195,6 +202,8 @@
     pub aborts_by_clients: u64,
     pub connections_by_clients: u64,
     pub connections_to_servers: u64,
+    /// Health checks and queries that servers have read.
+    pub probes: u64,
 }
 
 /// The observations of a run, shared by its emulated clients, servers and feed.
@@ -231,6 +240,13 @@
         let spans = self.stops.get(&router).into_iter().flatten();
         spans.map(|span| span.overlap(from, to)).sum()
     }
+    /// Returns for how long a router's process had been stopped at this instant; zero if it ran.
+    pub fn stopped_for(&self, router: RouterId, at: Micros) -> Micros {
+        let mut spans = self.stops.get(&router).into_iter().flatten();
+        spans
+            .find(|span| span.from <= at && at < span.to)
+            .map_or(0, |span| at - span.from)
+    }
     /// Returns the last incarnation of a router that had started by this time.
     pub fn incarnation_at(&self, router: RouterId, at: Micros) -> Option<&Incarnation> {
         self.incarnations
--- a/crates/sanddrum-lab/src/soak/settings.rs
+++ b/crates/sanddrum-lab/src/soak/settings.rs
@@ -1,7 +1,7 @@
 //! The settings and addresses of a soak run's fleet: the routers' start configuration, and the values that the checker
 //! and the emulated clients and servers take from it.
 
-use super::observations::{Effect, RouterId};
+use super::observations::{Effect, RouterId, REPEAT_WINDOW};
 use sanddrum_net::{Micros, Rng};
 use serde_json::{json, Value as Json};
 
@@ -72,7 +72,8 @@
     pub fn configuration(&self, router: RouterId, fleet: &Fleet, start_events: Json) -> Json {
         let class = |effect: Effect| {
             json!({"name": effect.class_name(), "effect": effect.as_str(), "worth": 1.0,
-                   "aim-us": self.max_deadline / 2, "deadline-us": self.max_deadline})
+                   "aim-us": self.max_deadline / 2, "deadline-us": self.max_deadline,
+                   "key-scope": "all", "repeat-window-us": REPEAT_WINDOW})
         };
         json!({
             "name": format!("n{}", router.0),
@@ -83,7 +84,7 @@
             "known": start_events,
             "settings": {
                 "azs": ["here"], "az": 0, "me": router.0, "balancers": fleet.routers, "kinds": ["std"],
-                "classes": [class(Effect::Once), class(Effect::Repeatable)],
+                "classes": [class(Effect::Once), class(Effect::Repeatable), class(Effect::ByKey)],
                 "family-info": {
                     "if-cold": if self.misses_when_cold { "miss" } else { "load" },
                     "placement-calls": self.sends_load_commands,
--- a/crates/sanddrum-lab/tests/soak_checker.rs
+++ b/crates/sanddrum-lab/tests/soak_checker.rs
@@ -102,6 +102,9 @@
 #[case::attempt_held_back_until_after_an_early_failure(Rule::AfterAnswer, |o: &mut Observations| { request(o).effect = Effect::Repeatable; request(o).responses[0].at = SENT + 2 * S + 349 * MS; o.attempts.push(Attempt { held_since: Some(SENT + 50 * MS), deadline: 0, ..attempt(2, SENT + 2 * S + 400 * MS) }) })]
 #[case::attempt_sent_after_a_late_failure(Rule::AfterAnswer, |o: &mut Observations| { request(o).effect = Effect::Repeatable; request(o).responses[0].at = SENT + 2 * S + 350 * MS; o.attempts.push(Attempt { held_since: Some(SENT + 2 * S + 351 * MS), deadline: 0, ..attempt(2, SENT + 2 * S + 401 * MS) }) })]
 #[case::attempt_held_back_until_after_an_early_answer_of_a_shutdown(Rule::AfterAnswer, |o: &mut Observations| { request(o).effect = Effect::Repeatable; incarnation(o).sigterm_sent = Some(SENT - S); incarnation(o).exited = Some((SENT + 1650 * MS, Some(0))); request(o).responses[0].at = SENT + 1549 * MS; o.attempts.push(Attempt { held_since: Some(SENT + 50 * MS), ..attempt(2, SENT + 1650 * MS) }) })]
+#[case::attempt_at_a_frozen_server_until_after_an_early_failure(Rule::AfterAnswer, |o: &mut Observations| { request(o).effect = Effect::Repeatable; request(o).responses[0].at = SENT + 2 * S + 349 * MS; o.attempts.push(Attempt { arrival_unknown: true, held_since: Some(SENT + 50 * MS), deadline: 0, ..attempt(2, SENT + 2 * S + 400 * MS) }) })]
+#[case::attempt_held_back_until_after_an_early_failure_of_a_stopped_router(Rule::AfterAnswer, |o: &mut Observations| { request(o).effect = Effect::Repeatable; o.stops.insert(ROUTER, vec![Span { from: SENT - 300 * MS, to: SENT + 10 * MS }]); request(o).responses[0].at = SENT + 2 * S + 49 * MS; o.attempts.push(Attempt { held_since: Some(SENT + 50 * MS), deadline: 0, ..attempt(2, SENT + 2 * S + 100 * MS) }) })]
+#[case::repetition_by_key_after_its_window(Rule::RanTwice, |o: &mut Observations| { request(o).effect = Effect::ByKey; request(o).responses[0].at = SENT + 1200 * MS; o.attempts.push(attempt(2, SENT + 10 * MS + REPEAT_WINDOW + 51 * MS)) })]
 #[case::two_attempts_at_once(Rule::TwoAtOnce, |o: &mut Observations| { request(o).effect = Effect::Repeatable; o.attempts[0].ended = Some(SENT + 26 * MS); o.attempts.push(Attempt { ended: Some(SENT + 40 * MS), ..attempt(2, SENT + 20 * MS) }) })]
 #[case::second_attempt_while_the_first_never_ends(Rule::TwoAtOnce, |o: &mut Observations| { request(o).effect = Effect::Repeatable; o.attempts[0].ended = None; o.attempts.push(Attempt { ended: Some(SENT + 90 * MS), ..attempt(2, SENT + 20 * MS) }) })]
 #[case::attempt_after_client_closed(Rule::AfterLeaving, |o: &mut Observations| { request(o).responses.clear(); request(o).abandoned = Some((SENT - 91 * MS, Abandonment::Closed)) })]
@@ -136,6 +139,9 @@
 #[case::second_attempt_after_rejected_one(|o: &mut Observations| { o.attempts[0].never_ran = true; o.attempts.push(attempt(2, SENT + 20 * MS)) })]
 #[case::second_attempt_as_the_first_ends(|o: &mut Observations| { request(o).effect = Effect::Repeatable; o.attempts[0].ended = Some(SENT + 24 * MS); o.attempts.push(attempt(2, SENT + 20 * MS)) })]
 #[case::attempt_held_back_until_after_the_latest_failure(|o: &mut Observations| { request(o).effect = Effect::Repeatable; request(o).responses[0].at = SENT + 2 * S + 350 * MS; o.attempts.push(Attempt { held_since: Some(SENT + 50 * MS), deadline: 0, ..attempt(2, SENT + 2 * S + 500 * MS) }) })]
+#[case::attempt_at_a_frozen_server_until_after_the_latest_failure(|o: &mut Observations| { request(o).effect = Effect::Repeatable; request(o).responses[0].at = SENT + 2 * S + 350 * MS; o.attempts.push(Attempt { arrival_unknown: true, held_since: Some(SENT + 50 * MS), deadline: 0, ..attempt(2, SENT + 2 * S + 500 * MS) }) })]
+#[case::attempt_held_back_until_after_the_latest_failure_of_a_stopped_router(|o: &mut Observations| { request(o).effect = Effect::Repeatable; o.stops.insert(ROUTER, vec![Span { from: SENT - 300 * MS, to: SENT + 10 * MS }]); request(o).responses[0].at = SENT + 2 * S + 50 * MS; o.attempts.push(Attempt { held_since: Some(SENT + 50 * MS), deadline: 0, ..attempt(2, SENT + 2 * S + 200 * MS) }) })]
+#[case::repetition_by_key_within_its_window(|o: &mut Observations| { request(o).effect = Effect::ByKey; request(o).responses[0].at = SENT + 1200 * MS; o.attempts.push(attempt(2, SENT + 10 * MS + REPEAT_WINDOW + 50 * MS)) })]
 #[case::attempt_held_back_until_after_the_latest_answer_of_a_shutdown(|o: &mut Observations| { request(o).effect = Effect::Repeatable; incarnation(o).sigterm_sent = Some(SENT - S); incarnation(o).exited = Some((SENT + 1650 * MS, Some(0))); request(o).responses[0].at = SENT + 1550 * MS; o.attempts.push(Attempt { held_since: Some(SENT + 50 * MS), ..attempt(2, SENT + 1650 * MS) }) })]
 #[case::attempt_just_after_response(|o: &mut Observations| { request(o).effect = Effect::Repeatable; o.attempts.push(attempt(2, SENT + 149 * MS)) })]
 #[case::attempt_held_back_since_before_client_closed(|o: &mut Observations| { request(o).responses.clear(); o.attempts[0].held_since = Some(SENT - 50 * MS); request(o).abandoned = Some((SENT - 91 * MS, Abandonment::Closed)) })]
@@ -151,6 +157,35 @@
     assert_eq!(violated_rules(&observations), []);
 }
 
+/// Where copies are allowed, a result waits about a second for an attempt at a frozen server, and no longer.
+#[rstest]
+#[case::long_enough(950 * MS, true, true, &[])]
+#[case::too_early(949 * MS, true, true, &[Rule::AfterAnswer])]
+#[case::without_copies(S, true, false, &[Rule::AfterAnswer])]
+#[case::by_its_link(S, false, true, &[Rule::AfterAnswer])]
+fn a_result_waits_for_an_attempt_at_a_frozen_server(
+    #[case] waited: i64,
+    #[case] is_frozen: bool,
+    #[case] allows_copies: bool,
+    #[case] expected: &[Rule],
+) {
+    let mut observations = passing_run();
+    request(&mut observations).effect = Effect::Repeatable;
+    request(&mut observations).responses[0].at = SENT + 50 * MS + waited;
+    observations.attempts.push(Attempt {
+        arrival_unknown: is_frozen,
+        held_since: Some(SENT + 50 * MS),
+        ..attempt(2, SENT + 1500 * MS)
+    });
+    let settings = SoakSettings {
+        allows_copies,
+        ..settings()
+    };
+    let violations = check(&observations, &settings, END);
+    let rules: Vec<Rule> = violations.iter().map(|violation| violation.rule).collect();
+    assert_eq!(rules, expected);
+}
+
 /// Observations of a run in which a new server receives this many requests, right at its start or from one second
 /// later.
 fn slow_start_run(requests: u64, right_at_start: bool) -> Observations {
