Bound the messages that ask a silent worker for proof

What operators would see: a worker that stays connected and reads nothing gets one more query or health check for each turn with a cancellation, each with an entry in the router's memory.

Cause: WorkerConnections::request_confirmation (worker_connections/confirmation.rs) had no limit but that of the outbox, which ends at the socket.

Ruled out: waiting for each answer before asking again, which would delay every second cancellation on a healthy connection by a round trip.

Change: four such messages may be unanswered on a connection; the next answer to one asks for what was left out.

--- a/crates/sanddrum-edge/src/worker_connections/confirmation.rs
+++ b/crates/sanddrum-edge/src/worker_connections/confirmation.rs
@@ -12,6 +12,9 @@
 use sanddrum_wire::Load;
 use std::collections::BTreeSet;
 
+/// How many messages that only ask for proof may be unanswered on a connection. More of them would prove nothing earlier.
+const MAX_UNANSWERED_CONFIRMATIONS: usize = 4;
+
 /// The messages that may ask a worker for an immediate answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConfirmationMethod {
@@ -74,12 +77,17 @@
         std::mem::take(&mut self.unconfirmed)
     }
 
-    /// Asks on a connection for proof of all that has been queued, unless that has been asked for already.
+    /// Asks on a connection for proof of all that has been queued, unless that has been asked for already. While too many
+    /// such messages are unanswered, the next answer to one asks for it.
     pub fn request_confirmation(&mut self, id: WorkerConnectionId) {
         let Some(mut connection) = self.connections.remove(&id) else {
             return;
         };
-        if !connection.has_pending_confirmation() && !connection.transport.is_closing() {
+        let is_needed =
+            !connection.has_pending_confirmation() && !connection.transport.is_closing();
+        let is_full = connection.confirmations.len() >= MAX_UNANSWERED_CONFIRMATIONS;
+        connection.owes_confirmation |= is_needed && is_full;
+        if is_needed && !is_full {
             self.queue_confirmation(&mut connection);
             self.dirty.insert(id);
         }
@@ -109,6 +117,9 @@
         };
         connection.confirmations.remove(&command);
         connection.keys_by_wire_id.remove(&command.0);
+        if std::mem::take(&mut connection.owes_confirmation) {
+            self.unconfirmed.insert(id);
+        }
         if let Transport::Verifying(conn) = connection.transport {
             connection.transport = Transport::Connected(conn);
             connection.idle_since = now;
--- a/crates/sanddrum-edge/src/worker_connections/connection.rs
+++ b/crates/sanddrum-edge/src/worker_connections/connection.rs
@@ -59,6 +59,8 @@
     pub in_flight: BTreeMap<MessageKey, Position>,
     /// Unanswered messages that only ask for proof of what the worker has read.
     pub confirmations: BTreeMap<CommandId, Position>,
+    /// Whether proof is to be asked for once one of them is answered.
+    pub owes_confirmation: bool,
     /// Written or queued cancellations of attempts in flight.
     pub cancellations: BTreeMap<AttemptId, Position>,
     /// The messages in `in_flight` and `confirmations` by the ids that answers carry, on the platform's protocol only.
@@ -99,6 +101,7 @@
             decoder,
             in_flight: BTreeMap::new(),
             confirmations: BTreeMap::new(),
+            owes_confirmation: false,
             cancellations: BTreeMap::new(),
             keys_by_wire_id: BTreeMap::new(),
             retired_wire_ids: BTreeMap::new(),
--- a/crates/sanddrum-edge/tests/attempt_ends.rs
+++ b/crates/sanddrum-edge/tests/attempt_ends.rs
@@ -117,6 +117,27 @@
     assert_eq!(harness.outcomes(), [Outcome::Finished]);
 }
 
+/// Guards against messages without end to a worker that does not read.
+#[rstest]
+fn a_silent_worker_is_asked_for_proof_four_times_and_again_after_it_has_answered() {
+    let mut harness = edge();
+    let (client, worker) = harness.dispatch_fastcgi_request();
+    for number in 1..=5 {
+        harness.plan([Decision::Dispatch(number, TIME_LIMIT)]);
+        harness.send_request(client, number as u16 + 1, &format!("{number:016x}"));
+    }
+    for number in 0..=5 {
+        harness.decide_on_event(2 + number, [Decision::Cancel(number, 0)]);
+    }
+    assert_eq!(harness.health_checks(worker).len(), 4);
+    for id in harness.health_checks(worker) {
+        harness.answer_health_check_of(worker, id);
+    }
+    assert_eq!(harness.outcomes(), [Outcome::Cancelled; 4]);
+    harness.answer_health_check(worker);
+    assert_eq!(harness.outcomes(), [Outcome::Cancelled; 6]);
+}
+
 #[rstest]
 fn a_connection_that_the_worker_closes_proves_that_the_attempt_has_ended() {
     let mut harness = edge();
--- a/crates/sanddrum-edge/tests/harness/platform_worker.rs
+++ b/crates/sanddrum-edge/tests/harness/platform_worker.rs
@@ -33,9 +33,25 @@
         (frame[..] == frames::ping(id)).then_some(id)
     }
 
+    /// The ids of all health checks that were written to a worker, in the order of writing.
+    pub fn health_checks(&self, worker: ConnectionId) -> Vec<u64> {
+        let written = self.io.written.get(&worker).map_or(&[][..], Vec::as_slice);
+        let frames = written.windows(EMPTY_FRAME_BYTES);
+        let checks = frames.filter_map(|frame| {
+            let id = u64::from_be_bytes(*frame[8..].first_chunk()?);
+            (frame == frames::ping(id)).then_some(id)
+        });
+        checks.collect()
+    }
+
     /// Delivers a worker's answer to the health check that was written to it last.
     pub fn answer_health_check(&mut self, worker: ConnectionId) {
         let id = self.last_health_check(worker).expect("a health check");
+        self.answer_health_check_of(worker, id);
+    }
+
+    /// Delivers a worker's answer to the health check with this id.
+    pub fn answer_health_check_of(&mut self, worker: ConnectionId, id: u64) {
         let answer = frames::response(HEALTH_CHECK_ANSWER, id, "", b"");
         self.receive(worker, &answer);
     }
