Test late links under every class, with and without copies and cancellations, and a held-up router

Ruled out: nothing; no fault was found.

Change: two tests of late_delivery.rs over these settings (18 cases) and one with a router stopped from before the deadline to after it.

--- a/crates/sanddrum-cli/tests/late_delivery.rs
+++ b/crates/sanddrum-cli/tests/late_delivery.rs
@@ -9,6 +9,7 @@
 use rstest::rstest;
 use serde_json::{json, Value};
 use std::net::TcpStream;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 const A: &str = "00000000000000a1";
@@ -88,6 +89,13 @@
     configuration
 }
 
+fn set_effect(settings: &mut Value, effect: &str) {
+    let class = &mut settings["classes"][0];
+    class["effect"] = json!(effect);
+    class["key-scope"] = json!("all");
+    class["repeat-window-us"] = json!(5_000_000);
+}
+
 /// How long a request without a final answer is watched.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -103,8 +111,19 @@
 impl Fleet {
     /// Sends a request, releases the proxies after `release_after`, and watches until the final answer has been read
     /// and nothing is held back. Workers answer queries, but no attempt.
-    fn observe(mut self, time_limit_ms: u32, release_after: Duration) -> Observed {
+    fn observe(self, time_limit_ms: u32, release_after: Duration) -> Observed {
+        self.observe_with_stop(time_limit_ms, release_after, None)
+    }
+
+    /// Like [`observe`](Self::observe). The router's process is stopped in this span, counted from the request.
+    fn observe_with_stop(
+        mut self,
+        time_limit_ms: u32,
+        release_after: Duration,
+        mut stop: Option<Range<Duration>>,
+    ) -> Observed {
         let started = Instant::now();
+        let mut is_stopped = false;
         self.web.send(&encode_request(1, B, time_limit_ms, b"in"));
         let mut web = self.web;
         let answer = std::thread::spawn(move || {
@@ -117,6 +136,17 @@
             if started.elapsed() >= release_after {
                 self.proxies.iter().for_each(FaultProxy::release);
             }
+            match &stop {
+                Some(span) if !is_stopped && started.elapsed() >= span.start => {
+                    self.router.stall();
+                    is_stopped = true;
+                }
+                Some(span) if is_stopped && started.elapsed() >= span.end => {
+                    self.router.resume();
+                    stop = None;
+                }
+                _ => {}
+            }
             for worker in &mut self.workers {
                 while worker.try_next_request().is_some() {
                     observed.attempts.push(Instant::now());
@@ -194,6 +224,33 @@
     assert_eq!(fleet.web.response().unwrap().status(), "200");
 }
 
+/// Guards against settings under which a second attempt begins while the first may still run.
+#[rstest]
+#[case::by_key("by_key", true, 4)]
+#[case::by_key_without_cancellations("by_key", false, 4)]
+#[case::repeatable_without_cancellations("repeatable", false, 4)]
+#[case::repeatable_with_five_attempts("repeatable", true, 5)]
+#[case::repeatable_with_one_attempt("repeatable", true, 1)]
+#[case::once("once", true, 4)]
+fn no_second_attempt_is_read_while_the_first_may_run_whatever_the_settings(
+    #[case] effect: &str,
+    #[case] sends_cancels: bool,
+    #[case] max_attempts: u32,
+) {
+    let name = format!("overlap-{effect}-{sends_cancels}-{max_attempts}");
+    let mut fleet = Fleet::start_with(&name, |settings| {
+        set_effect(settings, effect);
+        settings["limits"]["cancel"] = json!(sends_cancels);
+        settings["limits"]["try-limit"] = json!(max_attempts);
+    });
+    let (first, attempt) = fleet.first_attempt(B, 4_000);
+    fleet.proxies[first].hold();
+    fleet.assert_no_attempt_while_held(1 - first);
+    fleet.workers[first].serve(&attempt);
+    fleet.proxies[first].release();
+    assert_eq!(fleet.web.response().unwrap().status(), "200");
+}
+
 /// Guards against a final answer while an attempt of the request is still on its way to a worker.
 #[rstest]
 fn no_attempt_is_read_after_the_final_answer_of_its_request() {
@@ -205,6 +262,39 @@
     observed.assert_nothing_read_after_the_answer();
 }
 
+/// Guards against settings under which a final answer does not wait for an attempt on its way: classes that may be
+/// repeated, that carry a key and that run once, with and without second copies and cancellations.
+#[rstest]
+fn no_attempt_is_read_after_the_final_answer_whatever_the_settings(
+    #[values("repeatable", "by_key", "once")] effect: &str,
+    #[values(false, true)] allows_copies: bool,
+    #[values(false, true)] sends_cancels: bool,
+) {
+    let name = format!("late-{effect}-{allows_copies}-{sends_cancels}");
+    let mut fleet = Fleet::start_with(&name, |settings| {
+        set_effect(settings, effect);
+        settings["limits"]["may-duplicate"] = json!(allows_copies);
+        settings["limits"]["cancel"] = json!(sends_cancels);
+    });
+    fleet.warm_up();
+    fleet.proxies.iter().for_each(FaultProxy::hold);
+    let observed = fleet.observe(800, Duration::from_millis(1_000));
+    assert!(!observed.attempts.is_empty(), "an attempt was sent");
+    observed.assert_nothing_read_after_the_answer();
+}
+
+/// Guards against a final answer that a router gives as it runs again, before an attempt on its way has been read.
+#[rstest]
+fn no_attempt_is_read_after_the_final_answer_of_a_router_that_was_held_up() {
+    let mut fleet = Fleet::start("late-attempt-stop");
+    fleet.warm_up();
+    fleet.proxies.iter().for_each(FaultProxy::hold);
+    let stop = Duration::from_millis(100)..Duration::from_millis(900);
+    let observed = fleet.observe_with_stop(800, Duration::from_millis(1_100), Some(stop));
+    assert!(!observed.attempts.is_empty(), "an attempt was sent");
+    observed.assert_nothing_read_after_the_answer();
+}
+
 /// Guards against an attempt on a new connection that is accepted and read after the request has ended.
 #[rstest]
 fn no_attempt_is_read_late_on_a_new_connection() {
