Connect the flooding clients of the memory test before the request that they accompany

Beside eight busy processes and a soak its flood took 1.03 to 1.07 or 2.07 s instead of 0.03 to 0.18 s in six of ten runs: the steps are those of the system's repeated connects, as 320 clients connect at once and the router's accept queue (128) overflows while it gets no processor. The usual request, half sent before the connects, then passed head-time-out (2 s).

Ruled out: slow writes of the flood itself, by timing connects and writes apart.

Change: the clients connect first; the first half of the usual request still precedes every byte of the flood, and all checks and bounds stay.

--- a/crates/sanddrum-cli/tests/router_memory.rs
+++ b/crates/sanddrum-cli/tests/router_memory.rs
@@ -97,13 +97,15 @@
     worker.serve(&next);
     assert_eq!(usual.response().unwrap().status(), "200");
 
+    // A connect to a full accept queue is repeated by the system after a second, which is half of the time in which a
+    // request has to be complete.
+    let mut flooding: Vec<WebServer> = (0..FLOODING_CLIENTS)
+        .map(|_| WebServer::connect(&router.address))
+        .collect();
     let (first_part, second_part) = (vec![b'a'; 8000], vec![b'b'; 8000]);
     usual.send(&begin_request(2, USUAL_CALL));
     usual.send(&encode_header(RecordType::Stdin, 2, first_part.len()));
     usual.send(&first_part);
-    let mut flooding: Vec<WebServer> = (0..FLOODING_CLIENTS)
-        .map(|_| WebServer::connect(&router.address))
-        .collect();
     flooding
         .iter_mut()
         .for_each(|client| client.send_until_closed(&bytes));
