Report a reset that a write has seen as a reset, not as an orderly end

Cause: write_to (event_loop/loop_io.rs) left errors of writes to a later read. The system reports a reset once: the write of another attempt took it, and the read found an end of file, so that read_once (streams.rs) reported an orderly end.

Ruled out: an orderly end by the server: the trace of the run has sendto() = ECONNRESET, 3 ms later recvfrom() = 0 on the same socket, and nothing else on it.

Change: a stream remembers that a write has failed, and its end is then a reset. A broken pipe changes nothing: it follows the peer's own end, or a failure that has been remembered.

Measured: a_reset_that_a_write_has_seen_is_reported_as_reset failed before (Orderly) and passes; tests of sanddrum-net pass.

--- a/crates/sanddrum-net/src/event_loop/loop_io.rs
+++ b/crates/sanddrum-net/src/event_loop/loop_io.rs
@@ -152,7 +152,14 @@
                 written.has_failed = true;
                 break;
             }
-            // Any other error is reported by a later read, after the input that precedes it.
+            // After the input that precedes the failure, a later read reports it. A broken pipe is the peer's own end or a
+            // failure that was recorded earlier.
+            Err(error)
+                if !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::BrokenPipe) =>
+            {
+                stream.has_failed = true;
+                break;
+            }
             _ => break,
         }
     }
--- a/crates/sanddrum-net/src/event_loop/sources.rs
+++ b/crates/sanddrum-net/src/event_loop/sources.rs
@@ -40,6 +40,8 @@
     pub connecting: bool,
     pub paused: bool,
     pub wants_write: bool,
+    /// Whether a write has failed with an error that the system reports once, so that a later read finds an end only.
+    pub has_failed: bool,
     /// The earliest time since which input may be waiting; `None` if the last read left none.
     pub unread_since: Option<Micros>,
     /// Whether the stream is not registered with the poller. Either the peer hung up while the stream was paused or
--- a/crates/sanddrum-net/src/event_loop/streams.rs
+++ b/crates/sanddrum-net/src/event_loop/streams.rs
@@ -48,6 +48,7 @@
             connecting: is_connecting,
             paused: false,
             wants_write: is_connecting,
+            has_failed: false,
             unread_since: None,
             is_unregistered: false,
         }));
@@ -177,6 +178,7 @@
         };
         let mut buffer = std::mem::take(&mut self.read_buffer);
         let result = stream.socket.read(&mut buffer);
+        let has_failed = stream.has_failed;
         let is_emptied = match &result {
             Ok(count) => *count < buffer.len(),
             Err(error) => error.kind() == ErrorKind::WouldBlock,
@@ -186,7 +188,11 @@
         }
         let is_exhausted = match result {
             Ok(0) => {
-                self.end_connection(host, conn, CloseCause::Orderly);
+                let cause = match has_failed {
+                    true => CloseCause::Reset,
+                    false => CloseCause::Orderly,
+                };
+                self.end_connection(host, conn, cause);
                 true
             }
             Ok(count) => {
--- a/crates/sanddrum-net/tests/socket_races.rs
+++ b/crates/sanddrum-net/tests/socket_races.rs
@@ -224,6 +224,33 @@
     });
 }
 
+/// Guards against a reset that counts as an orderly end because a write has seen it before the read that reports it.
+#[rstest]
+fn a_reset_that_a_write_has_seen_is_reported_as_reset() {
+    let accepted = Shared::<Vec<ConnectionId>>::default();
+    let core_accepted = accepted.clone();
+    // When bytes arrive on the first connection, something is written on the second.
+    let (core, recorded) = scripted(move |event, io| match event {
+        Event::Accepted { conn, .. } => core_accepted.borrow_mut().push(*conn),
+        Event::Bytes { .. } => {
+            let second = core_accepted.borrow()[1];
+            io.write(second, b"a request");
+        }
+        _ => {}
+    });
+    let (mut event_loop, address) = listening(core);
+    let mut first = TcpStream::connect(address).unwrap();
+    run_until(&mut event_loop, || accepted.borrow().len() == 1);
+    let second = TcpStream::connect(address).unwrap();
+    run_until(&mut event_loop, || accepted.borrow().len() == 2);
+    // Both arrive before the loop polls: bytes on the first connection, then the reset of the second.
+    first.write_all(b"now").unwrap();
+    reset(second);
+    run_until(&mut event_loop, || !recorded.borrow().closed.is_empty());
+    let second = accepted.borrow()[1];
+    assert_eq!(recorded.borrow().closed, [(second, CloseCause::Reset)]);
+}
+
 #[rstest]
 fn lingering_connections_are_bounded_and_the_oldest_is_dropped() {
     let (core, recorded) = scripted(|event, io| {
