Do not wait at the end for workers that do not read the end of a connection

Cause: EventLoop::close_everything (event_loop/shutdown.rs) waits until the peers of all lingering connections have ended them too, for half a second. Connections to workers that had been closed shortly before (idle, retired) were among them, and a worker behind a link that holds bytes back, or frozen, does not read their end.

Change: lingering connections that the router had opened are dropped as it ends; those of clients linger as before.

--- a/crates/sanddrum-net/src/event_loop/closing.rs
+++ b/crates/sanddrum-net/src/event_loop/closing.rs
@@ -1,6 +1,6 @@
 //! Closing and resetting connections.
 
-use super::sources::{Source, SourceKey};
+use super::sources::{Lingering, Source, SourceKey};
 use super::EventLoop;
 use crate::{CloseCause, ConnectionId, Event, HostId, Micros};
 use polling::{Event as PollEvent, PollMode};
@@ -81,17 +81,21 @@
         let _ = self
             .poller
             .modify_with_mode(&stream.socket, interest, PollMode::Level);
-        self.sources.reinsert(key, Source::Lingering(stream.socket));
+        let lingering = Lingering {
+            socket: stream.socket,
+            side: stream.side,
+        };
+        self.sources.reinsert(key, Source::Lingering(lingering));
         self.lingering.insert((self.now() + LINGER_DURATION, key));
         self.drain(key);
     }
     /// Discards input of a lingering connection.
     pub(super) fn drain(&mut self, key: SourceKey) {
-        let Some(Source::Lingering(socket)) = self.sources.get_mut(key) else {
+        let Some(Source::Lingering(lingering)) = self.sources.get_mut(key) else {
             return;
         };
         // `read_buffer` may be in use: a core may close a connection while it handles received bytes.
-        match socket.read(&mut [0; DRAIN_BUFFER_BYTES]) {
+        match lingering.socket.read(&mut [0; DRAIN_BUFFER_BYTES]) {
             Ok(1..) => {}
             Err(error)
                 if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
@@ -111,7 +115,7 @@
         let _ = match &source {
             Source::Listener(listener) => self.poller.delete(&listener.socket),
             Source::Stream(stream) => self.poller.delete(&stream.socket),
-            Source::Lingering(socket) => self.poller.delete(socket),
+            Source::Lingering(lingering) => self.poller.delete(&lingering.socket),
             Source::ShutdownSignals(pipe) | Source::ReloadSignal(pipe) => self.poller.delete(pipe),
         };
     }
--- a/crates/sanddrum-net/src/event_loop/shutdown.rs
+++ b/crates/sanddrum-net/src/event_loop/shutdown.rs
@@ -1,6 +1,6 @@
 //! The graceful end of the event loop.
 
-use super::{EventLoop, SourceKey};
+use super::{EventLoop, Source, SourceKey};
 use crate::{ConnectionId, HostId, Side};
 use std::io::{self, ErrorKind};
 use std::time::Duration;
@@ -10,6 +10,7 @@
     /// after a time limit.
     pub(super) fn close_everything(&mut self) -> io::Result<()> {
         self.log_status();
+        self.drop_lingering_outbound();
         for id in (0..self.hosts.len()).map(HostId) {
             self.close_host(id);
         }
@@ -33,6 +34,19 @@
         }
         Ok(())
     }
+    /// Drops the connections that hosts have opened and closed. Their peers are owed nothing, and one that does not read
+    /// would delay the end.
+    fn drop_lingering_outbound(&mut self) {
+        let is_outbound = |key: &SourceKey| {
+            let source = self.sources.get(*key);
+            matches!(source, Some(Source::Lingering(lingering)) if lingering.side == Side::Connected)
+        };
+        let keys = self.lingering.iter().map(|(_, key)| *key);
+        let outbound: Vec<SourceKey> = keys.filter(is_outbound).collect();
+        for key in outbound {
+            self.remove_source(key);
+        }
+    }
     fn close_host(&mut self, id: HostId) {
         let Some(host) = self.host_mut(id) else {
             return;
--- a/crates/sanddrum-net/src/event_loop/sources.rs
+++ b/crates/sanddrum-net/src/event_loop/sources.rs
@@ -14,13 +14,19 @@
     Stream(Stream),
     /// A locally closed connection whose input is drained: closing a socket with unread input resets the connection,
     /// which can destroy the data that was written last.
-    Lingering(TcpStream),
+    Lingering(Lingering),
     /// The pipe of the shutdown signals.
     ShutdownSignals(UnixStream),
     /// The pipe of the signal that reloads watched files.
     ReloadSignal(UnixStream),
 }
 
+/// A connection that its host has closed.
+pub(super) struct Lingering {
+    pub socket: TcpStream,
+    pub side: Side,
+}
+
 /// A listener of a host.
 pub(super) struct Listener {
     pub host: HostId,
