Soak: report, control of servers and waiting faults as modules and types of their own

Ruled out: nothing; no behaviour changes.

Change: report.rs, server_control.rs and the type WaitingFault.

--- a/crates/sanddrum-lab/src/soak/environment.rs
+++ b/crates/sanddrum-lab/src/soak/environment.rs
@@ -5,11 +5,10 @@
 
 use super::clients::{ClientControl, Clients, RouterTarget};
 use super::feed::{Feed, FeedMode, FeedState};
-use super::link_faults::LinkMode;
 use super::observations::{Drain, FeedFault, RouterId, ServerId, SharedObservations, Span, Start};
 use super::routers::Router;
-use super::server_modes::ServerMode;
-use super::servers::{Server, ServerControl};
+use super::server_control::ServerControl;
+use super::servers::Server;
 use super::settings::{Fleet, SoakSettings};
 use sanddrum_net::{EventLoop, HostId, ListenerId, Micros, NullObserver, Rng};
 use serde_json::{json, Value as Json};
@@ -154,12 +153,7 @@
         let (mut slots, mut members) = (Vec::new(), Vec::new());
         for n in 0..fleet.servers {
             let (address, name) = (fleet.server_address(n), format!("s-{n:08x}"));
-            let control = Rc::new(RefCell::new(ServerControl {
-                mode: ServerMode::Normal,
-                link: LinkMode::Normal,
-                is_draining: false,
-                freeze: None,
-            }));
+            let control = Rc::new(RefCell::new(ServerControl::normal()));
             let id = ServerId(n);
             let server = Server::new(
                 id,
@@ -406,12 +400,7 @@
                 .fleet
                 .server_address(self.fleet.servers + self.servers_started % 100),
         };
-        let control = Rc::new(RefCell::new(ServerControl {
-            mode: ServerMode::Normal,
-            link: LinkMode::Normal,
-            is_draining: false,
-            freeze: None,
-        }));
+        let control = Rc::new(RefCell::new(ServerControl::normal()));
         let (settings, observations) = (self.settings.clone(), self.observations.clone());
         let server = Server::new(
             id,
--- a/crates/sanddrum-lab/src/soak/environment/fault_injection.rs
+++ b/crates/sanddrum-lab/src/soak/environment/fault_injection.rs
@@ -9,8 +9,8 @@
 use crate::soak::feed::FeedMode;
 use crate::soak::link_faults::LinkMode;
 use crate::soak::routers::Router;
+use crate::soak::server_control::Freeze;
 use crate::soak::server_modes::ServerMode;
-use crate::soak::servers::Freeze;
 use sanddrum_net::Micros;
 use std::io;
 
--- a/crates/sanddrum-lab/src/soak/mod.rs
+++ b/crates/sanddrum-lab/src/soak/mod.rs
@@ -9,21 +9,22 @@
 mod feed;
 pub mod link_faults;
 pub mod observations;
+mod report;
 mod router_frames;
 mod routers;
+mod server_control;
 mod server_modes;
 mod servers;
 pub mod settings;
 
-use crate::faults::Word;
-use checker::{check, count_abandoned, Violation};
+use checker::{check, Violation};
 use environment::Environment;
 use fault_plan::{plan, plan_link_faults, plan_only, PlannedFault};
-use observations::{Observations, SharedObservations};
+use observations::SharedObservations;
+use report::report;
+pub use report::SoakReport;
 use sanddrum_net::{EventLoop, Micros, Rng};
-use serde_json::json;
 use settings::{Fleet, SoakSettings};
-use std::collections::BTreeMap;
 use std::io;
 use std::path::{Path, PathBuf};
 
@@ -58,51 +59,6 @@
     pub folder: PathBuf,
 }
 
-/// The result of a soak run.
-#[derive(Debug)]
-pub struct SoakReport {
-    pub seed: u64,
-    pub violations: Vec<Violation>,
-    /// How often each kind of planned fault occurred; `troubles` in the JSON report.
-    pub fault_counts: BTreeMap<&'static str, u64>,
-    /// How often the preloaded library injected each kind of fault; `faults` in the JSON report.
-    pub library_fault_counts: BTreeMap<&'static str, u64>,
-    /// Planned kinds of fault that never occurred.
-    pub missing: Vec<&'static str>,
-    pub counts: BTreeMap<&'static str, u64>,
-    /// For how long the lab's own event loop was late, in total.
-    pub lab_late_ms: i64,
-}
-
-impl SoakReport {
-    pub fn passed(&self) -> bool {
-        self.violations.is_empty() && self.missing.is_empty()
-    }
-    /// Returns the last line of the report: the seed and the first violated rule.
-    pub fn verdict(&self) -> String {
-        let seed = self.seed;
-        match (self.violations.first(), self.missing.first()) {
-            (Some(first), _) => {
-                format!(
-                    "seed {seed}: {} violated, {} violations in total",
-                    first.rule.name(),
-                    self.violations.len()
-                )
-            }
-            (None, Some(missing)) => {
-                format!("seed {seed}: not passed, because {missing} never occurred")
-            }
-            (None, None) => format!("seed {seed}: every rule kept"),
-        }
-    }
-    pub fn json(&self) -> serde_json::Value {
-        let violations: Vec<String> = self.violations.iter().map(ToString::to_string).collect();
-        json!({"seed": self.seed, "good": self.passed(), "breaks": violations, "troubles": self.fault_counts,
-               "faults": self.library_fault_counts, "missing": self.missing, "counts": self.counts,
-               "lab_late_ms": self.lab_late_ms})
-    }
-}
-
 /// Performs a soak run.
 ///
 /// # Errors
@@ -183,6 +139,27 @@
     Ok(())
 }
 
+/// A planned fault that waits for its trigger event.
+struct WaitingFault {
+    planned: PlannedFault,
+    since: Micros,
+    /// How often the trigger event had occurred when the wait began.
+    count_before: u64,
+    /// When the fault begins; `None` until the event has occurred.
+    begins: Option<Micros>,
+}
+
+impl WaitingFault {
+    /// Sets when the fault begins, once its trigger event has occurred or has been awaited for too long.
+    fn check_trigger(&mut self, now: Micros, environment: &Environment) {
+        let count = environment.trigger_count(self.planned.trigger);
+        let has_occurred = count > self.count_before || now > self.since + TRIGGER_TIMEOUT;
+        if has_occurred && self.begins.is_none() {
+            self.begins = Some(now + self.planned.delay);
+        }
+    }
+}
+
 fn inject_faults(
     environment: &mut Environment,
     planned: &[PlannedFault],
@@ -190,32 +167,28 @@
 ) -> io::Result<()> {
     let start = environment.now();
     let mut next = planned.iter().peekable();
-    // Faults waiting for their trigger event: since when, how often the event had occurred by then, and when the fault
-    // begins.
-    let mut waiting: Vec<(PlannedFault, Micros, u64, Option<Micros>)> = Vec::new();
+    let mut waiting: Vec<WaitingFault> = Vec::new();
     let mut resources_recorded = false;
     while environment.now() < start + length {
         environment.step()?;
         let now = environment.now();
         while let Some(planned) = next.next_if(|planned| start + planned.earliest <= now) {
-            waiting.push((
-                *planned,
-                now,
-                environment.trigger_count(planned.trigger),
-                None,
-            ));
+            waiting.push(WaitingFault {
+                planned: *planned,
+                since: now,
+                count_before: environment.trigger_count(planned.trigger),
+                begins: None,
+            });
         }
-        let mut still_waiting = Vec::new();
-        for (planned, since, count_before, begins) in std::mem::take(&mut waiting) {
-            let occurred = environment.trigger_count(planned.trigger) > count_before
-                || now > since + TRIGGER_TIMEOUT;
-            let begins = begins.or(occurred.then_some(now + planned.delay));
-            match begins {
-                Some(at) if at <= now => environment.begin_fault(planned.fault)?,
-                _ => still_waiting.push((planned, since, count_before, begins)),
-            }
+        for fault in &mut waiting {
+            fault.check_trigger(now, environment);
         }
+        let is_due = |fault: &WaitingFault| fault.begins.is_some_and(|at| at <= now);
+        let (due, still_waiting) = waiting.into_iter().partition(is_due);
         waiting = still_waiting;
+        for fault in due {
+            environment.begin_fault(fault.planned.fault)?;
+        }
         if !resources_recorded && now > start + length / 3 {
             resources_recorded = true;
             environment
@@ -266,125 +239,3 @@
     panics.for_each(|router| eprintln!("router {} panicked:\n{}", router.id.0, router.log()));
     Ok(())
 }
-
-fn report(
-    seed: u64,
-    environment: &Environment,
-    planned: &[PlannedFault],
-    observations: &Observations,
-    violations: Vec<Violation>,
-) -> io::Result<SoakReport> {
-    let counters = [
-        (Word::WallReadsStepped, "wall-reads-stepped"),
-        (Word::AcceptsFailed, "accepts-failed"),
-        (Word::SocketsFailed, "sockets-failed"),
-        (Word::ConnectsFailed, "connects-failed"),
-        (Word::ReceivesFailed, "receives-failed"),
-        (Word::SendsFailed, "sends-failed"),
-        (Word::WaitsInterrupted, "waits-interrupted"),
-        (Word::ControlsFailed, "controls-failed"),
-    ];
-    let mut library_fault_counts = BTreeMap::new();
-    for (counter, name) in counters {
-        let all: io::Result<Vec<u64>> = environment
-            .routers
-            .iter()
-            .map(|router| router.fault_control.get(counter))
-            .collect();
-        library_fault_counts.insert(name, all?.iter().sum());
-    }
-    let mut missing: Vec<&'static str> = planned
-        .iter()
-        .map(|planned| planned.fault.name())
-        .filter(|name| environment.fault_counts.get(name).copied().unwrap_or(0) == 0)
-        .filter(|name| !environment.hidden_fault_counts.contains_key(name))
-        .collect();
-    let is_planned = |name: &str| planned.iter().any(|planned| planned.fault.name() == name);
-    if is_planned("failing-calls")
-        && library_fault_counts["receives-failed"] + library_fault_counts["sends-failed"] == 0
-    {
-        missing.push("failing-calls");
-    }
-    if (is_planned("step-all-clocks") || is_planned("step-some-clocks"))
-        && library_fault_counts["wall-reads-stepped"] == 0
-    {
-        missing.push("wall-reads-stepped");
-    }
-    let status = |predicate: fn(u16) -> bool| {
-        let responses = observations
-            .requests
-            .values()
-            .filter_map(|request| request.responses.first());
-        responses
-            .filter(|response| predicate(response.status))
-            .count() as u64
-    };
-    let mut counts = BTreeMap::from([
-        ("requests", observations.requests.len() as u64),
-        ("attempts", observations.attempts.len() as u64),
-        ("served", status(|status| status == 200)),
-        ("refused", status(|status| status == 503 || status == 429)),
-        (
-            "failed",
-            status(|status| status != 200 && status != 503 && status != 429),
-        ),
-        ("client-connections", observations.connections_by_clients),
-        ("server-connections", observations.connections_to_servers),
-        ("probes", observations.probes),
-        ("median-response-us", median_response_time(observations)),
-        ("bad-clients", observations.malformed_requests),
-        (
-            "server-starts",
-            observations
-                .starts
-                .iter()
-                .filter(|start| !start.before_run)
-                .count() as u64,
-        ),
-        (
-            "router-starts",
-            observations
-                .incarnations
-                .values()
-                .map(Vec::len)
-                .sum::<usize>() as u64,
-        ),
-    ]);
-    counts.insert(
-        "troubles-hidden-by-outages",
-        environment.hidden_fault_counts.values().sum(),
-    );
-    counts.extend(
-        count_abandoned(observations)
-            .into_iter()
-            .map(|(kind, count)| (kind, count as u64)),
-    );
-    let lab_late_ms = observations
-        .lab_delays
-        .iter()
-        .map(|span| span.to - span.from)
-        .sum::<Micros>()
-        / 1000;
-    let fault_counts = environment.fault_counts.clone();
-    Ok(SoakReport {
-        seed,
-        violations,
-        fault_counts,
-        library_fault_counts,
-        missing,
-        counts,
-        lab_late_ms,
-    })
-}
-
-/// Returns the median time in microseconds from the sending of a request to its response with a result.
-fn median_response_time(observations: &Observations) -> u64 {
-    let requests = observations.requests.values();
-    let served = requests.filter_map(|request| {
-        let response = request.responses.first()?;
-        (response.status == 200).then(|| (response.at - request.sent) as u64)
-    });
-    let mut times: Vec<u64> = served.collect();
-    times.sort_unstable();
-    times.get(times.len() / 2).copied().unwrap_or_default()
-}
--- a/crates/sanddrum-lab/src/soak/servers.rs
+++ b/crates/sanddrum-lab/src/soak/servers.rs
@@ -1,12 +1,13 @@
 //! The emulated model servers of a soak run. They speak the platform's frame protocol, load functions, queue requests
 //! on their cores, have a slow start, and misbehave on request.
 
-use super::link_faults::{Hold, LinkMode};
+use super::link_faults::Hold;
 use super::observations::{
     expected_response_body, Attempt, AttemptNumber, LoadCommand, RequestId, ServerId,
     SharedObservations,
 };
 use super::router_frames::Frame;
+use super::server_control::ServerControl;
 use super::server_modes::ServerMode;
 use super::settings::SoakSettings;
 use sanddrum_net::{CloseCause, ConnectionId, Core, Event, Io, Micros, Rng};
@@ -15,27 +16,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// How the environment controls a server while it runs.
-#[derive(Clone, Copy, Debug)]
-pub struct ServerControl {
-    pub mode: ServerMode,
-    /// What the links to the server do.
-    pub link: LinkMode,
-    /// Whether the server is draining: it finishes its open requests and rejects new ones until it is gone.
-    pub is_draining: bool,
-    /// Set once the server has read nothing for a while.
-    pub freeze: Option<Freeze>,
-}
-
-/// A time in which a server read nothing, neither on open nor on new connections.
-#[derive(Clone, Copy, Debug)]
-pub struct Freeze {
-    /// When it began.
-    pub from: Micros,
-    /// What the server reads until this time may have arrived from the beginning on.
-    pub arrivals_unknown_until: Micros,
-}
-
 const SLOWDOWN: f64 = 10.0;
 const LOAD_TIME: Micros = 200_000;
 const DUPLICATE_DELAY: Micros = 4_000;
@@ -130,11 +110,6 @@
     fn mode(&self) -> ServerMode {
         self.control.borrow().mode
     }
-    /// Returns the earliest time at which what the server reads now may have arrived, if it was frozen before.
-    fn arrived_since(&self, now: Micros) -> Option<Micros> {
-        let freeze = self.control.borrow().freeze?;
-        (now < freeze.arrivals_unknown_until).then_some(freeze.from)
-    }
     fn schedule(&mut self, at: Micros, response: ScheduledResponse) {
         self.last_sequence += 1;
         self.scheduled.insert((at, self.last_sequence), response);
@@ -190,7 +165,7 @@
                 .push(LoadCommand {
                     server: self.id,
                     at: now,
-                    arrival_unknown: is_held || self.arrived_since(now).is_some(),
+                    arrival_unknown: is_held || self.control.borrow().arrived_since(now).is_some(),
                 });
         }
         // A load command for instances that are already loaded succeeds even while the server drains, as measured on
@@ -211,7 +186,7 @@
     /// Records a request, and schedules its response: when it has run, or at once if it is rejected.
     fn handle_request(&mut self, now: Micros, conn: ConnectionId, frame: &Frame) {
         let held = self.peers.get(&conn).and_then(|peer| peer.held);
-        let arrived_since = self.arrived_since(now);
+        let arrived_since = self.control.borrow().arrived_since(now);
         let held_since = held.map(|held| held.from).or(arrived_since);
         let request_id = RequestId(frame.id);
         let deadline = frame
@@ -391,7 +366,7 @@
     }
     /// Stops reading a connection for a while.
     fn hold(&mut self, now: Micros, conn: ConnectionId, delay: Micros, io: &mut dyn Io) {
-        let arrived_since = self.arrived_since(now);
+        let arrived_since = self.control.borrow().arrived_since(now);
         let peer = self.peers.get_mut(&conn);
         if let Some(peer) = peer.filter(|peer| peer.held.is_none()) {
             let from = arrived_since.unwrap_or(now);
