Soak: servers end connections that are new, idle or under a request

Ruled out: nothing; no fault was found.

Change: a fifth kind of link fault, link-ends: one in ten connections is closed or reset as it is accepted, as a request has been read and as it becomes idle.

--- a/crates/sanddrum-lab/src/soak/fault_plan.rs
+++ b/crates/sanddrum-lab/src/soak/fault_plan.rs
@@ -88,6 +88,7 @@
                 LinkMode::StallsBytes => "link-stalls-bytes",
                 LinkMode::ResetsEarly => "link-resets-early",
                 LinkMode::SpoilsAndStalls => "link-spoils",
+                LinkMode::Ends => "link-ends",
             },
             Fault::Freeze { .. } => "freeze",
             Fault::FeedSilent { .. } => "feed-silent",
--- a/crates/sanddrum-lab/src/soak/link_faults.rs
+++ b/crates/sanddrum-lab/src/soak/link_faults.rs
@@ -19,16 +19,35 @@
     ResetsEarly,
     /// Some answers are spoilt, and the server then reads late.
     SpoilsAndStalls,
+    /// Connections are closed or reset when new, idle and under a request.
+    Ends,
+}
+
+/// How a server ends a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    Close,
+    Reset,
 }
 
 impl LinkMode {
-    pub const FAULTS: [LinkMode; 4] = [
+    pub const FAULTS: [LinkMode; 5] = [
         LinkMode::AcceptsLate,
         LinkMode::StallsBytes,
         LinkMode::ResetsEarly,
         LinkMode::SpoilsAndStalls,
+        LinkMode::Ends,
     ];
 
+    /// Returns how the server ends a connection that is new, has just carried a request, or has become idle, if it does.
+    pub fn end_of_connection(self, rng: &mut Rng) -> Option<ConnectionEnd> {
+        let is_ended = self == LinkMode::Ends && rng.random_bool(0.1);
+        is_ended.then(|| match rng.random_bool(0.5) {
+            true => ConnectionEnd::Close,
+            false => ConnectionEnd::Reset,
+        })
+    }
+
     /// Returns how long a new connection is not read, if at all.
     pub fn delay_of_connection(self, rng: &mut Rng) -> Option<Micros> {
         (self == LinkMode::AcceptsLate).then(|| random_delay(rng))
--- a/crates/sanddrum-lab/src/soak/servers.rs
+++ b/crates/sanddrum-lab/src/soak/servers.rs
@@ -1,7 +1,7 @@
 //! The emulated model servers of a soak run. They speak the platform's frame protocol, load functions, queue requests
 //! on their cores, have a slow start, and misbehave on request.
 
-use super::link_faults::Hold;
+use super::link_faults::{ConnectionEnd, Hold};
 use super::observations::{
     expected_response_body, Attempt, AttemptNumber, LoadCommand, RequestId, ServerId,
     SharedObservations,
@@ -346,6 +346,26 @@
             _ => {}
         }
         io.write(conn, &bytes);
+        let is_idle = self
+            .peers
+            .get(&conn)
+            .is_some_and(|peer| peer.out.is_empty());
+        if is_idle {
+            self.end_by_link(now, conn, io);
+        }
+    }
+    /// Ends a connection if its link does so now. Returns whether it did.
+    fn end_by_link(&mut self, now: Micros, conn: ConnectionId, io: &mut dyn Io) -> bool {
+        let link = self.control.borrow().link;
+        let Some(end) = link.end_of_connection(&mut self.rng) else {
+            return false;
+        };
+        match end {
+            ConnectionEnd::Close => io.close(conn),
+            ConnectionEnd::Reset => io.reset(conn),
+        }
+        self.end_connection(now, conn);
+        true
     }
     /// Records that an attempt on a connection has ended.
     fn end_attempt(&mut self, at: Micros, conn: ConnectionId, id: u64) {
@@ -405,6 +425,9 @@
                 io.reset(conn);
                 return self.end_connection(now + delay, conn);
             }
+            if self.end_by_link(now, conn, io) {
+                return;
+            }
         }
         if let Some(peer) = self.peers.get_mut(&conn) {
             peer.bytes = received;
@@ -440,6 +463,7 @@
                 if let Some(delay) = link.delay_of_connection(&mut self.rng) {
                     self.hold(now, conn, delay, io);
                 }
+                self.end_by_link(now, conn, io);
             }
             Event::Bytes { conn, bytes } => {
                 let Some(peer) = self.peers.get_mut(&conn) else {
