--- a/crates/sanddrum-lab/src/soak/fault_plan.rs
+++ b/crates/sanddrum-lab/src/soak/fault_plan.rs
@@ -89,6 +89,7 @@
                 LinkMode::ResetsEarly => "link-resets-early",
                 LinkMode::SpoilsAndStalls => "link-spoils",
                 LinkMode::Ends => "link-ends",
+                LinkMode::LosesAnswers => "link-loses",
             },
             Fault::Freeze { .. } => "freeze",
             Fault::FeedSilent { .. } => "feed-silent",
--- a/crates/sanddrum-lab/src/soak/link_faults.rs
+++ b/crates/sanddrum-lab/src/soak/link_faults.rs
@@ -21,6 +21,8 @@
     SpoilsAndStalls,
     /// Connections are closed or reset when new, idle and under a request.
     Ends,
+    /// Some answers are lost on their way, and nothing else.
+    LosesAnswers,
 }
 
 /// How a server ends a connection.
@@ -31,14 +33,20 @@
 }
 
 impl LinkMode {
-    pub const FAULTS: [LinkMode; 5] = [
+    pub const FAULTS: [LinkMode; 6] = [
         LinkMode::AcceptsLate,
         LinkMode::StallsBytes,
         LinkMode::ResetsEarly,
         LinkMode::SpoilsAndStalls,
         LinkMode::Ends,
+        LinkMode::LosesAnswers,
     ];
 
+    /// Returns whether an answer is lost.
+    pub fn loses_answer(self, rng: &mut Rng) -> bool {
+        self == LinkMode::LosesAnswers && rng.random_bool(0.2)
+    }
+
     /// Returns how the server ends a connection that is new, has just carried a request, or has become idle, if it does.
     pub fn end_of_connection(self, rng: &mut Rng) -> Option<ConnectionEnd> {
         let is_ended = self == LinkMode::Ends && rng.random_bool(0.1);
--- a/crates/sanddrum-lab/src/soak/servers.rs
+++ b/crates/sanddrum-lab/src/soak/servers.rs
@@ -320,6 +320,9 @@
             return self.schedule(held.until, delayed);
         }
         let link = self.control.borrow().link;
+        if link.loses_answer(&mut self.rng) {
+            return;
+        }
         if let Some(delay) = link.delay_after_spoilt_answer(&mut self.rng) {
             let position = self.rng.index(bytes.len());
             bytes[position] ^= 0x10;
