Let a result take the place of a waiting answer instead of ending its wait

What callers see: where second copies are allowed, an attempt is read after its request was answered, if a second answer came while the first one waited for it: two attempts unread at the deadline, the failure waits for both, the result of one then ended the wait for the other.

Cause: EdgeState::complete_request (edge_state/requests.rs) closed a request with a result at once if any answer of it waited.

Ruled out: settings without copies, where there is no second attempt at once.

Change: the result replaces a waiting error response and is given when no attempt may be unread any more, or at the latest time that was set. A result that waits already stays.

Measured: a_result_waits_for_a_further_attempt_although_another_answer_has_waited_before failed before and passes; tests of sanddrum-edge pass.

--- a/crates/sanddrum-edge/src/edge_state/requests.rs
+++ b/crates/sanddrum-edge/src/edge_state/requests.rs
@@ -66,7 +66,7 @@
             body: body.to_vec(),
         };
         if self.requests.is_deferred(id) {
-            return self.close_with_result(now, id, &result);
+            return self.requests.replace_deferred_error(id, result);
         }
         if let Err(result) = self.defer_result(now, id, result) {
             self.close_with_result(now, id, &result);
--- a/crates/sanddrum-edge/src/requests.rs
+++ b/crates/sanddrum-edge/src/requests.rs
@@ -359,6 +359,15 @@
         self.deferred.entry(id).or_insert(answer);
     }
 
+    /// Replaces an error response that waits by a result. A result that waits already stays.
+    pub fn replace_deferred_error(&mut self, id: RequestId, result: FinishedAnswer) {
+        let deferred = self.deferred.get_mut(&id);
+        let error = deferred.filter(|deferred| matches!(deferred.answer, FinalAnswer::Error(_)));
+        if let Some(deferred) = error {
+            deferred.answer = FinalAnswer::Finished(result);
+        }
+    }
+
     /// Whether the final response of a request waits.
     pub fn is_deferred(&self, id: RequestId) -> bool {
         self.deferred.contains_key(&id)
--- a/crates/sanddrum-edge/tests/attempt_ends.rs
+++ b/crates/sanddrum-edge/tests/attempt_ends.rs
@@ -274,6 +274,25 @@
     assert_eq!(harness.fastcgi_statuses(client), [(1, 200)]);
 }
 
+/// Guards against a result that ends the wait for one attempt while a further one may be unread.
+#[rstest]
+fn a_result_waits_for_a_further_attempt_although_another_answer_has_waited_before() {
+    let mut harness = edge_with(&[("limits.second-copies", "yes")]);
+    let (client, first) = harness.dispatch_fastcgi_request();
+    let deadline = harness.script.borrow().requests[0].deadline;
+    harness.advance(deadline - harness.now - SECOND / 2);
+    harness.decide_on_event(2, [Decision::Dispatch(0, SECOND / 2)]);
+    let second = harness.last_connection();
+    harness.connect(second);
+    harness.advance(SECOND / 2);
+    harness.decide_on_event(3, [Decision::Fail(0)]);
+    assert!(harness.fastcgi_statuses(client).is_empty());
+    harness.finish_request(first, CALL_ID, b"out");
+    assert!(harness.fastcgi_statuses(client).is_empty());
+    harness.answer_health_check(second);
+    assert_eq!(harness.fastcgi_statuses(client), [(1, 200)]);
+}
+
 /// Guards against cancellations where the settings forbid them.
 #[rstest]
 fn nothing_is_cancelled_where_the_settings_forbid_it() {
