Soak: keep the feed's listener from the choice of addresses on, so that runs do not collide

Ruled out: a fault of a router: none had been started.

Change: Fleet::reserve returns the bound listener with the fleet, and the feed serves on it.

--- a/crates/sanddrum-lab/src/soak/environment.rs
+++ b/crates/sanddrum-lab/src/soak/environment.rs
@@ -15,6 +15,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
@@ -138,6 +139,7 @@
     /// A listener, file or process can't be created.
     pub fn new(
         fleet: Fleet,
+        feed_listener: TcpListener,
         settings: SoakSettings,
         rate: f64,
         folder: &Path,
@@ -182,11 +184,10 @@
             });
         }
         let feed = Rc::new(RefCell::new(FeedState::new(members)));
-        let listeners = [0, 1].map(|listener| EventLoop::bind(&fleet.feed_address(listener)));
-        let [first, second] = listeners;
+        let (second_listener, _) = EventLoop::bind(&fleet.feed_address(1))?;
         driver.add(
             Box::new(Feed::new(feed.clone())),
-            vec![first?.0, second?.0],
+            vec![feed_listener, second_listener],
             None,
         )?;
         let clients = Rc::new(RefCell::new(ClientControl {
--- a/crates/sanddrum-lab/src/soak/mod.rs
+++ b/crates/sanddrum-lab/src/soak/mod.rs
@@ -23,7 +23,7 @@
 use observations::SharedObservations;
 use report::report;
 pub use report::SoakReport;
-use sanddrum_net::{EventLoop, Micros, Rng};
+use sanddrum_net::{Micros, Rng};
 use settings::{Fleet, SoakSettings};
 use std::io;
 use std::path::{Path, PathBuf};
@@ -66,13 +66,14 @@
 pub fn soak(spec: &SoakSpec) -> io::Result<SoakReport> {
     let mut rng = Rng::new(spec.seed);
     let settings = SoakSettings::random(&mut rng);
-    let fleet = fleet_at_free_addresses(spec)?;
+    let (fleet, feed_listener) = Fleet::reserve(spec.seed, spec.routers, spec.servers)?;
     let length = spec.seconds as Micros * S;
     let planned = plan_of(spec, &mut rng)?;
     let observations = SharedObservations::default();
     let (folder, program) = (spec.folder.as_path(), spec.program.clone());
     let mut environment = Environment::new(
         fleet,
+        feed_listener,
         settings.clone(),
         spec.rate,
         folder,
@@ -105,22 +106,6 @@
         .ok_or_else(|| io::Error::other(format!("there is no kind of fault named {kind}")))
 }
 
-/// Returns a fleet at addresses that no other run uses. They are considered free if the first feed address is.
-fn fleet_at_free_addresses(spec: &SoakSpec) -> io::Result<Fleet> {
-    let (routers, servers, feed_listener) = (spec.routers, spec.servers, 0);
-    let first = Fleet::NETS.start + (spec.seed % Fleet::NETS.len() as u64) as u8;
-    let nets = (first..Fleet::NETS.end).chain(Fleet::NETS.start..first);
-    let mut fleets = nets.map(|net| Fleet {
-        seed: spec.seed,
-        net,
-        routers,
-        servers,
-        feed_listener,
-    });
-    let free = fleets.find(|fleet| EventLoop::bind(&fleet.feed_address(0)).is_ok());
-    free.ok_or_else(|| io::Error::other("no loopback addresses are free: too many concurrent runs"))
-}
-
 fn wait_until_ready(environment: &mut Environment) -> io::Result<()> {
     let until = environment.now() + ALL_READY_WITHIN;
     while !environment.all_ready() {
--- a/crates/sanddrum-lab/src/soak/settings.rs
+++ b/crates/sanddrum-lab/src/soak/settings.rs
@@ -2,8 +2,10 @@
 //! and the emulated clients and servers take from it.
 
 use super::observations::{Effect, RouterId, REPEAT_WINDOW};
-use sanddrum_net::{Micros, Rng};
+use sanddrum_net::{EventLoop, Micros, Rng};
 use serde_json::{json, Value as Json};
+use std::io;
+use std::net::TcpListener;
 
 /// Settings that the routers are configured with and checked against.
 #[derive(Clone, Debug)]
@@ -140,6 +142,29 @@
 impl Fleet {
     /// Values of `net` that runs may use.
     pub const NETS: std::ops::Range<u8> = 64..192;
+    /// Returns a fleet at addresses that no other run uses, and the listener of its feed's first address. Whoever holds that
+    /// listener has the other addresses as well.
+    ///
+    /// # Errors
+    /// All addresses are in use.
+    pub fn reserve(seed: u64, routers: usize, servers: usize) -> io::Result<(Fleet, TcpListener)> {
+        let first = Fleet::NETS.start + (seed % Fleet::NETS.len() as u64) as u8;
+        let mut nets = (first..Fleet::NETS.end).chain(Fleet::NETS.start..first);
+        let reserved = nets.find_map(|net| {
+            let fleet = Fleet {
+                seed,
+                net,
+                routers,
+                servers,
+                feed_listener: 0,
+            };
+            let (listener, _) = EventLoop::bind(&fleet.feed_address(0)).ok()?;
+            Some((fleet, listener))
+        });
+        reserved.ok_or_else(|| {
+            io::Error::other("no loopback addresses are free: too many concurrent runs")
+        })
+    }
     pub fn router_address(&self, router: RouterId) -> String {
         format!("127.{}.1.{}:7100", self.net, router.0 + 1)
     }
