Log slow turns of the event loop and final answers after the client's time

The event loop now counts polls, reads, bytes and the busiest connection of each turn and logs a turn of over 100 ms, once a second at most. Final answers after the client's time are logged with how long the request may have waited unread, counted in the status line (answered-late) and in sanddrum_late_answers_total.

--- a/crates/sanddrum-edge/src/edge_state/attempt_logging.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempt_logging.rs
@@ -2,6 +2,7 @@
 
 use super::EdgeState;
 use crate::attempt_log::AttemptHistory;
+use crate::event_counts::CountedEvent;
 use crate::metrics::outcome_label;
 use crate::requests::{Attempt, DeferredAnswer};
 use sanddrum::{Micros, Outcome, RequestId};
@@ -92,6 +93,39 @@
         }
     }
 
+    /// Counts and logs a final answer that is given after the client's time limit.
+    pub(super) fn log_late_answer(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        status: u16,
+        reason: &'static str,
+    ) {
+        let Some(request) = self.requests.get_open(id) else {
+            return;
+        };
+        let late_us = now - request.deadline - self.context.limits.response_lead_time;
+        if late_us <= 0 {
+            return;
+        }
+        let (call_id, unread_us) = (request.spec.call_id, request.spec.unread_for);
+        self.context.metrics.late_answers.increment(1);
+        self.context
+            .counts
+            .record(CountedEvent::AnsweredLate, reason);
+        if let Some(left_out) = self.context.log_budget.take(now) {
+            tracing::warn!(
+                call = %format_args!("{call_id:016x}"),
+                status,
+                reason,
+                late_us,
+                unread_us,
+                left_out,
+                "final answer after the client's time limit"
+            );
+        }
+    }
+
     /// Logs how long a final answer has waited.
     pub(super) fn log_deferred(&mut self, now: Micros, id: RequestId, answer: &DeferredAnswer) {
         let request = self.requests.get(id);
--- a/crates/sanddrum-edge/src/edge_state/fastcgi.rs
+++ b/crates/sanddrum-edge/src/edge_state/fastcgi.rs
@@ -62,7 +62,8 @@
         }
         match self.validate_fastcgi_request(now, request) {
             Ok(mut spec) => {
-                spec.time_limit = (spec.time_limit - (now - received_at)).max(1);
+                spec.unread_for = now - received_at;
+                spec.time_limit = (spec.time_limit - spec.unread_for).max(1);
                 let request = self.accept_request(now, conn, u64::from(id), spec);
                 self.fastcgi.request_accepted(conn, id, request);
             }
--- a/crates/sanddrum-edge/src/edge_state/http.rs
+++ b/crates/sanddrum-edge/src/edge_state/http.rs
@@ -162,6 +162,7 @@
             time_limit: requested.min(longest)
                 - self.context.limits.response_lead_time
                 - read_delay,
+            unread_for: read_delay,
             expected_work,
             is_retry,
             idempotency_key: field("idempotency-key"),
--- a/crates/sanddrum-edge/src/edge_state/requests.rs
+++ b/crates/sanddrum-edge/src/edge_state/requests.rs
@@ -80,6 +80,7 @@
         id: RequestId,
         result: &FinishedAnswer,
     ) {
+        self.log_late_answer(now, id, 200, "finished");
         let Some(request) = self.requests.close(id) else {
             return;
         };
@@ -123,6 +124,7 @@
         response: &ErrorResponse<'_>,
     ) {
         self.log_final_answer(now, id, response.status, response.reason);
+        self.log_late_answer(now, id, response.status, response.reason);
         let Some(request) = self.requests.close(id) else {
             return;
         };
--- a/crates/sanddrum-edge/src/event_counts.rs
+++ b/crates/sanddrum-edge/src/event_counts.rs
@@ -19,6 +19,8 @@
     LoadNotDone,
     /// A final answer waited for the worker to read an attempt.
     AnswerDeferred,
+    /// A final answer was given after the client's time limit.
+    AnsweredLate,
 }
 
 impl CountedEvent {
@@ -31,6 +33,7 @@
             CountedEvent::WorkerLost => "worker-lost",
             CountedEvent::LoadNotDone => "load-not-done",
             CountedEvent::AnswerDeferred => "answer-deferred",
+            CountedEvent::AnsweredLate => "answered-late",
         }
     }
 }
--- a/crates/sanddrum-edge/src/metrics.rs
+++ b/crates/sanddrum-edge/src/metrics.rs
@@ -34,6 +34,8 @@
     pub requests_finished: Counter,
     /// Requests cancelled by their clients.
     pub requests_cancelled: Counter,
+    /// Final answers given after the client's time limit.
+    pub late_answers: Counter,
     /// Load commands, without those that only query the number of loaded instances.
     pub load_commands: Counter,
     /// Health checks that were sent.
@@ -65,6 +67,7 @@
             requests_accepted: counter!("sanddrum_jobs_taken_total"),
             requests_finished: counter!("sanddrum_answers_total", "end" => "finished", "reason" => ""),
             requests_cancelled: counter!("sanddrum_clients_left_total"),
+            late_answers: counter!("sanddrum_late_answers_total"),
             load_commands: counter!("sanddrum_load_orders_total"),
             health_checks: counter!("sanddrum_probes_total"),
             unmatched_answers: counter!("sanddrum_stray_answers_total"),
--- a/crates/sanddrum-edge/src/requests.rs
+++ b/crates/sanddrum-edge/src/requests.rs
@@ -25,6 +25,8 @@
     pub load_time: Option<Micros>,
     /// The time left until the response is due.
     pub time_limit: Micros,
+    /// How long it may have waited unread; zero if that was short.
+    pub unread_for: Micros,
     /// The expected processor time, if the client states it.
     pub expected_work: Option<Micros>,
     /// Whether the client marked the request as a retry.
--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -9,12 +9,14 @@
 mod signals;
 mod sources;
 mod streams;
+mod turn_log;
 mod watched_files;
 
 use self::host::{Host, PlaceholderCore};
 use self::loop_io::LoopIo;
 use self::poll::PollTimes;
 use self::sources::{Source, SourceKey, Sources};
+use self::turn_log::TurnLog;
 use crate::files::AuditLog;
 use crate::{ConnectionId, Core, Event, HostId, Io, Micros, TrafficObserver};
 use polling::Poller;
@@ -74,6 +76,7 @@
     epoch: Micros,
     next_connection: u64,
     polls: PollTimes,
+    turn_log: TurnLog,
     /// While input is delivered to a core: the earliest instant at which it may have arrived.
     earliest_arrival: Option<Micros>,
     /// Connections that could not be opened. Their cores are notified once no core is being called.
@@ -115,6 +118,7 @@
                 last: epoch,
                 previous: epoch,
             },
+            turn_log: TurnLog::default(),
             earliest_arrival: None,
             pending_refusals: Vec::new(),
             pending_resets: Vec::new(),
@@ -252,6 +256,7 @@
     /// receive all input that arrived meanwhile.
     fn step(&mut self, until: Option<Micros>) -> io::Result<usize> {
         let mut events = 0;
+        let mut began = None;
         for poll in 1..=MAX_POLLS_PER_STEP {
             let timeout = if poll == 1 {
                 self.poll_timeout(until)
@@ -262,11 +267,14 @@
                 return Ok(events + 1);
             };
             events += polled;
+            began = began.or(Some(self.polls.last));
             if self.now() - self.polls.previous <= STALL_THRESHOLD {
                 break;
             }
         }
         self.run_due();
+        let now = self.now();
+        self.turn_log.end_turn(began.unwrap_or(now), now);
         Ok(events)
     }
     fn host(&self, id: HostId) -> Option<&Host> {
--- a/crates/sanddrum-net/src/event_loop/listeners.rs
+++ b/crates/sanddrum-net/src/event_loop/listeners.rs
@@ -120,6 +120,7 @@
         };
         self.observer
             .opened(self.now(), host, conn, Side::Accepted, "");
+        self.turn_log.record_accept();
         self.call_with_event(host, Event::Accepted { conn, listener });
         self.read_accepted(host, conn, waited_since);
     }
--- a/crates/sanddrum-net/src/event_loop/poll.rs
+++ b/crates/sanddrum-net/src/event_loop/poll.rs
@@ -57,6 +57,7 @@
             return Ok(None);
         };
         self.record_poll(began, timeout);
+        self.turn_log.record_poll();
         let count = events.len();
         // Listeners are served last, so that a new connection does not displace one whose input has already arrived.
         events
--- a/crates/sanddrum-net/src/event_loop/streams.rs
+++ b/crates/sanddrum-net/src/event_loop/streams.rs
@@ -217,6 +217,7 @@
         waited_since: Micros,
     ) {
         self.observer.received(self.now(), host, conn, bytes);
+        self.turn_log.record_read(conn, bytes.len());
         self.earliest_arrival = Some(waited_since);
         self.call_with_event(host, Event::Bytes { conn, bytes });
         self.earliest_arrival = None;
