Reproduce late answers beside clients at full speed in a failing test

Callers saw answers seconds after their time limit, or none, while others sent small or invalid requests at full speed. The test starts a router process, a worker that answers in 20 ms and six clients that send without a pause: invalid requests, new functions that are cancelled at once, unknown workloads, health checks, heads of very many short fields. The start with the default log moves from sigusr2_turns_the_debug_log_on_and_off to the harness; that test is unchanged otherwise.

--- /dev/null
+++ b/crates/sanddrum-cli/tests/request_floods.rs
@@ -0,0 +1,53 @@
+//! Clients that send small or invalid requests at full speed, beside a client that expects its responses in time.
+
+mod flooding_clients;
+mod router_harness;
+
+use flooding_clients::*;
+use router_harness::*;
+use rstest::rstest;
+use std::time::Duration;
+
+const FLOODING_CLIENTS: u64 = 6;
+/// For how long a flood lasts.
+const FLOOD_TIME: Duration = Duration::from_secs(2);
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+const TIME_LIMITS_MS: [u32; 3] = [880, 680, 36];
+/// A response that arrives later than this after the time limit counts as lost.
+const RESPONSE_SLACK: Duration = Duration::from_millis(500);
+/// The memory limit of the router, in KiB.
+const MEMORY_KIB: u64 = 32 * 1024;
+
+/// Guards against input that holds up the event loop: while some clients sent at full speed, others got their responses
+/// seconds late or never, and the router came close to its memory limit.
+#[rstest]
+fn other_clients_are_answered_in_time_beside_clients_at_full_speed() {
+    let floods = [
+        Flood::Invalid,
+        Flood::CancelledNewFunctions,
+        Flood::UnknownWorkloads,
+        Flood::HealthChecks,
+        Flood::ManyParameters,
+    ];
+    for flood in floods {
+        let ((workers, worker_address), (feeds, feed_address)) = (listener(), listener());
+        serve_by_itself(workers, SERVICE_TIME);
+        let name = format!("flood-{flood:?}");
+        let router = Router::start_with_default_log(&name, &feed_address, &worker_address);
+        let _feed = accept(&feeds);
+        let clients = FloodingClients::start(&router.address, FLOODING_CLIENTS, flood);
+        let measured = measure(&router.address, FLOOD_TIME, &TIME_LIMITS_MS);
+        drop(clients);
+        let lost = measured
+            .iter()
+            .filter(|request| request.late_by() > RESPONSE_SLACK);
+        assert_eq!(lost.count(), 0, "{flood:?}: {measured:?}");
+        let served = measured.iter().filter(|request| request.status == "200");
+        assert!(
+            2 * served.count() >= measured.len(),
+            "{flood:?}: {measured:?}"
+        );
+        let peak = router.peak_memory_kib();
+        assert!(peak < MEMORY_KIB, "{flood:?}: {peak} KiB");
+    }
+}
--- a/crates/sanddrum-cli/tests/router_faults.rs
+++ b/crates/sanddrum-cli/tests/router_faults.rs
@@ -12,7 +12,7 @@
 use sanddrum_platform::frames;
 use serde_json::{json, Value};
 use std::io::Write;
-use std::process::{Command, Stdio};
+use std::process::Stdio;
 use std::time::Duration;
 
 const A: &str = "00000000000000a1";
@@ -155,21 +155,10 @@
 #[rstest]
 fn sigusr2_turns_the_debug_log_on_and_off() {
     let ((mut worker, worker_address), (feeds, feed_address)) = (Worker::listen(), listener());
-    let (closed, address) = listener();
-    drop(closed);
-    let mut json = configuration(&feed_address, &worker_address, "once");
-    json["listen"] = json!(address);
-    let file = std::env::temp_dir().join(format!("sanddrum-debug-{}.json", std::process::id()));
-    std::fs::write(&file, json.to_string()).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_sanddrum-edge"));
-    command.arg("--platform").env("RELAY_CONFIG", &file);
-    command.env("NO_COLOR", "1");
-    command.env_remove("RELAY_NAME").env_remove("RELAY_LISTEN");
-    command.stderr(Stdio::piped());
-    let router = Router::from_child(command.spawn().unwrap(), file);
+    let router = Router::start_with_default_log("debug", &feed_address, &worker_address);
     let mut feed = accept(&feeds);
     next_poll(&mut feed);
-    let mut web = WebServer::connect(&address);
+    let mut web = WebServer::connect(&router.address);
     for n in 1..=3 {
         web.send_request(1, &format!("{n:016x}"));
         let next = worker.next_request();
--- a/crates/sanddrum-cli/tests/router_harness/mod.rs
+++ b/crates/sanddrum-cli/tests/router_harness/mod.rs
@@ -520,6 +520,25 @@
             .for_each(|faults| faults.preload(&mut command).unwrap());
         Router::from_child(command.spawn().unwrap(), file).wait_until_listening()
     }
+    /// Starts a router that logs at the platform's default level, where a test sends more requests than the debug log can
+    /// follow. That log does not tell the address, so a free port is chosen.
+    pub fn start_with_default_log(name: &str, feed: &str, worker: &str) -> Router {
+        let (closed, address) = listener();
+        drop(closed);
+        let mut configuration = configuration(feed, worker, "once");
+        configuration["listen"] = json!(address);
+        let file =
+            std::env::temp_dir().join(format!("sanddrum-{name}-{}.json", std::process::id()));
+        std::fs::write(&file, configuration.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sanddrum-edge"));
+        command.arg("--platform").env("RELAY_CONFIG", &file);
+        command.env("NO_COLOR", "1");
+        command.env_remove("RELAY_NAME").env_remove("RELAY_LISTEN");
+        command.stderr(Stdio::piped());
+        let mut router = Router::from_child(command.spawn().unwrap(), file);
+        router.address = address;
+        router
+    }
     /// Stops the process as if it got no CPU time, and waits until it has stopped.
     pub fn stall(&self) {
         self.signal("STOP");
