Share reading time fairly between connections and bound each turn of the event loop

Callers saw late answers or none while others sent at full speed to the same router, and a router's memory rose to 29.8 of 32 MB.

Cause: a turn's input was bounded in bytes per connection, not in time (poll.rs, dispatch of all events in the system's order, 64 KiB each). A turn of over 60 ms counted as a stall of the process, though its own input had made it long: streams.rs then read each connection up to 16 times, event_loop.rs (step) polled up to three times before timers and the module ran, and the edge deferred its writes by a turn. A long turn thus made the next one longer: a metastable overload (class: a remedy for one cause of delay that feeds on another). Evidence: strace of a flooded release build shows 96 reads in each poll and six polls, 0.8 to 1.0 s, between two writes.

Change: connections share the reading time by start-time fair queueing, which reads those that seldom send first; a turn reads for 2 ms (40 ms after a stall), less where the rest of the turn takes long; accepting is bounded in time as well. Input that waited through a stall is read until a read finds nothing, as before, within that time. This works because what waits for a turn now waits for a bounded time, whatever is sent.

Tests of net, edge and cli pass.

--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -2,6 +2,7 @@
 
 mod closing;
 mod host;
+mod input_schedule;
 mod listeners;
 mod loop_io;
 mod poll;
@@ -13,6 +14,7 @@
 mod watched_files;
 
 use self::host::{Host, PlaceholderCore};
+use self::input_schedule::InputSchedule;
 use self::loop_io::LoopIo;
 use self::poll::PollTimes;
 use self::sources::{Source, SourceKey, Sources};
@@ -29,7 +31,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The maximum number of bytes per read, so that one connection cannot delay the others for long.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
+const READ_BUFFER_BYTES: usize = 16 * 1024;
 /// A longer time than this between two polls means that the process was stalled: it was stopped, or not scheduled.
 const STALL_THRESHOLD: Micros = 60_000;
 /// The maximum number of polls before timers run. After a stall the loop first polls again, but a loop whose polls
@@ -76,6 +78,7 @@
     epoch: Micros,
     next_connection: u64,
     polls: PollTimes,
+    input_schedule: InputSchedule,
     turn_log: TurnLog,
     /// While input is delivered to a core: the earliest instant at which it may have arrived.
     earliest_arrival: Option<Micros>,
@@ -118,6 +121,7 @@
                 last: epoch,
                 previous: epoch,
             },
+            input_schedule: InputSchedule::new(),
             turn_log: TurnLog::default(),
             earliest_arrival: None,
             pending_refusals: Vec::new(),
@@ -258,6 +262,9 @@
         let mut events = 0;
         let mut began = None;
         for poll in 1..=MAX_POLLS_PER_STEP {
+            if poll > 1 {
+                self.input_schedule.catch_up();
+            }
             let timeout = if poll == 1 {
                 self.poll_timeout(until)
             } else {
@@ -274,7 +281,9 @@
         }
         self.run_due();
         let now = self.now();
-        self.turn_log.end_turn(began.unwrap_or(now), now);
+        let began = began.unwrap_or(now);
+        self.input_schedule.end_turn(now - began);
+        self.turn_log.end_turn(began, now);
         Ok(events)
     }
     fn host(&self, id: HostId) -> Option<&Host> {
--- a/crates/sanddrum-net/src/event_loop/listeners.rs
+++ b/crates/sanddrum-net/src/event_loop/listeners.rs
@@ -9,6 +9,11 @@
 
 /// The maximum number of connections accepted from a listener before the other sources are served.
 const MAX_ACCEPTS_PER_POLL: usize = 256;
+/// No further connection is accepted from a listener, before the other sources are served, once accepting connections and
+/// reading their first input has taken this long.
+const ACCEPT_TIME: Micros = 1_000;
+/// The maximum number of reads from a new connection before the other sources are served.
+const MAX_FIRST_READS: usize = 4;
 /// How long accepting pauses if no file descriptor is available, unless a connection ends earlier.
 /// Also the delay before another attempt to register listeners and streams with the poller.
 pub(super) const ACCEPT_RETRY_DELAY: Micros = 50_000;
@@ -64,8 +69,9 @@
             return;
         };
         let waited_since = *listener.unread_since.get_or_insert(previous_poll);
+        let until = self.now() + ACCEPT_TIME;
         for _ in 0..MAX_ACCEPTS_PER_POLL {
-            if !self.accept_one(key, waited_since) {
+            if !self.accept_one(key, waited_since) || self.now() >= until {
                 return;
             }
         }
@@ -131,7 +137,11 @@
         };
         if let Some(stream) = self.sources.stream_mut(key) {
             stream.unread_since = Some(waited_since);
-            self.read(key, host, conn);
+        }
+        for _ in 0..MAX_FIRST_READS {
+            if !self.read(key) {
+                return;
+            }
         }
     }
     fn pause_accepting(&mut self, key: SourceKey) {
--- a/crates/sanddrum-net/src/event_loop/poll.rs
+++ b/crates/sanddrum-net/src/event_loop/poll.rs
@@ -53,16 +53,21 @@
     /// interrupted or failed.
     pub(super) fn poll(&mut self, timeout: Duration) -> io::Result<Option<usize>> {
         let began = self.now();
-        let Some(mut events) = self.wait_for_events(timeout)? else {
+        let Some(events) = self.wait_for_events(timeout)? else {
             return Ok(None);
         };
         self.record_poll(began, timeout);
         self.turn_log.record_poll();
         let count = events.len();
         // Listeners are served last, so that a new connection does not displace one whose input has already arrived.
-        events
-            .sort_by_key(|event| matches!(self.sources.get(event.key), Some(Source::Listener(_))));
-        for event in events {
+        let is_listener =
+            |event: &PollEvent| matches!(self.sources.get(event.key), Some(Source::Listener(_)));
+        let (listeners, others): (Vec<_>, Vec<_>) = events.into_iter().partition(is_listener);
+        for event in others {
+            self.dispatch(event);
+        }
+        self.read_scheduled();
+        for event in listeners {
             self.dispatch(event);
         }
         self.handle_signal_flags();
--- a/crates/sanddrum-net/src/event_loop/sources.rs
+++ b/crates/sanddrum-net/src/event_loop/sources.rs
@@ -1,5 +1,6 @@
 //! The sources of events that the loop polls.
 
+use super::input_schedule::VirtualTime;
 use crate::{ConnectionId, HostId, ListenerId, Micros, Side};
 use std::collections::BTreeMap;
 use std::net::{TcpListener, TcpStream};
@@ -50,6 +51,8 @@
     pub has_failed: bool,
     /// The earliest time since which input may be waiting; `None` if the last read left none.
     pub unread_since: Option<Micros>,
+    /// Its tag after it was last read.
+    pub read_tag: VirtualTime,
     /// Whether the stream is not registered with the poller. Either the peer hung up while the stream was paused or
     /// its host frozen, and the poller would report this forever, or the registration failed.
     pub is_unregistered: bool,
--- a/crates/sanddrum-net/src/event_loop/streams.rs
+++ b/crates/sanddrum-net/src/event_loop/streams.rs
@@ -1,5 +1,6 @@
 //! Registration of streams with the poller, and reading from them.
 
+use super::input_schedule::VirtualTime;
 use super::listeners::ACCEPT_RETRY_DELAY;
 use super::sources::{Source, SourceKey, Stream};
 use super::{EventLoop, HostConnection, STALL_THRESHOLD};
@@ -8,10 +9,6 @@
 use std::io::{self, ErrorKind, Read};
 use std::net::{SocketAddr, TcpStream};
 
-/// The maximum number of consecutive reads from a connection whose input may have waited during a stall. They find a
-/// close by the peer that follows the input.
-const MAX_READS_WHEN_STALLED: usize = 16;
-
 impl EventLoop {
     /// Opens a connection. Returns `None` if the address is invalid or the system rejects the attempt immediately.
     pub(super) fn open(&mut self, host: HostId, to: &str) -> Option<ConnectionId> {
@@ -50,6 +47,7 @@
             wants_write: is_connecting,
             has_failed: false,
             unread_since: None,
+            read_tag: VirtualTime::default(),
             is_unregistered: false,
         }));
         if let Err(error) = self.register(key) {
@@ -114,6 +112,7 @@
         }
     }
 
+    /// Handles that a stream is writable or has failed to connect, and schedules the reading of its input.
     pub(super) fn on_stream_ready(&mut self, event: PollEvent) {
         let Some(stream) = self.sources.stream(event.key) else {
             return;
@@ -127,87 +126,114 @@
             stream.is_unregistered = self.poller.delete(&stream.socket).is_ok();
             return;
         }
-        if event.writable && stream.wants_write {
-            if stream.connecting && !is_established(&stream.socket) {
-                return self.end_connection(host, conn, CloseCause::Refused);
-            }
-            let was_connecting = std::mem::take(&mut stream.connecting);
-            stream.wants_write = false;
-            self.update_interest(event.key);
-            let event = if was_connecting {
-                Event::Connected { conn }
-            } else {
-                Event::Writable { conn }
-            };
-            self.call_with_event(host, event);
-        }
         if event.readable {
-            self.read(event.key, host, conn);
+            self.schedule_read(event.key);
+        }
+        if event.writable {
+            self.on_writable(event.key, host, conn);
         }
     }
-    /// Reads from a stream once, or repeatedly if its input may have waited longer than the stall threshold.
-    ///
-    /// Repeated reads find a close that follows a request in the same buffer, so that the request of a client that has
-    /// already closed its connection is not dispatched.
-    pub(super) fn read(&mut self, key: SourceKey, host: HostId, conn: ConnectionId) {
+    fn on_writable(&mut self, key: SourceKey, host: HostId, conn: ConnectionId) {
+        let Some(stream) = self.sources.stream_mut(key) else {
+            return;
+        };
+        if !stream.wants_write {
+            return;
+        }
+        if stream.connecting && !is_established(&stream.socket) {
+            return self.end_connection(host, conn, CloseCause::Refused);
+        }
+        let was_connecting = std::mem::take(&mut stream.connecting);
+        stream.wants_write = false;
+        self.update_interest(key);
+        let event = if was_connecting {
+            Event::Connected { conn }
+        } else {
+            Event::Writable { conn }
+        };
+        self.call_with_event(host, event);
+    }
+    fn schedule_read(&mut self, key: SourceKey) {
         let previous_poll = self.polls.previous;
-        for _ in 0..MAX_READS_WHEN_STALLED {
-            let Some(stream) = self.sources.stream_mut(key) else {
-                return;
-            };
-            if stream.conn != conn || stream.paused {
-                return;
-            }
-            let waited_since = *stream.unread_since.get_or_insert(previous_poll);
-            let is_exhausted = self.read_once(key, host, conn, waited_since);
-            if is_exhausted || self.now() - waited_since <= STALL_THRESHOLD {
-                return;
+        if let Some(stream) = self.sources.stream_mut(key) {
+            stream.unread_since.get_or_insert(previous_poll);
+            self.input_schedule.add(key, stream.read_tag);
+        }
+    }
+    /// Reads from the scheduled streams until none has input left or the turn's reading time is used up. The poller reports
+    /// the others again.
+    pub(super) fn read_scheduled(&mut self) {
+        while let Some((key, tag)) = self.input_schedule.next() {
+            let began = self.now();
+            let has_more = self.read(key);
+            let next_tag = self.input_schedule.record_read(tag, self.now() - began);
+            if let Some(stream) = self.sources.stream_mut(key) {
+                stream.read_tag = next_tag;
+                if has_more {
+                    self.input_schedule.add(key, next_tag);
+                }
             }
         }
     }
-    /// Reads once. Returns whether there is nothing more to read.
-    fn read_once(
+    /// Reads from a stream once. Returns whether it may have more input.
+    ///
+    /// Input that may have waited longer than the stall threshold counts as read only once a read has found nothing: a
+    /// close by the peer may follow it, and the request of a client that has already left must not be dispatched.
+    pub(super) fn read(&mut self, key: SourceKey) -> bool {
+        let Some(stream) = self.sources.stream_mut(key) else {
+            return false;
+        };
+        if stream.paused {
+            return false;
+        }
+        let (host, conn) = (stream.host, stream.conn);
+        let waited_since = stream.unread_since.unwrap_or(self.polls.previous);
+        let mut buffer = std::mem::take(&mut self.read_buffer);
+        let has_more = self.read_into(&mut buffer, key, host, conn, waited_since);
+        self.read_buffer = buffer;
+        has_more
+    }
+    fn read_into(
         &mut self,
+        buffer: &mut [u8],
         key: SourceKey,
         host: HostId,
         conn: ConnectionId,
         waited_since: Micros,
     ) -> bool {
+        let may_have_waited = self.now() - waited_since > STALL_THRESHOLD;
         let Some(stream) = self.sources.stream_mut(key) else {
-            return true;
+            return false;
         };
-        let mut buffer = std::mem::take(&mut self.read_buffer);
-        let result = stream.socket.read(&mut buffer);
+        let result = stream.socket.read(buffer);
         let has_failed = stream.has_failed;
         let is_emptied = match &result {
-            Ok(count) => *count < buffer.len(),
+            Ok(count) => *count < buffer.len() && !may_have_waited,
             Err(error) => error.kind() == ErrorKind::WouldBlock,
         };
         if is_emptied {
             stream.unread_since = None;
         }
-        let is_exhausted = match result {
+        match result {
             Ok(0) => {
                 let cause = match has_failed {
                     true => CloseCause::Reset,
                     false => CloseCause::Orderly,
                 };
                 self.end_connection(host, conn, cause);
-                true
+                false
             }
             Ok(count) => {
                 self.deliver_bytes(host, conn, &buffer[..count], waited_since);
-                false
+                !is_emptied
             }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => true,
-            Err(error) if error.kind() == ErrorKind::Interrupted => false,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => false,
+            Err(error) if error.kind() == ErrorKind::Interrupted => true,
             Err(_) => {
                 self.end_connection(host, conn, CloseCause::Reset);
-                true
+                false
             }
-        };
-        self.read_buffer = buffer;
-        is_exhausted
+        }
     }
     fn deliver_bytes(
         &mut self,
