Send nothing on for clients that have left behind unread input

Cause: a request was accepted as soon as it was read (edge_state/fastcgi.rs), while the end of its connection, or its cancellation, stood behind more input than a turn reads. Ruled out as a remedy: reading ahead to the end, which is what made turns long, and looking for the end alone, as it may still wait in the client's own buffer. Class: acting on a message without knowing what has come after it.

Change: the loop tells what is known of a connection's unread input (Io::unread_input). A short read after a stall is repeated at once, so that usual clients are found to have nothing unread. A new client no longer displaces a connection with unread input. Refusals by the edge itself are counted in the status line.

The new system call is poll with no wait, made only for a connection that was not read to its end.

--- a/crates/sanddrum-cli/tests/flooding_clients/mod.rs
+++ b/crates/sanddrum-cli/tests/flooding_clients/mod.rs
@@ -9,7 +9,7 @@
 use sanddrum_platform::frames;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -142,37 +142,65 @@
     }
 }
 
-/// Serves all connections to a worker in threads that end with their connections: each request is answered after
-/// `service_time`.
-pub fn serve_by_itself(listener: TcpListener, service_time: Duration) {
-    std::thread::spawn(move || {
-        for conn in listener.incoming().map_while(Result::ok) {
-            conn.set_nodelay(true).unwrap();
-            std::thread::spawn(move || answer_all(conn, service_time));
-        }
-    });
+/// A worker that serves all its connections in threads that end with their connections: each request is answered after
+/// its service time.
+#[derive(Clone)]
+pub struct SelfServingWorker {
+    service_time: Duration,
+    requests_received: Arc<AtomicUsize>,
 }
 
-fn answer_all(mut conn: TcpStream, service_time: Duration) {
-    let mut head = [0; 16];
-    while conn.read_exact(&mut head).is_ok() {
-        let fields = usize::from(u16::from_be_bytes([head[2], head[3]]));
-        let body = u32::from_be_bytes([head[4], head[5], head[6], head[7]]) as usize;
-        let id = u64::from_be_bytes([8, 9, 10, 11, 12, 13, 14, 15].map(|n: usize| head[n]));
-        let mut rest = vec![0; fields + body + 4];
-        if conn.read_exact(&mut rest).is_err() {
-            return;
-        }
-        let answer = match head[1] {
-            65 => frames::response(97, id, "remark=hot", &rest[fields..fields + body]),
-            67 => frames::response(103, id, "", b""),
-            69 => frames::response(97, id, "copies=1", b""),
-            _ => continue,
+impl SelfServingWorker {
+    pub fn start(listener: TcpListener, service_time: Duration) -> SelfServingWorker {
+        let worker = SelfServingWorker {
+            service_time,
+            requests_received: Arc::default(),
         };
-        let mut answering = conn.try_clone().unwrap();
+        let serving = worker.clone();
+        std::thread::spawn(move || {
+            for conn in listener.incoming().map_while(Result::ok) {
+                conn.set_nodelay(true).unwrap();
+                let serving = serving.clone();
+                std::thread::spawn(move || serving.serve(conn));
+            }
+        });
+        worker
+    }
+    /// The number of requests that have arrived whole.
+    pub fn requests_received(&self) -> usize {
+        self.requests_received.load(Ordering::Relaxed)
+    }
+    fn serve(&self, mut conn: TcpStream) {
+        let mut head = [0; 16];
+        while conn.read_exact(&mut head).is_ok() {
+            let fields = usize::from(u16::from_be_bytes([head[2], head[3]]));
+            let body = u32::from_be_bytes([head[4], head[5], head[6], head[7]]) as usize;
+            let id = u64::from_be_bytes([8, 9, 10, 11, 12, 13, 14, 15].map(|n: usize| head[n]));
+            let mut rest = vec![0; fields + body + 4];
+            if conn.read_exact(&mut rest).is_err() {
+                return;
+            }
+            match head[1] {
+                65 => {
+                    self.requests_received.fetch_add(1, Ordering::Relaxed);
+                    let body = &rest[fields..fields + body];
+                    self.answer_later(&conn, frames::response(97, id, "remark=hot", body));
+                }
+                67 => conn
+                    .write_all(&frames::response(103, id, "", b""))
+                    .unwrap_or_default(),
+                69 => conn
+                    .write_all(&frames::response(97, id, "copies=1", b""))
+                    .unwrap_or_default(),
+                _ => {}
+            }
+        }
+    }
+    fn answer_later(&self, conn: &TcpStream, answer: Vec<u8>) {
+        let (mut conn, service_time) = (conn.try_clone().unwrap(), self.service_time);
         std::thread::spawn(move || {
             std::thread::sleep(service_time);
-            let _ = answering.write_all(&answer);
+            let _ = conn.write_all(&answer);
         });
     }
 }
--- a/crates/sanddrum-cli/tests/request_floods.rs
+++ b/crates/sanddrum-cli/tests/request_floods.rs
@@ -31,7 +31,7 @@
     ];
     for flood in floods {
         let ((workers, worker_address), (feeds, feed_address)) = (listener(), listener());
-        serve_by_itself(workers, SERVICE_TIME);
+        SelfServingWorker::start(workers, SERVICE_TIME);
         let name = format!("flood-{flood:?}");
         let router = Router::start_with_default_log(&name, &feed_address, &worker_address);
         let _feed = accept(&feeds);
--- a/crates/sanddrum-cli/tests/router_harness/mod.rs
+++ b/crates/sanddrum-cli/tests/router_harness/mod.rs
@@ -334,6 +334,12 @@
     pub fn send_until_closed(&mut self, bytes: &[u8]) {
         let _ = self.conn.write_all(bytes);
     }
+    /// Sends these bytes again and again until the machine accepts no more.
+    pub fn send_as_much_as_possible(&mut self, bytes: &[u8]) {
+        self.conn.set_nonblocking(true).unwrap();
+        while self.conn.write_all(bytes).is_ok() {}
+        self.conn.set_nonblocking(false).unwrap();
+    }
     pub fn send_request(&mut self, id: u16, call: &str) {
         self.send(&encode_request(id, call, 4000, call.as_bytes()));
     }
--- a/crates/sanddrum-edge/src/admission.rs
+++ b/crates/sanddrum-edge/src/admission.rs
@@ -57,6 +57,11 @@
         !self.pending.is_empty()
     }
 
+    /// The requests that await a decision.
+    pub fn pending_ids(&self) -> Vec<RequestId> {
+        self.pending.keys().copied().collect()
+    }
+
     /// Whether any customer limit is set.
     pub fn is_limited(&self) -> bool {
         self.quotas.is_active()
--- a/crates/sanddrum-edge/src/edge_state.rs
+++ b/crates/sanddrum-edge/src/edge_state.rs
@@ -48,7 +48,7 @@
 use sanddrum_platform::{StartupConfigError, StartupConfigReader};
 use sanddrum_settings::LoadedSettings;
 use sanddrum_upstream::{ConnectionEvents, ConnectionPolicy};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// XORed with the edge's seed, so that the bootstrap policy's random numbers are independent of the other modules'.
 const BOOTSTRAP_SEED: u64 = 0x57;
@@ -80,6 +80,8 @@
     /// The state that the previous process saved, until the edge starts.
     cached_state: Option<Vec<u8>>,
     is_save_scheduled: bool,
+    /// Connections of clients from which input was read in this turn.
+    clients_with_input: BTreeSet<ConnectionId>,
     /// The events for the next run of the decision module.
     batch: EventBatch,
     /// When the decision module has to run, at the latest.
@@ -141,6 +143,7 @@
             initial_events,
             cached_state,
             is_save_scheduled: false,
+            clients_with_input: BTreeSet::new(),
             batch: EventBatch::default(),
             module_wakeup: None,
             connection_wakeup: None,
--- a/crates/sanddrum-edge/src/edge_state/clients.rs
+++ b/crates/sanddrum-edge/src/edge_state/clients.rs
@@ -1,12 +1,15 @@
 //! Events of client connections, for both listeners.
 
 use super::EdgeState;
+use crate::event_counts::CountedEvent;
 use crate::invariants::CloseReason;
 use crate::listener::ClosedClient;
-use crate::responses::FinalResponse;
+use crate::responses::{ErrorKind, FinalResponse, RequestError};
+use crate::unread_input::{self, ReadRequests};
 use sanddrum::Micros;
 use sanddrum_net::{ConnectionId, Event, Io};
 use sanddrum_upstream::{ClientConnectionId, OutdatedConnection, RotationRequest};
+use std::collections::BTreeSet;
 
 impl EdgeState {
     /// Accepts a client connection, or resets it if the limit is reached and no connection can be evicted.
@@ -39,7 +42,8 @@
         }
         self.context.metrics.record_limit_hit("max-clients");
         let candidate = if self.is_on_platform() {
-            self.fastcgi.eviction_candidate(now, first_request_timeout)
+            self.fastcgi
+                .eviction_candidate(now, first_request_timeout, io)
         } else {
             self.http.eviction_candidate(now, first_request_timeout)
         };
@@ -76,6 +80,9 @@
         io: &mut dyn Io,
     ) {
         let is_on_platform = self.is_on_platform();
+        if matches!(event, Event::Bytes { .. }) {
+            self.clients_with_input.insert(conn);
+        }
         match event {
             Event::Bytes { bytes, .. } if is_on_platform => {
                 self.receive_fastcgi(now, conn, bytes, io);
@@ -95,6 +102,52 @@
         }
     }
 
+    /// Refuses or cancels the requests read in this turn that their clients may have cancelled in input that is still
+    /// unread.
+    pub fn check_unread_input(&mut self, now: Micros, io: &mut dyn Io) {
+        let mut refusing = BTreeSet::new();
+        for conn in std::mem::take(&mut self.clients_with_input) {
+            match unread_input::decide(now, io.unread_input(conn)) {
+                ReadRequests::Accept => {}
+                ReadRequests::Refuse => {
+                    refusing.insert(conn);
+                }
+                ReadRequests::Cancel => self.close_ended_client(now, conn, io),
+            }
+        }
+        if !refusing.is_empty() {
+            self.refuse_new_requests(now, &refusing);
+        }
+    }
+
+    /// Closes a connection that its client has ended, without reading the rest of its input.
+    fn close_ended_client(&mut self, now: Micros, conn: ConnectionId, io: &mut dyn Io) {
+        let closed = if self.is_on_platform() {
+            let reason = CloseReason::EndedByClient;
+            self.fastcgi.close(&mut self.context, conn, io, reason)
+        } else {
+            self.http.close(&mut self.context, conn, io, false)
+        };
+        self.client_closed(now, closed);
+    }
+
+    fn refuse_new_requests(&mut self, now: Micros, clients: &BTreeSet<ConnectionId>) {
+        let mut new_requests = self.admission.pending_ids();
+        new_requests.retain(|id| {
+            let request = self.requests.get_open(*id);
+            request.is_some_and(|request| clients.contains(&request.client))
+        });
+        for id in new_requests {
+            self.context.metrics.record_limit_hit("unread-input");
+            let error = RequestError::unread_input();
+            self.context
+                .counts
+                .record(CountedEvent::Refused, error.reason);
+            let retry_after = Some(self.context.limits.max_retry_after);
+            self.close_with_error(now, id, &error.response(ErrorKind::Rejected, retry_after));
+        }
+    }
+
     /// Handles a change of credentials since the handshake of a client connection. If its certificate was denied, no
     /// new requests are authorized on it.
     pub(super) fn client_credentials_changed(
--- a/crates/sanddrum-edge/src/edge_state/fastcgi.rs
+++ b/crates/sanddrum-edge/src/edge_state/fastcgi.rs
@@ -2,6 +2,7 @@
 
 use super::EdgeState;
 use crate::arrival_time;
+use crate::event_counts::CountedEvent;
 use crate::fastcgi_listener::{
     encode_error, encode_health, encode_success, FastCgiEvent, RequestParams,
 };
@@ -85,6 +86,7 @@
         };
         let (status, reason) = (error.status, error.reason);
         self.context.metrics.record_error_response(kind, reason);
+        self.context.counts.record(CountedEvent::Refused, reason);
         tracing::debug!(status, reason, detail = error.detail, "request rejected");
         let response = encode_error(id, &error.response(kind, retry_after));
         self.fastcgi.respond(&self.context, conn, id, &response);
--- a/crates/sanddrum-edge/src/event_counts.rs
+++ b/crates/sanddrum-edge/src/event_counts.rs
@@ -9,6 +9,8 @@
 pub(crate) enum CountedEvent {
     /// A request was rejected or failed.
     NotFinished,
+    /// A request was answered by the edge itself, without a decision of the module.
+    Refused,
     /// A request was attempted again.
     Retried,
     /// The edge closed a client connection.
@@ -28,6 +30,7 @@
     fn name(self) -> &'static str {
         match self {
             CountedEvent::NotFinished => "not-finished",
+            CountedEvent::Refused => "refused",
             CountedEvent::Retried => "retried",
             CountedEvent::ClientClosed => "client-closed",
             CountedEvent::WorkerLost => "worker-lost",
--- a/crates/sanddrum-edge/src/fastcgi_listener.rs
+++ b/crates/sanddrum-edge/src/fastcgi_listener.rs
@@ -20,7 +20,7 @@
     self as fastcgi, ProtocolError, ProtocolStatus, RejectReason, Request, Responder,
     ResponderEvent, ResponderLimits,
 };
-use sanddrum_net::{ConnectionId, Io, Outbox};
+use sanddrum_net::{ConnectionId, Io, Outbox, UnreadInput};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Whether and when the edge closes a connection.
@@ -153,17 +153,17 @@
     }
 
     /// The connection to close at the connection limit: the longest idle one of the lowest [`EvictionRank`]. `None` if
-    /// no connection is idle. Clients that open hundreds of connections and send no request, or only one, thus do not
+    /// no connection is idle; one with unread input is not. Clients that open hundreds of connections and send no request, or only one, thus do not
     /// lock out others.
     pub fn eviction_candidate(
         &self,
         now: Micros,
         first_request_timeout: Micros,
+        io: &dyn Io,
     ) -> Option<ConnectionId> {
-        let idle = self
-            .connections
-            .iter()
-            .filter(|(_, connection)| connection.is_flushed());
+        let idle = self.connections.iter().filter(|(conn, connection)| {
+            connection.is_flushed() && io.unread_input(**conn) == UnreadInput::None
+        });
         let rank = |connection: &FastCgiConnection| {
             let had_time_to_send = now - connection.accepted_at >= first_request_timeout;
             let is_receiving = connection.has_sent_request && connection.partial_since().is_some();
--- a/crates/sanddrum-edge/src/fastcgi_listener/closing.rs
+++ b/crates/sanddrum-edge/src/fastcgi_listener/closing.rs
@@ -163,7 +163,9 @@
             .record(CountedEvent::ClientClosed, reason.name());
         context.connection_owners.remove(&conn);
         match reason {
-            CloseReason::Unreadable | CloseReason::NotReading => io.reset(conn),
+            CloseReason::Unreadable | CloseReason::NotReading | CloseReason::EndedByClient => {
+                io.reset(conn);
+            }
             _ => io.close(conn),
         }
         self.remove(context, conn)
--- a/crates/sanddrum-edge/src/invariants.rs
+++ b/crates/sanddrum-edge/src/invariants.rs
@@ -100,6 +100,8 @@
     Unreadable,
     /// The client does not read its responses.
     NotReading,
+    /// The client has ended the connection, and more of its input is unread.
+    EndedByClient,
     /// All its requests are answered, and no further ones are accepted.
     Answered,
 }
@@ -113,13 +115,17 @@
             CloseReason::Idle => "idle",
             CloseReason::Unreadable => "unreadable",
             CloseReason::NotReading => "reads-nothing",
+            CloseReason::EndedByClient => "ended-by-client",
             CloseReason::Answered => "answered",
         }
     }
 
     /// Whether the client itself makes further responses impossible.
     fn is_caused_by_client(self) -> bool {
-        matches!(self, CloseReason::Unreadable | CloseReason::NotReading)
+        matches!(
+            self,
+            CloseReason::Unreadable | CloseReason::NotReading | CloseReason::EndedByClient
+        )
     }
 }
 
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -34,6 +34,7 @@
 mod requests;
 mod responses;
 mod timers;
+mod unread_input;
 mod worker_connections;
 mod worker_protocol;
 
@@ -160,6 +161,7 @@
 
     fn process(&mut self, now: Micros, io: &mut dyn Io) {
         self.state.fire_timers(now, io);
+        self.state.check_unread_input(now, io);
         self.state.run_admission(now);
         self.run_decision_module(now);
         self.state.enforce_shutdown_deadline(now);
--- a/crates/sanddrum-edge/src/responses.rs
+++ b/crates/sanddrum-edge/src/responses.rs
@@ -161,6 +161,12 @@
         RequestError::new(503, "max-open", detail)
     }
 
+    /// The client sends more than is read, so that it may have cancelled the request meanwhile.
+    pub fn unread_input() -> Self {
+        let detail = "more was sent on this connection than can be read in time; nothing was done";
+        RequestError::new(503, "unread-input", detail)
+    }
+
     /// The limit of known functions is reached.
     pub fn too_many_functions() -> Self {
         let detail = "this edge knows as many functions as it may";
--- a/crates/sanddrum-edge/tests/harness/fake_io.rs
+++ b/crates/sanddrum-edge/tests/harness/fake_io.rs
@@ -1,6 +1,6 @@
 //! A fake transport that records the edge's operations on its connections.
 
-use sanddrum_net::{CloseCause, ConnectionId, Io, PeerIdentity};
+use sanddrum_net::{CloseCause, ConnectionId, Io, PeerIdentity, UnreadInput};
 use std::collections::BTreeMap;
 
 /// Connections opened by the edge have ids above this; those of clients are not larger.
@@ -22,6 +22,8 @@
     pub paused: BTreeMap<ConnectionId, bool>,
     /// How many more bytes a connection takes; unbounded without an entry.
     pub capacity: BTreeMap<ConnectionId, usize>,
+    /// What is known of unread input, for connections that have some.
+    pub unread: BTreeMap<ConnectionId, UnreadInput>,
     /// The state saved last.
     pub saved: Option<Vec<u8>>,
     /// All audit lines written.
@@ -42,6 +44,7 @@
             finished: Vec::new(),
             paused: BTreeMap::new(),
             capacity: BTreeMap::new(),
+            unread: BTreeMap::new(),
             saved: None,
             audit_lines: Vec::new(),
             peer_identity: None,
@@ -82,6 +85,11 @@
         self.peer_identity.clone()
     }
 
+    fn unread_input(&self, conn: ConnectionId) -> UnreadInput {
+        let unread = self.unread.get(&conn).copied();
+        unread.unwrap_or(UnreadInput::None)
+    }
+
     fn write(&mut self, conn: ConnectionId, bytes: &[u8]) -> usize {
         let capacity = self.capacity.entry(conn).or_insert(usize::MAX / 2);
         let length = bytes.len().min(*capacity);
--- a/crates/sanddrum-lab/src/capacity/metered.rs
+++ b/crates/sanddrum-lab/src/capacity/metered.rs
@@ -1,7 +1,7 @@
 //! Wraps the discovery service and counts its messages, bytes and processor time in each second.
 
 use super::cpu_clock::ThreadCpuClock;
-use sanddrum_net::{ConnectionId, Core, Event, Io, Micros, PeerIdentity};
+use sanddrum_net::{ConnectionId, Core, Event, Io, Micros, PeerIdentity, UnreadInput};
 use sanddrum_wire::{FrameDecoder, FromDiscovery, ToDiscovery};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -316,6 +316,9 @@
     fn earliest_arrival(&self, now: Micros) -> Micros {
         self.io.earliest_arrival(now)
     }
+    fn unread_input(&self, conn: ConnectionId) -> UnreadInput {
+        self.io.unread_input(conn)
+    }
     fn is_poll_overdue(&self) -> bool {
         self.io.is_poll_overdue()
     }
--- a/crates/sanddrum-lab/src/plaintext_capture.rs
+++ b/crates/sanddrum-lab/src/plaintext_capture.rs
@@ -4,7 +4,7 @@
 use rcgen::{date_time_ymd, BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
 use sanddrum_net::{
     ConnectionId, Core, Event, FileError, FilePart, HostId, Io, Micros, PeerIdentity, Side,
-    TrafficObserver,
+    TrafficObserver, UnreadInput,
 };
 use sanddrum_settings::LoadedSettings;
 use sanddrum_tls::{ClientAuth, ReloadableConfig, TlsLimits, TlsMaterial, TlsOptions};
@@ -50,6 +50,9 @@
     fn earliest_arrival(&self, now: Micros) -> Micros {
         self.io.earliest_arrival(now)
     }
+    fn unread_input(&self, conn: ConnectionId) -> UnreadInput {
+        self.io.unread_input(conn)
+    }
     fn is_poll_overdue(&self) -> bool {
         self.io.is_poll_overdue()
     }
--- a/crates/sanddrum-net/src/event_loop/loop_io.rs
+++ b/crates/sanddrum-net/src/event_loop/loop_io.rs
@@ -2,9 +2,10 @@
 
 use super::sources::{SourceKey, Stream};
 use super::{EventLoop, HostConnection, STALL_THRESHOLD};
-use crate::{ConnectionId, HostId, Io, Micros, Side};
+use crate::{ConnectionId, HostId, Io, Micros, Side, UnreadInput};
+use rustix::event::{PollFd, PollFlags, Timespec};
 use std::io::{ErrorKind, Write};
-use std::net::Shutdown;
+use std::net::{Shutdown, TcpStream};
 
 /// The maximum number of closed connections whose input is drained at a time, while the loop runs.
 const MAX_LINGERING: usize = 16;
@@ -65,6 +66,18 @@
     fn earliest_arrival(&self, now: Micros) -> Micros {
         self.event_loop.earliest_arrival.unwrap_or(now)
     }
+    fn unread_input(&self, conn: ConnectionId) -> UnreadInput {
+        let key = self.event_loop.source_key(self.host, conn);
+        let stream = key.and_then(|key| self.event_loop.sources.stream(key));
+        let Some(stream) = stream else {
+            return UnreadInput::None;
+        };
+        match stream.unread_since {
+            None => UnreadInput::None,
+            Some(_) if has_peer_ended(&stream.socket) => UnreadInput::BeforeEnd,
+            Some(since) => UnreadInput::Since(since),
+        }
+    }
     fn is_poll_overdue(&self) -> bool {
         self.event_loop.now() - self.event_loop.polls.last > STALL_THRESHOLD
     }
@@ -136,6 +149,18 @@
     }
 }
 
+/// Whether the peer has ended its output or the connection, as far as the system knows, whether or not all input before
+/// the end has been read.
+fn has_peer_ended(socket: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(socket, PollFlags::RDHUP)];
+    let at_once = Timespec::default();
+    if rustix::event::poll(&mut polled, Some(&at_once)).is_err() {
+        return false;
+    }
+    let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    polled[0].revents().intersects(ended)
+}
+
 /// Writes as much as the socket accepts.
 fn write_to(stream: &mut Stream, bytes: &[u8]) -> Written {
     let mut written = Written {
--- a/crates/sanddrum-net/src/event_loop/streams.rs
+++ b/crates/sanddrum-net/src/event_loop/streams.rs
@@ -9,6 +9,17 @@
 use std::io::{self, ErrorKind, Read};
 use std::net::{SocketAddr, TcpStream};
 
+/// What a read from a stream has found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadResult {
+    /// No input, or the end of the stream.
+    Nothing,
+    /// Less input than the buffer takes: no more had arrived, but the end of the stream may follow.
+    Short,
+    /// There may be more input.
+    Full,
+}
+
 impl EventLoop {
     /// Opens a connection. Returns `None` if the address is invalid or the system rejects the attempt immediately.
     pub(super) fn open(&mut self, host: HostId, to: &str) -> Option<ConnectionId> {
@@ -169,7 +180,7 @@
             let next_tag = self.input_schedule.record_read(tag, self.now() - began);
             if let Some(stream) = self.sources.stream_mut(key) {
                 stream.read_tag = next_tag;
-                if has_more {
+                if has_more && !stream.paused {
                     self.input_schedule.add(key, next_tag);
                 }
             }
@@ -180,58 +191,55 @@
     /// Input that may have waited longer than the stall threshold counts as read only once a read has found nothing: a
     /// close by the peer may follow it, and the request of a client that has already left must not be dispatched.
     pub(super) fn read(&mut self, key: SourceKey) -> bool {
-        let Some(stream) = self.sources.stream_mut(key) else {
-            return false;
-        };
-        if stream.paused {
-            return false;
-        }
-        let (host, conn) = (stream.host, stream.conn);
-        let waited_since = stream.unread_since.unwrap_or(self.polls.previous);
         let mut buffer = std::mem::take(&mut self.read_buffer);
-        let has_more = self.read_into(&mut buffer, key, host, conn, waited_since);
+        let waited_since = self.sources.stream(key).and_then(|s| s.unread_since);
+        let waited_since = waited_since.unwrap_or(self.polls.previous);
+        let may_have_waited = self.now() - waited_since > STALL_THRESHOLD;
+        let mut result = self.read_into(&mut buffer, key, waited_since);
+        if result == ReadResult::Short && may_have_waited {
+            result = self.read_into(&mut buffer, key, waited_since);
+        }
         self.read_buffer = buffer;
+        let has_more = match result {
+            ReadResult::Nothing => false,
+            ReadResult::Short => may_have_waited,
+            ReadResult::Full => true,
+        };
+        if let Some(stream) = self.sources.stream_mut(key).filter(|_| !has_more) {
+            stream.unread_since = None;
+        }
         has_more
     }
-    fn read_into(
-        &mut self,
-        buffer: &mut [u8],
-        key: SourceKey,
-        host: HostId,
-        conn: ConnectionId,
-        waited_since: Micros,
-    ) -> bool {
-        let may_have_waited = self.now() - waited_since > STALL_THRESHOLD;
+    fn read_into(&mut self, buffer: &mut [u8], key: SourceKey, waited_since: Micros) -> ReadResult {
         let Some(stream) = self.sources.stream_mut(key) else {
-            return false;
-        };
-        let result = stream.socket.read(buffer);
-        let has_failed = stream.has_failed;
-        let is_emptied = match &result {
-            Ok(count) => *count < buffer.len() && !may_have_waited,
-            Err(error) => error.kind() == ErrorKind::WouldBlock,
+            return ReadResult::Nothing;
         };
-        if is_emptied {
-            stream.unread_since = None;
+        if stream.paused {
+            return ReadResult::Full;
         }
-        match result {
+        let (host, conn) = (stream.host, stream.conn);
+        let has_failed = stream.has_failed;
+        match stream.socket.read(buffer) {
             Ok(0) => {
                 let cause = match has_failed {
                     true => CloseCause::Reset,
                     false => CloseCause::Orderly,
                 };
                 self.end_connection(host, conn, cause);
-                false
+                ReadResult::Nothing
             }
             Ok(count) => {
                 self.deliver_bytes(host, conn, &buffer[..count], waited_since);
-                !is_emptied
+                match count < buffer.len() {
+                    true => ReadResult::Short,
+                    false => ReadResult::Full,
+                }
             }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => false,
-            Err(error) if error.kind() == ErrorKind::Interrupted => true,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => ReadResult::Nothing,
+            Err(error) if error.kind() == ErrorKind::Interrupted => ReadResult::Full,
             Err(_) => {
                 self.end_connection(host, conn, CloseCause::Reset);
-                false
+                ReadResult::Nothing
             }
         }
     }
--- a/crates/sanddrum-net/src/io.rs
+++ b/crates/sanddrum-net/src/io.rs
@@ -13,6 +13,17 @@
     pub resumed: bool,
 }
 
+/// What is known of the input of a connection that has not been read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnreadInput {
+    /// All input that had arrived at the last read has been read.
+    None,
+    /// Input may have been waiting since this instant.
+    Since(Micros),
+    /// Input is waiting, and the peer has already ended the connection behind it.
+    BeforeEnd,
+}
+
 /// The I/O operations that a driver offers to a core for the duration of a call.
 pub trait Io {
     /// Opens a connection. `Event::Connected` or `Event::Closed` follows.
@@ -36,6 +47,10 @@
     fn earliest_arrival(&self, now: Micros) -> Micros {
         now
     }
+    /// Returns what is known of the unread input of a connection. A driver that always delivers all input knows of none.
+    fn unread_input(&self, _conn: ConnectionId) -> UnreadInput {
+        UnreadInput::None
+    }
     /// Whether the driver last polled for input so long ago that unread input may invalidate what the core would write
     /// now. The core may postpone its writes to the next `process`, which follows a poll.
     fn is_poll_overdue(&self) -> bool {
--- a/crates/sanddrum-net/src/lib.rs
+++ b/crates/sanddrum-net/src/lib.rs
@@ -20,7 +20,7 @@
 pub use event::{CloseCause, ConnectionId, Event, HostId, ListenerId, Micros};
 pub use event_loop::{EventLoop, Shutdown};
 pub use files::{FileError, FilePart};
-pub use io::{Io, PeerIdentity};
+pub use io::{Io, PeerIdentity, UnreadInput};
 pub use link_model::{LinkFault, LinkModel};
 pub use outbox::{Outbox, OutboxFull};
 pub use rng::Rng;
--- a/crates/sanddrum-tls/src/lib.rs
+++ b/crates/sanddrum-tls/src/lib.rs
@@ -25,6 +25,7 @@
 
 use sanddrum_net::{
     ConnectionId, Core, Event, FileError, FilePart, Io, ListenerId, Micros, PeerIdentity,
+    UnreadInput,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -540,6 +541,9 @@
     fn earliest_arrival(&self, now: Micros) -> Micros {
         self.io.earliest_arrival(now)
     }
+    fn unread_input(&self, conn: ConnectionId) -> UnreadInput {
+        self.io.unread_input(conn)
+    }
     fn is_poll_overdue(&self) -> bool {
         self.io.is_poll_overdue()
     }
