Do not run an id again that comes back after its client has left

Cause: Requests::close removed the id from by_call_id, so that a closed request was unknown although its attempt went on or had run (requests.rs). Ruled out: the module, which sees two requests with ids of its own. Class: state dropped when the client's side ends, while the worker's side goes on.

A request that may not simply be repeated then fails at once (409 call-may-have-run); one that may is refused until the earlier attempt has ended (503 call-ending), so that two are never out at once, and accepted afterwards. recent_calls.rs decides.

An id that comes to another router, or to this one after its restart, is not recognized.

--- a/crates/sanddrum-cli/tests/departed_clients.rs
+++ b/crates/sanddrum-cli/tests/departed_clients.rs
@@ -1,7 +1,9 @@
 //! Clients that close their connection: nothing may be sent on for them afterwards, and what they sent may not run twice.
 
+mod flooding_clients;
 mod router_harness;
 
+use flooding_clients::SelfServingWorker;
 use router_harness::*;
 use rstest::rstest;
 use sanddrum_fastcgi::{encode_params, write_begin_request, write_stream, RecordType};
@@ -51,3 +53,78 @@
     worker.serve(&next);
     assert_eq!(usual.response().unwrap().status(), "200");
 }
+
+/// When the first request of an id has its client leave.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Leaves {
+    /// While the worker runs it.
+    Running,
+    /// After the worker has answered it.
+    Answered,
+}
+
+/// Guards against an effect that happens twice: an id that came again after its client had left was taken for a new
+/// request and ran once more.
+#[rstest]
+fn an_id_that_comes_again_after_its_client_left_does_not_run_twice(
+    #[values("once", "by_key")] effect: &str,
+    #[values(Leaves::Running, Leaves::Answered)] leaves: Leaves,
+) {
+    let ((workers, worker_address), (feeds, feed_address)) = (listener(), listener());
+    let worker = SelfServingWorker::start(workers, Duration::from_millis(300));
+    let name = format!("again-{effect}-{}", leaves as u8);
+    let router = Router::start(&name, &feed_address, &worker_address, effect);
+    next_poll(&mut accept(&feeds));
+    let mut departed = WebServer::connect(&router.address);
+    departed.send_request(1, DEPARTED);
+    wait_until(|| worker.requests_received() == 1);
+    if leaves == Leaves::Answered {
+        assert_eq!(departed.response().unwrap().status(), "200");
+    }
+    drop(departed);
+    if leaves == Leaves::Running {
+        wait_until(|| router.logged_so_far().contains("cancelled by its client"));
+    }
+
+    let mut again = WebServer::connect(&router.address);
+    again.send_request(1, DEPARTED);
+    let response = again.response().unwrap();
+    assert_eq!(
+        worker.requests_received(),
+        1,
+        "the id ran again: {response:?}"
+    );
+    assert_eq!(response.status(), "409");
+    again.send_request(1, USUAL);
+    assert_eq!(again.response().unwrap().status(), "200");
+}
+
+/// Guards against two attempts of one id at once: where a request may run again, an id that came again was sent on while
+/// the worker had not yet read that the first attempt was cancelled.
+#[rstest]
+fn an_id_that_may_run_again_waits_for_the_end_of_its_first_attempt() {
+    let ((mut worker, worker_address), (feeds, feed_address)) = (Worker::listen(), listener());
+    let router = Router::start("again-safe", &feed_address, &worker_address, "repeatable");
+    next_poll(&mut accept(&feeds));
+    let mut departed = WebServer::connect(&router.address);
+    departed.send_request(1, DEPARTED);
+    worker.next_request();
+    drop(departed);
+    wait_until(|| router.logged_so_far().contains("cancelled by its client"));
+
+    let mut again = WebServer::connect(&router.address);
+    again.send_request(1, DEPARTED);
+    let refused = again.response().unwrap();
+    assert_eq!(refused.status(), "503");
+    assert!(refused.text.contains("X-Come-Back-Ms"), "{}", refused.text);
+    assert_eq!(worker.try_next_request(), None, "two attempts at once");
+    // The worker answers what the router asked after the cancellation.
+    while !router.logged_so_far().contains("attempt ended") {
+        assert_eq!(worker.try_next_request(), None, "two attempts at once");
+        std::thread::yield_now();
+    }
+    again.send_request(1, DEPARTED);
+    let next = worker.next_request();
+    worker.serve(&next);
+    assert_eq!(again.response().unwrap().status(), "200");
+}
--- a/crates/sanddrum-edge/src/edge_state/attempts.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempts.rs
@@ -280,7 +280,7 @@
         let call_id = request.map_or(0, |request| request.spec.call_id);
         let is_final = self
             .requests
-            .record_outcome(attempt.request, result.outcome)
+            .record_outcome(now, attempt.request, result.outcome)
             || self.requests.is_deferred(attempt.request);
         let latency = now - attempt.sent_at;
         tracing::debug!(
--- a/crates/sanddrum-edge/src/edge_state/fastcgi.rs
+++ b/crates/sanddrum-edge/src/edge_state/fastcgi.rs
@@ -6,6 +6,7 @@
 use crate::fastcgi_listener::{
     encode_error, encode_health, encode_success, FastCgiEvent, RequestParams,
 };
+use crate::recent_calls::{self, EarlierCall, RepeatedCall};
 use crate::requests::RequestSpec;
 use crate::responses::{ErrorKind, FinalResponse, RequestError};
 use sanddrum::Micros;
@@ -100,9 +101,17 @@
     ) -> Result<RequestSpec, RequestError> {
         let limits = &self.context.limits;
         let params = RequestParams::parse(&request, &self.functions, limits)?;
-        if self.requests.is_call_id_open(params.call_id) {
-            let detail = "a call of this id is open";
-            return Err(RequestError::new(409, "call-open", detail));
+        let may_run_again = self.functions.is_restartable(params.workload);
+        let earlier = self
+            .requests
+            .earlier_call(now, params.call_id, limits.late_answer_window);
+        match recent_calls::decide(earlier, may_run_again) {
+            RepeatedCall::Accept => {}
+            RepeatedCall::RefuseForNow => return Err(RequestError::call_is_ending()),
+            RepeatedCall::Fail if earlier == EarlierCall::Open => {
+                return Err(RequestError::call_is_open())
+            }
+            RepeatedCall::Fail => return Err(RequestError::call_may_have_run()),
         }
         self.check_capacity(request.body.len())?;
         if self.functions.may_have_many_unserved() {
--- a/crates/sanddrum-edge/src/edge_state/requests.rs
+++ b/crates/sanddrum-edge/src/edge_state/requests.rs
@@ -145,7 +145,7 @@
             .record_error_response(response.kind, reason);
         self.respond(client, slot, &FinalResponse::Error(response));
         self.retract_attempts(now, id);
-        self.requests.remove_if_done(id);
+        self.requests.remove_if_done(now, id);
     }
 
     /// Closes a request whose client has disconnected or cancelled it. No response is sent.
@@ -162,7 +162,7 @@
         self.context.metrics.requests_cancelled.increment(1);
         self.batch.cancelled.push(id);
         self.retract_attempts(now, id);
-        self.requests.remove_if_done(id);
+        self.requests.remove_if_done(now, id);
     }
 
     /// Retracts the unwritten attempts of a closed request, which would otherwise be sent when their connection opens.
--- a/crates/sanddrum-edge/src/functions.rs
+++ b/crates/sanddrum-edge/src/functions.rs
@@ -85,6 +85,8 @@
     name: String,
     /// Whether its requests may run only once.
     runs_once: bool,
+    /// Whether its requests may run again in any case.
+    is_restartable: bool,
     /// The maximum time limit of a request.
     time_limit: Micros,
 }
@@ -124,10 +126,14 @@
             .map(|index| Pattern::read(settings, index))
             .collect();
         patterns.sort_by_key(|pattern| (pattern.is_prefix, Reverse(pattern.name.len())));
-        let workload = |(index, name): (usize, String)| Workload {
-            name,
-            runs_once: settings.text(&format!("workloads.{index}.effect")) == "run-once",
-            time_limit: settings.duration_us(&format!("workloads.{index}.time-limit-us")),
+        let workload = |(index, name): (usize, String)| {
+            let effect = settings.text(&format!("workloads.{index}.effect"));
+            Workload {
+                name,
+                runs_once: effect == "run-once",
+                is_restartable: effect == "restartable",
+                time_limit: settings.duration_us(&format!("workloads.{index}.time-limit-us")),
+            }
         };
         let names = settings.names("workloads").into_iter().enumerate();
         Functions {
@@ -168,6 +174,13 @@
             .is_none_or(|workload| workload.runs_once)
     }
 
+    /// Whether requests of a workload may run again in any case. False for a workload that the settings do not have.
+    pub fn is_restartable(&self, workload: WorkloadId) -> bool {
+        self.workloads
+            .get(workload.0)
+            .is_some_and(|workload| workload.is_restartable)
+    }
+
     /// The number of known functions.
     pub fn len(&self) -> usize {
         self.known.len()
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -31,6 +31,7 @@
 mod message;
 mod metrics;
 mod options;
+mod recent_calls;
 mod requests;
 mod responses;
 mod timers;
--- a/crates/sanddrum-edge/src/requests.rs
+++ b/crates/sanddrum-edge/src/requests.rs
@@ -2,6 +2,7 @@
 //! cancels it.
 
 use crate::message::AttemptId;
+use crate::recent_calls::{EarlierCall, RecentCalls};
 use crate::responses::ErrorKind;
 use sanddrum::{CustomerId, FunctionId, Outcome, RequestId, WorkerId, WorkloadId};
 use sanddrum_net::{ConnectionId, Micros};
@@ -206,8 +207,10 @@
     next_request: u64,
     last_attempt: u64,
     open_count: usize,
-    /// Open requests by client-assigned id.
+    /// Requests by client-assigned id, including closed ones with attempts in flight.
     by_call_id: BTreeMap<u64, RequestId>,
+    /// Requests that have ended and may have run.
+    recent_calls: RecentCalls,
     /// Bytes of the bodies of all open requests.
     body_bytes: usize,
     /// Final responses that wait, by request.
@@ -239,9 +242,15 @@
         self.requests.values().map(|request| request.spec.function)
     }
 
-    /// Whether a request with this client-assigned id is open.
-    pub fn is_call_id_open(&self, call_id: u64) -> bool {
-        self.by_call_id.contains_key(&call_id)
+    /// What is known of an earlier request with this client-assigned id. One that has ended counts for `retention`.
+    pub fn earlier_call(&mut self, now: Micros, call_id: u64, retention: Micros) -> EarlierCall {
+        let earlier = self.by_call_id.get(&call_id);
+        match earlier.and_then(|id| self.requests.get(id)) {
+            Some(request) if request.is_closed => EarlierCall::Ending,
+            Some(_) => EarlierCall::Open,
+            None if self.recent_calls.contains(now, call_id, retention) => EarlierCall::MayHaveRun,
+            None => EarlierCall::None,
+        }
     }
 
     /// Bytes of the bodies of all open requests.
@@ -291,18 +300,24 @@
         self.deferred.remove(&id);
         self.open_count -= 1;
         self.body_bytes -= std::mem::take(&mut request.spec.body).len();
-        let call_id = request.spec.call_id;
-        if self.by_call_id.get(&call_id) == Some(&id) {
-            self.by_call_id.remove(&call_id);
-        }
         Some(request)
     }
 
     /// Removes a request if it is closed and has no attempt in flight.
-    pub fn remove_if_done(&mut self, id: RequestId) {
+    pub fn remove_if_done(&mut self, now: Micros, id: RequestId) {
         let is_done = |request: &PendingRequest| request.is_closed && request.in_flight == 0;
-        if self.requests.get(&id).is_some_and(is_done) {
-            self.requests.remove(&id);
+        if !self.requests.get(&id).is_some_and(is_done) {
+            return;
+        }
+        let Some(request) = self.requests.remove(&id) else {
+            return;
+        };
+        let call_id = request.spec.call_id;
+        if self.by_call_id.get(&call_id) == Some(&id) {
+            self.by_call_id.remove(&call_id);
+        }
+        if request.may_have_run {
+            self.recent_calls.record(now, call_id);
         }
     }
 
@@ -399,7 +414,7 @@
 
     /// Records the outcome of an attempt in its request, and removes the request if it is done. Returns whether the
     /// request is closed.
-    pub fn record_outcome(&mut self, id: RequestId, outcome: Outcome) -> bool {
+    pub fn record_outcome(&mut self, now: Micros, id: RequestId, outcome: Outcome) -> bool {
         let Some(request) = self.requests.get_mut(&id) else {
             return true;
         };
@@ -407,7 +422,7 @@
         request.may_have_run |= may_have_run(outcome);
         request.last_outcome = Some(outcome);
         let is_closed = request.is_closed;
-        self.remove_if_done(id);
+        self.remove_if_done(now, id);
         is_closed
     }
 }
--- a/crates/sanddrum-edge/src/responses.rs
+++ b/crates/sanddrum-edge/src/responses.rs
@@ -161,6 +161,23 @@
         RequestError::new(503, "max-open", detail)
     }
 
+    /// A request with the same id is open.
+    pub fn call_is_open() -> Self {
+        RequestError::new(409, "call-open", "a call of this id is open")
+    }
+
+    /// The client of a request with the same id has left, and a worker may still run it.
+    pub fn call_is_ending() -> Self {
+        let detail = "an earlier call of this id may still run; this one was not begun";
+        RequestError::new(503, "call-ending", detail)
+    }
+
+    /// A request with the same id may have run, and may not run again.
+    pub fn call_may_have_run() -> Self {
+        let detail = "an earlier call of this id may have run; this one was not begun";
+        RequestError::new(409, "call-may-have-run", detail)
+    }
+
     /// The client sends more than is read, so that it may have cancelled the request meanwhile.
     pub fn unread_input() -> Self {
         let detail = "more was sent on this connection than can be read in time; nothing was done";
--- a/crates/sanddrum-edge/tests/harness/mod.rs
+++ b/crates/sanddrum-edge/tests/harness/mod.rs
@@ -71,6 +71,11 @@
 
     /// An edge on the platform whose startup configuration lists one worker `w`.
     pub fn on_platform(settings: &[(&str, &str)]) -> Self {
+        EdgeHarness::on_platform_with_forms(settings, "")
+    }
+
+    /// Like [`EdgeHarness::on_platform`], with additional forms in the settings file.
+    pub fn on_platform_with_forms(settings: &[(&str, &str)], forms: &str) -> Self {
         let members = MembershipUpdate {
             is_full_snapshot: true,
             members: vec![Member {
@@ -85,20 +90,24 @@
                 members: Some(members),
             }],
         };
-        EdgeHarness::start_on_platform(settings, initial_events)
+        EdgeHarness::start_on_platform(settings, forms, initial_events)
     }
 
     /// An edge on the platform whose startup configuration lists no worker.
     pub fn on_platform_without_workers(settings: &[(&str, &str)]) -> Self {
-        EdgeHarness::start_on_platform(settings, FeedEvents::default())
+        EdgeHarness::start_on_platform(settings, "", FeedEvents::default())
     }
 
-    fn start_on_platform(settings: &[(&str, &str)], initial_events: FeedEvents) -> Self {
+    fn start_on_platform(
+        settings: &[(&str, &str)],
+        forms: &str,
+        initial_events: FeedEvents,
+    ) -> Self {
         let platform = Platform {
             initial_events,
             machine_kinds: vec![],
         };
-        EdgeHarness::start(settings, "", None, Some(platform))
+        EdgeHarness::start(settings, forms, None, Some(platform))
     }
 
     fn start(
