Do not take a new worker at a listed address for the one that was there before

Cause: handle_address_changes (edge_state/discovery.rs) compared incarnations only, which come from the start's date in the feed. A new worker without a date has incarnation 0 like the one listed before it, so that both stayed in use at one address and the old one's attempts, load commands and belief in warm instances went to the new process. And a worker that had restarted under its id and address kept its old connections: new attempts went to a process that had gone without a word. Ruled out: connections themselves, which are made for one process and verified; changes of address, which retired them already. Class: an address taken for an identity.

Change: on the platform, whose feed reports changes in order, a worker that is new in a list removes an earlier one at its address; a worker that has restarted gets new connections, while answers on the old ones are still awaited.

Measured: both new tests of control_feed.rs fail before and pass; all tests of the edge pass. Not told by the feed, and so not covered: what is sent between the new process's start and the event that reports it.

--- a/crates/sanddrum-edge/src/edge_state/discovery.rs
+++ b/crates/sanddrum-edge/src/edge_state/discovery.rs
@@ -75,11 +75,12 @@
             kind,
             endpoints: Vec::new(),
         };
+        let listed_now: BTreeSet<WorkerId> = records.iter().map(worker_id).collect();
         for record in records {
-            let worker = WorkerId(stable_id(&record.name));
+            let worker = worker_id(record);
             let start = self.endpoints.start_of(worker, record, now);
             let listed = self.endpoints.endpoint(worker, record, start.started_at);
-            self.handle_address_changes(now, worker, record, start);
+            self.handle_address_changes(now, worker, record, start, &listed_now);
             self.worker_connections
                 .update_endpoint(&mut self.context, &listed, record);
             match record.phase {
@@ -97,10 +98,7 @@
 
     /// Removes all workers that a full list does not contain.
     fn remove_unlisted(&mut self, now: Micros, records: &[EndpointRecord]) {
-        let listed: BTreeSet<WorkerId> = records
-            .iter()
-            .map(|record| WorkerId(stable_id(&record.name)))
-            .collect();
+        let listed: BTreeSet<WorkerId> = records.iter().map(worker_id).collect();
         self.endpoints.retain(&listed);
         for worker in self.worker_connections.workers_except(&listed) {
             let events = &mut self.context.connection_events;
@@ -111,27 +109,35 @@
         }
     }
 
-    /// Retires the connections to the old address of a worker that has moved, and removes workers at whose address a
-    /// later start is listed. Requests for a warm worker would otherwise reach a cold one that has its address.
+    /// Retires the connections to the old address or the old process of a worker, and removes workers whose address a later
+    /// one has. Requests for a warm worker would otherwise reach a cold one that has its address.
     fn handle_address_changes(
         &mut self,
         now: Micros,
         worker: WorkerId,
         record: &EndpointRecord,
         start: WorkerStart,
+        listed_now: &BTreeSet<WorkerId>,
     ) {
-        if self.worker_connections.has_moved(record) {
+        let known = self.endpoints.record(worker);
+        let is_new = known.is_none();
+        let has_restarted = known.is_some_and(|known| known.incarnation < start.incarnation);
+        // Workers of the native protocol greet with their incarnation, so that a new connection need not be replaced.
+        let must_reconnect = has_restarted && self.is_on_platform();
+        if must_reconnect || self.worker_connections.has_moved(record) {
             self.retire_worker(now, worker);
         }
         if record.phase != Phase::Ready {
             return;
         }
+        // The control feed reports changes in their order, so that a new worker is later than one reported before.
+        let is_later_than_listed = is_new && self.is_on_platform();
         for other in self.worker_connections.workers_sharing_address(record) {
-            let is_older = self
+            let has_older_start = self
                 .endpoints
                 .record(other)
                 .is_none_or(|other| other.incarnation < start.incarnation);
-            if is_older {
+            if has_older_start || (is_later_than_listed && !listed_now.contains(&other)) {
                 self.remove_worker(now, other);
             }
         }
@@ -343,3 +349,7 @@
         }
     }
 }
+
+fn worker_id(record: &EndpointRecord) -> WorkerId {
+    WorkerId(stable_id(&record.name))
+}
--- a/crates/sanddrum-edge/tests/control_feed.rs
+++ b/crates/sanddrum-edge/tests/control_feed.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 
+use harness::fastcgi::{CALL_ID, OTHER_CALL_ID};
 use harness::feed::{feed_answer, member, member_event};
 use harness::scripted_module::Decision;
 use harness::{EdgeHarness, SECOND};
@@ -60,6 +61,37 @@
     );
 }
 
+/// Guards against a new process that is taken for the one that had its address before: its start has no date in the feed,
+/// and what was meant for the old one, which was believed warm, reached it.
+#[rstest]
+fn a_new_worker_without_a_date_takes_the_place_of_the_one_listed_at_its_address() {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    let (_, worker) = harness.dispatch_while_connecting();
+    harness.receive_member(2, member("v", "in_service"));
+    assert_eq!(harness.outcomes(), [Outcome::CancelledBeforeStart]);
+    harness.connect(worker);
+    assert_eq!(harness.io.written.get(&worker), None);
+}
+
+/// Guards against work on connections to a process that has gone without a word: the one that the feed lists under its id
+/// and address has started later.
+#[rstest]
+fn a_worker_that_has_restarted_gets_new_attempts_on_new_connections() {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    let (client, old) = harness.dispatch_fastcgi_request();
+    let mut restarted = member("w", "in_service");
+    restarted["up_since_ms"] = json!(harness.now / 1000);
+    harness.receive_member(2, restarted);
+    harness.plan([Decision::Dispatch(1, SECOND)]);
+    harness.send_request(client, 2, OTHER_CALL_ID);
+    let new = harness.last_connection();
+    assert_ne!(new, old);
+    // The attempt on the old connection may still be answered.
+    assert!(!harness.io.has_closed(old));
+    harness.finish_request(old, CALL_ID, b"out");
+    assert_eq!(harness.fastcgi_statuses(client), [(1, 200)]);
+}
+
 #[rstest]
 fn a_missing_event_is_polled_for_once_more_and_then_skipped() {
     let mut harness = EdgeHarness::on_platform(&[]);
