Test the router's memory under slow writers and heads of very many short fields

It does not show here, so no code is changed. Ruled out by reading: heads are kept as received until the request is complete, decoded one at a time, and nothing of them but the known fields is retained; records in parts and requests in parts are counted as allocated and bounded together. The tests were not run on earlier code.

--- a/crates/sanddrum-cli/tests/router_memory.rs
+++ b/crates/sanddrum-cli/tests/router_memory.rs
@@ -77,12 +77,85 @@
     out
 }
 
+/// Bytes that a slow client writes at a time.
+const SLOW_WRITE_BYTES: usize = 512;
+
+/// As many requests as may be open, each with a head of very many short fields and an incomplete body.
+fn heads_of_many_short_fields() -> Vec<u8> {
+    let fields: Vec<(&str, &str)> = [("SCRIPT_NAME", "/rpc/job")]
+        .into_iter()
+        .chain(std::iter::repeat_n(("a", ""), 2_500))
+        .collect();
+    let request = |id| {
+        let mut out = Vec::new();
+        write_begin_request(&mut out, id, true);
+        write_stream(&mut out, RecordType::Params, id, &encode_params(&fields));
+        out.extend_from_slice(&encode_header(RecordType::Stdin, id, 100));
+        out.resize(out.len() + 100, b'x');
+        out
+    };
+    (1..=MAX_OPEN_REQUESTS).flat_map(request).collect()
+}
+
+/// As many requests as may be open, each with a head in records of one byte.
+fn heads_in_short_records() -> Vec<u8> {
+    let request = |id| {
+        let mut out = Vec::new();
+        write_begin_request(&mut out, id, true);
+        for byte in encode_params(&[("SCRIPT_NAME", "/rpc/job"); 10]) {
+            out.extend_from_slice(&encode_header(RecordType::Params, id, 1));
+            out.push(byte);
+        }
+        out
+    };
+    (1..=MAX_OPEN_REQUESTS).flat_map(request).collect()
+}
+
+/// Guards against clients that together take a router over its memory limit by writing slowly: each writes a little in
+/// turn, so that all of them have incomplete requests at a time. A request that arrives as slowly is served.
+#[rstest]
+#[case::unfinished_requests("slow-unfinished", unfinished_requests())]
+#[case::many_short_fields("slow-fields", heads_of_many_short_fields())]
+#[case::short_records("slow-records", heads_in_short_records())]
+fn clients_that_write_slowly_stay_within_the_memory_limit(
+    #[case] name: &str,
+    #[case] bytes: Vec<u8>,
+) {
+    let ((mut worker, worker_address), (feeds, feed_address)) = (Worker::listen(), listener());
+    let configuration = small_router_configuration(&feed_address, &worker_address);
+    let router = Router::start_with(&format!("memory-{name}"), &configuration, None);
+    next_poll(&mut accept(&feeds));
+    let mut slow: Vec<WebServer> = (0..FLOODING_CLIENTS)
+        .map(|_| WebServer::connect(&router.address))
+        .collect();
+    let mut usual = WebServer::connect(&router.address);
+    let request = encode_request(1, USUAL_CALL, 8_000, &[b'a'; 8_000]);
+    let mut usual_parts = request.chunks(SLOW_WRITE_BYTES);
+    for part in bytes.chunks(SLOW_WRITE_BYTES).take(64) {
+        usual.send(usual_parts.next().unwrap_or_default());
+        slow.iter_mut()
+            .for_each(|client| client.send_until_closed(part));
+    }
+    let next = worker.next_request();
+    worker.serve(&next);
+    assert_eq!(usual.response().unwrap().status(), "200");
+    let peak = router.peak_memory_kib();
+    assert!(peak < MEMORY_MB * 1024, "{peak} KiB");
+    for client in &mut slow {
+        client.wait_for_answer_or_close();
+    }
+    let peak = router.peak_memory_kib();
+    assert!(peak < MEMORY_MB * 1024, "{peak} KiB");
+}
+
 /// Guards against received bytes that no limit counts: with 320 clients that each leave a request incomplete, the
 /// router exceeded its memory limit and was killed. A request that arrives in two parts meanwhile is served.
 #[rstest]
 #[case::overlong_record("overlong", overlong_record())]
 #[case::unfinished_requests("unfinished", unfinished_requests())]
 #[case::records_of_no_request("stray", records_of_no_request())]
+#[case::many_short_fields("fields", heads_of_many_short_fields())]
+#[case::short_records("records", heads_in_short_records())]
 fn incomplete_requests_of_many_clients_stay_within_the_memory_limit(
     #[case] name: &str,
     #[case] bytes: Vec<u8>,
