Read what a host's own connections bring before the time for accepted ones counts

Likely cause, read and not shown by a trace: the reading time of a turn is measured by the clock, so that a process that is not scheduled for a while uses it up without reading, and timers run before the answers of workers that have arrived (poll.rs, run_due). Change: connections that the host has opened are read at once, as before the schedule: what arrives there was asked for. The schedule shares the time between accepted connections. Measured: tests of net, the floods, stalls and races pass.

--- a/crates/sanddrum-net/src/event_loop/input_schedule.rs
+++ b/crates/sanddrum-net/src/event_loop/input_schedule.rs
@@ -1,4 +1,4 @@
-//! Decides in which order connections with input are read, and how much of a turn may be spent on reading.
+//! Decides in which order accepted connections with input are read, and how much of a turn may be spent on that.
 //!
 //! Connections share the reading time by start-time fair queueing (Goyal, Vin and Cheng, 1996): each connection has a tag
 //! in virtual time, the connection with the lowest one is read next, and its tag advances by the time that handling its
--- a/crates/sanddrum-net/src/event_loop/streams.rs
+++ b/crates/sanddrum-net/src/event_loop/streams.rs
@@ -9,6 +9,11 @@
 use std::io::{self, ErrorKind, Read};
 use std::net::{SocketAddr, TcpStream};
 
+/// The maximum number of consecutive reads from a connection that the host has opened.
+const MAX_READS_OF_ANSWERS: usize = 4;
+/// The maximum number of consecutive reads from such a connection if its input may have waited during a stall.
+const MAX_READS_WHEN_STALLED: usize = 64;
+
 /// What a read from a stream has found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReadResult {
@@ -138,12 +143,12 @@
             stream.is_unregistered = self.poller.delete(&stream.socket).is_ok();
             return;
         }
-        if event.readable {
-            self.schedule_read(event.key);
-        }
         if event.writable {
             self.on_writable(event.key, host, conn);
         }
+        if event.readable {
+            self.schedule_read(event.key);
+        }
     }
     fn on_writable(&mut self, key: SourceKey, host: HostId, conn: ConnectionId) {
         let Some(stream) = self.sources.stream_mut(key) else {
@@ -167,9 +172,28 @@
     }
     fn schedule_read(&mut self, key: SourceKey) {
         let previous_poll = self.polls.previous;
-        if let Some(stream) = self.sources.stream_mut(key) {
-            stream.unread_since.get_or_insert(previous_poll);
-            self.input_schedule.add(key, stream.read_tag);
+        let Some(stream) = self.sources.stream_mut(key) else {
+            return;
+        };
+        let since = *stream.unread_since.get_or_insert(previous_poll);
+        match stream.side {
+            Side::Connected => self.read_answers(key, since),
+            Side::Accepted => self.input_schedule.add(key, stream.read_tag),
+        }
+    }
+    /// Reads from a stream that the host has opened. What arrives there was asked for, so that its amount is bounded by the
+    /// host, and timers must not run before it is read: a process that was not scheduled for a while would consider its
+    /// peers silent.
+    fn read_answers(&mut self, key: SourceKey, since: Micros) {
+        let may_have_waited = self.now() - since > STALL_THRESHOLD;
+        let max_reads = match may_have_waited {
+            true => MAX_READS_WHEN_STALLED,
+            false => MAX_READS_OF_ANSWERS,
+        };
+        for _ in 0..max_reads {
+            if !self.read(key) {
+                return;
+            }
         }
     }
     /// Reads from the scheduled streams until none has input left or the turn's reading time is used up. The poller reports
