End in time although clients send all the time

Cause: is_done (edge_state/shutdown.rs) wanted no open request and nothing unwritten, also past the shutdown's deadline, and the loop then polled up to 100 times and drained ended connections for half a second; none of that ends by itself beside clients at full speed. Ruled out: a hang at the end (the stacks at SIGKILL are in the usual turn). Class: an end that a peer can put off.

--- a/crates/sanddrum-cli/tests/request_floods.rs
+++ b/crates/sanddrum-cli/tests/request_floods.rs
@@ -7,7 +7,8 @@
 use router_harness::*;
 use rstest::rstest;
 use sanddrum_lab::flooding_clients::{is_flooding_call, Flood, FloodingClients};
-use std::time::Duration;
+use serde_json::json;
+use std::time::{Duration, Instant};
 
 const FLOODING_CLIENTS: u64 = 6;
 /// For how long a flood lasts.
@@ -18,6 +19,8 @@
 const RESPONSE_SLACK: Duration = Duration::from_millis(500);
 /// An attempt may begin 100 ms after its client has cancelled it; on sockets every time limit is 50 ms longer.
 const LEAVING_SLACK: Duration = Duration::from_millis(150);
+/// SIGKILL follows SIGTERM after the longest deadline and 0.7 s.
+const KILL_TIME: Duration = Duration::from_millis(1_700);
 /// The memory limit of the router, in KiB.
 const MEMORY_KIB: u64 = 32 * 1024;
 
@@ -54,3 +57,29 @@
         assert!(peak < MEMORY_KIB, "{flood:?}: {peak} KiB");
     }
 }
+
+/// Guards against a shutdown that waits for clients that send all the time: the router was still there at SIGKILL.
+#[rstest]
+#[case::invalid(Flood::Invalid)]
+#[case::cancelled(Flood::CancelledNewFunctions)]
+fn a_router_ends_in_time_beside_clients_at_full_speed(#[case] flood: Flood) {
+    let ((workers, worker_address), (feeds, feed_address)) = (listener(), listener());
+    SelfServingWorker::start(workers, SERVICE_TIME);
+    let mut settings = configuration(&feed_address, &worker_address, "repeatable");
+    settings["settings"]["classes"][0]["deadline-us"] = json!(1_000_000);
+    settings["settings"]["classes"][0]["aim-us"] = json!(500_000);
+    let name = format!("flood-end-{flood:?}");
+    let mut router = Router::start_with(&name, &settings, None);
+    next_poll(&mut accept(&feeds));
+    let _clients = FloodingClients::start(&router.address, "job", FLOODING_CLIENTS, flood);
+    let mut usual = WebServer::connect(&router.address);
+    usual.send_request(1, "00000000000000a1");
+    assert_eq!(usual.response().unwrap().status(), "200");
+    router.signal("TERM");
+    let signalled_at = Instant::now();
+    usual.send_request(2, "00000000000000a2");
+    assert!(usual.response().is_some());
+    assert_eq!(router.wait_for_exit().code(), Some(0));
+    let took = signalled_at.elapsed();
+    assert!(took < KILL_TIME, "{took:?}");
+}
--- a/crates/sanddrum-edge/src/edge_state/shutdown.rs
+++ b/crates/sanddrum-edge/src/edge_state/shutdown.rs
@@ -5,6 +5,12 @@
 use crate::timers::Timer;
 use sanddrum::Micros;
 
+/// How long the last responses may take to be written once the deadline has passed. Afterwards the edge no longer waits
+/// for clients that send all the time or do not read.
+const LAST_WRITES_TIME: Micros = 30_000;
+/// The process ends this long after the deadline has passed: before it would be killed.
+const END_TIME: Micros = 60_000;
+
 /// The progress of the shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Shutdown {
@@ -20,6 +26,10 @@
     PastDeadline {
         /// The deadline that has passed.
         deadline: Micros,
+        /// When this was noticed.
+        since: Micros,
+        /// Whether the time for the last responses is over.
+        is_over: bool,
     },
 }
 
@@ -38,9 +48,16 @@
     pub fn deadline(self) -> Option<Micros> {
         match self {
             Shutdown::NotRequested => None,
-            Shutdown::Draining { deadline } | Shutdown::PastDeadline { deadline } => Some(deadline),
+            Shutdown::Draining { deadline } | Shutdown::PastDeadline { deadline, .. } => {
+                Some(deadline)
+            }
         }
     }
+
+    /// Whether the edge ends whatever its clients do.
+    fn is_over(self) -> bool {
+        matches!(self, Shutdown::PastDeadline { is_over: true, .. })
+    }
 }
 
 impl EdgeState {
@@ -65,9 +82,31 @@
         let Some(deadline) = self.shutdown.deadline() else {
             return;
         };
-        if deadline <= now {
-            self.fail_open_requests(now);
-            self.shutdown = Shutdown::PastDeadline { deadline };
+        if deadline > now {
+            return;
+        }
+        self.fail_open_requests(now);
+        let since = match self.shutdown {
+            Shutdown::PastDeadline { since, .. } => since,
+            _ => {
+                let over_at = now + LAST_WRITES_TIME;
+                let timers = &mut self.context.timers;
+                timers.schedule(over_at, Timer::ShutdownDeadline);
+                now
+            }
+        };
+        self.shutdown = Shutdown::PastDeadline {
+            deadline,
+            since,
+            is_over: now >= since + LAST_WRITES_TIME,
+        };
+    }
+
+    /// When the process has to end, once the shutdown's deadline has passed.
+    pub fn ends_by(&self) -> Option<Micros> {
+        match self.shutdown {
+            Shutdown::PastDeadline { since, .. } => Some(since + END_TIME),
+            _ => None,
         }
     }
 
@@ -78,6 +117,9 @@
 
     /// Whether the shutdown is complete.
     pub fn is_done(&self) -> bool {
+        if self.shutdown.is_over() {
+            return true;
+        }
         let may_arrive = self.context.timers.is_scheduled(Timer::LateArrivals);
         let is_receiving = self.http.has_partial_request() || self.fastcgi.has_partial_request();
         self.shutdown.is_requested()
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -213,4 +213,8 @@
     fn is_done(&self) -> bool {
         self.state.is_done()
     }
+
+    fn ends_by(&self) -> Option<Micros> {
+        self.state.ends_by()
+    }
 }
--- a/crates/sanddrum-lab/src/capacity/metered.rs
+++ b/crates/sanddrum-lab/src/capacity/metered.rs
@@ -240,6 +240,9 @@
         self.stats.borrow_mut().second(self.now.get()).nanoseconds += within;
         wake
     }
+    fn ends_by(&self) -> Option<Micros> {
+        self.core.ends_by()
+    }
     fn is_done(&self) -> bool {
         self.core.is_done()
     }
--- a/crates/sanddrum-lab/src/plaintext_capture.rs
+++ b/crates/sanddrum-lab/src/plaintext_capture.rs
@@ -185,6 +185,9 @@
             },
         );
     }
+    fn ends_by(&self) -> Option<Micros> {
+        self.core.ends_by()
+    }
     fn is_done(&self) -> bool {
         self.core.is_done()
     }
--- a/crates/sanddrum-net/src/core.rs
+++ b/crates/sanddrum-net/src/core.rs
@@ -46,6 +46,10 @@
     fn is_done(&self) -> bool {
         false
     }
+    /// The instant by which the process has to end even if peers go on sending, if there is one.
+    fn ends_by(&self) -> Option<Micros> {
+        None
+    }
 }
 
 impl<C: Core + ?Sized> Core for Box<C> {
@@ -94,4 +98,7 @@
     fn is_done(&self) -> bool {
         (**self).is_done()
     }
+    fn ends_by(&self) -> Option<Micros> {
+        (**self).ends_by()
+    }
 }
--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -241,12 +241,21 @@
             if self.shutdown_signals > 1 && !self.ignores_repeated_signals {
                 return Ok(Shutdown::Immediate);
             }
-            if is_done && (events == 0 || final_polls >= MAX_FINAL_POLLS) {
+            let is_read = events == 0 || final_polls >= MAX_FINAL_POLLS;
+            if is_done && (is_read || self.must_end()) {
                 self.close_everything()?;
                 return Ok(Shutdown::Graceful);
             }
         }
     }
+    /// Whether the instant by which a core has to end has passed.
+    fn must_end(&self) -> bool {
+        self.ends_by().is_some_and(|at| at <= self.now())
+    }
+    fn ends_by(&self) -> Option<Micros> {
+        let cores = self.hosts.iter().flatten().map(|host| &host.core);
+        cores.filter_map(|core| core.ends_by()).min()
+    }
     /// Runs until this instant, or until a shutdown signal is received.
     ///
     /// # Errors
--- a/crates/sanddrum-net/src/event_loop/shutdown.rs
+++ b/crates/sanddrum-net/src/event_loop/shutdown.rs
@@ -1,7 +1,7 @@
 //! The graceful end of the event loop.
 
 use super::{EventLoop, Source, SourceKey};
-use crate::{ConnectionId, HostId, Side};
+use crate::{ConnectionId, HostId, Micros, Side};
 use std::io::{self, ErrorKind};
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
     /// after a time limit.
     pub(super) fn close_everything(&mut self) -> io::Result<()> {
         self.log_status();
+        let ends_by = self.ends_by().unwrap_or(Micros::MAX);
         self.drop_lingering_outbound();
         for id in (0..self.hosts.len()).map(HostId) {
             self.close_host(id);
@@ -18,6 +19,7 @@
             .lingering
             .last()
             .copied()
+            .map(|(at, key)| (at.min(ends_by), key))
             .filter(|(at, _)| *at > self.now())
         {
             let mut events = Vec::new();
--- a/crates/sanddrum-tls/src/lib.rs
+++ b/crates/sanddrum-tls/src/lib.rs
@@ -495,6 +495,9 @@
     fn log_status(&mut self, now: Micros) {
         self.core.log_status(now);
     }
+    fn ends_by(&self) -> Option<Micros> {
+        self.core.ends_by()
+    }
     fn is_done(&self) -> bool {
         self.core.is_done()
             && self
