--- a/crates/sanddrum-cli/tests/races.rs
+++ b/crates/sanddrum-cli/tests/races.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 use std::io::Write;
 use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
 
 const A: &str = "00000000000000a1";
 const B: &str = "00000000000000b2";
@@ -469,3 +470,31 @@
     router.signal("TERM");
     assert_eq!(router.wait_for_exit().code(), Some(0));
 }
+
+/// Guards against a shutdown that goes on for half a second after its deadline, past SIGKILL, as clients keep their
+/// connections open after their last response.
+#[rstest]
+fn a_shutdown_that_has_reached_its_deadline_does_not_wait_for_clients_to_disconnect() {
+    let ((mut worker, worker_address), (feeds, feed_address)) = (Worker::listen(), listener());
+    let mut settings = configuration(&feed_address, &worker_address, "once");
+    settings["settings"]["classes"][0]["deadline-us"] = json!(1_000_000);
+    settings["settings"]["classes"][0]["aim-us"] = json!(500_000);
+    let mut router = Router::start_with("stays-connected", &settings, None);
+    next_poll(&mut accept(&feeds));
+    let mut partial = WebServer::connect(&router.address);
+    let mut web = WebServer::connect(&router.address);
+    web.send(&encode_request(1, "00000000000000a1", 1_000, b"in"));
+    let served = worker.next_request();
+    worker.serve(&served);
+    assert_eq!(web.response().unwrap().status(), "200");
+    router.signal("TERM");
+    let signalled_at = Instant::now();
+    // A request that is not complete by the deadline keeps the router until then.
+    std::thread::sleep(Duration::from_millis(650));
+    let request = encode_request(1, "00000000000000a2", 1_000, b"in");
+    partial.send(&request[..request.len() / 2]);
+    assert_eq!(router.wait_for_exit().code(), Some(0));
+    // SIGKILL follows SIGTERM after the longest deadline and 0.7 s.
+    let took = signalled_at.elapsed();
+    assert!(took < Duration::from_millis(1_700), "{took:?}");
+}
