Do not time out clients' connections that have unread input

Cause: since the reading of accepted connections is bounded in time, a turn after a stall may end before all of them are read, and the time-outs of clients then ran (fastcgi_listener/closing.rs, check). Evidence: the router's log has three connections closed as idle in the turn that ended the stop, at the instant at which the clients saw their connections closed (its wall clock had been stepped by 7 s). Ruled out: eviction, the end by the client, the shutdown, which came later. Class: time-outs that run before input that arrived in time is read. Change: idle and receive time-outs of a connection wait while it has unread input, over FastCGI and HTTP; those of clients that do not read go on. The HTTP part has no test of its own.

--- a/crates/sanddrum-edge/src/fastcgi_listener/closing.rs
+++ b/crates/sanddrum-edge/src/fastcgi_listener/closing.rs
@@ -7,7 +7,10 @@
 use crate::listener::ClosedClient;
 use crate::responses::{ErrorKind, RequestError};
 use sanddrum::Micros;
-use sanddrum_net::{ConnectionId, Io};
+use sanddrum_net::{ConnectionId, Io, UnreadInput};
+
+/// When a connection is checked again that has unread input.
+const UNREAD_RECHECK_TIME: Micros = 10_000;
 
 /// The result of checking a connection.
 enum CheckResult {
@@ -21,6 +24,19 @@
     RecheckAt(Micros),
 }
 
+impl CheckResult {
+    /// Whether it follows from what the client has not sent.
+    fn is_timeout_of_client(&self) -> bool {
+        match self {
+            CheckResult::Close(reason) => {
+                matches!(reason, CloseReason::Idle | CloseReason::RequestTimeout)
+            }
+            CheckResult::Drain | CheckResult::RejectRequest(_) => true,
+            CheckResult::RecheckAt(_) => false,
+        }
+    }
+}
+
 impl FastCgiConnection {
     fn check(&self, context: &EdgeContext, now: Micros) -> CheckResult {
         let unwritten = self.outbox.pending_bytes();
@@ -108,6 +124,14 @@
                 return None;
             }
             match connection.check(context, now) {
+                // After a stall of the process, input may have arrived in time and be unread.
+                result
+                    if result.is_timeout_of_client()
+                        && io.unread_input(conn) != UnreadInput::None =>
+                {
+                    let check_at = now + UNREAD_RECHECK_TIME;
+                    connection.schedule_check(context, now, conn, check_at);
+                }
                 CheckResult::Close(reason) => return self.close(context, conn, io, reason),
                 CheckResult::RejectRequest(id) => self.reject_overdue(context, conn, id),
                 CheckResult::RecheckAt(at) => connection.schedule_check(context, now, conn, at),
--- a/crates/sanddrum-edge/src/http_listener/closing.rs
+++ b/crates/sanddrum-edge/src/http_listener/closing.rs
@@ -6,7 +6,10 @@
 use crate::responses::RequestError;
 use crate::timers::Timer;
 use sanddrum::Micros;
-use sanddrum_net::{ConnectionId, Io};
+use sanddrum_net::{ConnectionId, Io, UnreadInput};
+
+/// When a connection is checked again that has unread input.
+const UNREAD_RECHECK_TIME: Micros = 10_000;
 
 impl HttpListener {
     /// Closes a connection after its next response, or at once if it is idle.
@@ -67,6 +70,14 @@
     ) -> Option<ClosedClient> {
         let connection = self.connections.get(&conn)?;
         match connection.check(context, now) {
+            // After a stall of the process, input may have arrived in time and be unread.
+            CheckResult::Close { .. } | CheckResult::RejectPartialRequest
+                if connection.close_state == CloseState::Open
+                    && matches!(io.unread_input(conn), UnreadInput::Since(_)) =>
+            {
+                let timer = Timer::ClientConnection(conn);
+                context.timers.schedule(now + UNREAD_RECHECK_TIME, timer);
+            }
             CheckResult::Close { is_orderly } => return self.close(context, conn, io, is_orderly),
             CheckResult::RejectPartialRequest => {
                 let detail = "the request did not come whole in time";
--- a/crates/sanddrum-edge/tests/unread_input.rs
+++ b/crates/sanddrum-edge/tests/unread_input.rs
@@ -67,3 +67,24 @@
     assert!(!harness.io.has_closed(waiting));
     assert!(harness.io.has_closed(idle));
 }
+
+/// Guards against time-outs after a stall of the process that close connections whose requests have arrived and are unread:
+/// three requests were lost as their connections counted as idle.
+#[rstest]
+fn a_connection_with_unread_input_does_not_time_out() {
+    let timeouts = [
+        ("limits.client-idle", "4 s"),
+        ("limits.head-time-out", "2 s"),
+    ];
+    let mut harness = EdgeHarness::on_platform(&timeouts);
+    let client = harness.accept_client();
+    harness.send_request(client, 1, CALL_ID);
+    harness.decide_on_event(2, [Decision::Reject(0)]);
+    let since = harness.now + 3 * SECOND;
+    harness.io.unread.insert(client, UnreadInput::Since(since));
+    harness.advance(5 * SECOND);
+    assert!(!harness.io.has_closed(client));
+    harness.io.unread.clear();
+    harness.advance(SECOND);
+    assert!(harness.io.has_closed(client), "once it is read, it is idle");
+}
