Count a stream as read once a poll reports no input for it

Cause: a stream that was to be read once more when a turn's reading time was over kept its unread_since (streams.rs, read and read_scheduled), as the poller has nothing to report for it. Its time-outs, which wait for unread input since the last commit, then waited for good, and its next request would have been refused. Ruled out: the memory limits, which held. Change: what may be unread is forgotten unless the next poll reports input.

--- a/crates/sanddrum-net/src/event_loop.rs
+++ b/crates/sanddrum-net/src/event_loop.rs
@@ -79,8 +79,8 @@
     next_connection: u64,
     polls: PollTimes,
     input_schedule: InputSchedule,
-    /// Streams with a backlog whose last read has found nothing.
-    emptied_backlogs: BTreeSet<SourceKey>,
+    /// Streams that may have unread input, if the next poll reports it.
+    maybe_unread: BTreeSet<SourceKey>,
     turn_log: TurnLog,
     /// While input is delivered to a core: the earliest instant at which it may have arrived.
     earliest_arrival: Option<Micros>,
@@ -124,7 +124,7 @@
                 previous: epoch,
             },
             input_schedule: InputSchedule::new(),
-            emptied_backlogs: BTreeSet::new(),
+            maybe_unread: BTreeSet::new(),
             turn_log: TurnLog::default(),
             earliest_arrival: None,
             pending_refusals: Vec::new(),
--- a/crates/sanddrum-net/src/event_loop/streams.rs
+++ b/crates/sanddrum-net/src/event_loop/streams.rs
@@ -178,7 +178,10 @@
         let since = *stream.unread_since.get_or_insert(previous_poll);
         match stream.side {
             Side::Connected => self.read_answers(key, since),
-            Side::Accepted => self.input_schedule.add(key, stream.read_tag),
+            Side::Accepted => {
+                self.input_schedule.add(key, stream.read_tag);
+                self.maybe_unread.insert(key);
+            }
         }
     }
     /// Reads from a stream that the host has opened. What arrives there was asked for, so that its amount is bounded by the
@@ -236,13 +239,16 @@
         match (result, self.backlog(key)) {
             (ReadResult::Full, _) => {
                 self.set_backlog(key, Backlog::Unread);
+                self.maybe_unread.insert(key);
+                true
+            }
+            (ReadResult::Short, backlog) if may_have_waited || backlog == Backlog::Unread => {
+                self.maybe_unread.insert(key);
                 true
             }
-            (ReadResult::Short, Backlog::Unread) => true,
-            (ReadResult::Short, _) if may_have_waited => true,
             (ReadResult::Nothing, Backlog::Unread) => {
                 self.set_backlog(key, Backlog::Emptied);
-                self.emptied_backlogs.insert(key);
+                self.maybe_unread.insert(key);
                 false
             }
             _ => {
@@ -251,13 +257,17 @@
             }
         }
     }
-    /// Ends the backlogs of streams in which the last poll has found nothing.
+    /// Records that the streams that may have had unread input have none, unless the last poll has reported some.
     pub(super) fn end_backlogs(&mut self, events: &[PollEvent]) {
+        let mut without_input = std::mem::take(&mut self.maybe_unread);
         for event in events.iter().filter(|event| event.readable) {
-            self.emptied_backlogs.remove(&event.key);
+            without_input.remove(&event.key);
         }
-        for key in std::mem::take(&mut self.emptied_backlogs) {
-            self.set_read(key);
+        for key in without_input {
+            // A paused stream is not polled for input.
+            if !self.is_paused(key) {
+                self.set_read(key);
+            }
         }
     }
     fn backlog(&self, key: SourceKey) -> Backlog {
