--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -122,10 +122,13 @@
 class Server:
     """A model server. `behave(server, request, answer)` is a coroutine that may answer a request."""
 
-    def __init__(self, record, name, zone, behave, size=4, connect_delay=None):
+    def __init__(self, record, name, zone, behave, size=4, connect_delay=None, forget_after=None):
         self.record, self.name, self.zone, self.behave, self.size = record, name, zone, behave, size
         # Seconds by which a connection comes up late, by the count of connections so far.
         self.connect_delay = connect_delay or (lambda count: 0.0)
+        # A connection that was idle for longer is forgotten: it stays open, and nothing on it is answered any more.
+        self.forget_after = forget_after
+        self.forgotten = 0
         self.port = free_port()
         self.connections = 0
         self.arrived = []
@@ -163,8 +166,16 @@
                 # Nothing that is sent reaches the server before the connection has come up.
                 await asyncio.sleep(delay)
                 self.record.add(self.name, "connection-up", number=number, late=delay)
+            last_used = time.time()
             while True:
                 head = await reader.readexactly(16)
+                if self.forget_after and not open_tasks and time.time() - last_used > self.forget_after:
+                    self.forgotten += 1
+                    self.record.add(self.name, "connection-forgotten", number=number, idle=f"{time.time() - last_used:.3f}")
+                    while await reader.read(65536):
+                        pass
+                    return
+                last_used = time.time()
                 mark, code, field_bytes, body_bytes, ident = struct.unpack(">BBHIQ", head)
                 content = await reader.readexactly(field_bytes + body_bytes)
                 check = struct.unpack(">I", await reader.readexactly(4))[0]
@@ -203,6 +214,7 @@
 
             task = asyncio.ensure_future(self.behave(self, request, answer))
             open_tasks[ident] = task
+            task.add_done_callback(lambda _: open_tasks.pop(ident, None))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         elif code == UNLOAD:
