--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -129,6 +129,7 @@
         # A connection that was idle for longer is forgotten: it stays open, and nothing on it is answered any more.
         self.forget_after = forget_after
         self.forgotten = 0
+        self.useless = set()
         self.port = free_port()
         self.connections = 0
         self.arrived = []
@@ -192,7 +193,16 @@
             self.writers.discard(writer)
             writer.close()
 
+    def stop_short(self, request, code, note, data):
+        """Half of an answer; the connection stays open and is of no further use, also for other requests on it."""
+        whole = frame(code, request["ident"], f"remark={note}".encode(), data)
+        request["writer"].write(whole[: len(whole) // 2])
+        self.useless.add(request["connection"])
+        self.record.add(self.name, "stops-short", id=request["id"], connection=request["connection"])
+
     def take(self, writer, open_tasks, number, code, ident, fields, body):
+        if number in self.useless:
+            return
         if code == PING:
             writer.write(frame(PONG, ident))
         elif code == ORDER:
@@ -203,11 +213,14 @@
             if task:
                 task.cancel()
         elif code == REQUEST:
-            request = {"id": f"{ident:016x}", "ident": ident, "fields": fields, "body": body, "connection": number}
+            request = {"id": f"{ident:016x}", "ident": ident, "fields": fields, "body": body, "connection": number,
+                       "writer": writer}
             request["at"] = self.record.add(self.name, "request", id=request["id"], **fields)
             self.arrived.append(request)
 
             def answer(code, note=None, data=b""):
+                if number in self.useless:
+                    return
                 field = f"remark={note}".encode() if note else b""
                 self.record.add(self.name, "answer", id=request["id"], code=code, remark=note)
                 writer.write(frame(code, ident, field, data))
