--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -59,6 +59,8 @@
         self.server = None
         self.port = free_port()
         self.writers = set()
+        # Seconds by which each answer comes late.
+        self.delay = 0.0
 
     def add(self, members, complete=False):
         number = len(self.events) + 1
@@ -97,6 +99,9 @@
                     except asyncio.TimeoutError:
                         pass
                 answer = {"n": len(self.events), "events": self.events[last:]}
+                if self.delay > 0:
+                    await asyncio.sleep(self.delay)
+                    self.record.add("feed", "answers-late", by=self.delay, after_event=last, events=len(answer["events"]))
                 body = json.dumps(answer).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body))
                 writer.write(body)
