Withdraw attempts that are not sent before the key window closes

Cause: `allows_rerun` (src/logic/retry_policy.rs) compared the window with the time of the decision. The attempt was then queued on a connection that was not up yet, and nothing looked at the window again: `may_send` (crates/sanddrum-edge/src/invariants.rs) did not know it.

Change: the module gives each attempt a send deadline (`AttemptLimits`), for a retry by key the dispatch of the first attempt that may have run plus the window. The edge withdraws an attempt that is not written at that instant (timer `SendDeadline`), checks again with the present clock before each write, as a turn may take long or the process be stopped in it, and gives up a connection that took a part of the frame. A request that has no other attempt left is answered at once. What the module dispatches past its own deadline violates the new invariant `send-deadline`.

--- a/crates/sanddrum-edge/src/edge_state.rs
+++ b/crates/sanddrum-edge/src/edge_state.rs
@@ -14,6 +14,7 @@
 mod http;
 mod requests;
 mod send_checks;
+mod send_deadlines;
 mod shutdown;
 mod watched_files;
 mod workers;
@@ -299,6 +300,7 @@
         while let Some(timer) = self.context.timers.pop_due(now) {
             match timer {
                 Timer::AttemptTimeout(id) => self.attempt_timed_out(now, id),
+                Timer::SendDeadline(key) => self.send_deadline_passed(now, key),
                 Timer::LostAttempt(id) => self.lost_attempt_settled(now, id),
                 Timer::DeferredAnswer(id) => self.give_deferred_answer(now, id),
                 Timer::LoadTimeout(id) => self.load_timed_out(now, id),
--- a/crates/sanddrum-edge/src/edge_state/attempt_ends.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempt_ends.rs
@@ -33,7 +33,8 @@
         let Some(connection) = connection else {
             return;
         };
-        if self.worker_connections.is_partly_written(connection, id) {
+        let key = MessageKey::Attempt(id);
+        if self.worker_connections.is_partly_written(connection, key) {
             return self.worker_connections.abandon_later(connection);
         }
         self.send_cancel(connection, id);
--- a/crates/sanddrum-edge/src/edge_state/attempts.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempts.rs
@@ -8,7 +8,9 @@
 use crate::requests::{Attempt, PendingRequest};
 use crate::timers::Timer;
 use crate::worker_connections::WorkerConnections;
-use sanddrum::{AttemptResult, LoadReport, Micros, Outcome, RequestId, Warmth, WorkerId};
+use sanddrum::{
+    AttemptLimits, AttemptResult, LoadReport, Micros, Outcome, RequestId, Warmth, WorkerId,
+};
 use sanddrum_upstream::WorkerConnectionId;
 use sanddrum_wire::{self as wire, Done, ExecutionStatus, InstanceState};
 
@@ -106,7 +108,7 @@
         now: Micros,
         id: RequestId,
         worker: WorkerId,
-        time_limit: Micros,
+        limits: AttemptLimits,
     ) {
         let Some((attempt, index)) = self.requests.begin_attempt(id) else {
             return;
@@ -121,7 +123,7 @@
         if let Some(reason) = previous_outcome {
             self.context.counts.record(CountedEvent::Retried, reason);
         }
-        let time_limit = time_limit.min(request.deadline - now).max(0);
+        let time_limit = limits.time_limit.min(request.deadline - now).max(0);
         let deadline = now + time_limit;
         let sent = self.send_attempt(now, id, attempt, worker, time_limit);
         let record = Attempt {
@@ -132,6 +134,7 @@
             sent_at: now,
             deadline_encoded_at: now,
             deadline,
+            send_deadline: limits.send_deadline,
             written: None,
             give_up: None,
             loss: None,
@@ -154,6 +157,8 @@
                 self.admission.attempt_dispatched(customer, worker);
                 let timer = Timer::AttemptTimeout(attempt);
                 self.context.timers.schedule(deadline, timer);
+                let key = MessageKey::Attempt(attempt);
+                self.schedule_send_deadline(key, limits.send_deadline, deadline);
             }
             Err(outcome) => self.finish_attempt(now, attempt, outcome.into()),
         }
@@ -267,6 +272,8 @@
         };
         let timer = Timer::AttemptTimeout(id);
         self.context.timers.cancel(attempt.deadline, timer);
+        let timer = Timer::SendDeadline(MessageKey::Attempt(id));
+        self.context.timers.cancel(attempt.send_deadline, timer);
         if let Some(connection) = attempt.connection {
             let key = MessageKey::Attempt(id);
             self.worker_connections
--- a/crates/sanddrum-edge/src/edge_state/dispatcher.rs
+++ b/crates/sanddrum-edge/src/edge_state/dispatcher.rs
@@ -1,7 +1,9 @@
 //! Executes the decisions of the decision module as it makes them.
 
 use super::EdgeState;
-use sanddrum::{AnswerReason, Decisions, FunctionId, Micros, PeerId, RequestId, WorkerId};
+use sanddrum::{
+    AnswerReason, AttemptLimits, Decisions, FunctionId, Micros, PeerId, RequestId, WorkerId,
+};
 
 /// Executes the decisions of one run.
 pub(crate) struct Dispatcher<'a> {
@@ -17,9 +19,9 @@
 }
 
 impl Decisions for Dispatcher<'_> {
-    fn dispatch(&mut self, request: RequestId, worker: WorkerId, time_limit: Micros) {
+    fn dispatch(&mut self, request: RequestId, worker: WorkerId, limits: AttemptLimits) {
         self.state
-            .dispatch_attempt(self.now, request, worker, time_limit);
+            .dispatch_attempt(self.now, request, worker, limits);
     }
 
     fn cancel(&mut self, request: RequestId, attempt: usize) {
--- a/crates/sanddrum-edge/src/edge_state/send_checks.rs
+++ b/crates/sanddrum-edge/src/edge_state/send_checks.rs
@@ -46,6 +46,7 @@
         AttemptFacts {
             client_waits: request.is_some_and(|request| !request.is_closed),
             time_left: attempt.map_or(0, |attempt| attempt.deadline - now),
+            send_time_left: attempt.map_or(0, |attempt| attempt.send_deadline - now),
             endpoint: attempt.and_then(|attempt| self.endpoints.phase(attempt.worker)),
             runs_once: request
                 .is_some_and(|request| self.functions.runs_once(request.spec.workload)),
--- a/crates/sanddrum-edge/src/edge_state/workers.rs
+++ b/crates/sanddrum-edge/src/edge_state/workers.rs
@@ -241,26 +241,38 @@
 
     /// Writes queued messages to workers, cancellations first.
     pub(super) fn flush_workers(&mut self, now: Micros, io: &mut dyn Io) {
-        for id in self.worker_connections.take_abandoned() {
-            let loss = ConnectionLoss::Closed(CloseCause::Reset);
-            let outcomes = self
-                .worker_connections
-                .abandon(&mut self.context, now, id, loss, io);
-            self.finish_messages(now, outcomes);
-        }
+        self.end_abandoned_connections(now, io);
         for id in self.worker_connections.take_unconfirmed() {
             self.worker_connections.request_confirmation(id);
         }
         for id in self.worker_connections.take_with_queued_cancels() {
             self.check_unwritten_attempts(now, id);
+            if !self.withdraw_expired(now, id, io) {
+                continue;
+            }
             let written = self.worker_connections.flush_cancels(id, io);
             self.record_written(now, id, &written);
         }
         for id in self.worker_connections.take_dirty() {
             self.check_unwritten_attempts(now, id);
+            if !self.withdraw_expired(now, id, io) {
+                continue;
+            }
             let written = self.worker_connections.flush(id, io);
             self.record_written(now, id, &written);
         }
+        self.end_abandoned_connections(now, io);
+    }
+
+    /// Ends the connections that are to be given up.
+    fn end_abandoned_connections(&mut self, now: Micros, io: &mut dyn Io) {
+        for id in self.worker_connections.take_abandoned() {
+            let loss = ConnectionLoss::Closed(CloseCause::Reset);
+            let outcomes = self
+                .worker_connections
+                .abandon(&mut self.context, now, id, loss, io);
+            self.finish_messages(now, outcomes);
+        }
     }
 
     /// Records when the last bytes of attempts and cancellations were written.
--- a/crates/sanddrum-edge/src/event_counts.rs
+++ b/crates/sanddrum-edge/src/event_counts.rs
@@ -15,6 +15,8 @@
     Retried,
     /// The edge closed a client connection.
     ClientClosed,
+    /// A message to a worker was withdrawn at its send deadline.
+    SendWithdrawn,
     /// A worker connection was lost.
     WorkerLost,
     /// A load command failed.
@@ -33,6 +35,7 @@
             CountedEvent::Refused => "refused",
             CountedEvent::Retried => "retried",
             CountedEvent::ClientClosed => "client-closed",
+            CountedEvent::SendWithdrawn => "send-withdrawn",
             CountedEvent::WorkerLost => "worker-lost",
             CountedEvent::LoadNotDone => "load-not-done",
             CountedEvent::AnswerDeferred => "answer-deferred",
--- a/crates/sanddrum-edge/src/invariants.rs
+++ b/crates/sanddrum-edge/src/invariants.rs
@@ -13,6 +13,8 @@
     ClientWaits,
     /// No attempt is sent after its deadline.
     TimeLeft,
+    /// No attempt is sent after its send deadline.
+    SendDeadline,
     /// No attempt is sent to an endpoint that is draining, gone or not listed.
     EndpointListed,
     /// A request that may run only once is not sent again if it may have run.
@@ -31,6 +33,7 @@
         match self {
             Invariant::ClientWaits => "client-waits",
             Invariant::TimeLeft => "time-left",
+            Invariant::SendDeadline => "send-deadline",
             Invariant::EndpointListed => "endpoint-listed",
             Invariant::EffectOnce => "effect-once",
             Invariant::OneAttempt => "one-attempt",
@@ -47,6 +50,8 @@
     pub client_waits: bool,
     /// The time until the deadline.
     pub time_left: Micros,
+    /// The time until the send deadline.
+    pub send_time_left: Micros,
     /// The endpoint's phase, if it is listed.
     pub endpoint: Option<Phase>,
     /// The request may run only once.
@@ -70,6 +75,7 @@
     let checks = [
         (facts.client_waits, Invariant::ClientWaits),
         (facts.time_left > 0, Invariant::TimeLeft),
+        (facts.send_time_left > 0, Invariant::SendDeadline),
         (is_ready, Invariant::EndpointListed),
         (
             !(facts.runs_once && facts.another_may_run),
--- a/crates/sanddrum-edge/src/requests.rs
+++ b/crates/sanddrum-edge/src/requests.rs
@@ -106,6 +106,8 @@
     pub deadline_encoded_at: Micros,
     /// When it times out.
     pub deadline: Micros,
+    /// Before when its last byte must be written.
+    pub send_deadline: Micros,
     /// When its last byte was written, and how long its connection had been open then.
     pub written: Option<WrittenAttempt>,
     /// Set once the edge no longer waits for its answer, while its end at the worker is not proved.
--- a/crates/sanddrum-edge/src/timers.rs
+++ b/crates/sanddrum-edge/src/timers.rs
@@ -1,7 +1,7 @@
 //! The edge's timers, without the wake-ups of the decision module and the connection policy, which
 //! [`EdgeState`](crate::edge_state::EdgeState) stores separately.
 
-use crate::message::{AttemptId, CommandId};
+use crate::message::{AttemptId, CommandId, MessageKey};
 use sanddrum::RequestId;
 use sanddrum_net::{ConnectionId, Micros};
 use sanddrum_upstream::WorkerConnectionId;
@@ -12,6 +12,8 @@
 pub(crate) enum Timer {
     /// An attempt has reached its deadline.
     AttemptTimeout(AttemptId),
+    /// A message that is not sent completely must not be sent any more.
+    SendDeadline(MessageKey),
     /// An attempt whose connection was reset no longer runs.
     LostAttempt(AttemptId),
     /// A final answer waits no longer.
--- a/crates/sanddrum-edge/src/worker_connections.rs
+++ b/crates/sanddrum-edge/src/worker_connections.rs
@@ -305,6 +305,15 @@
         attempts.collect()
     }
 
+    /// Messages on an open connection that are not written completely.
+    pub fn pending_messages(&self, id: WorkerConnectionId) -> Vec<MessageKey> {
+        let connection = self.connections.get(&id);
+        let open = connection.filter(|connection| connection.transport.is_connected());
+        open.map_or_else(Vec::new, |connection| {
+            connection.outbox.pending().copied().collect()
+        })
+    }
+
     /// Replaces the bytes of a message of which no byte has been written.
     pub fn replace_unwritten(&mut self, id: WorkerConnectionId, key: MessageKey, bytes: &[u8]) {
         if let Some(connection) = self.connections.get_mut(&id) {
--- a/crates/sanddrum-edge/src/worker_connections/closing.rs
+++ b/crates/sanddrum-edge/src/worker_connections/closing.rs
@@ -177,6 +177,11 @@
         self.abandoned.insert(id);
     }
 
+    /// Whether a connection is to be given up before the next write.
+    pub fn is_abandoned(&self, id: WorkerConnectionId) -> bool {
+        self.abandoned.contains(&id)
+    }
+
     /// Takes the connections that are to be given up.
     pub fn take_abandoned(&mut self) -> BTreeSet<WorkerConnectionId> {
         std::mem::take(&mut self.abandoned)
--- a/crates/sanddrum-edge/src/worker_connections/confirmation.rs
+++ b/crates/sanddrum-edge/src/worker_connections/confirmation.rs
@@ -142,9 +142,8 @@
         })
     }
 
-    /// Whether an attempt is written in part.
-    pub fn is_partly_written(&self, id: WorkerConnectionId, attempt: AttemptId) -> bool {
-        let key = MessageKey::Attempt(attempt);
+    /// Whether a message is written in part.
+    pub fn is_partly_written(&self, id: WorkerConnectionId, key: MessageKey) -> bool {
         self.connections.get(&id).is_some_and(|connection| {
             connection.outbox.is_pending(&key)
                 && !connection
--- a/crates/sanddrum-edge/tests/harness/fake_io.rs
+++ b/crates/sanddrum-edge/tests/harness/fake_io.rs
@@ -1,6 +1,6 @@
 //! A fake transport that records the edge's operations on its connections.
 
-use sanddrum_net::{CloseCause, ConnectionId, Io, PeerIdentity, UnreadInput};
+use sanddrum_net::{CloseCause, ConnectionId, Io, Micros, PeerIdentity, UnreadInput};
 use std::collections::BTreeMap;
 
 /// Connections opened by the edge have ids above this; those of clients are not larger.
@@ -24,6 +24,8 @@
     pub capacity: BTreeMap<ConnectionId, usize>,
     /// What is known of unread input, for connections that have some.
     pub unread: BTreeMap<ConnectionId, UnreadInput>,
+    /// How far the clock has moved on since the edge was called.
+    pub turn_duration: Micros,
     /// The state saved last.
     pub saved: Option<Vec<u8>>,
     /// All audit lines written.
@@ -45,6 +47,7 @@
             paused: BTreeMap::new(),
             capacity: BTreeMap::new(),
             unread: BTreeMap::new(),
+            turn_duration: 0,
             saved: None,
             audit_lines: Vec::new(),
             peer_identity: None,
@@ -85,6 +88,10 @@
         self.peer_identity.clone()
     }
 
+    fn clock(&self, now: Micros) -> Micros {
+        now + self.turn_duration
+    }
+
     fn unread_input(&self, conn: ConnectionId) -> UnreadInput {
         let unread = self.unread.get(&conn).copied();
         unread.unwrap_or(UnreadInput::None)
--- a/crates/sanddrum-edge/tests/harness/scripted_module.rs
+++ b/crates/sanddrum-edge/tests/harness/scripted_module.rs
@@ -1,9 +1,10 @@
 //! A fake decision module that makes the decisions of a test and records the events it receives.
 
+use super::fastcgi::TIME_LIMIT;
 use super::worker_id;
 use sanddrum::{
-    AttemptResult, Decisions, EndpointConfirmation, EndpointList, EventBatch, FunctionId,
-    HealthCheckResult, LoadResult, Micros, Request, RequestId, WorkerId,
+    AttemptLimits, AttemptResult, Decisions, EndpointConfirmation, EndpointList, EventBatch,
+    FunctionId, HealthCheckResult, LoadResult, Micros, Request, RequestId, WorkerId,
 };
 use sanddrum_edge::DecisionModule;
 use sanddrum_wire::stable_id;
@@ -17,6 +18,8 @@
     Dispatch(u64, Micros),
     /// Dispatches a request within a time limit to the worker of this name.
     DispatchTo(u64, Micros, &'static str),
+    /// Dispatches a request to the worker `w`, to be sent before this instant.
+    DispatchBefore(u64, Micros),
     /// Cancels an attempt of a request, by its index.
     Cancel(u64, usize),
     /// Rejects a request.
@@ -83,10 +86,20 @@
         for decision in std::mem::take(&mut script.planned) {
             match decision {
                 Decision::Dispatch(id, time_limit) => {
-                    decisions.dispatch(RequestId(id), worker_id(), time_limit);
+                    let limits = AttemptLimits::without_send_deadline(time_limit);
+                    decisions.dispatch(RequestId(id), worker_id(), limits);
                 }
                 Decision::DispatchTo(id, time_limit, name) => {
-                    decisions.dispatch(RequestId(id), WorkerId(stable_id(name)), time_limit);
+                    let worker = WorkerId(stable_id(name));
+                    let limits = AttemptLimits::without_send_deadline(time_limit);
+                    decisions.dispatch(RequestId(id), worker, limits);
+                }
+                Decision::DispatchBefore(id, send_deadline) => {
+                    let limits = AttemptLimits {
+                        time_limit: TIME_LIMIT,
+                        send_deadline,
+                    };
+                    decisions.dispatch(RequestId(id), worker_id(), limits);
                 }
                 Decision::Cancel(id, attempt) => decisions.cancel(RequestId(id), attempt),
                 Decision::Reject(id) => decisions.reject(RequestId(id), 300_000),
--- a/crates/sanddrum-lab/src/baselines.rs
+++ b/crates/sanddrum-lab/src/baselines.rs
@@ -4,8 +4,8 @@
 //! only in how they choose a worker.
 
 use sanddrum::{
-    Decisions, EventBatch, FunctionId, Micros, Outcome, Request, RequestId, Settings, WorkerId,
-    WorkerState, WorkloadId,
+    AttemptLimits, Decisions, EventBatch, FunctionId, Micros, Outcome, Request, RequestId,
+    Settings, WorkerId, WorkerState, WorkloadId,
 };
 use sanddrum_edge::DecisionModule;
 use sanddrum_emulator::{GroundTruth, Shared};
@@ -228,7 +228,9 @@
                 .or_default()
                 .in_flight += 1;
         }
-        out.dispatch(id, worker, pending.request.deadline - now);
+        let time_limit = pending.request.deadline - now;
+        let limits = AttemptLimits::without_send_deadline(time_limit);
+        out.dispatch(id, worker, limits);
     }
     fn reject_or_fail(&mut self, id: RequestId, out: &mut impl Decisions) {
         let Some(pending) = self.requests.remove(&id) else {
--- a/crates/sanddrum-lab/src/capacity/decision_host.rs
+++ b/crates/sanddrum-lab/src/capacity/decision_host.rs
@@ -3,8 +3,8 @@
 
 use super::simulated::Message;
 use sanddrum::{
-    AttemptResult, Decisions, EventBatch, FunctionId, HealthCheckResult, LoadReport, LoadResult,
-    Micros, Outcome, PeerId, RequestId, Router, Settings, Warmth, WorkerId,
+    AttemptLimits, AttemptResult, Decisions, EventBatch, FunctionId, HealthCheckResult, LoadReport,
+    LoadResult, Micros, Outcome, PeerId, RequestId, Router, Settings, Warmth, WorkerId,
 };
 use sanddrum_upstream::{ConnectionEvents, ConnectionPolicy, WorkerConnectionId};
 use sanddrum_wire::{ExecutionStatus, InstanceState, LoadReport as WireLoadReport};
@@ -16,7 +16,7 @@
     Execute {
         job: RequestId,
         worker: WorkerId,
-        limit: Micros,
+        limits: AttemptLimits,
     },
     Cancel {
         job: RequestId,
@@ -49,7 +49,11 @@
     /// Passes the decision on to `out`.
     pub fn write(&self, out: &mut impl Decisions) {
         match *self {
-            Decision::Execute { job, worker, limit } => out.dispatch(job, worker, limit),
+            Decision::Execute {
+                job,
+                worker,
+                limits,
+            } => out.dispatch(job, worker, limits),
             Decision::Cancel { job, execution } => out.cancel(job, execution),
             Decision::PushBack { job, wait } => out.reject(job, wait),
             Decision::Kill { job } => out.fail(job),
@@ -71,8 +75,12 @@
 pub struct RecordedDecisions(pub Vec<Decision>);
 
 impl Decisions for RecordedDecisions {
-    fn dispatch(&mut self, job: RequestId, worker: WorkerId, limit: Micros) {
-        self.0.push(Decision::Execute { job, worker, limit });
+    fn dispatch(&mut self, job: RequestId, worker: WorkerId, limits: AttemptLimits) {
+        self.0.push(Decision::Execute {
+            job,
+            worker,
+            limits,
+        });
     }
     fn cancel(&mut self, job: RequestId, execution: usize) {
         self.0.push(Decision::Cancel { job, execution });
--- a/crates/sanddrum-lab/src/capacity/simulated/routers.rs
+++ b/crates/sanddrum-lab/src/capacity/simulated/routers.rs
@@ -58,7 +58,7 @@
             Decision::Execute {
                 job: id,
                 worker,
-                limit,
+                limits,
             } => {
                 let attempt_id = host.next_attempt_id();
                 let Some(request) = host.requests.get_mut(&id) else {
@@ -66,7 +66,7 @@
                 };
                 let (index, limit) = (
                     request.attempts.len(),
-                    limit.min(request.deadline - now).max(0),
+                    limits.time_limit.min(request.deadline - now).max(0),
                 );
                 request.attempts.push(attempt_id);
                 request.in_flight += 1;
--- a/crates/sanddrum-lab/src/measure.rs
+++ b/crates/sanddrum-lab/src/measure.rs
@@ -3,7 +3,7 @@
 
 use crate::load_generator::{LoadGenerator, LoadGeneratorSpec, LoadMeasurement};
 use crate::plaintext_capture::Authority;
-use sanddrum::{Decisions, EventBatch, Micros, Router, WorkerId, WorkerState};
+use sanddrum::{AttemptLimits, Decisions, EventBatch, Micros, Router, WorkerId, WorkerState};
 use sanddrum_edge::{DecisionModule, Edge, EdgeOptions, KEYS_FILE};
 use sanddrum_emulator::{DiscoveryService, DiscoverySpec};
 use sanddrum_identity::{token, Claims, KeySet, SecretKey};
@@ -136,11 +136,12 @@
         for request in &batch.requests {
             match self.workers.len() {
                 0 => out.reject(request.id, 0),
-                n => out.dispatch(
-                    request.id,
-                    self.workers[self.next % n],
-                    request.deadline - now,
-                ),
+                n => {
+                    let worker = self.workers[self.next % n];
+                    let time_limit = request.deadline - now;
+                    let limits = AttemptLimits::without_send_deadline(time_limit);
+                    out.dispatch(request.id, worker, limits);
+                }
             }
             self.next += 1;
         }
--- a/crates/sanddrum-lab/src/plaintext_capture.rs
+++ b/crates/sanddrum-lab/src/plaintext_capture.rs
@@ -53,6 +53,9 @@
     fn unread_input(&self, conn: ConnectionId) -> UnreadInput {
         self.io.unread_input(conn)
     }
+    fn clock(&self, now: Micros) -> Micros {
+        self.io.clock(now)
+    }
     fn is_poll_overdue(&self) -> bool {
         self.io.is_poll_overdue()
     }
--- a/crates/sanddrum-lab/tests/broken_edges.rs
+++ b/crates/sanddrum-lab/tests/broken_edges.rs
@@ -58,8 +58,8 @@
 }
 
 impl<D: Decisions> Decisions for DefectiveDecisions<'_, D> {
-    fn dispatch(&mut self, request: RequestId, worker: WorkerId, limit: Micros) {
-        self.out.dispatch(request, worker, limit);
+    fn dispatch(&mut self, request: RequestId, worker: WorkerId, limits: AttemptLimits) {
+        self.out.dispatch(request, worker, limits);
     }
     fn cancel(&mut self, request: RequestId, execution: usize) {
         self.out.cancel(request, execution);
--- a/crates/sanddrum-lab/tests/capacity_rows.rs
+++ b/crates/sanddrum-lab/tests/capacity_rows.rs
@@ -3,8 +3,8 @@
 
 use rstest::rstest;
 use sanddrum::{
-    CustomerId, Decisions, Endpoint, EndpointList, EndpointListKind, EventBatch, FunctionId,
-    PeerId, Request, RequestId, Router, WorkerId, WorkerState, WorkloadId,
+    AttemptLimits, CustomerId, Decisions, Endpoint, EndpointList, EndpointListKind, EventBatch,
+    FunctionId, PeerId, Request, RequestId, Router, WorkerId, WorkerState, WorkloadId,
 };
 use sanddrum_lab::capacity::router::module_settings;
 use sanddrum_lab::capacity::{Memory, Plan, SHORT_PLAN};
@@ -22,7 +22,7 @@
 struct DiscardDecisions;
 
 impl Decisions for DiscardDecisions {
-    fn dispatch(&mut self, _: RequestId, _: WorkerId, _: i64) {}
+    fn dispatch(&mut self, _: RequestId, _: WorkerId, _: AttemptLimits) {}
     fn cancel(&mut self, _: RequestId, _: usize) {}
     fn reject(&mut self, _: RequestId, _: i64) {}
     fn fail(&mut self, _: RequestId) {}
--- a/crates/sanddrum-net/src/event_loop/loop_io.rs
+++ b/crates/sanddrum-net/src/event_loop/loop_io.rs
@@ -78,6 +78,9 @@
             Some(since) => UnreadInput::Since(since),
         }
     }
+    fn clock(&self, _: Micros) -> Micros {
+        self.event_loop.now()
+    }
     fn is_poll_overdue(&self) -> bool {
         self.event_loop.now() - self.event_loop.polls.last > STALL_THRESHOLD
     }
--- a/crates/sanddrum-net/src/io.rs
+++ b/crates/sanddrum-net/src/io.rs
@@ -51,6 +51,11 @@
     fn unread_input(&self, _conn: ConnectionId) -> UnreadInput {
         UnreadInput::None
     }
+    /// Returns the present instant of the driver's clock. It is after `now`, the instant at which the core was called, if
+    /// the call has taken long or the process was stopped during it.
+    fn clock(&self, now: Micros) -> Micros {
+        now
+    }
     /// Whether the driver last polled for input so long ago that unread input may invalidate what the core would write
     /// now. The core may postpone its writes to the next `process`, which follows a poll.
     fn is_poll_overdue(&self) -> bool {
--- a/crates/sanddrum-net/src/outbox.rs
+++ b/crates/sanddrum-net/src/outbox.rs
@@ -124,6 +124,10 @@
             .skip(usize::from(self.first_is_partly_written))
             .map(|message| &message.tag)
     }
+    /// The tags of the messages that are not written completely.
+    pub fn pending(&self) -> impl Iterator<Item = &T> {
+        self.messages.iter().map(|message| &message.tag)
+    }
     /// Writes as much as the connection accepts. Returns the tags of the messages whose last byte was written.
     pub fn flush(&mut self, conn: ConnectionId, io: &mut dyn Io) -> Vec<T> {
         self.write(self.buffer.len(), conn, io)
--- a/crates/sanddrum-simulator-adapter/src/encode.rs
+++ b/crates/sanddrum-simulator-adapter/src/encode.rs
@@ -2,7 +2,7 @@
 
 use crate::names::Names;
 use base64::{engine::general_purpose::STANDARD, Engine};
-use sanddrum::{Decisions, FunctionId, Micros, PeerId, RequestId, WorkerId};
+use sanddrum::{AttemptLimits, Decisions, FunctionId, Micros, PeerId, RequestId, WorkerId};
 use serde_json::Value as Json;
 
 /// Encodes the decisions of one instance.
@@ -27,10 +27,14 @@
 }
 
 impl Decisions for Encoder<'_> {
-    fn dispatch(&mut self, request: RequestId, worker: WorkerId, time_limit: Micros) {
+    // The simulator sends an attempt at once, so that its send deadline needs no check.
+    fn dispatch(&mut self, request: RequestId, worker: WorkerId, limits: AttemptLimits) {
         let request_name = self.names.request(request);
         let worker_name = self.names.worker(worker);
-        self.write("send", &[request_name, worker_name, time_limit.into()]);
+        self.write(
+            "send",
+            &[request_name, worker_name, limits.time_limit.into()],
+        );
         self.names.record_dispatch(request);
     }
 
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -2,11 +2,34 @@
 
 use crate::{AnswerReason, FunctionId, Micros, PeerId, RequestId, WorkerId};
 
+/// The send deadline of a message that may be sent at any time.
+pub const NO_SEND_DEADLINE: Micros = Micros::MAX;
+
+/// The limits in time of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptLimits {
+    /// The host ends the attempt with [`TimedOut`](crate::Outcome::TimedOut) after this time.
+    pub time_limit: Micros,
+    /// The last byte of the attempt must be sent before this instant. Otherwise the worker must not receive it: the host
+    /// withdraws it and reports [`CancelledBeforeStart`](crate::Outcome::CancelledBeforeStart), or
+    /// [`NoConnection`](crate::Outcome::NoConnection) if a part of it had been sent.
+    pub send_deadline: Micros,
+}
+
+impl AttemptLimits {
+    /// The limits of an attempt that may be sent at any time.
+    pub fn without_send_deadline(time_limit: Micros) -> Self {
+        AttemptLimits {
+            time_limit,
+            send_deadline: NO_SEND_DEADLINE,
+        }
+    }
+}
+
 /// Receives the module's decisions. The host applies them in the order of the calls.
 pub trait Decisions {
-    /// Starts an attempt of a request at a worker. The host ends it with [`TimedOut`](crate::Outcome::TimedOut) after
-    /// `time_limit`.
-    fn dispatch(&mut self, request: RequestId, worker: WorkerId, time_limit: Micros);
+    /// Starts an attempt of a request at a worker, within limits that the host enforces.
+    fn dispatch(&mut self, request: RequestId, worker: WorkerId, limits: AttemptLimits);
     /// Cancels an attempt in flight. Its outcome is still reported.
     fn cancel(&mut self, request: RequestId, attempt: usize);
     /// Final answer: rejected. The client may safely retry, preferably after `retry_after`.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,7 +15,7 @@
 mod state;
 mod statistics;
 
-pub use decisions::Decisions;
+pub use decisions::{AttemptLimits, Decisions, NO_SEND_DEADLINE};
 pub use events::{
     AnswerReason, AttemptResult, Endpoint, EndpointConfirmation, EndpointList, EndpointListKind,
     EventBatch, GossipMessage, HealthCheckResult, LoadReport, LoadResult, Outcome, Request, Warmth,
--- a/src/logic/dispatch.rs
+++ b/src/logic/dispatch.rs
@@ -3,7 +3,7 @@
 use super::constants::{IN_TIME_MARGIN, OVERDUE_FACTOR};
 use super::Router;
 use crate::state::{Attempt, AttemptStatus, InFlightAttempt, Timer};
-use crate::{AnswerReason, Decisions, Micros, RequestId, WorkerId};
+use crate::{AnswerReason, AttemptLimits, Decisions, Micros, RequestId, WorkerId};
 
 impl Router {
     /// Dispatches an attempt that is expected to take `expected_us` microseconds without congestion.
@@ -17,6 +17,9 @@
         let now = self.now;
         let worker = self.workers.get(&worker_id);
         let budget_us = worker.and_then(|worker| self.slow_start_budget(worker));
+        let Some(send_deadline) = self.send_deadline_at(id, worker_id) else {
+            return;
+        };
         let Some(pending) = self.requests.get_mut(&id) else {
             return;
         };
@@ -54,12 +57,23 @@
             status: AttemptStatus::InFlight,
             was_queued: instance.in_flight > slots,
         });
-        out.dispatch(id, worker_id, request.deadline - now);
+        let limits = AttemptLimits {
+            time_limit: request.deadline - now,
+            send_deadline,
+        };
+        out.dispatch(id, worker_id, limits);
         if uses_retry_budget {
             self.retry_budget = (self.retry_budget - 1.0).max(0.0);
         }
     }
 
+    /// Before when an attempt of a request must have been sent to a worker; `None` if the retry policy allows none.
+    fn send_deadline_at(&self, id: RequestId, worker: WorkerId) -> Option<Micros> {
+        let pending = self.requests.get(&id)?;
+        let worker = self.workers.get(&worker)?;
+        self.send_deadline(pending, worker)
+    }
+
     /// Makes a request wait for an instance or for capacity.
     pub(super) fn wait(&mut self, id: RequestId) {
         let Some(pending) = self.requests.get(&id) else {
--- a/src/logic/retry_policy.rs
+++ b/src/logic/retry_policy.rs
@@ -5,7 +5,7 @@
 use super::Router;
 use crate::config::{Idempotency, KeyScope};
 use crate::state::{Attempt, PendingRequest, Worker};
-use crate::{Endpoint, Request, WorkerState};
+use crate::{Endpoint, Micros, Request, WorkerState, NO_SEND_DEADLINE};
 
 impl Router {
     /// Whether an attempt of the request may be dispatched to a worker: the worker is ready by sufficiently recent
@@ -21,20 +21,31 @@
         {
             return false;
         }
+        self.send_deadline(pending, to)
+            .is_some_and(|send_deadline| self.now < send_deadline)
+    }
+
+    /// Before when an attempt of the request must have been sent to a worker, so that it can't run more often than
+    /// allowed; `None` if it must not be sent there at all.
+    pub(super) fn send_deadline(&self, pending: &PendingRequest, to: &Worker) -> Option<Micros> {
         let first_run = pending.attempts.iter().find(|a| a.may_have_run());
-        first_run.is_none_or(|first| self.allows_rerun(&pending.request, first, &to.endpoint))
+        match first_run {
+            None => Some(NO_SEND_DEADLINE),
+            Some(first) => self.rerun_deadline(&pending.request, first, &to.endpoint),
+        }
     }
 
-    /// Whether a request that may have run in an earlier attempt may run again at an endpoint.
-    fn allows_rerun(&self, request: &Request, first: &Attempt, to: &Endpoint) -> bool {
+    /// Before when a request that may have run in an earlier attempt must have been sent to an endpoint again; `None` if
+    /// it must not run there again. An idempotency key is recognized for a time from the arrival of the first attempt,
+    /// which is not before its dispatch.
+    fn rerun_deadline(&self, request: &Request, first: &Attempt, to: &Endpoint) -> Option<Micros> {
         let workload = self.workload(request.workload);
         match workload.idempotency {
-            Idempotency::Idempotent => true,
-            Idempotency::NonIdempotent => false,
-            Idempotency::ByKey => {
-                let is_within_key_window = self.now - first.dispatched_at < workload.key_window;
-                is_within_key_window && self.is_in_key_scope(workload.key_scope, first, to)
-            }
+            Idempotency::Idempotent => Some(NO_SEND_DEADLINE),
+            Idempotency::NonIdempotent => None,
+            Idempotency::ByKey => self
+                .is_in_key_scope(workload.key_scope, first, to)
+                .then_some(first.dispatched_at + workload.key_window),
         }
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,9 +2,10 @@
 #![allow(dead_code)] // Each test file uses only a part of this module.
 
 use sanddrum::{
-    AttemptResult, CellId, CustomerId, Decisions, Endpoint, EndpointList, EndpointListKind,
-    EventBatch, FunctionId, KindId, LoadReport, LoadResult, Micros, Outcome, PeerId, Request,
-    RequestId, Router, Settings, Value, Warmth, WorkerId, WorkerState, WorkloadId, ZoneId,
+    AttemptLimits, AttemptResult, CellId, CustomerId, Decisions, Endpoint, EndpointList,
+    EndpointListKind, EventBatch, FunctionId, KindId, LoadReport, LoadResult, Micros, Outcome,
+    PeerId, Request, RequestId, Router, Settings, Value, Warmth, WorkerId, WorkerState, WorkloadId,
+    ZoneId,
 };
 use std::collections::BTreeMap;
 
@@ -40,10 +41,13 @@
     pub wake_at: Micros,
     /// The Retry-After of each rejected request, oldest first.
     pub retry_afters: Vec<Micros>,
+    /// The limits of each dispatched attempt, oldest first.
+    pub attempt_limits: Vec<AttemptLimits>,
 }
 
 impl Decisions for DecisionLog {
-    fn dispatch(&mut self, request: RequestId, worker: WorkerId, _: Micros) {
+    fn dispatch(&mut self, request: RequestId, worker: WorkerId, limits: AttemptLimits) {
+        self.attempt_limits.push(limits);
         let (request, worker) = (request.0, worker.0);
         self.actions.push(Action::Dispatch { request, worker });
     }
@@ -141,6 +145,7 @@
                 actions: Vec::new(),
                 wake_at: Micros::MAX,
                 retry_afters: Vec::new(),
+                attempt_limits: Vec::new(),
             },
             attempts: BTreeMap::new(),
             report: None,
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use sanddrum::{
     Endpoint, EndpointList, EndpointListKind, EventBatch, Micros, Outcome, Value, Warmth,
-    WorkerState, ZoneId,
+    WorkerState, ZoneId, NO_SEND_DEADLINE,
 };
 
 #[rstest]
@@ -59,6 +59,62 @@
     );
 }
 
+/// Settings of a workload whose requests may run again at workers that recognize their idempotency keys for this long.
+fn idempotent_by_key(key_window: Micros) -> [(&'static str, Value); 3] {
+    [
+        ("workloads.0.effect", text("fingerprinted")),
+        ("workloads.0.group", text("all")),
+        (
+            "workloads.0.repeat-window-us",
+            Value::Number(key_window as f64),
+        ),
+    ]
+}
+
+/// Review, case 6: a retry that waits for a connection must not be sent after the key window has closed.
+#[rstest]
+#[case::window_of_a_second(1_000_000, 920_000)]
+#[case::window_shorter_than_a_connect_timeout(200_000, 150_000)]
+fn retry_by_idempotency_key_must_be_sent_before_the_key_window_closes(
+    #[case] key_window: Micros,
+    #[case] fails_after: Micros,
+) {
+    let mut host = FakeHost::new(2, &idempotent_by_key(key_window));
+    host.send(1, 7);
+    let dispatched_at = host.now;
+    host.end_attempt(1, Outcome::Error, Warmth::Unknown, fails_after);
+    assert_eq!(host.attempts[&1], 2);
+    let send_deadlines = host.log.attempt_limits.iter();
+    let send_deadlines: Vec<Micros> = send_deadlines.map(|limits| limits.send_deadline).collect();
+    assert_eq!(
+        send_deadlines,
+        [NO_SEND_DEADLINE, dispatched_at + key_window],
+        "nothing bounds the first attempt, as none can have run before"
+    );
+}
+
+#[rstest]
+fn request_whose_retry_was_not_sent_in_time_fails_immediately() {
+    let key_window = 1_000_000;
+    let mut host = FakeHost::new(2, &idempotent_by_key(key_window));
+    host.send(1, 7);
+    let dispatched_at = host.now;
+    host.end_attempt(1, Outcome::Error, Warmth::Unknown, key_window - 80_000);
+    let waited = dispatched_at + key_window - host.now;
+    host.end_attempt(1, Outcome::CancelledBeforeStart, Warmth::Unknown, waited);
+    assert_eq!(host.attempts[&1], 2, "the key window has closed");
+    assert_eq!(host.final_answers(1), 1);
+}
+
+#[rstest]
+fn retry_that_may_run_anywhere_has_no_send_deadline() {
+    let mut host = FakeHost::new(2, &[]);
+    host.send(1, 7);
+    host.end_attempt(1, Outcome::Error, Warmth::Unknown, 10_000);
+    let limits = host.log.attempt_limits.last().unwrap();
+    assert_eq!(limits.send_deadline, NO_SEND_DEADLINE);
+}
+
 #[rstest]
 #[case::draining(WorkerState::Draining)]
 #[case::gone(WorkerState::Gone)]
