Open the connection for a retry by key before its window closes

Cause: the connection is opened when the retry is decided. Connect and verification may take a connect timeout each, so that in the last two of them no retry can be sent for certain.

Change: src/logic/retry_preparation.rs. Where an attempt of such a request is still unanswered two connect timeouts before the window closes (after half of the window at the earliest), the worker that would get the retry is health- checked, unless it has answered within the length of the window: the check opens and verifies the connection. One check a request at most, none for requests that are answered sooner, nor for workloads without keys. The timer goes with the request.

The new test of the check fails without the change, as no worker is checked.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,6 +26,7 @@
 mod readiness_lease;
 mod rejection;
 mod retry_policy;
+mod retry_preparation;
 mod slow_start;
 mod warm_first;
 mod worker_view;
@@ -200,6 +201,7 @@
                 }
                 Timer::Deadline(_) => {}
                 Timer::WorkerOverdue(id) => self.check_overdue_worker(id, out),
+                Timer::RetryPreparation(id) => self.prepare_retry(id, out),
                 Timer::KeepAlive(id) => self.maintain_instances(id, out),
                 Timer::Subscribe => out.subscribe(),
             }
--- a/src/logic/candidates.rs
+++ b/src/logic/candidates.rs
@@ -178,7 +178,7 @@
     /// The endpoints that may receive a request, in an order that favors large workers and is the same in all
     /// routers, so that they share instances. The whole fleet is inspected only if hardly any of the first ones are
     /// allowed (within the scope of an idempotency key, or because few workers hold a readiness lease).
-    fn preferred_endpoints<'a>(
+    pub(super) fn preferred_endpoints<'a>(
         &'a self,
         pending: &'a PendingRequest,
         seed: u64,
--- a/src/logic/constants.rs
+++ b/src/logic/constants.rs
@@ -29,6 +29,11 @@
 pub(super) const CHECK_TIMEOUT_DIVISOR: Micros = 10;
 /// The interval of health checks of an ejected worker grows up to this multiple of the first one.
 pub(super) const MAX_CHECK_BACKOFF: u32 = 10;
+/// The steps of opening a connection, each of which may take the connect timeout: the connect and its verification.
+pub(super) const CONNECT_STEPS: Micros = 2;
+/// A retry by idempotency key is prepared after the key window divided by this at the earliest: most attempts are answered
+/// sooner, and need none.
+pub(super) const KEY_WINDOW_PREPARATION_DIVISOR: Micros = 2;
 /// Instances of a function are queried at most this often in one keep-alive, since they are loaded and unloaded no
 /// faster.
 pub(super) const QUERIES_PER_KEEP_ALIVE: Micros = 4;
--- a/src/logic/dispatch.rs
+++ b/src/logic/dispatch.rs
@@ -62,6 +62,7 @@
             send_deadline,
         };
         out.dispatch(id, worker_id, limits);
+        self.schedule_retry_preparation(id);
         if uses_retry_budget {
             self.retry_budget = (self.retry_budget - 1.0).max(0.0);
         }
--- a/src/logic/observations.rs
+++ b/src/logic/observations.rs
@@ -31,6 +31,7 @@
             request: *request,
             arrived_at: self.now,
             attempts: Vec::new(),
+            retry_preparation_at: None,
         };
         self.requests.insert(request.id, pending);
         self.timers
@@ -222,6 +223,7 @@
         };
         let request = pending.request;
         self.timers.remove(&(request.deadline, Timer::Deadline(id)));
+        self.cancel_retry_preparation(&pending);
         self.unplaced.remove(&id);
         self.waiting.remove(&id);
         let Some(function) = self.functions.get_mut(request.function) else {
--- a/src/logic/outlier_detection.rs
+++ b/src/logic/outlier_detection.rs
@@ -50,7 +50,7 @@
     }
 
     /// Starts a health check or, if these are not available, a query for the instances of any function.
-    fn check_worker(&mut self, id: WorkerId, out: &mut impl Decisions) {
+    pub(super) fn check_worker(&mut self, id: WorkerId, out: &mut impl Decisions) {
         if self.config.may_check_health {
             out.check_health(id);
         } else if self.config.may_command_loads {
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,6 +18,8 @@
     Deadline(RequestId),
     /// An attempt or a health check at the worker becomes overdue.
     WorkerOverdue(WorkerId),
+    /// A connection for the retry of a request may have to be opened.
+    RetryPreparation(RequestId),
     /// Instances of the function are renewed, pre-warmed or unloaded.
     KeepAlive(FunctionId),
     /// The router subscribes to the endpoint list.
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -60,6 +60,8 @@
     pub arrived_at: Micros,
     /// Its attempts, in the order of dispatch.
     pub attempts: Vec<Attempt>,
+    /// When its retry by idempotency key is prepared, if it may have one.
+    pub retry_preparation_at: Option<Micros>,
 }
 
 impl PendingRequest {
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -106,6 +106,57 @@
     assert_eq!(host.final_answers(1), 1);
 }
 
+/// Two workers, the settings of requests with idempotency keys, and a request that one worker does not answer. Returns the
+/// workers that are checked from then on until shortly before the key window closes.
+fn workers_checked_for_a_retry(settings: &[(&'static str, Value)], is_answered: bool) -> Vec<u64> {
+    const CONNECT_TIMEOUT: Micros = 100_000;
+    let mut all = vec![
+        ("limits.probes", Value::Flag(true)),
+        (
+            "limits.connect-timeout-us",
+            Value::Number(CONNECT_TIMEOUT as f64),
+        ),
+    ];
+    all.extend(settings.iter().cloned());
+    let mut host = FakeHost::new(2, &all);
+    host.send(1, 7);
+    let used = host.dispatched_to(1).unwrap();
+    if is_answered {
+        host.succeed(1, Warmth::Warm, 10_000);
+    }
+    host.advance(1_000_000 - CONNECT_TIMEOUT);
+    let checked = host.log.actions.iter().filter_map(|action| match action {
+        Action::CheckHealth(worker) if *worker != used => Some(*worker),
+        _ => None,
+    });
+    checked.collect()
+}
+
+/// Review, case 6: the connection to the worker of the retry is opened while there is time for it.
+#[rstest]
+fn worker_of_a_retry_by_idempotency_key_is_checked_before_the_key_window_closes() {
+    let settings = idempotent_by_key(1_000_000);
+    assert_eq!(workers_checked_for_a_retry(&settings, false).len(), 1);
+}
+
+#[rstest]
+#[case::request_is_answered(idempotent_by_key(1_000_000), true)]
+#[case::key_window_is_longer_than_the_time_limit(idempotent_by_key(60_000_000), false)]
+#[case::retry_may_be_sent_at_any_time(
+    [
+        ("workloads.0.effect", text("restartable")),
+        ("workloads.0.group", text("all")),
+        ("workloads.0.repeat-window-us", Value::Number(1e6)),
+    ],
+    false
+)]
+fn worker_is_not_checked_where_no_retry_is_prepared(
+    #[case] settings: [(&'static str, Value); 3],
+    #[case] is_answered: bool,
+) {
+    assert_eq!(workers_checked_for_a_retry(&settings, is_answered), []);
+}
+
 #[rstest]
 fn retry_that_may_run_anywhere_has_no_send_deadline() {
     let mut host = FakeHost::new(2, &[]);
