End extended readiness leases once a later drain counts as notified

Cause: `extend_leases` and `can_extend_lease` (src/logic/readiness_lease.rs) extended the leases of all workers that had accepted something after the second second of the outage by two seconds, again and again, without regard to how long ago that was.

Ruled out: an event that was received (the feed's last event precedes the outage); attempts decided in time and sent late (they follow the requests at once). The module alone, with a clock, dispatches 30 s after the last accepted attempt.

The test expired_leases_are_extended_for_workers_that_accepted_attempts_during_ the_outage asked for a dispatch 7 s after the last accepted attempt, which the rule forbids. Its place take three cases at both sides of that bound and two tests of what renews a lease; they are as strict within the bound.

--- a/crates/sanddrum-cli/tests/discovery_outage.rs
+++ b/crates/sanddrum-cli/tests/discovery_outage.rs
@@ -6,24 +6,19 @@
 mod outage;
 mod router_harness;
 
-use outage::{Discovery, FeedState, ModelServer};
+use outage::{
+    encode_single_lane_request, settings, Discovery, FeedState, ModelServer, GRACE,
+    MAX_NOTIFICATION_DELAY, SOCKET_TOLERANCE,
+};
 use router_harness::*;
 use rstest::rstest;
-use sanddrum_fastcgi::{encode_params, write_begin_request, write_stream, RecordType};
 use sanddrum_lab::faults::FaultControl;
-use serde_json::{json, Value};
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// The longest that an outage may delay a notification. After this time from the start of the outage, the router must
-/// act as if it had received the change that discovery would have announced.
-const MAX_NOTIFICATION_DELAY: Duration = Duration::from_secs(7);
-const GRACE: Duration = Duration::from_millis(250);
-/// Tolerance added to the time limits of the rules on real sockets.
-const SOCKET_TOLERANCE: Duration = Duration::from_millis(50);
 /// How long the router is observed after the maximum notification delay and the grace period.
 const OBSERVATION: Duration = Duration::from_secs(2);
 const SERVERS: usize = 3;
@@ -55,19 +50,6 @@
     faults: FaultControl,
 }
 
-fn settings(discovery: &str, servers: &[Arc<ModelServer>]) -> Value {
-    let mut settings = configuration(discovery, "", "repeatable");
-    let members: Vec<Value> = servers
-        .iter()
-        .enumerate()
-        .map(|(n, server)| member(&format!("s{n}"), &server.address, "in_service"))
-        .collect();
-    settings["known"]["events"][0]["members"]["members"] = json!(members);
-    settings["settings"]["obligations"] =
-        json!({"stop-sending-within-us": GRACE.as_micros() as u64});
-    settings
-}
-
 impl TestSetup {
     fn start(name: &str) -> TestSetup {
         let servers: Vec<_> = (0..SERVERS).map(|_| ModelServer::start()).collect();
@@ -158,23 +140,6 @@
     (served, not_served)
 }
 
-/// Encodes a request for a function whose instances run one request at a time.
-fn encode_single_lane_request(call: u64, function: &str) -> Vec<u8> {
-    let call = format!("{call:016x}");
-    let pairs = [
-        ("SCRIPT_NAME", "/rpc/job"),
-        ("HTTP_X_CALL_ID", call.as_str()),
-        ("HTTP_X_PATIENCE_MS", "4000"),
-        ("HTTP_X_ENTITY", function),
-        ("HTTP_X_INFO", "memory_mb:100;lanes:1;load_ms:300"),
-    ];
-    let mut out = Vec::new();
-    write_begin_request(&mut out, 1, true);
-    write_stream(&mut out, RecordType::Params, 1, &encode_params(&pairs));
-    write_stream(&mut out, RecordType::Stdin, 1, call.as_bytes());
-    out
-}
-
 /// The result of one outage: requests and load commands sent to the draining server after the grace period, and
 /// requests served and not served since.
 struct OutageResult {
--- a/crates/sanddrum-cli/tests/outage/mod.rs
+++ b/crates/sanddrum-cli/tests/outage/mod.rs
@@ -1,7 +1,8 @@
 //! Peers for tests of discovery outages: model servers that can drain and record what is sent to them, and a control
 //! feed that a test makes unavailable in different ways. Each runs on its own threads.
 
-use crate::router_harness::{feed_response, listener};
+use crate::router_harness::{configuration, feed_response, listener, member};
+use sanddrum_fastcgi::{encode_params, write_begin_request, write_stream, RecordType};
 use sanddrum_platform::frames;
 use serde_json::{json, Value};
 use std::io::{Read, Write};
@@ -11,6 +12,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// The longest that an outage may delay a notification. After this time, the router must act as if it had received the
+/// change that discovery would have announced.
+pub const MAX_NOTIFICATION_DELAY: Duration = Duration::from_secs(7);
+/// How long a draining server may be sent something after the router counts as notified.
+pub const GRACE: Duration = Duration::from_millis(250);
+/// Tolerance added to the time limits of the rules on real sockets.
+pub const SOCKET_TOLERANCE: Duration = Duration::from_millis(50);
+
 const CODE_REQUEST: u8 = 65;
 const CODE_LOAD: u8 = 69;
 const CODE_OK: u8 = 97;
@@ -199,6 +208,37 @@
     }
 }
 
+/// The configuration of a router with these servers, in the order of their names.
+pub fn settings(discovery: &str, servers: &[Arc<ModelServer>]) -> Value {
+    let mut settings = configuration(discovery, "", "repeatable");
+    let members: Vec<Value> = servers
+        .iter()
+        .enumerate()
+        .map(|(n, server)| member(&format!("s{n}"), &server.address, "in_service"))
+        .collect();
+    settings["known"]["events"][0]["members"]["members"] = json!(members);
+    settings["settings"]["obligations"] =
+        json!({"stop-sending-within-us": GRACE.as_micros() as u64});
+    settings
+}
+
+/// Encodes a request for a function whose instances run one request at a time.
+pub fn encode_single_lane_request(call: u64, function: &str) -> Vec<u8> {
+    let call = format!("{call:016x}");
+    let pairs = [
+        ("SCRIPT_NAME", "/rpc/job"),
+        ("HTTP_X_CALL_ID", call.as_str()),
+        ("HTTP_X_PATIENCE_MS", "4000"),
+        ("HTTP_X_ENTITY", function),
+        ("HTTP_X_INFO", "memory_mb:100;lanes:1;load_ms:300"),
+    ];
+    let mut out = Vec::new();
+    write_begin_request(&mut out, 1, true);
+    write_stream(&mut out, RecordType::Params, 1, &encode_params(&pairs));
+    write_stream(&mut out, RecordType::Stdin, 1, call.as_bytes());
+    out
+}
+
 /// Reads a poll: the number of the last event that the router has, and how long the feed may hold the poll open.
 fn read_poll(conn: &mut TcpStream) -> Option<(u64, Duration)> {
     let (mut text, mut byte) = (String::new(), [0]);
--- a/src/logic/readiness_lease.rs
+++ b/src/logic/readiness_lease.rs
@@ -10,6 +10,8 @@
 //!    that rejects an attempt may be draining, and receives nothing more unless it has accepted a later attempt.
 //! 3. *Stale*, once this router is always considered notified of a later change (`max_notification_delay`): a worker
 //!    has to hold a lease of its own, which is renewed by each attempt that it accepts, from the time of the dispatch.
+//!    While no worker holds one, leases are extended, but to no later than this router counts as notified of a drain that
+//!    began right after that attempt.
 //!
 //! Only accepted attempts renew a lease: a draining worker still answers queries, and load commands for loaded
 //! instances.
@@ -74,6 +76,14 @@
         })
     }
 
+    /// How long after an accepted attempt the worker's lease may be extended at most: this router always counts as
+    /// notified of a drain that began after it once that time has passed.
+    fn max_worker_lease_duration(&self) -> Micros {
+        self.endpoint_confirmation.map_or(0, |confirmation| {
+            self.lease_duration(confirmation.max_notification_delay)
+        })
+    }
+
     /// Whether the last confirmation of a worker's readiness is recent enough to send it new attempts and load
     /// commands.
     pub(super) fn holds_readiness_lease(&self, worker: &Worker) -> bool {
@@ -86,7 +96,7 @@
         }
         !self.are_endpoints_stale()
             || self.now < worker.accepted_at + self.worker_lease_duration()
-            || (self.now < self.leases_extended_until && self.can_extend_lease(worker))
+            || self.now < self.extended_lease_end(worker)
     }
 
     /// Whether a worker has rejected an attempt since the list was confirmed, and accepted none since.
@@ -117,7 +127,7 @@
         }
     }
 
-    /// Extends workers' leases once all of them have expired. Otherwise a router that had no traffic, or was
+    /// Extends workers' leases once all of them have expired. Otherwise a router that had no traffic for a moment, or was
     /// suspended, would serve nothing until the discovery service is available again.
     pub(super) fn extend_leases(&mut self) {
         let have_all_expired = self.now >= self.last_accepted_at + self.worker_lease_duration();
@@ -125,19 +135,31 @@
         if !self.are_endpoints_stale() || !have_all_expired || is_extended {
             return;
         }
-        let can_extend_any = self.workers.values().any(|w| self.can_extend_lease(w));
-        if can_extend_any {
-            self.leases_extended_until = self.now + self.worker_lease_duration();
+        let ends = self.workers.values().map(|w| self.max_lease_end(w));
+        let last_end = ends.max().unwrap_or(0);
+        if self.now < last_end {
+            self.leases_extended_until = last_end.min(self.now + self.worker_lease_duration());
         }
     }
 
-    /// Whether a worker's lease may be extended. It may not if its last accepted attempt precedes the overdue phase:
-    /// a drain that began together with the outage may have followed it.
-    fn can_extend_lease(&self, worker: &Worker) -> bool {
+    /// Until when a worker holds an extended lease; zero if it holds none.
+    fn extended_lease_end(&self, worker: &Worker) -> Micros {
+        self.leases_extended_until.min(self.max_lease_end(worker))
+    }
+
+    /// Until when a worker's lease may be extended; zero if it may not. It may not if its last accepted attempt precedes
+    /// the overdue phase: a drain that began together with the outage may have followed it.
+    fn max_lease_end(&self, worker: &Worker) -> Micros {
         let overdue_from = self.endpoint_confirmation.map_or(0, |confirmation| {
             confirmation.confirmed_at + confirmation.min_notification_delay
         });
-        worker.is_ready() && worker.accepted_at > overdue_from && !self.may_be_draining(worker)
+        let may_extend =
+            worker.is_ready() && worker.accepted_at > overdue_from && !self.may_be_draining(worker);
+        if may_extend {
+            worker.accepted_at + self.max_worker_lease_duration()
+        } else {
+            0
+        }
     }
 
     /// Whether the list is stale and no worker holds a lease, so that nothing can be dispatched.
--- a/tests/readiness_lease.rs
+++ b/tests/readiness_lease.rs
@@ -161,13 +161,46 @@
     assert_eq!(serve(&mut host, 3..4).len(), 1);
 }
 
+/// Review, case 7: leases were extended again and again by an attempt of long ago, so that a worker that had begun to
+/// drain after it was sent requests for as long as the outage lasted.
 #[rstest]
-fn expired_leases_are_extended_for_workers_that_accepted_attempts_during_the_outage() {
+#[case::just_before_its_drain_counts_as_notified(MAX_NOTIFICATION_DELAY - SECOND, true)]
+#[case::once_its_drain_counts_as_notified(MAX_NOTIFICATION_DELAY, false)]
+#[case::much_later(30 * SECOND, false)]
+fn expired_leases_are_extended_until_a_later_drain_counts_as_notified(
+    #[case] pause: Micros,
+    #[case] is_used: bool,
+) {
     let mut host = two_warm_workers();
     host.advance(MIN_NOTIFICATION_DELAY + SECOND);
+    let accepted_at = host.now;
     let accepting = serve(&mut host, 2..3);
-    host.advance(MAX_NOTIFICATION_DELAY);
-    assert_eq!(serve(&mut host, 3..4), accepting);
+    // The module runs now and then in the pause, which must not renew anything.
+    while host.now < accepted_at + pause {
+        host.advance(SECOND / 2);
+    }
+    let used = serve(&mut host, 3..4);
+    assert_eq!(used, if is_used { accepting } else { vec![] });
+    assert_eq!(host.final_answers(3), usize::from(!is_used));
+}
+
+#[rstest]
+fn each_accepted_attempt_renews_an_extended_lease() {
+    let mut host = two_warm_workers();
+    host.advance(MIN_NOTIFICATION_DELAY + SECOND);
+    for id in 2..10 {
+        assert_eq!(serve(&mut host, id..id + 1).len(), 1, "request {id}");
+        host.advance(3 * SECOND);
+    }
+}
+
+#[rstest]
+fn attempt_before_the_overdue_phase_extends_no_lease() {
+    let mut host = two_warm_workers();
+    host.advance(MIN_NOTIFICATION_DELAY - SECOND);
+    assert_eq!(serve(&mut host, 2..3).len(), 1);
+    host.advance(MAX_NOTIFICATION_DELAY - SECOND);
+    assert_eq!(serve(&mut host, 3..4), []);
 }
 
 #[rstest]
