Check readiness leases and the scope of keys again before a message is sent

- The end of the worker's readiness lease, and the grace, bound the send deadline of attempts and load commands (src/logic/readiness_lease.rs).
- The edge checks window and scope of an idempotency key itself, by the settings and by where the workers were and are listed (idempotency_key.rs); what is out of them violates `effect-once`.
- Load commands pass the last check, too: `endpoint-listed`, `send-deadline`.
- A load command that was withdrawn unsent counted as an answer of its worker and ended its ejection (src/logic/load_results.rs).

--- a/crates/sanddrum-edge/src/control_commands.rs
+++ b/crates/sanddrum-edge/src/control_commands.rs
@@ -23,6 +23,10 @@
 pub(crate) struct PendingLoad {
     /// The function to be loaded.
     pub function: FunctionId,
+    /// Whether it only queries the number of loaded instances.
+    pub is_query: bool,
+    /// Before when its last byte must be written.
+    pub send_deadline: Micros,
     /// The command.
     pub command: PendingCommand,
 }
@@ -47,6 +51,11 @@
         self.loads.insert(id, load);
     }
 
+    /// Returns a load command in flight.
+    pub fn load(&self, id: CommandId) -> Option<&PendingLoad> {
+        self.loads.get(&id)
+    }
+
     /// Removes a load command that has ended.
     pub fn remove_load(&mut self, id: CommandId) -> Option<PendingLoad> {
         self.loads.remove(&id)
--- a/crates/sanddrum-edge/src/edge_state/attempts.rs
+++ b/crates/sanddrum-edge/src/edge_state/attempts.rs
@@ -130,6 +130,7 @@
             request: id,
             index,
             worker,
+            location: self.endpoints.location(worker),
             connection: sent.ok(),
             sent_at: now,
             deadline_encoded_at: now,
@@ -285,9 +286,7 @@
         self.context.metrics.record_outcome(result.outcome);
         let request = self.requests.get(attempt.request);
         let call_id = request.map_or(0, |request| request.spec.call_id);
-        let is_final = self
-            .requests
-            .record_outcome(now, attempt.request, result.outcome)
+        let is_final = self.requests.record_outcome(now, &attempt, result.outcome)
             || self.requests.is_deferred(attempt.request);
         let latency = now - attempt.sent_at;
         tracing::debug!(
--- a/crates/sanddrum-edge/src/edge_state/control_commands.rs
+++ b/crates/sanddrum-edge/src/edge_state/control_commands.rs
@@ -19,6 +19,7 @@
         worker: WorkerId,
         function: FunctionId,
         instances: u32,
+        send_deadline: Micros,
     ) {
         let id = self.control_commands.allocate_id();
         let Some(known) = self.functions.get(function) else {
@@ -43,10 +44,16 @@
         let deadline = now + self.context.limits.load_timeout;
         match self.send_command(now, worker, &message, deadline) {
             Ok(command) => {
-                let load = PendingLoad { function, command };
+                let load = PendingLoad {
+                    function,
+                    is_query: instances == 0,
+                    send_deadline,
+                    command,
+                };
                 self.control_commands.insert_load(id, load);
                 let timer = Timer::LoadTimeout(id);
                 self.context.timers.schedule(deadline, timer);
+                self.schedule_send_deadline(message.key, send_deadline, deadline);
             }
             Err(outcome) => self.report_unsent_load(worker, function, outcome),
         }
@@ -107,6 +114,8 @@
             instances,
             "load command ended"
         );
+        let timer = Timer::SendDeadline(MessageKey::Load(id));
+        self.context.timers.cancel(load.send_deadline, timer);
         let timer = Timer::LoadTimeout(id);
         self.release_command(now, &command, timer, MessageKey::Load(id));
         self.batch.load_results.push(LoadResult {
--- a/crates/sanddrum-edge/src/edge_state/dispatcher.rs
+++ b/crates/sanddrum-edge/src/edge_state/dispatcher.rs
@@ -40,8 +40,15 @@
         self.state.explain_answer(request, reason);
     }
 
-    fn load(&mut self, worker: WorkerId, function: FunctionId, instances: u32) {
-        self.state.send_load(self.now, worker, function, instances);
+    fn load(
+        &mut self,
+        worker: WorkerId,
+        function: FunctionId,
+        instances: u32,
+        send_deadline: Micros,
+    ) {
+        self.state
+            .send_load(self.now, worker, function, instances, send_deadline);
     }
 
     fn unload(&mut self, worker: WorkerId, function: FunctionId) {
--- a/crates/sanddrum-edge/src/edge_state/send_deadlines.rs
+++ b/crates/sanddrum-edge/src/edge_state/send_deadlines.rs
@@ -6,7 +6,7 @@
 use crate::event_counts::CountedEvent;
 use crate::message::MessageKey;
 use crate::timers::Timer;
-use sanddrum::{Micros, Outcome};
+use sanddrum::Micros;
 use sanddrum_net::Io;
 use sanddrum_upstream::WorkerConnectionId;
 
@@ -31,7 +31,10 @@
             return;
         };
         if self.worker_connections.retract(connection, key) {
-            return self.finish_withdrawn(now, key);
+            self.context
+                .counts
+                .record(CountedEvent::SendWithdrawn, "unwritten");
+            return self.finish_unsent(now, key);
         }
         if self.worker_connections.is_partly_written(connection, key) {
             self.context
@@ -64,19 +67,16 @@
 
     /// The connection of a message and its send deadline.
     fn send_condition(&self, key: MessageKey) -> Option<(WorkerConnectionId, Micros)> {
-        let MessageKey::Attempt(id) = key else {
-            return None;
-        };
-        let attempt = self.requests.attempt(id)?;
-        Some((attempt.connection?, attempt.send_deadline))
-    }
-
-    fn finish_withdrawn(&mut self, now: Micros, key: MessageKey) {
-        self.context
-            .counts
-            .record(CountedEvent::SendWithdrawn, "unwritten");
-        if let MessageKey::Attempt(id) = key {
-            self.finish_attempt(now, id, Outcome::CancelledBeforeStart.into());
+        match key {
+            MessageKey::Attempt(id) => {
+                let attempt = self.requests.attempt(id)?;
+                Some((attempt.connection?, attempt.send_deadline))
+            }
+            MessageKey::Load(id) => {
+                let load = self.control_commands.load(id)?;
+                Some((load.command.connection, load.send_deadline))
+            }
+            _ => None,
         }
     }
 }
--- a/crates/sanddrum-edge/src/edge_state/workers.rs
+++ b/crates/sanddrum-edge/src/edge_state/workers.rs
@@ -246,7 +246,7 @@
             self.worker_connections.request_confirmation(id);
         }
         for id in self.worker_connections.take_with_queued_cancels() {
-            self.check_unwritten_attempts(now, id);
+            self.check_unwritten_messages(now, id);
             if !self.withdraw_expired(now, id, io) {
                 continue;
             }
@@ -254,7 +254,7 @@
             self.record_written(now, id, &written);
         }
         for id in self.worker_connections.take_dirty() {
-            self.check_unwritten_attempts(now, id);
+            self.check_unwritten_messages(now, id);
             if !self.withdraw_expired(now, id, io) {
                 continue;
             }
--- a/crates/sanddrum-edge/src/endpoint_table.rs
+++ b/crates/sanddrum-edge/src/endpoint_table.rs
@@ -1,5 +1,6 @@
 //! The listed workers, whether they come from the discovery service, the control feed or the cache.
 
+use crate::idempotency_key::WorkerLocation;
 use sanddrum::{CellId, Endpoint, KindId, Micros, WorkerId, WorkerState, ZoneId};
 use sanddrum_settings::LoadedSettings;
 use sanddrum_wire::{EndpointRecord, Phase};
@@ -61,6 +62,14 @@
         self.record(worker).map(|record| record.phase)
     }
 
+    /// The location of a worker, if it is listed.
+    pub fn location(&self, worker: WorkerId) -> Option<WorkerLocation> {
+        self.record(worker).map(|record| WorkerLocation {
+            zone: self.zone(&record.zone),
+            cell: CellId(record.cell as usize),
+        })
+    }
+
     /// The process start that a record describes. A start that is already known keeps its instant, because the
     /// decision module takes a later instant for a restart. A record of an older incarnation is outdated, and yields
     /// the known start.
--- a/crates/sanddrum-edge/src/functions.rs
+++ b/crates/sanddrum-edge/src/functions.rs
@@ -1,5 +1,6 @@
 //! Known functions: their resource needs and the workloads they belong to.
 
+use crate::idempotency_key::KeyPolicy;
 use sanddrum::{FunctionId, Micros, WorkloadId};
 use sanddrum_settings::LoadedSettings;
 use sanddrum_wire::stable_id;
@@ -87,6 +88,8 @@
     runs_once: bool,
     /// Whether its requests may run again in any case.
     is_restartable: bool,
+    /// How workers recognize the idempotency keys of its requests, if these have one.
+    key_policy: Option<KeyPolicy>,
     /// The maximum time limit of a request.
     time_limit: Micros,
 }
@@ -132,6 +135,8 @@
                 name,
                 runs_once: effect == "run-once",
                 is_restartable: effect == "restartable",
+                key_policy: (effect == "fingerprinted")
+                    .then(|| KeyPolicy::from_settings(settings, index)),
                 time_limit: settings.duration_us(&format!("workloads.{index}.time-limit-us")),
             }
         };
@@ -181,6 +186,11 @@
             .is_some_and(|workload| workload.is_restartable)
     }
 
+    /// How workers recognize the idempotency keys of a workload's requests, if these have one.
+    pub fn key_policy(&self, workload: WorkloadId) -> Option<KeyPolicy> {
+        self.workloads.get(workload.0)?.key_policy
+    }
+
     /// The number of known functions.
     pub fn len(&self) -> usize {
         self.known.len()
--- a/crates/sanddrum-edge/src/invariants.rs
+++ b/crates/sanddrum-edge/src/invariants.rs
@@ -13,11 +13,12 @@
     ClientWaits,
     /// No attempt is sent after its deadline.
     TimeLeft,
-    /// No attempt is sent after its send deadline.
+    /// No attempt or load command is sent after its send deadline.
     SendDeadline,
-    /// No attempt is sent to an endpoint that is draining, gone or not listed.
+    /// No attempt or load command is sent to an endpoint that is draining, gone or not listed.
     EndpointListed,
-    /// A request that may run only once is not sent again if it may have run.
+    /// A request that may have run is not sent again if it may run only once, nor to a worker that doesn't recognize its
+    /// idempotency key.
     EffectOnce,
     /// A request has one attempt in flight at a time, where two are not allowed.
     OneAttempt,
@@ -58,6 +59,8 @@
     pub runs_once: bool,
     /// Another attempt of the request may have run or may still run.
     pub another_may_run: bool,
+    /// The worker recognizes the request's idempotency key, or the request has none or can't have run before.
+    pub is_key_recognized: bool,
     /// Another attempt of the request may still run.
     pub another_in_flight: bool,
     /// A request may have two attempts in flight.
@@ -70,7 +73,7 @@
 ///
 /// # Errors
 /// The first invariant that sending it would violate.
-pub(crate) fn may_send(facts: &AttemptFacts) -> Result<(), Invariant> {
+pub(crate) fn may_send_attempt(facts: &AttemptFacts) -> Result<(), Invariant> {
     let is_ready = facts.endpoint == Some(Phase::Ready);
     let checks = [
         (facts.client_waits, Invariant::ClientWaits),
@@ -78,7 +81,7 @@
         (facts.send_time_left > 0, Invariant::SendDeadline),
         (is_ready, Invariant::EndpointListed),
         (
-            !(facts.runs_once && facts.another_may_run),
+            !(facts.runs_once && facts.another_may_run) && facts.is_key_recognized,
             Invariant::EffectOnce,
         ),
         (
@@ -93,6 +96,34 @@
         .map_or(Ok(()), |(_, invariant)| Err(invariant))
 }
 
+/// The state of a load command immediately before its first byte is written.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadFacts {
+    /// It only queries the number of loaded instances.
+    pub is_query: bool,
+    /// The time until the send deadline.
+    pub send_time_left: Micros,
+    /// The endpoint's phase, if it is listed.
+    pub endpoint: Option<Phase>,
+}
+
+/// Checks whether a load command may be sent.
+///
+/// # Errors
+/// The first invariant that sending it would violate.
+pub(crate) fn may_send_load(facts: &LoadFacts) -> Result<(), Invariant> {
+    if facts.is_query {
+        return Ok(());
+    }
+    if facts.send_time_left <= 0 {
+        return Err(Invariant::SendDeadline);
+    }
+    if facts.endpoint != Some(Phase::Ready) {
+        return Err(Invariant::EndpointListed);
+    }
+    Ok(())
+}
+
 /// Why the edge closes a client's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum CloseReason {
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod feed_reload;
 mod functions;
 mod http_listener;
+mod idempotency_key;
 mod identity;
 mod invariants;
 mod limits;
--- a/crates/sanddrum-edge/src/requests.rs
+++ b/crates/sanddrum-edge/src/requests.rs
@@ -1,6 +1,7 @@
 //! Pending requests and their attempts. Each request gets exactly one final response unless its client disconnects or
 //! cancels it.
 
+use crate::idempotency_key::WorkerLocation;
 use crate::message::AttemptId;
 use crate::recent_calls::{EarlierCall, RecentCalls};
 use crate::responses::ErrorKind;
@@ -61,8 +62,8 @@
     pub attempts: Vec<AttemptId>,
     /// The number of attempts in flight.
     pub in_flight: usize,
-    /// Whether an attempt that has ended may have run.
-    pub may_have_run: bool,
+    /// The first attempt that has ended and may have run.
+    pub first_run: Option<PossibleRun>,
     /// The outcome of the attempt that ended last; logged as the reason for a retry.
     pub last_outcome: Option<Outcome>,
     /// Whether the end of an attempt had to be proved; logged at the default level.
@@ -82,7 +83,7 @@
             is_admitted: false,
             attempts: Vec::new(),
             in_flight: 0,
-            may_have_run: false,
+            first_run: None,
             last_outcome: None,
             is_unusual: false,
             is_closed: false,
@@ -98,6 +99,8 @@
     pub index: usize,
     /// The worker that it was dispatched to.
     pub worker: WorkerId,
+    /// Where the worker was then, if it was listed.
+    pub location: Option<WorkerLocation>,
     /// The connection that it was queued on; `None` if it could not be sent.
     pub connection: Option<WorkerConnectionId>,
     /// When it was dispatched.
@@ -116,6 +119,25 @@
     pub loss: Option<AttemptLoss>,
 }
 
+impl Attempt {
+    /// The attempt as one that may have run.
+    fn possible_run(&self) -> PossibleRun {
+        PossibleRun {
+            sent_at: self.sent_at,
+            location: self.location,
+        }
+    }
+}
+
+/// An attempt that may have run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PossibleRun {
+    /// When it was dispatched.
+    pub sent_at: Micros,
+    /// Where its worker was then, if it was listed.
+    pub location: Option<WorkerLocation>,
+}
+
 /// When the last byte of an attempt was written.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WrittenAttempt {
@@ -318,7 +340,7 @@
         if self.by_call_id.get(&call_id) == Some(&id) {
             self.by_call_id.remove(&call_id);
         }
-        if request.may_have_run {
+        if request.first_run.is_some() {
             self.recent_calls.record(now, call_id);
         }
     }
@@ -361,6 +383,16 @@
             .unwrap_or_default()
     }
 
+    /// The first attempt of a request that may have run, in flight or ended, other than this one.
+    pub fn first_run_before(&self, id: AttemptId) -> Option<PossibleRun> {
+        let request = self.get(self.attempt(id)?.request)?;
+        let others = request.attempts.iter().filter(|other| **other != id);
+        let in_flight = others.filter_map(|other| self.attempt(*other).map(Attempt::possible_run));
+        in_flight
+            .chain(request.first_run)
+            .min_by_key(|run| run.sent_at)
+    }
+
     /// Returns an attempt in flight for changes.
     pub fn attempt_mut(&mut self, id: AttemptId) -> Option<&mut Attempt> {
         self.attempts.get_mut(&id)
@@ -416,12 +448,17 @@
 
     /// Records the outcome of an attempt in its request, and removes the request if it is done. Returns whether the
     /// request is closed.
-    pub fn record_outcome(&mut self, now: Micros, id: RequestId, outcome: Outcome) -> bool {
+    pub fn record_outcome(&mut self, now: Micros, attempt: &Attempt, outcome: Outcome) -> bool {
+        let id = attempt.request;
         let Some(request) = self.requests.get_mut(&id) else {
             return true;
         };
         request.in_flight = request.in_flight.saturating_sub(1);
-        request.may_have_run |= may_have_run(outcome);
+        if may_have_run(outcome) {
+            let earlier = request.first_run.take();
+            let runs = earlier.into_iter().chain([attempt.possible_run()]);
+            request.first_run = runs.min_by_key(|run| run.sent_at);
+        }
         request.last_outcome = Some(outcome);
         let is_closed = request.is_closed;
         self.remove_if_done(now, id);
--- a/crates/sanddrum-edge/src/worker_connections.rs
+++ b/crates/sanddrum-edge/src/worker_connections.rs
@@ -18,7 +18,7 @@
 use connection::{Transport, WorkerConnection};
 use endpoints::WorkerEndpoint;
 use sanddrum::{LoadReport, Micros, Outcome, WorkerId};
-use sanddrum_net::{CloseCause, ConnectionId, Io};
+use sanddrum_net::{CloseCause, ConnectionId, Io, Outbox};
 use sanddrum_upstream::{
     EstablishedConnection, IdleTimeoutEstimate, OutdatedConnection, RotationRequest,
     WorkerConnectionId, WorkerLoad,
@@ -290,28 +290,22 @@
         }
     }
 
-    /// Attempts queued on an open connection of which no byte has been written.
-    pub fn unwritten_attempts(&self, id: WorkerConnectionId) -> Vec<AttemptId> {
-        let Some(connection) = self.connections.get(&id) else {
-            return Vec::new();
-        };
-        if !connection.transport.is_connected() {
-            return Vec::new();
-        }
-        let attempts = connection.outbox.unwritten().filter_map(|key| match key {
-            MessageKey::Attempt(attempt) => Some(*attempt),
-            _ => None,
-        });
-        attempts.collect()
+    /// Messages queued on an open connection of which no byte has been written.
+    pub fn unwritten_messages(&self, id: WorkerConnectionId) -> Vec<MessageKey> {
+        self.open_outbox(id)
+            .map_or_else(Vec::new, |outbox| outbox.unwritten().copied().collect())
     }
 
-    /// Messages on an open connection that are not written completely.
+    /// Messages queued on an open connection that are not written completely.
     pub fn pending_messages(&self, id: WorkerConnectionId) -> Vec<MessageKey> {
-        let connection = self.connections.get(&id);
-        let open = connection.filter(|connection| connection.transport.is_connected());
-        open.map_or_else(Vec::new, |connection| {
-            connection.outbox.pending().copied().collect()
-        })
+        self.open_outbox(id)
+            .map_or_else(Vec::new, |outbox| outbox.pending().copied().collect())
+    }
+
+    fn open_outbox(&self, id: WorkerConnectionId) -> Option<&Outbox<MessageKey>> {
+        let connection = self.connections.get(&id)?;
+        let is_open = connection.transport.is_connected();
+        is_open.then_some(&connection.outbox)
     }
 
     /// Replaces the bytes of a message of which no byte has been written.
--- a/crates/sanddrum-edge/tests/harness/scripted_module.rs
+++ b/crates/sanddrum-edge/tests/harness/scripted_module.rs
@@ -5,6 +5,7 @@
 use sanddrum::{
     AttemptLimits, AttemptResult, Decisions, EndpointConfirmation, EndpointList, EventBatch,
     FunctionId, HealthCheckResult, LoadResult, Micros, Request, RequestId, WorkerId,
+    NO_SEND_DEADLINE,
 };
 use sanddrum_edge::DecisionModule;
 use sanddrum_wire::stable_id;
@@ -28,6 +29,8 @@
     Fail(u64),
     /// Loads this many instances of the last request's function at `w`.
     Load(u32),
+    /// Loads this many instances of the last request's function at `w`, to be sent before this instant.
+    LoadBefore(u32, Micros),
     /// Checks the health of `w`.
     CheckHealth,
 }
@@ -104,7 +107,12 @@
                 Decision::Cancel(id, attempt) => decisions.cancel(RequestId(id), attempt),
                 Decision::Reject(id) => decisions.reject(RequestId(id), 300_000),
                 Decision::Fail(id) => decisions.fail(RequestId(id)),
-                Decision::Load(instances) => decisions.load(worker_id(), function, instances),
+                Decision::Load(instances) => {
+                    decisions.load(worker_id(), function, instances, NO_SEND_DEADLINE);
+                }
+                Decision::LoadBefore(instances, send_deadline) => {
+                    decisions.load(worker_id(), function, instances, send_deadline);
+                }
                 Decision::CheckHealth => decisions.check_health(worker_id()),
             }
         }
--- a/crates/sanddrum-lab/src/baselines.rs
+++ b/crates/sanddrum-lab/src/baselines.rs
@@ -5,7 +5,7 @@
 
 use sanddrum::{
     AttemptLimits, Decisions, EventBatch, FunctionId, Micros, Outcome, Request, RequestId,
-    Settings, WorkerId, WorkerState, WorkloadId,
+    Settings, WorkerId, WorkerState, WorkloadId, NO_SEND_DEADLINE,
 };
 use sanddrum_edge::DecisionModule;
 use sanddrum_emulator::{GroundTruth, Shared};
@@ -283,7 +283,7 @@
                     let (key, id) = ((result.worker, pending.request.function), result.request);
                     let waiting = self.loading.entry(key).or_default();
                     if waiting.is_empty() {
-                        out.load(key.0, key.1, 1);
+                        out.load(key.0, key.1, 1, NO_SEND_DEADLINE);
                     }
                     waiting.push(id);
                 }
--- a/crates/sanddrum-lab/src/capacity/decision_host.rs
+++ b/crates/sanddrum-lab/src/capacity/decision_host.rs
@@ -33,6 +33,7 @@
         worker: WorkerId,
         function: FunctionId,
         copies: u32,
+        send_deadline: Micros,
     },
     Unload {
         worker: WorkerId,
@@ -61,7 +62,8 @@
                 worker,
                 function,
                 copies,
-            } => out.load(worker, function, copies),
+                send_deadline,
+            } => out.load(worker, function, copies, send_deadline),
             Decision::Unload { worker, function } => out.unload(worker, function),
             Decision::Probe { worker } => out.check_health(worker),
             Decision::Subscribe => out.subscribe(),
@@ -91,11 +93,12 @@
     fn fail(&mut self, job: RequestId) {
         self.0.push(Decision::Kill { job });
     }
-    fn load(&mut self, worker: WorkerId, function: FunctionId, copies: u32) {
+    fn load(&mut self, worker: WorkerId, function: FunctionId, copies: u32, send_deadline: Micros) {
         self.0.push(Decision::Hold {
             worker,
             function,
             copies,
+            send_deadline,
         });
     }
     fn unload(&mut self, worker: WorkerId, function: FunctionId) {
--- a/crates/sanddrum-lab/src/capacity/simulated/routers.rs
+++ b/crates/sanddrum-lab/src/capacity/simulated/routers.rs
@@ -149,6 +149,7 @@
                 worker,
                 function,
                 copies: instances,
+                send_deadline: _,
             } => {
                 let id = host.next_control_id();
                 let counter = if instances > 0 {
--- a/crates/sanddrum-lab/tests/broken_edges.rs
+++ b/crates/sanddrum-lab/tests/broken_edges.rs
@@ -76,8 +76,8 @@
             _ => self.out.fail(request),
         }
     }
-    fn load(&mut self, worker: WorkerId, function: FunctionId, copies: u32) {
-        self.out.load(worker, function, copies);
+    fn load(&mut self, worker: WorkerId, function: FunctionId, copies: u32, deadline: Micros) {
+        self.out.load(worker, function, copies, deadline);
     }
     fn unload(&mut self, worker: WorkerId, function: FunctionId) {
         self.out.unload(worker, function);
--- a/crates/sanddrum-lab/tests/capacity_rows.rs
+++ b/crates/sanddrum-lab/tests/capacity_rows.rs
@@ -26,7 +26,7 @@
     fn cancel(&mut self, _: RequestId, _: usize) {}
     fn reject(&mut self, _: RequestId, _: i64) {}
     fn fail(&mut self, _: RequestId) {}
-    fn load(&mut self, _: WorkerId, _: FunctionId, _: u32) {}
+    fn load(&mut self, _: WorkerId, _: FunctionId, _: u32, _: i64) {}
     fn unload(&mut self, _: WorkerId, _: FunctionId) {}
     fn check_health(&mut self, _: WorkerId) {}
     fn gossip(&mut self, _: Option<PeerId>, _: &[u8]) {}
--- a/crates/sanddrum-simulator-adapter/src/encode.rs
+++ b/crates/sanddrum-simulator-adapter/src/encode.rs
@@ -27,7 +27,7 @@
 }
 
 impl Decisions for Encoder<'_> {
-    // The simulator sends an attempt at once, so that its send deadline needs no check.
+    // The simulator sends attempts and load commands at once, so that their send deadlines need no check.
     fn dispatch(&mut self, request: RequestId, worker: WorkerId, limits: AttemptLimits) {
         let request_name = self.names.request(request);
         let worker_name = self.names.worker(worker);
@@ -53,7 +53,7 @@
         self.names.record_request_end(request);
     }
 
-    fn load(&mut self, worker: WorkerId, function: FunctionId, instances: u32) {
+    fn load(&mut self, worker: WorkerId, function: FunctionId, instances: u32, _: Micros) {
         let worker_name = self.names.worker(worker);
         let function_name = self.names.function(function);
         self.write("warm-up", &[worker_name, function_name, instances.into()]);
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -39,8 +39,15 @@
     /// The reason for the final answer that follows; for logs and metrics only.
     fn explain(&mut self, _request: RequestId, _reason: AnswerReason) {}
     /// Load command: the worker loads the function until it has at least `instances`. Zero only queries the number of
-    /// loaded instances.
-    fn load(&mut self, worker: WorkerId, function: FunctionId, instances: u32);
+    /// loaded instances. The host withdraws it, as [`AttemptLimits::send_deadline`] describes, if its last byte is not sent
+    /// before `send_deadline`.
+    fn load(
+        &mut self,
+        worker: WorkerId,
+        function: FunctionId,
+        instances: u32,
+        send_deadline: Micros,
+    );
     /// Unloads the idle instances of a function at a worker.
     fn unload(&mut self, worker: WorkerId, function: FunctionId);
     /// Starts a health check.
--- a/src/logic/cold_start.rs
+++ b/src/logic/cold_start.rs
@@ -5,7 +5,7 @@
 use super::placement::PlacementRequest;
 use super::Router;
 use crate::state::{InstanceCommand, InstanceState, Worker};
-use crate::{AnswerReason, Decisions, FunctionId, Micros, WorkerId};
+use crate::{AnswerReason, Decisions, FunctionId, Micros, WorkerId, NO_SEND_DEADLINE};
 
 /// The worker on which the function would be loaded.
 #[derive(Clone, Copy)]
@@ -217,6 +217,6 @@
             ..instance
         };
         self.functions.set_instance(id, worker, queried);
-        out.load(worker, id, 0);
+        out.load(worker, id, 0, NO_SEND_DEADLINE);
     }
 }
--- a/src/logic/load_budget.rs
+++ b/src/logic/load_budget.rs
@@ -16,10 +16,9 @@
         instances: u32,
         out: &mut impl Decisions,
     ) -> bool {
-        let holds_lease = self
-            .workers
-            .get(&worker)
-            .is_some_and(|w| self.holds_readiness_lease(w));
+        let recipient = self.workers.get(&worker);
+        let holds_lease = recipient.is_some_and(|w| self.holds_readiness_lease(w));
+        let send_deadline = recipient.map_or(0, |w| self.readiness_send_deadline(w));
         if !self.config.may_command_loads || !holds_lease || !self.has_load_budget() {
             return false;
         }
@@ -31,7 +30,7 @@
         instance.command = Some(InstanceCommand::Load);
         self.functions.set_instance(id, worker, instance);
         self.load_budget.commands.push_back(self.now);
-        out.load(worker, id, instances);
+        out.load(worker, id, instances, send_deadline);
         true
     }
 
--- a/src/logic/load_results.rs
+++ b/src/logic/load_results.rs
@@ -15,7 +15,10 @@
         let now = self.now;
         let has_answered = !matches!(
             result.outcome,
-            Outcome::TimedOut | Outcome::NoConnection | Outcome::Reset
+            Outcome::TimedOut
+                | Outcome::NoConnection
+                | Outcome::Reset
+                | Outcome::CancelledBeforeStart
         );
         if has_answered {
             if let Some(worker) = self.workers.get_mut(&result.worker) {
--- a/src/logic/outlier_detection.rs
+++ b/src/logic/outlier_detection.rs
@@ -4,7 +4,7 @@
 use super::constants::{CHECK_TIMEOUT_DIVISOR, MAX_CHECK_BACKOFF};
 use super::Router;
 use crate::state::{AttemptStatus, InFlightAttempt, InstanceCommand, Timer};
-use crate::{Decisions, Micros, RequestId, WorkerId, WorkerState};
+use crate::{Decisions, Micros, RequestId, WorkerId, WorkerState, NO_SEND_DEADLINE};
 
 impl Router {
     /// Detects workers that hang, are unreachable or have crashed. One with an overdue answer is checked; if it does
@@ -62,7 +62,7 @@
                 self.functions.update_instance(function, id, |instance| {
                     instance.command = Some(InstanceCommand::Query);
                 });
-                out.load(id, function, 0);
+                out.load(id, function, 0, NO_SEND_DEADLINE);
             }
         }
     }
--- a/src/logic/readiness_lease.rs
+++ b/src/logic/readiness_lease.rs
@@ -19,7 +19,23 @@
 use super::constants::MIN_LEASE_DIVISOR;
 use super::Router;
 use crate::state::{InFlightAttempt, Worker};
-use crate::{EndpointConfirmation, Micros, Outcome, WorkerId};
+use crate::{EndpointConfirmation, Micros, Outcome, WorkerId, NO_SEND_DEADLINE};
+
+/// Until when a worker is considered ready without further confirmation.
+struct ReadinessLease {
+    /// The worker may be chosen before this instant.
+    end: Micros,
+    /// What is sent to the worker must be sent before this instant.
+    send_deadline: Micros,
+}
+
+impl ReadinessLease {
+    /// The lease of a worker whose drain would always be received.
+    const UNLIMITED: ReadinessLease = ReadinessLease {
+        end: Micros::MAX,
+        send_deadline: NO_SEND_DEADLINE,
+    };
+}
 
 impl Router {
     /// Records until when the host's endpoint list is confirmed; requests that waited for this are placed again.
@@ -87,16 +103,38 @@
     /// Whether the last confirmation of a worker's readiness is recent enough to send it new attempts and load
     /// commands.
     pub(super) fn holds_readiness_lease(&self, worker: &Worker) -> bool {
-        if !self.are_endpoints_overdue() {
-            return true;
-        }
-        if self.may_be_draining(worker) {
+        self.now < self.readiness_lease(worker).end
+    }
+
+    /// Before when an attempt or a load command that is decided now must have been sent to a worker: until then this
+    /// router doesn't count as notified of a drain that it doesn't know of, or the grace period lasts.
+    pub(super) fn readiness_send_deadline(&self, worker: &Worker) -> Micros {
+        self.readiness_lease(worker).send_deadline
+    }
+
+    fn readiness_lease(&self, worker: &Worker) -> ReadinessLease {
+        let Some(confirmation) = self.endpoint_confirmation else {
+            return ReadinessLease::UNLIMITED;
+        };
+        let grace = self.config.drain_grace;
+        if self.are_endpoints_overdue() && self.may_be_draining(worker) {
             // A drain that began after the last accepted attempt is still within its grace period.
-            return self.now < worker.accepted_at + self.config.drain_grace;
+            let end = worker.accepted_at + grace;
+            return ReadinessLease {
+                end,
+                send_deadline: end,
+            };
+        }
+        let list_lifetime = self
+            .lease_duration(confirmation.max_notification_delay)
+            .max(confirmation.min_notification_delay);
+        let end = (confirmation.confirmed_at + list_lifetime)
+            .max(worker.accepted_at + self.worker_lease_duration())
+            .max(self.extended_lease_end(worker));
+        ReadinessLease {
+            end,
+            send_deadline: end + grace,
         }
-        !self.are_endpoints_stale()
-            || self.now < worker.accepted_at + self.worker_lease_duration()
-            || self.now < self.extended_lease_end(worker)
     }
 
     /// Whether a worker has rejected an attempt since the list was confirmed, and accepted none since.
--- a/src/logic/retry_policy.rs
+++ b/src/logic/retry_policy.rs
@@ -21,13 +21,20 @@
         {
             return false;
         }
-        self.send_deadline(pending, to)
-            .is_some_and(|send_deadline| self.now < send_deadline)
+        self.run_deadline(pending, to)
+            .is_some_and(|deadline| self.now < deadline)
     }
 
-    /// Before when an attempt of the request must have been sent to a worker, so that it can't run more often than
-    /// allowed; `None` if it must not be sent there at all.
+    /// Before when an attempt of the request that is dispatched now must have been sent to a worker; `None` if it must
+    /// not be sent there at all.
     pub(super) fn send_deadline(&self, pending: &PendingRequest, to: &Worker) -> Option<Micros> {
+        let run_deadline = self.run_deadline(pending, to)?;
+        Some(run_deadline.min(self.readiness_send_deadline(to)))
+    }
+
+    /// Before when the request must have been sent to a worker, so that it can't run more often than allowed; `None` if
+    /// it must not run there at all.
+    fn run_deadline(&self, pending: &PendingRequest, to: &Worker) -> Option<Micros> {
         let first_run = pending.attempts.iter().find(|a| a.may_have_run());
         match first_run {
             None => Some(NO_SEND_DEADLINE),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -43,6 +43,8 @@
     pub retry_afters: Vec<Micros>,
     /// The limits of each dispatched attempt, oldest first.
     pub attempt_limits: Vec<AttemptLimits>,
+    /// The send deadline of each load command that is not a query, oldest first.
+    pub load_deadlines: Vec<Micros>,
 }
 
 impl Decisions for DecisionLog {
@@ -62,7 +64,10 @@
     fn fail(&mut self, request: RequestId) {
         self.actions.push(Action::Fail(request.0));
     }
-    fn load(&mut self, worker: WorkerId, function: FunctionId, instances: u32) {
+    fn load(&mut self, worker: WorkerId, function: FunctionId, instances: u32, deadline: Micros) {
+        if instances > 0 {
+            self.load_deadlines.push(deadline);
+        }
         self.actions.push(Action::Load {
             worker: worker.0,
             function: function.0,
@@ -146,6 +151,7 @@
                 wake_at: Micros::MAX,
                 retry_afters: Vec::new(),
                 attempt_limits: Vec::new(),
+                load_deadlines: Vec::new(),
             },
             attempts: BTreeMap::new(),
             report: None,
--- a/tests/outlier_detection.rs
+++ b/tests/outlier_detection.rs
@@ -122,3 +122,22 @@
         "only a request can show that the worker is back"
     );
 }
+
+/// A load command that was not sent shows nothing of its worker, unlike one that the worker answered.
+#[rstest]
+#[case::withdrawn(Outcome::CancelledBeforeStart, false)]
+#[case::rejected_by_the_worker(Outcome::Rejected, true)]
+fn ejected_worker_returns_only_with_an_answer_to_a_load_command(
+    #[case] outcome: Outcome,
+    #[case] returns: bool,
+) {
+    let mut host = FakeHost::new(3, &[HEALTH_CHECKS]);
+    host.send(0, 7);
+    let unreachable = host.dispatched_to(0).unwrap();
+    host.end_attempt(0, Outcome::NoConnection, Warmth::Unknown, 1_000);
+    host.end_load(unreachable, 8, outcome, 0);
+    let burst: Vec<_> = (100..130).map(|id| host.request(id, id)).collect();
+    host.send_all(burst);
+    let is_used = (100..130).any(|id| host.dispatched_to(id) == Some(unreachable));
+    assert_eq!(is_used, returns);
+}
--- a/tests/readiness_lease.rs
+++ b/tests/readiness_lease.rs
@@ -6,6 +6,7 @@
 use common::*;
 use rstest::rstest;
 use sanddrum::{EndpointConfirmation, EventBatch, Micros, Outcome, Value, Warmth};
+use std::collections::BTreeMap;
 
 const SECOND: Micros = 1_000_000;
 /// The router may be considered notified of changes this long after the last confirmation, and always is after
@@ -203,6 +204,48 @@
     assert_eq!(serve(&mut host, 3..4), []);
 }
 
+/// The send deadline of the attempt that was dispatched last, from this instant on.
+fn last_send_time(host: &FakeHost, from: Micros) -> Micros {
+    let limits = host.log.attempt_limits.last().unwrap();
+    limits.send_deadline - from
+}
+
+/// Review, case 6: an attempt may wait for its connection for longer than the lease that it was decided under lasts.
+#[rstest]
+fn attempt_must_be_sent_before_a_drain_that_was_missed_counts_as_notified() {
+    let mut host = two_warm_workers();
+    let confirmed_at = host.now;
+    host.send(2, FUNCTION);
+    let list_expires_after = MAX_NOTIFICATION_DELAY + DRAIN_GRACE;
+    assert_eq!(last_send_time(&host, confirmed_at), list_expires_after);
+    host.succeed(2, Warmth::Warm, WORK_TIME);
+    // From then on the attempt is bounded by the lease of its worker, once that is longer.
+    host.advance(MAX_NOTIFICATION_DELAY - SECOND / 2);
+    let mut served_at = BTreeMap::new();
+    for id in 3..5 {
+        let at = host.now;
+        served_at.extend(serve(&mut host, id..id + 1).into_iter().map(|w| (w, at)));
+    }
+    host.send(5, FUNCTION);
+    let worker = host.dispatched_to(5).unwrap();
+    let lease_expires_after = MIN_NOTIFICATION_DELAY + DRAIN_GRACE;
+    assert_eq!(
+        last_send_time(&host, served_at[&worker]),
+        lease_expires_after
+    );
+}
+
+#[rstest]
+fn load_command_must_be_sent_before_a_drain_that_was_missed_counts_as_notified() {
+    let mut host = two_warm_workers();
+    let confirmed_at = host.now;
+    host.send(2, FUNCTION + 1);
+    host.answer_queries(0);
+    let send_deadline = *host.log.load_deadlines.last().unwrap();
+    let list_expires_after = MAX_NOTIFICATION_DELAY + DRAIN_GRACE;
+    assert_eq!(send_deadline - confirmed_at, list_expires_after);
+}
+
 #[rstest]
 fn list_without_confirmations_does_not_become_stale() {
     let mut host = FakeHost::new(2, &[]);
