Hear a control feed whose answers come late

Cause: `ControlFeed::on_timer` (crates/sanddrum-edge/src/control_feed.rs) ended a connection 0.5 s after the wait of its poll, so that the answer came to a connection that was gone. How late a feed is was learned from answers only, and there were none.

Change: an overdue poll is followed by one on a new connection as before, which finds a feed that is back at once, but its own connection stays open, four of these at most (feed_connection.rs). An answer there is applied, confirms the list for its own poll and tells how late the feed is; later polls are awaited for that much longer.

--- a/crates/sanddrum-cli/tests/outage/mod.rs
+++ b/crates/sanddrum-cli/tests/outage/mod.rs
@@ -130,8 +130,13 @@
     Silent,
     /// Responses are cut off in the middle.
     Truncating,
+    /// Each poll is answered, but late.
+    Late,
 }
 
+/// How late the answers of a late feed come.
+const LATE_BY: Duration = Duration::from_secs(2);
+
 /// The control feed: its numbered events and its current state.
 pub struct Discovery {
     pub address: String,
@@ -197,6 +202,9 @@
                 }
                 thread::sleep(Duration::from_millis(2));
             };
+            if self.state() == FeedState::Late {
+                thread::sleep(LATE_BY);
+            }
             if self.state() == FeedState::Truncating {
                 let _ = conn.write_all(&answer[..answer.len() / 2]);
                 return;
--- a/crates/sanddrum-cli/tests/outage_service.rs
+++ b/crates/sanddrum-cli/tests/outage_service.rs
@@ -225,3 +225,22 @@
     assert!(report.slowest_refusal() < IMMEDIATELY);
     assert!(report.is_served_again_within(MAX_RECOVERY));
 }
+
+/// Review, case 8: a feed that answers, but late, tells routers of a drain however long their traffic pauses.
+#[rstest]
+fn a_feed_whose_answers_come_late_is_heard() {
+    let traffic = Traffic {
+        routers: 1,
+        interval: STEADY,
+        pause: 3..12,
+    };
+    let report = play("late", &traffic, FeedState::Late, Duration::from_secs(15));
+    println!(
+        "late: {:.3} of {} requests served, {} late sends",
+        report.served_share(),
+        report.during.len(),
+        report.late_sends
+    );
+    assert_eq!(report.late_sends, 0);
+    assert!(report.served_share() > 0.95);
+}
--- a/crates/sanddrum-edge/src/control_feed.rs
+++ b/crates/sanddrum-edge/src/control_feed.rs
@@ -1,8 +1,10 @@
 //! The client of the platform's control feed, whose events update the endpoint list. It keeps one long poll
-//! outstanding.
+//! outstanding. A poll that is not answered in time is followed by one on a new connection, but its own connection stays
+//! open for a while: a slow feed can't be told from a silent one, and its answer may be on the way.
 
 use crate::context::{ConnectionOwner, EdgeContext};
 use crate::endpoint_freshness::{EndpointFreshness, FreshnessChange, Poll};
+use crate::feed_connection::FeedConnection;
 use crate::feed_reload::FeedReload;
 use crate::timers::Timer;
 use sanddrum::{EndpointConfirmation, EndpointListKind, Micros};
@@ -13,11 +15,15 @@
 use sanddrum_platform::start_times::{ClockReading, StartTimes};
 use sanddrum_settings::LoadedSettings;
 use sanddrum_upstream::Backoff;
-use sanddrum_wire::http::{self, HttpError, Response};
+use sanddrum_wire::http::{HttpError, Response};
 use sanddrum_wire::EndpointRecord;
+use std::collections::VecDeque;
 use thiserror::Error;
 
 const STATUS_OK: u16 = 200;
+/// The most connections with an overdue poll. With the poll wait and the answer timeout between them, answers are heard up
+/// to about the longest notification delay after their polls.
+const MAX_OVERDUE_CONNECTIONS: usize = 4;
 
 /// Why the client closes its connection to the feed.
 #[derive(Debug, Error)]
@@ -53,6 +59,14 @@
     pub endpoints: Vec<EndpointRecord>,
 }
 
+/// An answer of the feed.
+pub(crate) struct FeedAnswer {
+    /// Its events.
+    pub events: FeedEvents,
+    /// The poll that it answers, if one was outstanding.
+    pub poll: Option<Poll>,
+}
+
 /// A client of the control feed.
 pub(crate) struct ControlFeed {
     address: String,
@@ -64,14 +78,11 @@
     last_event: u64,
     /// Whether the last answer stated a higher last event number than those of the events that it contained.
     missed_event: bool,
-    conn: Option<ConnectionId>,
-    received: Vec<u8>,
-    /// The outstanding poll.
-    poll: Option<Poll>,
+    current: Option<FeedConnection>,
+    /// Connections whose polls were not answered in time, oldest first.
+    overdue: VecDeque<FeedConnection>,
     freshness: EndpointFreshness,
     reload: FeedReload,
-    /// Whether no poll has been sent on the connection yet.
-    has_just_connected: bool,
     /// Why the last connection was closed; none if the feed has answered since.
     last_error: Option<String>,
     backoff: Backoff,
@@ -90,12 +101,10 @@
             start_times: StartTimes::default(),
             last_event: 0,
             missed_event: false,
-            conn: None,
-            received: Vec::new(),
-            poll: None,
+            current: None,
+            overdue: VecDeque::new(),
             freshness: EndpointFreshness::new(MIN_NOTIFICATION_DELAY),
             reload: FeedReload::default(),
-            has_just_connected: false,
             last_error: None,
             backoff: Backoff::new(backoff("least"), backoff("most")),
             rng: Rng::new(seed),
@@ -138,15 +147,15 @@
         self.last_event
     }
 
-    /// Updates the list's freshness for an answer to the outstanding poll. An answer that lacks an event confirms
-    /// nothing.
+    /// Updates the list's freshness for the answer to a poll. An answer that lacks an event confirms nothing.
     pub fn record_answer(
         &mut self,
         now: Micros,
+        poll: Option<Poll>,
         has_events: bool,
         is_poll_overdue: bool,
     ) -> Option<FreshnessChange> {
-        let poll = self.poll.take()?;
+        let poll = poll?;
         if self.missed_event {
             return None;
         }
@@ -211,47 +220,60 @@
         Some(EndpointChange { kind, endpoints })
     }
 
-    /// Handles the client's timer. If it is due, connects, or closes a connection that has timed out.
+    /// Handles the client's timer. If it is due, connects, or leaves a connection that has timed out.
     pub fn on_timer(&mut self, context: &mut EdgeContext, now: Micros, io: &mut dyn Io) {
         if now < self.next_timer_at {
             return;
         }
-        if self.conn.is_some() {
+        if self.current.is_some() {
+            self.keep_overdue(context, io);
             return self.reconnect_later(context, now, &FeedError::TimedOut, io);
         }
-        self.received = Vec::new();
-        self.poll = None;
-        self.has_just_connected = true;
         let conn = io.connect(&self.address);
         context
             .connection_owners
             .insert(conn, ConnectionOwner::Discovery);
-        self.conn = Some(conn);
+        self.current = Some(FeedConnection::new(conn));
         self.schedule_timer(context, now + context.limits.connect_timeout);
     }
 
+    /// Keeps the current connection for the answer to its poll, in place of the oldest one that is kept if there are too
+    /// many.
+    fn keep_overdue(&mut self, context: &mut EdgeContext, io: &mut dyn Io) {
+        let overdue = self.current.take_if(|current| current.poll.is_some());
+        self.overdue.extend(overdue);
+        if self.overdue.len() > MAX_OVERDUE_CONNECTIONS {
+            let oldest = self.overdue.pop_front();
+            reset(context, oldest, io);
+        }
+    }
+
     fn schedule_timer(&mut self, context: &mut EdgeContext, at: Micros) {
         self.next_timer_at = at;
         context.timers.schedule(at, Timer::Discovery);
     }
 
-    /// Polls for the events after the last one that was applied.
+    /// Polls for the events after the last one that was applied, unless a poll is outstanding on the current connection.
     pub fn poll(&mut self, context: &mut EdgeContext, now: Micros, io: &mut dyn Io) {
-        let Some(conn) = self.conn else { return };
         let max_wait = context.limits.feed_poll_wait;
+        let Some(current) = self.current.as_mut().filter(|c| c.poll.is_none()) else {
+            return;
+        };
         // The feed answers the first poll of a connection at once, so that missed events arrive without a further
         // wait.
-        let wait = if std::mem::take(&mut self.has_just_connected) {
-            0
-        } else {
+        let wait = if current.has_polled {
             self.freshness.next_wait(max_wait)
+        } else {
+            0
         };
         let request = control_feed::poll_request(&self.address, self.last_event, wait);
-        if io.write(conn, &request) < request.len() {
+        if io.write(current.conn, &request) < request.len() {
             return self.reconnect_later(context, now, &FeedError::NotReading, io);
         }
-        self.poll = Some(Poll { sent_at: now, wait });
-        let answer_due = now + max_wait + context.limits.feed_answer_timeout;
+        current.has_polled = true;
+        current.poll = Some(Poll { sent_at: now, wait });
+        let expected = max_wait.max(wait + self.freshness.answer_delay());
+        let answer_due = now + expected + context.limits.feed_answer_timeout;
         self.schedule_timer(context, answer_due);
         let stale_at = self.freshness.confirmed_at() + MIN_NOTIFICATION_DELAY + 1;
         context.timers.schedule(stale_at, Timer::Discovery);
@@ -281,10 +303,8 @@
     }
 
     fn disconnect(&mut self, context: &mut EdgeContext, io: &mut dyn Io) {
-        if let Some(conn) = self.conn.take() {
-            context.connection_owners.remove(&conn);
-            io.reset(conn);
-        }
+        let current = self.current.take();
+        reset(context, current, io);
     }
 
     /// Applies the feed's address in a configuration that was read again. If it is another one, connects to it; the
@@ -304,43 +324,93 @@
         tracing::info!(address, "control feed address changed");
         self.address = address.to_string();
         self.disconnect(context, io);
+        for overdue in std::mem::take(&mut self.overdue) {
+            reset(context, Some(overdue), io);
+        }
         self.backoff.reset();
         self.next_timer_at = now;
         self.on_timer(context, now, io);
     }
 
-    /// Whether `conn` is the current connection.
+    /// Whether `conn` is a connection of this client.
     pub fn owns(&self, conn: ConnectionId) -> bool {
-        self.conn == Some(conn)
+        self.is_current(conn) || self.overdue.iter().any(|overdue| overdue.conn == conn)
     }
 
-    /// Handles the end of the current connection.
-    pub fn on_closed(&mut self, context: &mut EdgeContext, now: Micros, io: &mut dyn Io) {
-        self.conn = None;
-        self.reconnect_later(context, now, &FeedError::Closed, io);
+    fn is_current(&self, conn: ConnectionId) -> bool {
+        self.current
+            .as_ref()
+            .is_some_and(|current| current.conn == conn)
     }
 
-    /// Receives bytes of an answer. Returns its events once it is complete.
+    /// Handles the opening of a connection.
+    pub fn on_connected(&mut self, context: &mut EdgeContext, now: Micros, io: &mut dyn Io) {
+        self.poll(context, now, io);
+    }
+
+    /// Handles the end of a connection by the feed.
+    pub fn on_closed(
+        &mut self,
+        context: &mut EdgeContext,
+        now: Micros,
+        conn: ConnectionId,
+        io: &mut dyn Io,
+    ) {
+        if self.is_current(conn) {
+            self.current = None;
+            return self.reconnect_later(context, now, &FeedError::Closed, io);
+        }
+        self.overdue.retain(|overdue| overdue.conn != conn);
+    }
+
+    /// Closes a connection on which an answer could not be used.
+    pub fn on_invalid_answer(
+        &mut self,
+        context: &mut EdgeContext,
+        now: Micros,
+        conn: ConnectionId,
+        error: &FeedError,
+        io: &mut dyn Io,
+    ) {
+        if self.is_current(conn) {
+            return self.reconnect_later(context, now, error, io);
+        }
+        self.end_overdue(context, conn, io);
+    }
+
+    /// Receives bytes of an answer. Returns it once it is complete; an overdue connection is then closed, as a later poll
+    /// is outstanding.
     ///
     /// # Errors
     /// [`FeedError`]: the answer is too large or malformed, and the connection has to be closed.
     pub fn receive(
         &mut self,
-        max_bytes: usize,
+        context: &mut EdgeContext,
+        conn: ConnectionId,
         bytes: &[u8],
-    ) -> Result<Option<FeedEvents>, FeedError> {
-        self.received.extend_from_slice(bytes);
-        let Some((response, _)) = http::parse_response(&self.received).map_err(FeedError::Http)?
-        else {
-            return match self.received.len() <= max_bytes {
-                true => Ok(None),
-                false => Err(FeedError::TooLarge),
-            };
+        io: &mut dyn Io,
+    ) -> Result<Option<FeedAnswer>, FeedError> {
+        let max_bytes = context.limits.max_feed_answer_bytes;
+        let mut connections = self.current.iter_mut().chain(&mut self.overdue);
+        let Some(connection) = connections.find(|connection| connection.conn == conn) else {
+            return Ok(None);
         };
+        let Some(response) = connection.receive(max_bytes, bytes)? else {
+            return Ok(None);
+        };
+        let poll = connection.poll.take();
         let events = self.parse(&response)?;
-        self.received = Vec::new();
+        if !self.is_current(conn) {
+            self.end_overdue(context, conn, io);
+        }
         self.backoff.reset();
-        Ok(Some(events))
+        Ok(Some(FeedAnswer { events, poll }))
+    }
+
+    fn end_overdue(&mut self, context: &mut EdgeContext, conn: ConnectionId, io: &mut dyn Io) {
+        let position = self.overdue.iter().position(|overdue| overdue.conn == conn);
+        let ended = position.and_then(|position| self.overdue.remove(position));
+        reset(context, ended, io);
     }
 
     fn parse(&self, response: &Response) -> Result<FeedEvents, FeedError> {
@@ -351,3 +421,10 @@
         Ok(events)
     }
 }
+
+fn reset(context: &mut EdgeContext, connection: Option<FeedConnection>, io: &mut dyn Io) {
+    if let Some(FeedConnection { conn, .. }) = connection {
+        context.connection_owners.remove(&conn);
+        io.reset(conn);
+    }
+}
--- a/crates/sanddrum-edge/src/edge_state/discovery.rs
+++ b/crates/sanddrum-edge/src/edge_state/discovery.rs
@@ -1,9 +1,10 @@
 //! The endpoint list: receiving it from the discovery service, the control feed or the cache, applying and saving it.
 
 use super::EdgeState;
+use crate::control_feed::FeedAnswer;
 use crate::discovery_version::DiscoveryVersion;
 use crate::endpoint_cache::{self, CachedState};
-use crate::endpoint_freshness::FreshnessChange;
+use crate::endpoint_freshness::{FreshnessChange, Poll};
 use crate::endpoint_table::WorkerStart;
 use crate::timers::Timer;
 use sanddrum::{EndpointList, EndpointListKind, Micros, WorkerId};
@@ -282,33 +283,38 @@
         };
         let context = &mut self.context;
         match event {
-            Event::Connected { .. } => feed.poll(context, now, io),
-            Event::Bytes { bytes, .. } => {
-                match feed.receive(context.limits.max_feed_answer_bytes, bytes) {
-                    Ok(None) => {}
-                    Ok(Some(events)) => self.on_feed_answer(now, events, io),
-                    Err(error) => feed.reconnect_later(context, now, &error, io),
-                }
-            }
-            Event::Closed { .. } => feed.on_closed(context, now, io),
+            Event::Connected { .. } => feed.on_connected(context, now, io),
+            Event::Bytes { bytes, .. } => match feed.receive(context, conn, bytes, io) {
+                Ok(None) => {}
+                Ok(Some(answer)) => self.on_feed_answer(now, answer, io),
+                Err(error) => feed.on_invalid_answer(context, now, conn, &error, io),
+            },
+            Event::Closed { .. } => feed.on_closed(context, now, conn, io),
             Event::Accepted { .. } | Event::Writable { .. } => {}
         }
     }
 
-    fn on_feed_answer(&mut self, now: Micros, events: FeedEvents, io: &mut dyn Io) {
+    fn on_feed_answer(&mut self, now: Micros, answer: FeedAnswer, io: &mut dyn Io) {
+        let FeedAnswer { events, poll } = answer;
         let has_events = !events.events.is_empty();
         self.apply_feed_events(now, events, io);
-        self.record_feed_answer(now, has_events, io.is_poll_overdue());
+        self.record_feed_answer(now, poll, has_events, io.is_poll_overdue());
         if let Some(feed) = &mut self.control_feed {
             feed.poll(&mut self.context, now, io);
         }
     }
 
-    fn record_feed_answer(&mut self, now: Micros, has_events: bool, is_poll_overdue: bool) {
+    fn record_feed_answer(
+        &mut self,
+        now: Micros,
+        poll: Option<Poll>,
+        has_events: bool,
+        is_poll_overdue: bool,
+    ) {
         let Some(feed) = &mut self.control_feed else {
             return;
         };
-        let change = feed.record_answer(now, has_events, is_poll_overdue);
+        let change = feed.record_answer(now, poll, has_events, is_poll_overdue);
         self.batch.endpoint_confirmation = Some(feed.confirmation());
         if let Some(FreshnessChange::Current) = change {
             tracing::warn!(
--- a/crates/sanddrum-edge/src/endpoint_freshness.rs
+++ b/crates/sanddrum-edge/src/endpoint_freshness.rs
@@ -4,6 +4,10 @@
 //! measured from the last instant for which the feed itself confirmed that there were no further changes.
 
 use sanddrum::Micros;
+use sanddrum_platform::control_feed::MAX_NOTIFICATION_DELAY;
+
+/// The longest delay that is expected of an answer: one that takes longer comes too late to be of use.
+const MAX_ANSWER_DELAY: Micros = MAX_NOTIFICATION_DELAY;
 
 /// A poll of the control feed.
 #[derive(Clone, Copy, Debug)]
@@ -33,7 +37,7 @@
     stale_after: Micros,
     /// All changes up to this instant are known.
     confirmed_at: Micros,
-    /// The delay of the feed's answers, measured with the last answer without events.
+    /// The delay of the feed's answers, measured with the last answer without events, and raised by later ones with events.
     answer_delay: Micros,
     is_stale: bool,
 }
@@ -70,17 +74,25 @@
         has_events: bool,
         is_poll_overdue: bool,
     ) {
+        let least_delay = (now - poll.sent_at - poll.wait).clamp(0, MAX_ANSWER_DELAY);
         let confirmed_until = if has_events && is_poll_overdue {
             poll.sent_at
         } else if has_events {
+            // An event may have occurred at any time of the wait, but not after it.
+            self.answer_delay = self.answer_delay.max(least_delay);
             (now - self.answer_delay).max(poll.sent_at)
         } else {
-            self.answer_delay = (now - poll.sent_at - poll.wait).max(0);
+            self.answer_delay = least_delay;
             (poll.sent_at + poll.wait).min(now)
         };
         self.confirmed_at = self.confirmed_at.max(confirmed_until);
     }
 
+    /// How late the feed answers.
+    pub fn answer_delay(&self) -> Micros {
+        self.answer_delay
+    }
+
     /// The wait of the next poll, chosen so that its answer arrives within `answer_within`. Without the deduction of
     /// the answers' delay, every poll of a slow feed would time out.
     pub fn next_wait(&self, answer_within: Micros) -> Micros {
--- a/crates/sanddrum-edge/src/lib.rs
+++ b/crates/sanddrum-edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod endpoint_table;
 mod event_counts;
 mod fastcgi_listener;
+mod feed_connection;
 mod feed_reload;
 mod functions;
 mod http_listener;
