--- a/crates/sanddrum-platform/src/deployment.rs
+++ b/crates/sanddrum-platform/src/deployment.rs
@@ -4,6 +4,7 @@
 
 use crate::StartupConfig;
 use sanddrum::Settings;
+use sanddrum_settings::quote;
 
 /// Limits that the platform describes but has no settings for. docs/operating/platform.md gives the reason for each.
 const FIXED_LIMITS: &str = include_str!("limits.sx");
@@ -89,11 +90,7 @@
     }
 
     fn deployment(&self) -> String {
-        let zones: Vec<String> = self
-            .zones()
-            .iter()
-            .map(|zone| format!("{zone:?}"))
-            .collect();
+        let zones: Vec<String> = self.zones().iter().map(|zone| quote(zone)).collect();
         if zones.is_empty() {
             return String::new();
         }
@@ -128,7 +125,8 @@
             String::new()
         };
         format!(
-            "(workload {name:?} (start-target {}) (time-limit {}) (effect {effect}){deduplication})\n",
+            "(workload {} (start-target {}) (time-limit {}) (effect {effect}){deduplication})\n",
+            quote(name),
             format_micros(start_target_us),
             format_micros(time_limit_us),
         )
@@ -212,14 +210,14 @@
     fn edge(&self) -> String {
         let zone_index = self.number("zone", 0.0) as usize;
         let zone = match self.zones().get(zone_index) {
-            Some(zone) => format!("(zone {zone:?})"),
+            Some(zone) => format!("(zone {})", quote(zone)),
             None => String::new(),
         };
         format!(
-            "(edge (name {:?}) (listen {:?}) (list {:?}) {zone} (number {}) (edges {}))\n",
-            self.config.name,
-            self.config.listen,
-            self.config.feed,
+            "(edge (name {}) (listen {}) (list {}) {zone} (number {}) (edges {}))\n",
+            quote(&self.config.name),
+            quote(&self.config.listen),
+            quote(&self.config.feed),
             self.number("me", 0.0) as i64,
             self.number("routers", 1.0).max(1.0) as i64,
         )
--- a/crates/sanddrum-platform/tests/startup_config.rs
+++ b/crates/sanddrum-platform/tests/startup_config.rs
@@ -61,6 +61,25 @@
 /// Guards against limits that are each within the router's memory and together above it: at the smallest memory of the
 /// platform the bounds on what peers can make the router buffer add up to less than it, besides what the program, its
 /// lists and its functions take.
+/// Review, case 10: a router whose configuration names a zone, a class or itself in this way did not start.
+#[rstest]
+#[case::no_break_space("brest\u{a0}: nord")]
+#[case::combining_accent("e\u{301}tage")]
+#[case::quotes_and_backslashes("\"a\\b\"")]
+#[case::brackets("((((((((((((((((((((((((((((((((((((((((")]
+#[case::line_break("a\nb")]
+fn names_of_any_characters_are_kept(#[case] name: &str) {
+    let mut config = valid_config();
+    config["name"] = json!(name);
+    config["settings"]["azs"] = json!([name]);
+    config["settings"]["classes"][0]["name"] = json!(name);
+    let config = StartupConfig::read(&config.to_string()).unwrap();
+    let settings = config.deployment_settings().unwrap();
+    assert_eq!(settings.text("edge.name"), name);
+    assert_eq!(settings.names("zones"), [name]);
+    assert_eq!(settings.names("workloads"), [name]);
+}
+
 #[rstest]
 fn the_bounds_on_buffered_bytes_add_up_to_less_than_the_smallest_memory_limit() {
     let (memory, program_and_functions) = (32 << 20, 9 << 20);
--- a/crates/sanddrum-settings/src/lib.rs
+++ b/crates/sanddrum-settings/src/lib.rs
@@ -19,6 +19,12 @@
 
 use std::path::Path;
 
+/// Writes a text as a string in a settings file. Reading it yields the same text, whatever characters it has; the quotes
+/// and escapes of other languages may differ.
+pub fn quote(text: &str) -> String {
+    syntax::quote(text)
+}
+
 /// Reads and checks a deployment's settings in a file.
 ///
 /// # Errors
--- a/crates/sanddrum-settings/src/reader.rs
+++ b/crates/sanddrum-settings/src/reader.rs
@@ -4,7 +4,7 @@
 use crate::loaded::{LoadedSettings, Origin};
 use crate::schema::{Key, Occurrence, Section, ValueType};
 use crate::suggestion::suggest;
-use crate::syntax::{parse_form, parse_forms, Form, Part};
+use crate::syntax::{parse_form, parse_forms, quote, Form, Part};
 use crate::value::{parse_element, parse_value};
 use sanddrum::Value;
 use std::collections::BTreeMap;
@@ -49,7 +49,7 @@
 /// Formats a key and its value as in a file.
 fn format_setting(key: &Key, literal: &str) -> String {
     if key.value_type.is_quoted() {
-        format!("({} {literal:?})", key.name)
+        format!("({} {})", key.name, quote(literal))
     } else {
         format!("({} {literal})", key.name)
     }
--- a/crates/sanddrum-settings/src/syntax.rs
+++ b/crates/sanddrum-settings/src/syntax.rs
@@ -74,15 +74,49 @@
     SettingsError::new(file, message, remedy).at(position)
 }
 
+/// Writes a text as a string that [`parse_forms`] reads as the same text, whatever characters it has.
+pub(crate) fn quote(text: &str) -> String {
+    lexpr::Value::string(text).to_string()
+}
+
+/// Where a character of a settings text stands, as far as brackets are concerned.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Context {
+    Code,
+    Comment,
+    String,
+    /// In a string, behind a backslash.
+    Escape,
+}
+
+impl Context {
+    /// The context of the character after this one.
+    fn after(self, character: char) -> Context {
+        match (self, character) {
+            (Context::Code, '"') => Context::String,
+            (Context::Code, ';') => Context::Comment,
+            (Context::String, '\\') => Context::Escape,
+            (Context::String, '"') => Context::Code,
+            (Context::Escape, _) => Context::String,
+            (context, _) => context,
+        }
+    }
+}
+
 fn check_depth(file: &str, text: &str) -> Result<(), SettingsError> {
     let mut depth = 0usize;
+    let mut context = Context::Code;
     for (line_index, line) in text.lines().enumerate() {
+        if context == Context::Comment {
+            context = Context::Code;
+        }
         for (column_index, character) in line.chars().enumerate() {
-            depth = match character {
-                '(' | '[' => depth + 1,
-                ')' | ']' => depth.saturating_sub(1),
+            depth = match (context, character) {
+                (Context::Code, '(' | '[') => depth + 1,
+                (Context::Code, ')' | ']') => depth.saturating_sub(1),
                 _ => depth,
             };
+            context = context.after(character);
             if depth > MAX_DEPTH {
                 let position = Position {
                     line: line_index + 1,
--- a/crates/sanddrum-settings/tests/settings.rs
+++ b/crates/sanddrum-settings/tests/settings.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use sanddrum_settings::{
-    key, read, read_with, Occurrence, Origin, Position, Section, SettingsError, ValueType,
+    key, quote, read, read_with, Occurrence, Origin, Position, Section, SettingsError, ValueType,
 };
 
 const FILE: &str = "demo.sx";
@@ -161,3 +161,40 @@
         let _ = read("noise", &text);
     }
 }
+
+/// Settings with a zone of this name.
+fn settings_with_zone(name: &str) -> String {
+    let zones = format!("(deployment (zones {}))", quote(name));
+    format!("{zones} (workload \"w\" (effect restartable))")
+}
+
+/// A zone's name of any characters, among them those that strings of other languages escape in another way.
+fn any_name() -> impl Strategy<Value = String> {
+    let special = prop::sample::select(vec![
+        '\u{a0}', '\u{301}', '"', '\\', '(', '[', ';', '\n', '\r', '\t', '\0', '\u{7f}', '\u{feff}',
+    ]);
+    prop::collection::vec(prop_oneof![special, any::<char>()], 1..60)
+        .prop_map(|characters| characters.into_iter().collect())
+}
+
+proptest! {
+    /// Review, case 10: a name with a no-break space was written with an escape that reading rejects.
+    #[test]
+    fn a_quoted_name_is_read_unchanged(name in any_name()) {
+        let settings = read(FILE, &settings_with_zone(&name)).unwrap();
+        prop_assert_eq!(settings.names("zones"), [name]);
+    }
+}
+
+#[rstest]
+fn brackets_in_strings_and_comments_do_not_count_as_nesting() {
+    let brackets = "([".repeat(40);
+    let zone = settings_with_zone(&brackets);
+    let text = format!("{zone} ; {brackets} \"\n(limits (max-open 10))");
+    let settings = read(FILE, &text).unwrap();
+    assert_eq!(settings.names("zones"), [brackets.clone()]);
+    assert_eq!(settings.integer("limits.max-open"), 10);
+    let nested = format!("(deployment {brackets})");
+    let error = read(FILE, &nested).unwrap_err();
+    assert!(error.to_string().contains("nested too deeply"), "{error}");
+}
