Reject at once where no worker with a lease may receive a request

Change: where neither a wait nor a load is possible, `choose` (src/logic/placement.rs) asks whether any worker may receive the request, and gives EndpointsStale if none may. Only in an outage, and only in that branch, as it looks at all workers.

Measured: with_a_stale_list_requests_are_rejected_immediately_if_the_last_used_ worker_rejects fails without the change (no answer) and passes with it, as do the module's other tests.

--- a/src/logic/cold_start.rs
+++ b/src/logic/cold_start.rs
@@ -30,6 +30,13 @@
     load_us: f64,
 }
 
+impl ColdStart {
+    /// Whether there is a worker at which the request could wait or be loaded.
+    pub(super) fn has_worker(&self) -> bool {
+        self.short_queue.is_some() || self.load_target.is_some()
+    }
+}
+
 impl Candidates<'_> {
     /// Determines the options for the request without changing any state.
     pub(super) fn plan_cold_start(&self) -> ColdStart {
--- a/src/logic/placement.rs
+++ b/src/logic/placement.rs
@@ -36,7 +36,7 @@
 
 /// The result of choosing among the candidates.
 pub(super) enum Choice {
-    /// The endpoint list is stale and all readiness leases have expired.
+    /// The endpoint list is stale and no worker that may receive an attempt holds a readiness lease.
     EndpointsStale,
     /// No worker may receive an attempt.
     NoWorker,
@@ -116,10 +116,14 @@
             return Some(Choice::NoWorker);
         }
         let candidates = Candidates::new(self, placement, pending, function, random);
-        let choice = match candidates.choose_warm() {
-            Some(choice) => Choice::Warm(choice),
-            None => Choice::Cold(candidates.plan_cold_start()),
-        };
-        Some(choice)
+        if let Some(choice) = candidates.choose_warm() {
+            return Some(Choice::Warm(choice));
+        }
+        let cold_start = candidates.plan_cold_start();
+        let may_be_without_lease = self.are_endpoints_stale() && !cold_start.has_worker();
+        if may_be_without_lease && !self.has_allowed_worker(pending) {
+            return Some(Choice::EndpointsStale);
+        }
+        Some(Choice::Cold(cold_start))
     }
 }
--- a/tests/readiness_lease.rs
+++ b/tests/readiness_lease.rs
@@ -204,6 +204,29 @@
     assert_eq!(serve(&mut host, 3..4), []);
 }
 
+/// A request that no worker may receive must not wait for one, although a worker has accepted something recently.
+#[rstest]
+fn with_a_stale_list_requests_are_rejected_immediately_if_the_last_used_worker_rejects() {
+    let mut host = two_warm_workers();
+    let begun = host.now;
+    // One worker has a long request in flight, so that only the other one is used.
+    host.send(2, FUNCTION);
+    let mut id = 10;
+    while host.now < begun + MAX_NOTIFICATION_DELAY {
+        host.advance(SECOND / 2);
+        assert_eq!(serve(&mut host, id..id + 1).len(), 1);
+        id += 1;
+    }
+    host.advance(DRAIN_GRACE);
+    host.send(100, FUNCTION);
+    host.end_attempt(100, Outcome::Rejected, Warmth::Unknown, 1_000);
+    assert_eq!(host.final_answers(100), 1);
+    let before = host.attempts.len();
+    host.send(101, FUNCTION);
+    assert_eq!((host.final_answers(101), host.attempts.len()), (1, before));
+    assert!(host.log.retry_afters.last().is_some_and(|after| *after > 0));
+}
+
 /// The send deadline of the attempt that was dispatched last, from this instant on.
 fn last_send_time(host: &FakeHost, from: Micros) -> Micros {
     let limits = host.log.attempt_limits.last().unwrap();
