--- a/crates/sanddrum-edge/tests/harness/feed.rs
+++ b/crates/sanddrum-edge/tests/harness/feed.rs
@@ -1,10 +1,15 @@
 //! Answers and polls of the platform's control feed.
 
 use super::scripted_module::Decision;
-use super::EdgeHarness;
+use super::{EdgeHarness, SECOND};
+use sanddrum::Micros;
+use sanddrum_net::{ConnectionId, Event};
 use sanddrum_wire::http;
 use serde_json::{json, Value as Json};
 
+/// The feed's address.
+const FEED: &str = "127.0.0.1:8090";
+
 /// A worker in the feed's format.
 pub fn member(id: &str, phase: &str) -> Json {
     json!({"id": id, "host_port": "10.0.0.1:7001", "locality": "a", "phase": phase, "size": 4, "up_since_ms": 0})
@@ -38,6 +43,34 @@
         self.receive_member(number, member("w", "in_service"));
     }
 
+    /// Until when the endpoint list was last reported as confirmed.
+    pub fn confirmed_at(&self) -> Micros {
+        let script = self.script.borrow();
+        script.confirmations.last().unwrap().confirmed_at
+    }
+
+    /// The connections to the feed, oldest first.
+    pub fn feed_connections(&self) -> Vec<ConnectionId> {
+        let connects = self.io.connects.iter();
+        connects
+            .filter(|(_, to)| to == FEED)
+            .map(|(conn, _)| *conn)
+            .collect()
+    }
+
+    /// Advances the clock while no poll is answered, and opens the connections to the feed.
+    pub fn leave_polls_unanswered(&mut self, duration: Micros) {
+        let until = self.now + duration;
+        let mut opened = self.feed_connections().len();
+        while self.now < until {
+            self.advance(SECOND / 20);
+            for conn in self.feed_connections().split_off(opened) {
+                opened += 1;
+                self.event(Event::Connected { conn });
+            }
+        }
+    }
+
     /// The request lines of all polls, in the order of their connections.
     pub fn polls(&self) -> Vec<String> {
         let connections = self.io.connects.iter().map(|(conn, _)| conn);
