Stop using worker connections on which nothing is answered any more

Cause: `least_loaded` (crates/sanddrum-edge/src/worker_connections/sending.rs) used any open connection with room; a time-out ended the message and kept the connection, and an incomplete frame waited for its end without limit.

Ruled out: closing a connection on each time-out (a long request says nothing of its connection, and what else is in flight there would be lost); a limit on connections (new ones worked, none was opened, as the old ones had room).

Change: worker_connections/liveness.rs. A frame that is incomplete for a second, the longest delay of a link, costs its connection. A connection on which a health check, or the message that asks for proof after a time-out, has had no answer for a second, and nothing else was received, takes no new messages; what is in flight on it is still awaited.

--- a/crates/sanddrum-edge/src/attempt_end.rs
+++ b/crates/sanddrum-edge/src/attempt_end.rs
@@ -10,8 +10,8 @@
 /// How much later than the edge a worker may learn that their connection was reset.
 pub(crate) const RESET_SETTLE_TIME: Micros = 1_000_000;
 
-/// How long bytes that a connection has accepted may take until the worker reads them, as far as a result may wait.
-const MAX_LINK_DELAY: Micros = 1_000_000;
+/// How long bytes that a connection has accepted may take until the peer reads them.
+pub(crate) const MAX_LINK_DELAY: Micros = 1_000_000;
 
 /// How long the edge waits for a worker to end a connection that the edge has ended.
 pub(crate) const CLOSE_TIMEOUT: Micros = 1_000_000;
--- a/crates/sanddrum-edge/src/edge_state.rs
+++ b/crates/sanddrum-edge/src/edge_state.rs
@@ -306,6 +306,7 @@
                 Timer::LoadTimeout(id) => self.load_timed_out(now, id),
                 Timer::HealthCheckTimeout(id) => self.health_check_timed_out(now, id),
                 Timer::WorkerConnection(id) => self.check_worker_connection(now, id, io),
+                Timer::IncompleteFrame(id) => self.check_incomplete_frame(now, id, io),
                 Timer::PartialWrite(id, attempt) => self.reset_partial_write(now, id, attempt, io),
                 Timer::ClientConnection(conn) => self.check_client(now, conn, io),
                 Timer::Discovery => self.check_discovery(now, io),
--- a/crates/sanddrum-edge/src/edge_state/workers.rs
+++ b/crates/sanddrum-edge/src/edge_state/workers.rs
@@ -30,6 +30,8 @@
             Event::Bytes { bytes, .. } => {
                 self.worker_connections.push_bytes(id, bytes);
                 self.read_worker_messages(now, id, io);
+                self.worker_connections
+                    .record_incomplete_frame(&mut self.context, now, id);
                 self.limit_incomplete_frames(now, id, io);
             }
             Event::Closed { cause, .. } => {
@@ -62,6 +64,7 @@
             if let Err(error) = result {
                 return self.reset_after_violation(now, id, worker, &error, io);
             }
+            self.worker_connections.record_message(now, id);
         }
     }
 
@@ -225,6 +228,19 @@
         self.finish_messages(now, outcomes);
     }
 
+    /// Runs the check of a frame that was received in part.
+    pub(super) fn check_incomplete_frame(
+        &mut self,
+        now: Micros,
+        id: WorkerConnectionId,
+        io: &mut dyn Io,
+    ) {
+        let outcomes =
+            self.worker_connections
+                .check_incomplete_frame(&mut self.context, now, id, io);
+        self.finish_messages(now, outcomes);
+    }
+
     /// Resets a connection if the attempt, whose request is closed, is still only partially written.
     pub(super) fn reset_partial_write(
         &mut self,
@@ -243,7 +259,7 @@
     pub(super) fn flush_workers(&mut self, now: Micros, io: &mut dyn Io) {
         self.end_abandoned_connections(now, io);
         for id in self.worker_connections.take_unconfirmed() {
-            self.worker_connections.request_confirmation(id);
+            self.worker_connections.request_confirmation(now, id);
         }
         for id in self.worker_connections.take_with_queued_cancels() {
             self.check_unwritten_messages(now, id);
--- a/crates/sanddrum-edge/src/timers.rs
+++ b/crates/sanddrum-edge/src/timers.rs
@@ -25,6 +25,8 @@
     /// Checks whether a worker connection was not established in time, has been idle for too long, or is retired and
     /// has nothing in flight.
     WorkerConnection(WorkerConnectionId),
+    /// Checks whether a frame received from a worker is still incomplete.
+    IncompleteFrame(WorkerConnectionId),
     /// An attempt whose client no longer waits is still only partly written.
     PartialWrite(WorkerConnectionId, AttemptId),
     /// Checks whether a client connection is idle or slow.
--- a/crates/sanddrum-edge/src/worker_connections.rs
+++ b/crates/sanddrum-edge/src/worker_connections.rs
@@ -5,6 +5,7 @@
 mod confirmation;
 mod connection;
 mod endpoints;
+mod liveness;
 mod receiving;
 mod sending;
 
--- a/crates/sanddrum-edge/src/worker_connections/confirmation.rs
+++ b/crates/sanddrum-edge/src/worker_connections/confirmation.rs
@@ -51,7 +51,7 @@
 
     /// Queues a message on a connection whose answer proves that the worker has read all earlier ones. Does nothing if none
     /// may be sent or the outbox is full.
-    pub(super) fn queue_confirmation(&mut self, connection: &mut WorkerConnection) {
+    pub(super) fn queue_confirmation(&mut self, now: Micros, connection: &mut WorkerConnection) {
         // Ids of load commands and health checks count up from one.
         let id = CommandId(u64::MAX - self.confirmation_count);
         let Some(bytes) = self.confirmation_bytes(id) else {
@@ -64,6 +64,9 @@
         self.confirmation_count += 1;
         let position = connection.next_position();
         connection.confirmations.insert(id, position);
+        if connection.transport.is_connected() {
+            connection.check_unanswered_since.get_or_insert(now);
+        }
         connection.keys_by_wire_id.insert(id.0, key);
     }
 
@@ -79,7 +82,7 @@
 
     /// Asks on a connection for proof of all that has been queued, unless that has been asked for already. While too many
     /// such messages are unanswered, the next answer to one asks for it.
-    pub fn request_confirmation(&mut self, id: WorkerConnectionId) {
+    pub fn request_confirmation(&mut self, now: Micros, id: WorkerConnectionId) {
         let Some(mut connection) = self.connections.remove(&id) else {
             return;
         };
@@ -88,7 +91,7 @@
         let is_full = connection.confirmations.len() >= MAX_UNANSWERED_CONFIRMATIONS;
         connection.owes_confirmation |= is_needed && is_full;
         if is_needed && !is_full {
-            self.queue_confirmation(&mut connection);
+            self.queue_confirmation(now, &mut connection);
             self.dirty.insert(id);
         }
         self.connections.insert(id, connection);
--- a/crates/sanddrum-edge/src/worker_connections/connection.rs
+++ b/crates/sanddrum-edge/src/worker_connections/connection.rs
@@ -69,6 +69,13 @@
     /// reused: a duplicate answer to the earlier attempt would be taken for the answer to the later one, which would
     /// then count as not run although it runs.
     pub retired_wire_ids: BTreeMap<u64, Micros>,
+    /// Since when a message that the worker answers at once has been unanswered, or since the last message received after
+    /// it.
+    pub check_unanswered_since: Option<Micros>,
+    /// Since when a received frame has been incomplete.
+    pub incomplete_since: Option<Micros>,
+    /// Whether a timer will check the incomplete frame.
+    pub is_frame_timer_scheduled: bool,
     /// Whether it takes no new messages and is closed once nothing is in flight.
     pub is_retired: bool,
     /// When its transport was opened.
@@ -105,6 +112,9 @@
             cancellations: BTreeMap::new(),
             keys_by_wire_id: BTreeMap::new(),
             retired_wire_ids: BTreeMap::new(),
+            check_unanswered_since: None,
+            incomplete_since: None,
+            is_frame_timer_scheduled: false,
             is_retired: false,
             opened_at: now,
             step_deadline: now,
@@ -120,6 +130,12 @@
         self.in_flight.is_empty()
     }
 
+    /// Whether a message that the worker answers at once is unanswered.
+    pub fn is_check_in_flight(&self) -> bool {
+        let is_health_check = |key: &MessageKey| matches!(key, MessageKey::HealthCheck(_));
+        !self.confirmations.is_empty() || self.in_flight.keys().any(is_health_check)
+    }
+
     /// Whether this id is in flight, or retired and not reusable yet.
     pub fn uses_wire_id(&self, wire_id: u64) -> bool {
         self.keys_by_wire_id.contains_key(&wire_id) || self.retired_wire_ids.contains_key(&wire_id)
@@ -137,6 +153,10 @@
             self.idle_before = now - self.idle_since;
             self.busy_since = now;
         }
+        let is_check = matches!(message.key, MessageKey::HealthCheck(_));
+        if is_check && self.transport.is_connected() {
+            self.check_unanswered_since.get_or_insert(now);
+        }
         let position = self.next_position();
         self.in_flight.insert(message.key, position);
         if uses_call_ids {
--- a/crates/sanddrum-edge/src/worker_connections/sending.rs
+++ b/crates/sanddrum-edge/src/worker_connections/sending.rs
@@ -90,6 +90,7 @@
         worker: WorkerId,
         message: &OutboundMessage,
     ) -> Result<WorkerConnectionId, SendError> {
+        self.retire_unresponsive(context, now, worker);
         if let Some(id) = self.least_loaded(
             now,
             worker,
@@ -222,7 +223,7 @@
         let decoder = self.protocol.decoder(context.limits.max_frame_bytes);
         let mut connection = WorkerConnection::new(worker, now, outbox, decoder);
         if self.needs_proof() {
-            self.queue_confirmation(&mut connection);
+            self.queue_confirmation(now, &mut connection);
         }
         connection
     }
--- a/crates/sanddrum-edge/src/worker_protocol.rs
+++ b/crates/sanddrum-edge/src/worker_protocol.rs
@@ -156,6 +156,14 @@
         }
     }
 
+    /// Whether a part of a message has been received.
+    pub fn has_incomplete_frame(&self) -> bool {
+        match self {
+            MessageDecoder::Native(frames) => frames.has_incomplete_frame(),
+            MessageDecoder::Platform(frames) => frames.has_incomplete_frame(),
+        }
+    }
+
     /// Takes the next complete message. `keys_by_wire_id` holds the messages in flight on the connection, by the ids
     /// that the platform's answers carry.
     ///
--- a/crates/sanddrum-wire/src/frame.rs
+++ b/crates/sanddrum-wire/src/frame.rs
@@ -52,6 +52,11 @@
         self.buffer.allocated_bytes()
     }
 
+    /// Whether a part of a frame has been received.
+    pub fn has_incomplete_frame(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Returns the next complete frame's content, or `None` until more bytes are received.
     ///
     /// # Errors
