Poll the control feed only on connections that are open

Found on reading the change of the feed's client again: an answer to an overdue poll made the client poll on its current connection even if that was still being opened. Nothing can be written there yet, which the client takes for a feed that does not read, so that it ended the new connection and waited for a backoff.

Measured: an_answer_to_an_overdue_poll_leaves_the_new_connection_to_open fails without the change and passes with it, as do the other tests of the edge.

--- a/crates/sanddrum-edge/src/control_feed.rs
+++ b/crates/sanddrum-edge/src/control_feed.rs
@@ -253,10 +253,11 @@
         context.timers.schedule(at, Timer::Discovery);
     }
 
-    /// Polls for the events after the last one that was applied, unless a poll is outstanding on the current connection.
+    /// Polls for the events after the last one that was applied, unless the current connection is being opened or has an
+    /// outstanding poll.
     pub fn poll(&mut self, context: &mut EdgeContext, now: Micros, io: &mut dyn Io) {
         let max_wait = context.limits.feed_poll_wait;
-        let Some(current) = self.current.as_mut().filter(|c| c.poll.is_none()) else {
+        let Some(current) = self.current.as_mut().filter(|c| c.can_poll()) else {
             return;
         };
         // The feed answers the first poll of a connection at once, so that missed events arrive without a further
@@ -345,6 +346,9 @@
 
     /// Handles the opening of a connection.
     pub fn on_connected(&mut self, context: &mut EdgeContext, now: Micros, io: &mut dyn Io) {
+        if let Some(current) = &mut self.current {
+            current.is_open = true;
+        }
         self.poll(context, now, io);
     }
 
--- a/crates/sanddrum-edge/src/feed_connection.rs
+++ b/crates/sanddrum-edge/src/feed_connection.rs
@@ -12,6 +12,8 @@
     pub conn: ConnectionId,
     /// The outstanding poll.
     pub poll: Option<Poll>,
+    /// Whether it has been opened.
+    pub is_open: bool,
     /// Whether a poll has been sent on it.
     pub has_polled: bool,
     /// Bytes of an incomplete answer.
@@ -24,11 +26,17 @@
         FeedConnection {
             conn,
             poll: None,
+            is_open: false,
             has_polled: false,
             received: Vec::new(),
         }
     }
 
+    /// Whether a poll can be sent on it.
+    pub fn can_poll(&self) -> bool {
+        self.is_open && self.poll.is_none()
+    }
+
     /// Receives bytes of an answer. Returns it once it is complete.
     ///
     /// # Errors
--- a/crates/sanddrum-edge/tests/late_feed.rs
+++ b/crates/sanddrum-edge/tests/late_feed.rs
@@ -26,6 +26,23 @@
     assert_eq!(harness.polls().len(), polls, "a later poll is outstanding");
 }
 
+/// Guards against a poll that is written before its connection is up, which would end that connection.
+#[rstest]
+fn an_answer_to_an_overdue_poll_leaves_the_new_connection_to_open() {
+    let mut harness = EdgeHarness::on_platform(&[]);
+    let old = harness.discovery;
+    while harness.feed_connections().len() == 1 {
+        harness.advance(SECOND / 20);
+    }
+    let new = *harness.feed_connections().last().unwrap();
+    let polls = harness.polls().len();
+    harness.receive(old, &feed_answer(1, json!([])));
+    assert_eq!(harness.polls().len(), polls);
+    assert!(!harness.io.has_reset(new));
+    harness.event(Event::Connected { conn: new });
+    assert_eq!(harness.polls().len(), polls + 1);
+}
+
 #[rstest]
 fn polls_of_a_slow_feed_are_awaited_for_as_long_as_its_answers_take() {
     let mut harness = EdgeHarness::on_platform(&[]);
