Put the bounds of the test of outages back

No run had failed with the stricter ones; the reason was care for a loaded machine, and "half of what a request waits at most" had not been measured. A check is not eased for that, so both are as they were at first.

--- a/crates/sanddrum-cli/tests/outage_service.rs
+++ b/crates/sanddrum-cli/tests/outage_service.rs
@@ -26,10 +26,8 @@
 const AFTER_OUTAGE: Duration = Duration::from_secs(5);
 /// How soon requests must be served again after the outage.
 const MAX_RECOVERY: Duration = Duration::from_millis(1_500);
-/// How soon a request that is not served must be answered: before it could have waited for anything.
-const IMMEDIATELY: Duration = Duration::from_millis(500);
-/// The share of the requests that must be served again after the outage.
-const RECOVERED_SHARE: f64 = 0.9;
+/// How soon a request that is not served must be answered.
+const IMMEDIATELY: Duration = Duration::from_millis(100);
 
 /// The id of the next call; each call has its own.
 static NEXT_CALL: AtomicU64 = AtomicU64::new(1);
@@ -88,8 +86,7 @@
             .after
             .iter()
             .filter(|request| request.sent_at >= self.outage_end + limit);
-        let served = later.clone().filter(|request| request.is_served).count();
-        served > 0 && served as f64 >= RECOVERED_SHARE * later.count() as f64
+        later.clone().count() > 0 && later.clone().all(|request| request.is_served)
     }
 }
 
